--- /dev/null
+++ b/samphirecleat/_jsonc.py
@@ -0,0 +1,207 @@
+"""JSON with comments, read into nodes that know their line.
+
+A thin layer over ``json-cfg``: it collects every fault of a document instead of
+stopping at the first, each with its line, its key and what is allowed. Used for
+the node's settings and for the service text.
+"""
+
+from collections.abc import Callable, Collection, Mapping, Sequence
+from typing import Any, Final, NamedTuple, TypeVar
+
+import jsoncfg
+
+
+class Fault(NamedTuple):
+    """One thing that is wrong in a document, and what would be right."""
+
+    line: int
+    key: str
+    message: str
+
+    def __str__(self) -> str:
+        """Return ``line N: key: message``."""
+        return f"line {self.line}: {self.key}: {self.message}"
+
+
+class DocumentError(Exception):
+    """A document that cannot be taken; carries all of its faults."""
+
+    def __init__(self, source: str, faults: Sequence[Fault]) -> None:
+        """Name the document and keep its faults in the order of their lines."""
+        self.source = source
+        self.faults = sorted(faults)
+        super().__init__("\n".join(f"{source}: {fault}" for fault in self.faults))
+
+
+class _Required:
+    """The type of :data:`REQUIRED`."""
+
+
+T = TypeVar("T")
+
+REQUIRED: Final = _Required()
+"""Stands for "no default": a missing key is then a fault."""
+
+
+class Reader:
+    """Reads one object of a document and notes what is wrong in it.
+
+    Each ``take_*`` method returns a usable value even after a fault, so that the
+    rest of the document is still checked. :meth:`close` notes unknown keys. The
+    list ``faults`` is shared by the readers of one document.
+    """
+
+    def __init__(self, node: Any, path: str, faults: list[Fault]) -> None:
+        """Read the object ``node``, which stands at ``path``."""
+        self._node = node
+        self._path = path
+        self._faults = faults
+        self._taken: set[str] = set()
+        self._children: dict[str, Any] = {}
+        if jsoncfg.node_is_object(node):
+            # Not dict(node): it would look for an attribute "keys", which json-cfg
+            # takes for a key of the document.
+            self._children = {key: child for key, child in node}  # noqa: C416
+        else:
+            self.fault("an object {...} is expected here")
+
+    @property
+    def line(self) -> int:
+        """The line on which this object starts."""
+        return int(jsoncfg.node_location(self._node).line)
+
+    def fault(self, message: str, key: str = "") -> None:
+        """Note that ``key`` of this object (or the object itself) is wrong."""
+        node = self._children.get(key, self._node)
+        line = int(jsoncfg.node_location(node).line)
+        self._faults.append(Fault(line, self._key_path(key) or "(document)", message))
+
+    def keys(self) -> Sequence[str]:
+        """Return the keys of this object in the order in which they stand."""
+        return list(self._children)
+
+    def take_number(
+        self,
+        key: str,
+        default: float | _Required = REQUIRED,
+        *,
+        at_least: float = 0.0,
+        at_most: float = 1e12,
+    ) -> float:
+        """Take a number between two bounds, both allowed."""
+        value = self._take(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            self._wrong(key, value, f"a number from {at_least:g} to {at_most:g} is expected")
+            return at_least
+        if not at_least <= value <= at_most:
+            self.fault(f"{value:g} is outside {at_least:g} to {at_most:g}", key)
+            return at_least
+        return float(value)
+
+    def take_integer(
+        self,
+        key: str,
+        default: int | _Required = REQUIRED,
+        *,
+        at_least: int = 0,
+        at_most: int = 10**12,
+    ) -> int:
+        """Take a whole number between two bounds, both allowed."""
+        value = self._take(key, default)
+        if isinstance(value, bool) or not isinstance(value, int):
+            self._wrong(key, value, f"a whole number from {at_least} to {at_most} is expected")
+            return at_least
+        if not at_least <= value <= at_most:
+            self.fault(f"{value} is outside {at_least} to {at_most}", key)
+            return at_least
+        return value
+
+    def take_boolean(self, key: str, default: bool | _Required = REQUIRED) -> bool:
+        """Take true or false."""
+        value = self._take(key, default)
+        if not isinstance(value, bool):
+            self._wrong(key, value, "true or false is expected")
+            return False
+        return value
+
+    def take_text(
+        self,
+        key: str,
+        default: str | _Required = REQUIRED,
+        *,
+        one_of: Collection[str] = (),
+    ) -> str:
+        """Take a text, which may have to be one of a few."""
+        value = self._take(key, default)
+        if not isinstance(value, str):
+            self._wrong(key, value, "a text is expected")
+            return next(iter(one_of), "")
+        if one_of and value not in one_of:
+            self.fault(f'"{value}" is not one of {", ".join(sorted(one_of))}', key)
+            return next(iter(one_of))
+        return value
+
+    def take_texts(self, key: str, default: Sequence[str] | _Required = REQUIRED) -> Sequence[str]:
+        """Take a list of texts."""
+        value = self._take(key, default)
+        if not isinstance(value, list | tuple) or not all(isinstance(v, str) for v in value):
+            self._wrong(key, value, "a list of texts is expected")
+            return ()
+        return tuple(value)
+
+    def take_object(self, key: str) -> "Reader | None":
+        """Take an inner object; None when it is missing, which is no fault."""
+        self._taken.add(key)
+        if key not in self._children:
+            return None
+        return Reader(self._children[key], self._key_path(key), self._faults)
+
+    def take_objects(self, key: str) -> Mapping[str, "Reader"]:
+        """Take an object of objects, keyed by names that the writer chose."""
+        inner = self.take_object(key)
+        if inner is None:
+            return {}
+        return {
+            name: Reader(node, f"{inner._path}.{name}", self._faults)
+            for name, node in inner._children.items()
+        }
+
+    def close(self) -> None:
+        """Note every key that nothing has taken: most often a misspelling."""
+        for key in self._children:
+            if key not in self._taken:
+                allowed = ", ".join(sorted(self._taken))
+                self.fault(f"unknown key; known here: {allowed}", key)
+
+    def _take(self, key: str, default: Any) -> Any:
+        self._taken.add(key)
+        if key in self._children:
+            node = self._children[key]
+            return node() if not jsoncfg.node_is_object(node) else node
+        return default
+
+    def _wrong(self, key: str, value: Any, expected: str) -> None:
+        if value is REQUIRED:
+            self.fault(f'"{key}" is missing; {expected}')
+        else:
+            self.fault(expected, key)
+
+    def _key_path(self, key: str) -> str:
+        return f"{self._path}.{key}".strip(".")
+
+
+def read_document(text: str, source: str, build: Callable[[Reader], T]) -> T:
+    """Parse ``text`` and build a value from it.
+
+    :raises DocumentError: when the text is no JSON with comments, or when
+        ``build`` noted any fault; all of them are in the error.
+    """
+    try:
+        root = jsoncfg.loads_config(text)
+    except jsoncfg.JSONConfigParserException as error:
+        raise DocumentError(source, [Fault(error.line, "(document)", str(error))]) from error
+    faults: list[Fault] = []
+    value = build(Reader(root, "", faults))
+    if faults:
+        raise DocumentError(source, faults)
+    return value
--- /dev/null
+++ b/samphirecleat/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches: each measures a decision against its simplest baseline."""
--- /dev/null
+++ b/samphirecleat/blackboard.py
@@ -0,0 +1,132 @@
+"""The blackboard: what one node knows, in sections that each have a single writer.
+
+Controllers read any section and write only their own. All of it lives on one
+loop on one thread, so that no section needs a lock. Records are immutable and
+are replaced whole.
+"""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from .config import ConfigState, Service
+
+
+class Identity(NamedTuple):
+    """Who this process is. The incarnation is new at every start of a process."""
+
+    node_id: str
+    incarnation: str
+    zone: str
+    http_address: str
+    peer_address: str
+
+
+class Member(NamedTuple):
+    """What a node says of itself in its heartbeats.
+
+    ``sequence`` rises with every change that the node makes to its own row, so
+    that of two rows of one incarnation the newer can be told.
+    """
+
+    node_id: str
+    incarnation: str
+    started_at_ms: int
+    zone: str
+    http_address: str
+    peer_address: str
+    sequence: int
+    leaving: bool
+    ready: bool
+    config_revision: int
+    key_epoch: int
+    in_flight: int
+
+
+class MemberView(NamedTuple):
+    """A member and when this node last had news of it, on its own clock."""
+
+    member: Member
+    heard_at_s: float
+    alive: bool
+
+
+class TargetView(NamedTuple):
+    """The latest that this node knows of one target.
+
+    ``version`` is what the target itself reported, -1 for a plain service.
+    ``reported_at_s`` is this node's clock at the report, less the report's own
+    age. ``reachable`` turns false when the target gives no answer.
+    """
+
+    address: str
+    service: str
+    zone: str
+    instance: str = ""
+    version: int = -1
+    loading: bool = False
+    leaving: bool = False
+    running: int = 0
+    waiting: int = 0
+    slots: int = 1
+    reported_at_s: float = 0.0
+    reachable: bool = False
+
+    @property
+    def usable(self) -> bool:
+        """Whether new work may be sent to it."""
+        return self.reachable and not self.leaving and not self.loading
+
+
+class LeaseView(NamedTuple):
+    """A lease as folded from the log; ``epoch`` is the fencing number of its orders."""
+
+    name: str
+    holder: str
+    epoch: int
+    last_offset: int
+
+
+class WeightsView(NamedTuple):
+    """The newest weights of a service, as this node last read them from the store."""
+
+    latest_version: int
+    parallel_loads: int
+    first_seen_at_s: float
+    everywhere_at_s: float
+
+
+@dataclass
+class Blackboard:
+    """All that one node knows; the comment behind each section names its writer."""
+
+    identity: Identity
+    config: ConfigState = field(default_factory=ConfigState)  # controllers.config_reader
+    members: dict[str, MemberView] = field(default_factory=dict)  # controllers.membership
+    listed_nodes: Sequence[str] = ()  # controllers.discovery
+    listed_targets: Mapping[str, tuple[str, str, bool]] = field(default_factory=dict)  # discovery
+    targets: dict[str, TargetView] = field(default_factory=dict)  # controllers.target_watch
+    leases: dict[str, LeaseView] = field(default_factory=dict)  # controllers.leases
+    weights: dict[str, WeightsView] = field(default_factory=dict)  # controllers.weights
+    in_flight: Counter[str] = field(default_factory=Counter)  # requests.dispatcher, by target
+    refusals: Counter[str] = field(default_factory=Counter)  # entry, by error kind
+    key_epoch: int = 0  # requests.key_book
+    leaving: bool = False  # controllers.drain
+
+    @property
+    def ready(self) -> bool:
+        """Whether this node may be handed to callers: it holds a text and stays."""
+        return self.config.revision >= 0 and not self.leaving
+
+    def service(self, name: str) -> Service | None:
+        """Return a service of the text in force, or None."""
+        return self.config.services.services.get(name)
+
+    def targets_of(self, service: str) -> Sequence[TargetView]:
+        """Return what is known of the targets of a service."""
+        return [target for target in self.targets.values() if target.service == service]
+
+    def live_members(self) -> Sequence[Member]:
+        """Return the members that this node takes for alive, itself included."""
+        return [view.member for view in self.members.values() if view.alive]
--- /dev/null
+++ b/samphirecleat/cli.py
@@ -0,0 +1,71 @@
+"""The command line: thin commands over the library."""
+
+import asyncio
+import sys
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any, Final, TypeVar
+
+import fire
+import uvloop
+
+from .config import DocumentError, read_service_text
+
+EXIT_BROKEN: Final = 1
+EXIT_BAD_INPUT: Final = 2
+T = TypeVar("T")
+
+
+class Commands:
+    """Samphirecleat, a rollout service for reinforcement learning."""
+
+    def check(self, file: str) -> None:
+        """Check a service text and print every fault with its place."""
+        try:
+            text = read_service_text(Path(file).read_text(), file)
+        except DocumentError as error:
+            print(error, file=sys.stderr)
+            sys.exit(EXIT_BAD_INPUT)
+        print(f"{file}: {len(text.services)} services, {len(text.trainers)} trainers, no fault")
+
+    def node(self, settings: str) -> None:
+        """Run the daemon of one entry host until SIGTERM, then drain it."""
+        from .daemon import run_daemon
+
+        run_daemon(settings)
+
+    def try_(
+        self,
+        nodes: int = 9,
+        seconds: float = 20.0,
+        seed: int = 1,
+        deployment: str = "los-aromos",
+        faults: str = "none",
+        report: str = "",
+    ) -> None:
+        """Run a whole deployment in one process and check every promise."""
+        from .trial import TrialOptions, print_report, run_trial, write_report
+
+        del faults
+        options = TrialOptions(nodes, seconds, seed, deployment)
+        result = _run(run_trial(options))
+        print_report(result)
+        if report:
+            write_report(result, report)
+        if result.broken:
+            print(f"Broken: {', '.join(result.broken)}", file=sys.stderr)
+            sys.exit(EXIT_BROKEN)
+
+
+def main() -> None:
+    """Run the command line."""
+    commands = Commands()
+    fire.Fire(
+        {"check": commands.check, "node": commands.node, "try": commands.try_},
+        name="samphirecleat",
+    )
+
+
+def _run(main_coroutine: Coroutine[Any, Any, T]) -> T:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(main_coroutine)
--- /dev/null
+++ b/samphirecleat/client/__init__.py
@@ -0,0 +1,14 @@
+"""The client library for callers and trainers, on asyncio."""
+
+from ._caller import CallAnswer, CallerClient
+from ._entries import Entry, EntryList
+from ._trainer import StepRequest, TrainerClient
+
+__all__ = [
+    "CallAnswer",
+    "CallerClient",
+    "Entry",
+    "EntryList",
+    "StepRequest",
+    "TrainerClient",
+]
--- /dev/null
+++ b/samphirecleat/config/__init__.py
@@ -0,0 +1,50 @@
+"""The service text: its types, its check, and the fold that puts it in force."""
+
+from .._jsonc import DocumentError, Fault
+from ._check import read_service_text
+from ._fold import (
+    NO_REVISION,
+    ConfigState,
+    LogRecord,
+    Outcome,
+    Publication,
+    Restatement,
+    adopt_peer_state,
+    fold_records,
+    publication_payload,
+    read_record,
+    restatement_payload,
+)
+from ._service_text import (
+    EMPTY_SERVICE_TEXT,
+    Method,
+    Service,
+    ServiceKind,
+    ServiceText,
+    TargetAddress,
+    Trainer,
+)
+
+__all__ = [
+    "EMPTY_SERVICE_TEXT",
+    "NO_REVISION",
+    "ConfigState",
+    "DocumentError",
+    "Fault",
+    "LogRecord",
+    "Method",
+    "Outcome",
+    "Publication",
+    "Restatement",
+    "Service",
+    "ServiceKind",
+    "ServiceText",
+    "TargetAddress",
+    "Trainer",
+    "adopt_peer_state",
+    "fold_records",
+    "publication_payload",
+    "read_record",
+    "read_service_text",
+    "restatement_payload",
+]
--- /dev/null
+++ b/samphirecleat/config/_check.py
@@ -0,0 +1,136 @@
+"""Checks a service text whole and builds its typed form."""
+
+import re
+from collections.abc import Mapping, Sequence
+from typing import Final
+
+from .._jsonc import Reader, read_document
+from ..settings import ADDRESS_PATTERN
+from ._service_text import Method, Service, ServiceKind, ServiceText, TargetAddress, Trainer
+
+DEFAULT_METHODS: Final[Mapping[ServiceKind, Sequence[Method]]] = {
+    ServiceKind.ENGINE: (Method("generate", idempotent=True, max_s=30.0),),
+    ServiceKind.PLAIN: (),
+    ServiceKind.SCORING: (Method("score", idempotent=True, max_s=10.0),),
+}
+NAME_PATTERN: Final = re.compile(r"[A-Za-z0-9_-]{1,40}")
+
+
+def read_service_text(text: str, source: str = "service text") -> ServiceText:
+    """Check a service text and return it typed.
+
+    :raises samphirecleat._jsonc.DocumentError: with every fault and its place:
+        unknown keys, unknown or circular dependencies, impossible limits.
+    """
+    return read_document(text, source, _build)
+
+
+def _build(reader: Reader) -> ServiceText:
+    service_readers = reader.take_objects("services")
+    services = {name: _take_service(name, inner) for name, inner in service_readers.items()}
+    if not services:
+        reader.fault("at least one service is expected", "services")
+    trainer_readers = reader.take_objects("trainers")
+    trainers = {name: _take_trainer(name, inner) for name, inner in trainer_readers.items()}
+    reader.close()
+    _check_dependencies(services, service_readers)
+    _check_trainers(trainers, services, trainer_readers)
+    return ServiceText(services, trainers)
+
+
+def _take_service(name: str, reader: Reader) -> Service:
+    if not NAME_PATTERN.fullmatch(name):
+        reader.fault("a service's name has only letters, digits, _ and -, 40 at most")
+    kind = ServiceKind(reader.take_text("kind", one_of=[kind.value for kind in ServiceKind]))
+    service = Service(
+        name=name,
+        kind=kind,
+        depends_on=reader.take_texts("depends_on", ()),
+        targets=_take_targets(reader),
+        methods=_take_methods(reader, kind),
+        capacity_per_target=reader.take_integer("capacity_per_target", 8, at_least=1),
+        checks_fencing=reader.take_boolean("checks_fencing", False),
+        refusal_is_not_run=reader.take_boolean("refusal_is_not_run", False),
+        staleness_bound=reader.take_integer("staleness_bound", 1, at_most=1000),
+        staleness_weight=reader.take_number("staleness_weight", 0.5, at_most=1.0),
+        max_swapping_share=reader.take_number(
+            "max_swapping_share", 0.34, at_least=0.01, at_most=1.0
+        ),
+        caller_share=reader.take_number("caller_share", 0.7, at_most=1.0),
+    )
+    reader.close()
+    return service
+
+
+def _take_targets(reader: Reader) -> Sequence[TargetAddress]:
+    targets = []
+    for address, inner in reader.take_objects("targets").items():
+        if not ADDRESS_PATTERN.match(address):
+            inner.fault(f'"{address}" is no IP:port')
+        targets.append(TargetAddress(address, inner.take_text("zone")))
+        inner.close()
+    return tuple(targets)
+
+
+def _take_methods(reader: Reader, kind: ServiceKind) -> Mapping[str, Method]:
+    methods = {method.name: method for method in DEFAULT_METHODS[kind]}
+    for name, inner in reader.take_objects("methods").items():
+        methods[name] = Method(
+            name,
+            idempotent=inner.take_boolean("idempotent"),
+            max_s=inner.take_number("max_s", 30.0, at_least=0.01, at_most=3600.0),
+        )
+        inner.close()
+    if not methods:
+        reader.fault('a plain service needs at least one entry in "methods"')
+    return methods
+
+
+def _take_trainer(name: str, reader: Reader) -> Trainer:
+    if not NAME_PATTERN.fullmatch(name):
+        reader.fault("a trainer's name has only letters, digits, _ and -, 40 at most")
+    trainer = Trainer(
+        name=name,
+        service=reader.take_text("service"),
+        share=reader.take_number("share", 1.0, at_least=0.001, at_most=1000.0),
+    )
+    reader.close()
+    return trainer
+
+
+def _check_dependencies(services: Mapping[str, Service], readers: Mapping[str, Reader]) -> None:
+    for name, service in services.items():
+        for needed in service.depends_on:
+            if needed not in services:
+                known = ", ".join(sorted(services))
+                readers[name].fault(f'"{needed}" is no service; known: {known}', "depends_on")
+    for name in services:
+        cycle = _find_cycle(name, services)
+        if cycle and name == min(cycle):
+            readers[name].fault(f"circular: {' -> '.join([*cycle, name])}", "depends_on")
+
+
+def _find_cycle(start: str, services: Mapping[str, Service]) -> Sequence[str]:
+    """Return a path of names from ``start`` back to it, or nothing."""
+    paths = [[start]]
+    seen: set[str] = set()
+    while paths:
+        path = paths.pop()
+        for needed in services[path[-1]].depends_on:
+            if needed == start:
+                return path
+            if needed in services and needed not in seen:
+                seen.add(needed)
+                paths.append([*path, needed])
+    return ()
+
+
+def _check_trainers(
+    trainers: Mapping[str, Trainer],
+    services: Mapping[str, Service],
+    readers: Mapping[str, Reader],
+) -> None:
+    for name, trainer in trainers.items():
+        service = services.get(trainer.service)
+        if service is None or service.kind is not ServiceKind.ENGINE:
+            readers[name].fault(f'"{trainer.service}" is no service of kind engine', "service")
--- /dev/null
+++ b/samphirecleat/daemon.py
@@ -0,0 +1,52 @@
+"""The thin daemon around a node: settings in, signals handled, drained on SIGTERM."""
+
+import logging
+import sys
+from pathlib import Path
+from typing import Any, Final
+
+import aiomisc
+
+from ._jsonc import DocumentError
+from .node import Node
+from .settings import Settings, read_settings
+
+EXIT_BAD_SETTINGS: Final = 2
+
+
+class NodeService(aiomisc.Service):
+    """Runs one node under aiomisc, which handles the signals."""
+
+    node: Node
+
+    async def start(self) -> None:
+        """Start the node."""
+        await self.node.start()
+
+    async def stop(self, exception: Exception | None = None) -> Any:
+        """Drain the node, so that nothing in flight is cut off, and stop it."""
+        del exception
+        await self.node.drain()
+        await self.node.stop()
+
+
+def run_daemon(settings_path: str) -> None:
+    """Run a node until SIGTERM or SIGINT; exit 2 at once for bad settings."""
+    try:
+        settings = read_settings(Path(settings_path).read_text(), settings_path)
+    except (DocumentError, OSError) as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    _run(settings)
+
+
+def _run(settings: Settings) -> None:
+    shutdown_timeout_s = settings.timings.entry_ttl_s + settings.timings.max_deadline_s
+    with aiomisc.entrypoint(
+        NodeService(node=Node(settings)),
+        log_level=settings.log_level,
+        log_format="json" if settings.log_format == "json" else "plain",
+        shutdown_timeout=shutdown_timeout_s,
+    ) as loop:
+        loop.run_forever()
+    logging.shutdown()
--- /dev/null
+++ b/samphirecleat/entry/_app.py
@@ -0,0 +1,51 @@
+"""The HTTP application of a node and its one place that turns errors into answers."""
+
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from ..blackboard import Blackboard
+from ..errors import ErrorKind, RequestError
+from ..observe import Observer
+from ._callers import CallerEntry
+from ._operators import OperatorEntry
+from ._trainers import TrainerEntry
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def build_app(
+    callers: CallerEntry,
+    trainers: TrainerEntry,
+    operators: OperatorEntry,
+    board: Blackboard,
+    observer: Observer,
+    *,
+    max_body_bytes: int,
+) -> web.Application:
+    """Return the application with all routes."""
+
+    @web.middleware
+    async def answer_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except RequestError as error:
+            board.refusals[error.kind.value] += 1
+            return _error_response(error)
+        except web.HTTPException:
+            raise
+        except Exception as error:
+            observer.log("entry").exception("Request failed.")
+            board.refusals[ErrorKind.INTERNAL.value] += 1
+            return _error_response(RequestError(ErrorKind.INTERNAL, repr(error)))
+
+    app = web.Application(client_max_size=max_body_bytes, middlewares=[answer_errors])
+    callers.add_routes(app.router)
+    trainers.add_routes(app.router)
+    operators.add_routes(app.router)
+    return app
+
+
+def _error_response(error: RequestError) -> web.Response:
+    headers = {"Retry-After": f"{error.retry_after_s:g}"} if error.retry_after_s else {}
+    return web.json_response({"error": error.body()}, status=error.status, headers=headers)
--- /dev/null
+++ b/samphirecleat/errors.py
@@ -0,0 +1,157 @@
+"""The closed list of error kinds and the table from a kind to its answer.
+
+Every refusal or failure that a caller, a trainer or an operator can meet is an
+:class:`ErrorKind`. :data:`ANSWERS` says, for each, the HTTP status, whether the
+request ran, and whether and where the sender may try again. A kind that is not
+in the table cannot be answered, and :mod:`tests.test_errors` checks that none is
+missing.
+"""
+
+from collections.abc import Mapping
+from enum import Enum
+from typing import Final, NamedTuple, TypedDict
+
+
+class ErrorKind(Enum):
+    """What went wrong, named for the sender of the request."""
+
+    MALFORMED = "malformed"
+    BODY_TOO_LARGE = "body_too_large"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_METHOD = "unknown_method"
+    UNKNOWN_STEP = "unknown_step"
+    STEP_CONFLICT = "step_conflict"
+    KEY_MALFORMED = "key_malformed"
+    KEY_CONFLICT = "key_conflict"
+    KEY_EXPIRED = "key_expired"
+    KEY_TABLE_FULL = "key_table_full"
+    DEADLINE_PASSED = "deadline_passed"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    OVERLOADED = "overloaded"
+    NO_TARGET = "no_target"
+    NOT_READY = "not_ready"
+    LEAVING = "leaving"
+    TARGET_REFUSED = "target_refused"
+    TARGET_FAILED = "target_failed"
+    ANSWER_DISCARDED = "answer_discarded"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    UNAUTHENTICATED = "unauthenticated"
+    INTERNAL = "internal"
+
+
+class Ran(Enum):
+    """Whether the request reached a target and started there."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+class RetryAt(Enum):
+    """Whether and where the sender may send the same request again."""
+
+    NEVER = "never"
+    SAME_NODE = "same_node"
+    ANY_NODE = "any_node"
+    LATER = "later"
+
+
+class Answer(NamedTuple):
+    """How one error kind is answered."""
+
+    status: int
+    ran: Ran
+    retry_at: RetryAt
+
+
+ANSWERS: Final[Mapping[ErrorKind, Answer]] = {
+    ErrorKind.MALFORMED: Answer(400, Ran.NO, RetryAt.NEVER),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, Ran.NO, RetryAt.NEVER),
+    ErrorKind.UNKNOWN_SERVICE: Answer(404, Ran.NO, RetryAt.NEVER),
+    ErrorKind.UNKNOWN_METHOD: Answer(404, Ran.NO, RetryAt.NEVER),
+    ErrorKind.UNKNOWN_STEP: Answer(404, Ran.NO, RetryAt.ANY_NODE),
+    ErrorKind.STEP_CONFLICT: Answer(409, Ran.NO, RetryAt.NEVER),
+    ErrorKind.KEY_MALFORMED: Answer(400, Ran.NO, RetryAt.NEVER),
+    ErrorKind.KEY_CONFLICT: Answer(409, Ran.NO, RetryAt.NEVER),
+    ErrorKind.KEY_EXPIRED: Answer(410, Ran.UNKNOWN, RetryAt.NEVER),
+    ErrorKind.KEY_TABLE_FULL: Answer(503, Ran.NO, RetryAt.LATER),
+    ErrorKind.DEADLINE_PASSED: Answer(400, Ran.NO, RetryAt.NEVER),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(504, Ran.UNKNOWN, RetryAt.NEVER),
+    ErrorKind.OVERLOADED: Answer(429, Ran.NO, RetryAt.LATER),
+    ErrorKind.NO_TARGET: Answer(503, Ran.NO, RetryAt.LATER),
+    ErrorKind.NOT_READY: Answer(503, Ran.NO, RetryAt.ANY_NODE),
+    ErrorKind.LEAVING: Answer(503, Ran.NO, RetryAt.ANY_NODE),
+    ErrorKind.TARGET_REFUSED: Answer(503, Ran.NO, RetryAt.LATER),
+    ErrorKind.TARGET_FAILED: Answer(502, Ran.UNKNOWN, RetryAt.NEVER),
+    ErrorKind.ANSWER_DISCARDED: Answer(410, Ran.YES, RetryAt.NEVER),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(502, Ran.UNKNOWN, RetryAt.NEVER),
+    ErrorKind.UNAUTHENTICATED: Answer(401, Ran.NO, RetryAt.NEVER),
+    ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN, RetryAt.NEVER),
+}
+
+
+class ErrorBody(TypedDict):
+    """The JSON body of every error answer."""
+
+    kind: str
+    ran: str
+    retry_at: str
+    retry_after_s: float
+    detail: str
+
+
+class RequestError(Exception):
+    """A request that ends without its answer.
+
+    ``ran`` defaults to the table's value. A raiser may only weaken it from
+    :attr:`Ran.NO` to :attr:`Ran.UNKNOWN`, or strengthen it to :attr:`Ran.NO`
+    when it knows that no byte of the request left for a target.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str,
+        *,
+        ran: Ran | None = None,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        """Describe the failure for its sender; ``detail`` says what to do."""
+        super().__init__(f"{kind.value}: {detail}")
+        self.kind = kind
+        self.detail = detail
+        self.ran = ran if ran is not None else ANSWERS[kind].ran
+        self.retry_after_s = retry_after_s
+
+    @property
+    def status(self) -> int:
+        """The HTTP status that answers this kind."""
+        return ANSWERS[self.kind].status
+
+    def body(self) -> ErrorBody:
+        """Return the JSON body that tells the sender of this error."""
+        return {
+            "kind": self.kind.value,
+            "ran": self.ran.value,
+            "retry_at": ANSWERS[self.kind].retry_at.value,
+            "retry_after_s": self.retry_after_s,
+            "detail": self.detail,
+        }
+
+    @classmethod
+    def from_body(cls, body: ErrorBody) -> "RequestError":
+        """Rebuild the error that another node or the client received.
+
+        An unknown kind, from a newer node, becomes :attr:`ErrorKind.OUTCOME_UNKNOWN`.
+        """
+        try:
+            kind = ErrorKind(body["kind"])
+            ran = Ran(body["ran"])
+        except (KeyError, ValueError, TypeError):
+            return cls(ErrorKind.OUTCOME_UNKNOWN, f"the answer is not understood: {body!r}")
+        return cls(
+            kind,
+            str(body.get("detail", "")),
+            ran=ran,
+            retry_after_s=float(body.get("retry_after_s", 0.0)),
+        )
--- /dev/null
+++ b/samphirecleat/node.py
@@ -0,0 +1,277 @@
+"""The composition root: builds the parts of one node and wires them together."""
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Any, Final
+
+import aiohttp
+from aiohttp import web
+from grpclib.server import Server
+
+from .blackboard import Blackboard, Identity, Member
+from .controllers import (
+    ConfigReader,
+    Discovery,
+    Dispatcher,
+    LeaseKeeper,
+    Limiter,
+    Membership,
+    StepRunner,
+    TargetWatch,
+    WeightCoordinator,
+)
+from .entry import CallerEntry, OperatorEntry, TrainerEntry, build_app
+from .observe import Observer
+from .peers import HeartbeatCodec, PeerClient, PeerServer, PeerUnavailableError
+from .platform import HttpHostList, HttpLog, HttpWeightStore
+from .requests import KeyBook
+from .settings import Settings
+from .targets import TargetClient
+
+DRAIN_POLL_S: Final = 0.05
+PEER_CONFIG_PERIOD_S: Final = 0.25
+PEER_TIMEOUT_S: Final = 1.0
+RESTART_AFTER_S: Final = 1.0
+Driver = Callable[[], Awaitable[None]]
+
+
+class Node:
+    """One entry host's process: start it, drain it, stop it.
+
+    :meth:`start` returns once it listens; :meth:`drain` once nothing is in
+    flight and no caller's kept entry list can name it any more.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        """Build a node that does not run yet."""
+        self.settings = settings
+        self.observer = Observer(settings.node_id)
+        self.board = Blackboard(
+            Identity(
+                settings.node_id,
+                secrets.token_hex(6),
+                settings.zone,
+                settings.http_address,
+                settings.peer_address,
+            )
+        )
+        self._started_at_ms = time.time_ns() // 1_000_000
+        self._sequence = 0
+        self._rng = random.Random(settings.seed or None)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Build the parts that need a loop, listen, and start the controllers."""
+        self._build()
+        await self._listen()
+        for drive in self._drivers():
+            self._tasks.append(asyncio.get_running_loop().create_task(self._supervise(drive)))
+        self.observer.log("node").info("Node %s listens.", self.settings.node_id)
+
+    async def drain(self) -> None:
+        """Leave the entry list, serve what still comes, and return when all is done."""
+        self.board.leaving = True
+        self.membership.beat()
+        loop = asyncio.get_running_loop()
+        kept_until_s = loop.time() + self.settings.timings.entry_ttl_s
+        while loop.time() < kept_until_s or self.callers.in_flight or self.limiter.in_flight:
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    async def stop(self) -> None:
+        """Stop at once; call :meth:`drain` first to cut nothing off."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.callers.close()
+        await self.steps.close()
+        self._udp.close()
+        self._grpc.close()
+        await self._grpc.wait_closed()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        self.peers.close()
+        await self._session.close()
+
+    def own_report(self) -> Mapping[str, Any]:
+        """Return this node's part of the fleet report."""
+        board = self.board
+        return {
+            "incarnation": board.identity.incarnation,
+            "zone": board.identity.zone,
+            "leaving": board.leaving,
+            "revision": board.config.revision,
+            "members": sorted(member.node_id for member in board.live_members()),
+            "targets": {a: t._asdict() for a, t in board.targets.items()},
+            "refusals": dict(board.refusals),
+            "steps": [
+                {
+                    "trainer": trainer,
+                    "step": step_id,
+                    "size": step.spec.size,
+                    "held": len(step.held),
+                    "ready": len(step.ready),
+                    "discarded_stale": step.discarded_stale,
+                }
+                for (trainer, step_id), step in self.steps.steps.items()
+            ],
+            "weights": {
+                name: {"latest": view.latest_version} for name, view in board.weights.items()
+            },
+        }
+
+    def _build(self) -> None:
+        settings, timings, board = self.settings, self.settings.timings, self.board
+        now_s = asyncio.get_running_loop().time()
+        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        log = HttpLog(self._session, settings.log_url)
+        self.key_book = KeyBook(
+            settings.node_id,
+            board.identity.incarnation,
+            epoch_s=timings.key_epoch_s,
+            max_keys=settings.bounds.keys,
+            now_s=now_s,
+        )
+        client = TargetClient(
+            self._session,
+            progress_timeout_s=timings.progress_timeout_s,
+            connect_timeout_s=timings.connect_timeout_s,
+            probe_timeout_s=timings.probe_timeout_s,
+        )
+        self.peers = PeerClient(settings.shared_key)
+        self.limiter = Limiter(board)
+        self.dispatcher = Dispatcher(board, self.limiter, client, self.observer, self._rng)
+        self.steps = StepRunner(board, self.dispatcher, self.limiter, self.observer)
+        self.config_reader = ConfigReader(board, log, self.observer, self._rng, timings.log_wait_s)
+        self.leases = LeaseKeeper(
+            board,
+            log,
+            self.observer,
+            self._rng,
+            lease_s=timings.lease_s,
+            grace_s=timings.longest_order_s,
+            log_wait_s=timings.log_wait_s,
+        )
+        self.membership = Membership(
+            board,
+            HeartbeatCodec(settings.shared_key),
+            self.observer,
+            self._own_row,
+            seeds=settings.seeds,
+            heartbeat_s=timings.heartbeat_s,
+            suspect_after_s=timings.suspect_after_s,
+        )
+        self.discovery = Discovery(
+            board,
+            HttpHostList(self._session, settings.host_list_url),
+            self.observer,
+            timings.host_list_s,
+        )
+        self.target_watch = TargetWatch(board, client, timings.watch_s)
+        self.weights = WeightCoordinator(
+            board,
+            self.leases,
+            HttpWeightStore(self._session, settings.weight_store_url),
+            client,
+            self.observer,
+        )
+        self.callers = CallerEntry(
+            board, self.key_book, self.dispatcher, self.peers, self.observer, timings
+        )
+
+    async def _listen(self) -> None:
+        settings = self.settings
+        app = build_app(
+            self.callers,
+            TrainerEntry(self.board, self.steps),
+            OperatorEntry(self.board, self.peers, self.observer, self.own_report),
+            self.board,
+            self.observer,
+            max_body_bytes=settings.bounds.body_bytes,
+        )
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        host, port = _split_address(settings.http_address)
+        await web.TCPSite(self._runner, host, port, reuse_address=True).start()
+        peer_server = PeerServer(
+            settings.shared_key,
+            self.callers.serve_forwarded,
+            lambda: self.board.config,
+            self.own_report,
+        )
+        self._grpc = Server([peer_server])
+        peer_host, peer_port = _split_address(settings.peer_address)
+        await self._grpc.start(peer_host, peer_port, reuse_address=True)
+        loop = asyncio.get_running_loop()
+        self._udp, _protocol = await loop.create_datagram_endpoint(
+            lambda: self.membership, local_addr=(peer_host, peer_port)
+        )
+
+    def _drivers(self) -> Sequence[Driver]:
+        return [
+            self.config_reader.drive,
+            self.leases.drive_reading,
+            self.membership.drive,
+            self.discovery.drive,
+            self.target_watch.drive,
+            self.weights.drive,
+            self.steps.drive,
+            self._follow_peers,
+        ]
+
+    async def _supervise(self, drive: Driver) -> None:
+        """Start a controller again after an error that it did not expect.
+
+        Without this, one malformed record would end a controller for good while
+        the node went on answering, and nobody would notice until much later.
+        """
+        while True:
+            try:
+                await drive()
+            except Exception:
+                self.observer.log("node").exception("A controller failed and starts again.")
+                self.observer.counters["controller_restarts"] += 1
+            await asyncio.sleep(RESTART_AFTER_S)
+
+    async def _follow_peers(self) -> None:
+        """Take the configuration from a peer that is ahead, as when the log is out."""
+        while True:
+            await asyncio.sleep(PEER_CONFIG_PERIOD_S)
+            ahead = [
+                member
+                for member in self.board.live_members()
+                if member.config_revision > self.board.config.revision
+            ]
+            if not ahead:
+                continue
+            try:
+                state = await self.peers.fetch_config(self._rng.choice(ahead), PEER_TIMEOUT_S)
+            except PeerUnavailableError:
+                continue
+            self.config_reader.take_from_peer(state)
+
+    def _own_row(self) -> Member:
+        self._sequence += 1
+        identity = self.board.identity
+        return Member(
+            node_id=identity.node_id,
+            incarnation=identity.incarnation,
+            started_at_ms=self._started_at_ms,
+            zone=identity.zone,
+            http_address=identity.http_address,
+            peer_address=identity.peer_address,
+            sequence=self._sequence,
+            leaving=self.board.leaving,
+            ready=self.board.ready,
+            config_revision=self.board.config.revision,
+            key_epoch=self.key_book.epoch(asyncio.get_running_loop().time()),
+            in_flight=self.limiter.in_flight,
+        )
+
+
+def _split_address(address: str) -> tuple[str, int]:
+    host, port = address.rsplit(":", 1)
+    return host, int(port)
--- /dev/null
+++ b/samphirecleat/peers/_server.py
@@ -0,0 +1,83 @@
+"""What a node answers to other nodes over grpclib."""
+
+import hmac
+import json
+from collections.abc import AsyncIterator, Callable, Mapping
+from typing import Any
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Stream
+
+from ..config import ConfigState
+from ..errors import RequestError
+from ..requests import AnswerLine
+from ._client import KEY_HEADER, peer_token
+from .peers_grpc import PeersBase
+from .peers_pb2 import (
+    ConfigReply,
+    ConfigRequest,
+    ForwardChunk,
+    ForwardRequest,
+    ReportReply,
+    ReportRequest,
+)
+
+ForwardHandler = Callable[[ForwardRequest], AsyncIterator[AnswerLine]]
+
+
+class PeerServer(PeersBase):
+    """Serves other nodes; a peer without the shared key is turned away."""
+
+    def __init__(
+        self,
+        shared_key: str,
+        forward: ForwardHandler,
+        config: Callable[[], ConfigState],
+        report: Callable[[], Mapping[str, Any]],
+    ) -> None:
+        """Answer from the given callables."""
+        self._token = peer_token(shared_key)
+        self._forward = forward
+        self._config = config
+        self._report = report
+
+    async def Forward(self, stream: Stream[ForwardRequest, ForwardChunk]) -> None:  # noqa: N802
+        """Run a forwarded call as the owner of its key."""
+        self._check_key(stream)
+        request = await stream.recv_message()
+        assert request is not None
+        try:
+            async for line in self._forward(request):
+                await stream.send_message(ForwardChunk(line=json.dumps(line).encode()))
+        except RequestError as error:
+            body = json.dumps(error.body()).encode()
+            await stream.send_message(ForwardChunk(error=body, last=True))
+            return
+        await stream.send_message(ForwardChunk(last=True))
+
+    async def FetchConfig(self, stream: Stream[ConfigRequest, ConfigReply]) -> None:  # noqa: N802
+        """Tell what this node has in force."""
+        self._check_key(stream)
+        await stream.recv_message()
+        state = self._config()
+        await stream.send_message(
+            ConfigReply(
+                revision=state.revision,
+                folded_to=state.folded_to if state.certain else -1,
+                text=state.text,
+                operator=state.operator,
+            )
+        )
+
+    async def FetchReport(self, stream: Stream[ReportRequest, ReportReply]) -> None:  # noqa: N802
+        """Tell this node's own part of the fleet report."""
+        self._check_key(stream)
+        await stream.recv_message()
+        await stream.send_message(ReportReply(report=json.dumps(self._report()).encode()))
+
+    def _check_key(self, stream: Stream[Any, Any]) -> None:
+        assert stream.metadata is not None
+        shown = str(stream.metadata.get(KEY_HEADER, ""))
+        if not hmac.compare_digest(shown, self._token):
+            raise GRPCError(Status.UNAUTHENTICATED, "the shared key is missing or differs")
--- /dev/null
+++ b/samphirecleat/platform/__init__.py
@@ -0,0 +1,20 @@
+"""Clients of what the platform gives: the log, the host list, the weight store."""
+
+from ._host_list import HostListUnavailableError, HttpHostList, ListedHost
+from ._log import Appended, AppendOutcome, HttpLog, Log, LogBatch, LogUnavailableError
+from ._weight_store import HttpWeightStore, StoreInfo, WeightStoreUnavailableError
+
+__all__ = [
+    "AppendOutcome",
+    "Appended",
+    "HostListUnavailableError",
+    "HttpHostList",
+    "HttpLog",
+    "HttpWeightStore",
+    "ListedHost",
+    "Log",
+    "LogBatch",
+    "LogUnavailableError",
+    "StoreInfo",
+    "WeightStoreUnavailableError",
+]
--- /dev/null
+++ b/samphirecleat/platform/_host_list.py
@@ -0,0 +1,57 @@
+"""The platform's host list: live and leaving hosts, always a little late."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import aiohttp
+
+
+class ListedHost(NamedTuple):
+    """One row of the host list; ``service`` is ``entry`` for a node of ours.
+
+    ``address`` is where a target listens, or a node's peer address.
+    """
+
+    address: str
+    service: str
+    zone: str
+    leaving: bool
+
+
+class HostListUnavailableError(Exception):
+    """The host list gave no answer."""
+
+
+class HttpHostList:
+    """The host list over HTTP."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, base_url: str, *, timeout_s: float = 2.0
+    ) -> None:
+        """Talk to the host list at ``base_url``."""
+        self._session = session
+        self._base_url = base_url
+        self._timeout_s = timeout_s
+
+    async def read(self) -> Sequence[ListedHost]:
+        """Return the rows of the list.
+
+        :raises HostListUnavailableError: when it gives no usable answer.
+        """
+        timeout = aiohttp.ClientTimeout(total=self._timeout_s)
+        try:
+            async with self._session.get(f"{self._base_url}/v1/hosts", timeout=timeout) as response:
+                if response.status != 200:
+                    raise HostListUnavailableError(f"HTTP {response.status}")
+                body = await response.json()
+                return [
+                    ListedHost(
+                        str(row["address"]),
+                        str(row["service"]),
+                        str(row["zone"]),
+                        row["state"] == "leaving",
+                    )
+                    for row in body["hosts"]
+                ]
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+            raise HostListUnavailableError(str(error) or type(error).__name__) from error
--- /dev/null
+++ b/samphirecleat/platform/_log.py
@@ -0,0 +1,105 @@
+"""The platform's append-only log: what we need of it, and its HTTP client."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from enum import Enum
+from typing import Any, NamedTuple, Protocol
+
+import aiohttp
+
+from ..config import LogRecord
+
+
+class AppendOutcome(Enum):
+    """What is known of an append after its answer, or the lack of one."""
+
+    APPENDED = "appended"
+    NOT_APPENDED = "not_appended"
+    UNKNOWN = "unknown"
+
+
+class Appended(NamedTuple):
+    """The outcome of one append; ``offset`` is -1 unless it is APPENDED."""
+
+    outcome: AppendOutcome
+    offset: int = -1
+    detail: str = ""
+
+
+class LogBatch(NamedTuple):
+    """Records read from a stream, in offset order.
+
+    ``first_kept_offset`` is the oldest offset that the log still holds;
+    ``next_offset`` is where the next read starts.
+    """
+
+    records: Sequence[LogRecord]
+    first_kept_offset: int
+    next_offset: int
+
+
+class LogUnavailableError(Exception):
+    """The log could not be read: it is down, slow, or out of reach."""
+
+
+class Log(Protocol):
+    """What the system needs of the log."""
+
+    async def append(self, stream: str, payload: Mapping[str, Any]) -> Appended:
+        """Append one record; never raises for a failure of the log."""
+        ...
+
+    async def read(self, stream: str, from_offset: int, wait_s: float) -> LogBatch:
+        """Read on from an offset, waiting up to ``wait_s`` for a first record.
+
+        :raises LogUnavailableError: when the log gives no answer.
+        """
+        ...
+
+
+class HttpLog:
+    """The log over HTTP; one session is shared with the rest of the process."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, base_url: str, *, timeout_s: float = 3.0
+    ) -> None:
+        """Talk to the log at ``base_url``, at most ``timeout_s`` beyond any wait."""
+        self._session = session
+        self._base_url = base_url
+        self._timeout_s = timeout_s
+
+    async def append(self, stream: str, payload: Mapping[str, Any]) -> Appended:
+        """Append one record; see :meth:`Log.append`."""
+        url = f"{self._base_url}/v1/streams/{stream}/records"
+        timeout = aiohttp.ClientTimeout(total=self._timeout_s)
+        try:
+            async with self._session.post(url, json=payload, timeout=timeout) as response:
+                if response.status == 200:
+                    body = await response.json()
+                    return Appended(AppendOutcome.APPENDED, int(body["offset"]))
+                if response.status in (400, 413, 429):
+                    # The log answers these before it takes the record.
+                    return Appended(AppendOutcome.NOT_APPENDED, detail=f"HTTP {response.status}")
+                return Appended(AppendOutcome.UNKNOWN, detail=f"HTTP {response.status}")
+        except aiohttp.ClientConnectorError as error:
+            return Appended(AppendOutcome.NOT_APPENDED, detail=str(error))
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+            # The record may have been taken although its answer was lost.
+            return Appended(AppendOutcome.UNKNOWN, detail=str(error) or type(error).__name__)
+
+    async def read(self, stream: str, from_offset: int, wait_s: float) -> LogBatch:
+        """Read on from an offset; see :meth:`Log.read`."""
+        url = f"{self._base_url}/v1/streams/{stream}/records"
+        query = {"from": str(from_offset), "wait_s": str(wait_s)}
+        timeout = aiohttp.ClientTimeout(total=wait_s + self._timeout_s)
+        try:
+            async with self._session.get(url, params=query, timeout=timeout) as response:
+                if response.status != 200:
+                    raise LogUnavailableError(f"HTTP {response.status}")
+                body = await response.json()
+                records = [LogRecord(int(r["offset"]), r["payload"]) for r in body["records"]]
+                return LogBatch(records, int(body["first_kept_offset"]), int(body["next_offset"]))
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+            raise LogUnavailableError(str(error) or type(error).__name__) from error
+        except asyncio.IncompleteReadError as error:
+            raise LogUnavailableError(str(error)) from error
--- /dev/null
+++ b/samphirecleat/settings.py
@@ -0,0 +1,139 @@
+"""The settings of one node: JSON with comments, checked whole at start."""
+
+import re
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from ._jsonc import Reader, read_document
+
+MIN_SHARED_KEY_LENGTH: Final = 16
+ADDRESS_PATTERN: Final = re.compile(r"^[0-9A-Fa-f.:\[\]]+:\d{1,5}$")
+
+
+class Timings(NamedTuple):
+    """The periods and bounds that a node works with, in seconds."""
+
+    entry_ttl_s: float = 5.0
+    key_epoch_s: float = 60.0
+    max_deadline_s: float = 60.0
+    heartbeat_s: float = 0.5
+    suspect_after_s: float = 2.0
+    watch_s: float = 0.5
+    host_list_s: float = 1.0
+    log_wait_s: float = 5.0
+    lease_s: float = 6.0
+    longest_order_s: float = 10.0
+    progress_timeout_s: float = 3.0
+    probe_timeout_s: float = 1.0
+    connect_timeout_s: float = 1.0
+
+
+class Bounds(NamedTuple):
+    """What a node holds at most."""
+
+    body_bytes: int = 1_000_000
+    answer_store_bytes: int = 8_000_000
+    keys: int = 20_000
+    queue: int = 2_000
+
+
+class Settings(NamedTuple):
+    """Everything that a process learns from its operator at start."""
+
+    node_id: str
+    zone: str
+    http_address: str
+    peer_address: str
+    shared_key: str
+    log_url: str
+    weight_store_url: str
+    host_list_url: str
+    seeds: Sequence[str] = ()
+    log_format: str = "human"
+    log_level: str = "info"
+    seed: int = 0
+    timings: Timings = Timings()
+    bounds: Bounds = Bounds()
+
+
+def read_settings(text: str, source: str = "settings") -> Settings:
+    """Read and check a settings text.
+
+    :raises samphirecleat._jsonc.DocumentError: with every fault, each with line,
+        key and what is allowed.
+    """
+    return read_document(text, source, _build)
+
+
+def _build(reader: Reader) -> Settings:
+    settings = Settings(
+        node_id=_take_name(reader, "node_id"),
+        zone=_take_name(reader, "zone"),
+        http_address=_take_address(reader, "http_address"),
+        peer_address=_take_address(reader, "peer_address"),
+        shared_key=_take_shared_key(reader),
+        log_url=_take_url(reader, "log_url"),
+        weight_store_url=_take_url(reader, "weight_store_url"),
+        host_list_url=_take_url(reader, "host_list_url"),
+        seeds=reader.take_texts("seeds", ()),
+        log_format=reader.take_text("log_format", "human", one_of=("human", "json")),
+        log_level=reader.take_text("log_level", "info", one_of=("debug", "info", "warning")),
+        seed=reader.take_integer("seed", 0),
+        timings=_take_timings(reader.take_object("timings")),
+        bounds=_take_bounds(reader.take_object("bounds")),
+    )
+    for seed in settings.seeds:
+        if not ADDRESS_PATTERN.match(seed):
+            reader.fault(f'"{seed}" is no IP:port', "seeds")
+    reader.close()
+    return settings
+
+
+def _take_name(reader: Reader, key: str) -> str:
+    name = reader.take_text(key)
+    if name and not re.fullmatch(r"[A-Za-z0-9_-]{1,40}", name):
+        reader.fault("only letters, digits, _ and - are allowed, 40 at most", key)
+    return name
+
+
+def _take_address(reader: Reader, key: str) -> str:
+    address = reader.take_text(key)
+    if address and not ADDRESS_PATTERN.match(address):
+        reader.fault("an IP number and a port are expected, such as 10.0.0.5:7000", key)
+    return address
+
+
+def _take_url(reader: Reader, key: str) -> str:
+    url = reader.take_text(key)
+    if url and not url.startswith(("http://", "https://")):
+        reader.fault("a URL that starts with http:// or https:// is expected", key)
+    return url.rstrip("/")
+
+
+def _take_shared_key(reader: Reader) -> str:
+    key = reader.take_text("shared_key")
+    if key and len(key) < MIN_SHARED_KEY_LENGTH:
+        reader.fault(f"at least {MIN_SHARED_KEY_LENGTH} characters are expected", "shared_key")
+    return key
+
+
+def _take_timings(reader: Reader | None) -> Timings:
+    if reader is None:
+        return Timings()
+    values = {
+        name: reader.take_number(name, default, at_least=0.01, at_most=86_400)
+        for name, default in Timings._field_defaults.items()
+    }
+    reader.close()
+    return Timings(**values)
+
+
+def _take_bounds(reader: Reader | None) -> Bounds:
+    if reader is None:
+        return Bounds()
+    values = {
+        name: reader.take_integer(name, default, at_least=1)
+        for name, default in Bounds._field_defaults.items()
+    }
+    reader.close()
+    return Bounds(**values)
--- /dev/null
+++ b/samphirecleat/standins/__init__.py
@@ -0,0 +1,24 @@
+"""Small stand-ins for the systems outside, each with a ledger of what truly happened."""
+
+from ._engine import EngineRun, StandInEngine, digest_prompt
+from ._host_list import HostRow, StandInHostList
+from ._log import StandInLog
+from ._plain import PlainRun, StandInPlainService, StandInScoring, score_text
+from ._server import StandInServer, StandInTarget
+from ._weight_store import StandInWeightStore
+
+__all__ = [
+    "EngineRun",
+    "HostRow",
+    "PlainRun",
+    "StandInEngine",
+    "StandInHostList",
+    "StandInLog",
+    "StandInPlainService",
+    "StandInScoring",
+    "StandInServer",
+    "StandInTarget",
+    "StandInWeightStore",
+    "digest_prompt",
+    "score_text",
+]
--- /dev/null
+++ b/samphirecleat/standins/_host_list.py
@@ -0,0 +1,59 @@
+"""A small stand-in for the platform's host list, which lags behind reality."""
+
+import time
+from typing import NamedTuple
+
+from aiohttp import web
+
+from ._server import StandInServer
+
+
+class HostRow(NamedTuple):
+    """One row that the list will show."""
+
+    address: str
+    service: str
+    zone: str
+    state: str = "live"
+
+
+class StandInHostList(StandInServer):
+    """Shows each change only ``lag_s`` after it was made; ``down`` answers 503."""
+
+    def __init__(self, *, lag_s: float = 1.0) -> None:
+        """Start with an empty list."""
+        super().__init__()
+        self.lag_s = lag_s
+        self.down = False
+        self._changes: list[tuple[float, HostRow | str]] = []
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the one route."""
+        router.add_get("/v1/hosts", self._hosts)
+
+    def put(self, row: HostRow, *, at_once: bool = False) -> None:
+        """Add or replace the row of an address; ``at_once`` goes round the lag."""
+        visible_at_s = 0.0 if at_once else time.monotonic() + self.lag_s
+        self._changes.append((visible_at_s, row))
+
+    def remove(self, address: str) -> None:
+        """Take the row of an address off the list, after the lag."""
+        self._changes.append((time.monotonic() + self.lag_s, address))
+
+    def visible_rows(self) -> list[HostRow]:
+        """Return what the list shows now."""
+        now_s = time.monotonic()
+        rows: dict[str, HostRow] = {}
+        for visible_at_s, change in self._changes:
+            if visible_at_s > now_s:
+                continue
+            if isinstance(change, HostRow):
+                rows[change.address] = change
+            else:
+                rows.pop(change, None)
+        return list(rows.values())
+
+    async def _hosts(self, _request: web.Request) -> web.StreamResponse:
+        if self.down:
+            return web.json_response({"error": "down"}, status=503)
+        return web.json_response({"hosts": [row._asdict() for row in self.visible_rows()]})
--- /dev/null
+++ b/samphirecleat/standins/_plain.py
@@ -0,0 +1,104 @@
+"""Small stand-ins for plain services and scoring services, with their ledgers."""
+
+import asyncio
+import hashlib
+import time
+from collections import Counter
+from typing import NamedTuple
+
+from aiohttp import web
+
+from ._server import StandInTarget
+
+
+class PlainRun(NamedTuple):
+    """One call that truly ran; the ledger's row."""
+
+    request_id: str
+    method: str
+    prompt: str
+    started_at_s: float
+
+
+class StandInPlainService(StandInTarget):
+    """Answers ``POST /v1/call/{method}`` and keeps a ledger of its runs.
+
+    Faults: ``refuse_next`` calls get 503 before they start;
+    ``lose_next_answers`` calls run and their connection is closed in place of
+    the answer; ``fail_next`` calls run and answer 500.
+    """
+
+    def __init__(self, service: str, zone: str, *, slots: int = 16, call_s: float = 0.02) -> None:
+        """Run up to ``slots`` calls at once, each taking ``call_s``."""
+        super().__init__(service, zone)
+        self.slots = slots
+        self.call_s = call_s
+        self.refuse_next = 0
+        self.fail_next = 0
+        self.lose_next_answers = 0
+        self.runs: list[PlainRun] = []
+        self.runs_by_request: Counter[str] = Counter()
+        self._busy = 0
+        self._boot = 0
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the calls and the load report."""
+        self._boot += 1
+        router.add_post("/v1/call/{method}", self._call)
+        router.add_get("/v1/load", self._load_report)
+
+    async def _call(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        if self.refuse_next > 0 or self.leaving:
+            self.refuse_next = max(0, self.refuse_next - 1)
+            return web.json_response({"error": "refused"}, status=503)
+        request_id = request.headers["x-request-id"]
+        method = request.match_info["method"]
+        prompt = str(body.get("prompt", ""))
+        self.runs.append(PlainRun(request_id, method, prompt, time.monotonic()))
+        self.runs_by_request[request_id] += 1
+        self._busy += 1
+        try:
+            await asyncio.sleep(self.call_s)
+        finally:
+            self._busy -= 1
+        if self.fail_next > 0:
+            self.fail_next -= 1
+            return web.json_response({"error": "failed"}, status=500)
+        if self.lose_next_answers > 0:
+            self.lose_next_answers -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return web.json_response(self.answer(method, body))
+
+    def answer(self, method: str, body: object) -> dict[str, object]:
+        """Return what a call answers."""
+        return {"method": method, "echo": body}
+
+    async def _load_report(self, _request: web.Request) -> web.StreamResponse:
+        return web.json_response(
+            {
+                "instance": f"{self.service}-{id(self):x}-{self._boot}",
+                "version": -1,
+                "loading": False,
+                "leaving": self.leaving,
+                "running": self._busy,
+                "waiting": 0,
+                "slots": self.slots,
+                "age_s": 0.0,
+            }
+        )
+
+
+class StandInScoring(StandInPlainService):
+    """Scores a sample by a digest of its text, so that a check can repeat it."""
+
+    def answer(self, method: str, body: object) -> dict[str, object]:
+        """Return the score of ``body["text"]``."""
+        text = str(body["text"]) if isinstance(body, dict) else ""
+        return {"method": method, "score": score_text(text)}
+
+
+def score_text(text: str) -> float:
+    """Return the score that :class:`StandInScoring` gives a text, 0.0 to 1.0."""
+    return hashlib.blake2b(text.encode(), digest_size=1).digest()[0] / 255.0
--- /dev/null
+++ b/samphirecleat/standins/_server.py
@@ -0,0 +1,89 @@
+"""What every stand-in shares: an HTTP server on loopback with connection faults."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from aiohttp import web
+
+LOOPBACK: Final = "127.0.0.1"
+MAX_BODY_BYTES: Final = 8_000_000
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class StandInServer:
+    """Serves a stand-in's routes and can be stopped, crashed, or made silent.
+
+    Subclasses add their routes in :meth:`add_routes`.
+    """
+
+    def __init__(self) -> None:
+        """Prepare a stand-in that does not listen yet."""
+        self._runner: web.AppRunner | None = None
+        self._open: set[asyncio.Transport] = set()
+        self._silent: set[asyncio.Transport] = set()
+        self.address = ""
+
+    @property
+    def url(self) -> str:
+        """The base URL of this stand-in."""
+        return f"http://{self.address}"
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the stand-in's routes."""
+        raise NotImplementedError
+
+    async def start(self, port: int = 0, host: str = LOOPBACK) -> None:
+        """Listen; port 0 takes a free one, which :attr:`address` then names."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[self._watch])
+        self.add_routes(app.router)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, port, reuse_address=True)
+        await site.start()
+        bound = self._runner.addresses[0]
+        self.address = f"{bound[0]}:{bound[1]}"
+
+    async def stop(self) -> None:
+        """Stop listening and close every connection."""
+        for transport in list(self._open):
+            transport.abort()
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def silence_open_connections(self) -> None:
+        """Make every connection that is open now silent for good; new ones work."""
+        self._silent.update(self._open)
+
+    def is_silent(self, request: web.Request) -> bool:
+        """Tell whether nothing may be sent any more on the request's connection."""
+        return request.transport in self._silent
+
+    @web.middleware
+    async def _watch(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        transport = request.transport
+        if transport is not None:
+            self._forget_closed()
+            self._open.add(transport)
+        if self.is_silent(request):
+            await asyncio.Event().wait()
+        response = await handler(request)
+        if self.is_silent(request):
+            await asyncio.Event().wait()
+        return response
+
+    def _forget_closed(self) -> None:
+        self._open = {t for t in self._open if not t.is_closing()}
+        self._silent &= self._open
+
+
+class StandInTarget(StandInServer):
+    """A stand-in that the host list shows as a target of a service."""
+
+    def __init__(self, service: str, zone: str) -> None:
+        """Stand in for one target of ``service`` in ``zone``."""
+        super().__init__()
+        self.service = service
+        self.zone = zone
+        self.leaving = False
--- /dev/null
+++ b/samphirecleat/standins/_weight_store.py
@@ -0,0 +1,57 @@
+"""A small stand-in for the rate-limited weight store."""
+
+import asyncio
+
+from aiohttp import web
+
+from ._server import StandInServer
+
+
+class StandInWeightStore(StandInServer):
+    """Names the newest version of each service and serves a few loads at once.
+
+    ``refused_loads`` counts loads above ``parallel_loads``, which get 429.
+    """
+
+    def __init__(self, *, parallel_loads: int = 4, load_s: float = 0.3) -> None:
+        """Serve at most ``parallel_loads`` loads at a time, each for ``load_s``."""
+        super().__init__()
+        self.parallel_loads = parallel_loads
+        self.load_s = load_s
+        self.down = False
+        self.versions: dict[str, int] = {}
+        self.refused_loads = 0
+        self._loading = 0
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the newest version, a publication of weights, and a load."""
+        router.add_get("/v1/services/{service}/latest", self._latest)
+        router.add_put("/v1/services/{service}/versions/{version}", self._publish)
+        router.add_get("/v1/services/{service}/versions/{version}", self._load)
+
+    async def _latest(self, request: web.Request) -> web.StreamResponse:
+        if self.down:
+            return web.json_response({"error": "down"}, status=503)
+        version = self.versions.get(request.match_info["service"], 0)
+        return web.json_response({"version": version, "parallel_loads": self.parallel_loads})
+
+    async def _publish(self, request: web.Request) -> web.StreamResponse:
+        if self.down:
+            return web.json_response({"error": "down"}, status=503)
+        service = request.match_info["service"]
+        version = int(request.match_info["version"])
+        self.versions[service] = max(version, self.versions.get(service, 0))
+        return web.json_response({"version": self.versions[service]})
+
+    async def _load(self, _request: web.Request) -> web.StreamResponse:
+        if self.down:
+            return web.json_response({"error": "down"}, status=503)
+        if self._loading >= self.parallel_loads:
+            self.refused_loads += 1
+            return web.json_response({"error": "rate"}, status=429)
+        self._loading += 1
+        try:
+            await asyncio.sleep(self.load_s)
+        finally:
+            self._loading -= 1
+        return web.json_response({"loaded": True})
