Bench harness: one result type, a registry, and the command

Cause: benches of several authors need one shape for policy against baseline. Change: bench/_harness.py and _registry.py, and `samphirecleat bench`.

--- a/samphirecleat/bench/__init__.py
+++ b/samphirecleat/bench/__init__.py
@@ -1,1 +1,14 @@
-"""Benches: each measures a decision against its simplest baseline."""
+"""Benches: each measures a decision against its simplest baselines in one run."""
+
+from ._harness import BenchResult, BenchRow, average_runs, print_result
+from ._registry import BENCH_MODULES, UnknownBenchError, run_bench
+
+__all__ = [
+    "BENCH_MODULES",
+    "BenchResult",
+    "BenchRow",
+    "UnknownBenchError",
+    "average_runs",
+    "print_result",
+    "run_bench",
+]
--- /dev/null
+++ b/samphirecleat/bench/_harness.py
@@ -0,0 +1,64 @@
+"""What every bench returns, and how it is printed: policy against baselines."""
+
+from collections.abc import Mapping, Sequence
+from statistics import fmean
+from typing import Any, NamedTuple
+
+from tabulate import tabulate
+
+
+class BenchRow(NamedTuple):
+    """The figures of one variant; each is the mean over ``repeats`` runs."""
+
+    variant: str
+    repeats: int
+    figures: Mapping[str, float]
+
+
+class BenchResult(NamedTuple):
+    """The outcome of a bench. The first row is the policy, the others are baselines."""
+
+    name: str
+    seed: int
+    rows: Sequence[BenchRow]
+    note: str = ""
+
+    def to_json(self) -> Mapping[str, Any]:
+        """Return the result as ``--json`` prints it."""
+        return {
+            "name": self.name,
+            "seed": self.seed,
+            "note": self.note,
+            "rows": [row._asdict() for row in self.rows],
+        }
+
+
+def average_runs(variant: str, runs: Sequence[Mapping[str, float]]) -> BenchRow:
+    """Return the row of a variant: each figure's mean over its runs.
+
+    :raises ValueError: when there is no run.
+    """
+    if not runs:
+        raise ValueError(f'no run of "{variant}"')
+    figures = {name: fmean(run[name] for run in runs) for name in runs[0]}
+    return BenchRow(variant, len(runs), figures)
+
+
+def print_result(result: BenchResult) -> None:
+    """Print every figure of each variant, and below it the ratio to the policy's."""
+    policy = result.rows[0]
+    names = list(policy.figures)
+    table: list[list[object]] = []
+    for row in result.rows:
+        table.append([row.variant, row.repeats, *(row.figures[name] for name in names)])
+        if row is not policy:
+            ratios = [_ratio(row.figures[name], policy.figures[name]) for name in names]
+            table.append(["  / policy", "", *ratios])
+    print(f"bench {result.name}, seed {result.seed}")
+    print(tabulate(table, headers=["variant", "repeats", *names], floatfmt=".4g"))
+    if result.note:
+        print(result.note)
+
+
+def _ratio(value: float, policy: float) -> str:
+    return f"x{value / policy:.2f}" if policy else ("x1" if not value else "-")
--- /dev/null
+++ b/samphirecleat/bench/_registry.py
@@ -0,0 +1,38 @@
+"""The benches by name; a module is imported only when its bench runs."""
+
+from collections.abc import Mapping
+from importlib import import_module
+from typing import Final
+
+from ._harness import BenchResult
+
+BENCH_MODULES: Final[Mapping[str, str]] = {
+    "routing": "_routing",
+    "limits": "_limits",
+    "retries": "_retries",
+    "stragglers": "_stragglers",
+    "weights": "_weights",
+    "membership": "_membership",
+    "config": "_config",
+    "recovery": "_recovery",
+    "overhead": "_overhead",
+}
+
+
+class UnknownBenchError(Exception):
+    """There is no bench of that name."""
+
+
+async def run_bench(name: str, seed: int | None) -> BenchResult:
+    """Run a bench; ``None`` takes its own default seed.
+
+    Each module offers ``DEFAULT_SEED`` and ``async def run(seed) -> BenchResult``.
+
+    :raises UnknownBenchError: naming the benches that there are.
+    """
+    module_name = BENCH_MODULES.get(name)
+    if module_name is None:
+        raise UnknownBenchError(f'no bench "{name}"; there are {", ".join(BENCH_MODULES)}')
+    module = import_module(f".{module_name}", __package__)
+    result: BenchResult = await module.run(module.DEFAULT_SEED if seed is None else seed)
+    return result
--- a/samphirecleat/cli.py
+++ b/samphirecleat/cli.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 from collections.abc import Coroutine
+from json import dumps as encode_json
 from pathlib import Path
 from typing import Any, Final, TypeVar
 
@@ -56,12 +57,34 @@
             print(f"Broken: {', '.join(result.broken)}", file=sys.stderr)
             sys.exit(EXIT_BROKEN)
 
+    def bench(self, name: str, seed: int | None = None, json: bool = False) -> None:
+        """Run a bench by name and print policy against baselines; ``list`` names them."""
+        from .bench import BENCH_MODULES, UnknownBenchError, print_result, run_bench
+
+        if name == "list":
+            print("\n".join(BENCH_MODULES))
+            return
+        try:
+            result = _run(run_bench(name, seed))
+        except UnknownBenchError as error:
+            print(error, file=sys.stderr)
+            sys.exit(EXIT_BAD_INPUT)
+        if json:
+            print(encode_json(result.to_json()))
+        else:
+            print_result(result)
+
 
 def main() -> None:
     """Run the command line."""
     commands = Commands()
     fire.Fire(
-        {"check": commands.check, "node": commands.node, "try": commands.try_},
+        {
+            "bench": commands.bench,
+            "check": commands.check,
+            "node": commands.node,
+            "try": commands.try_,
+        },
         name="samphirecleat",
     )
 
