Windows that follow reported occupancy, prefix affinity, policies as data

Cause: a node's even share of the slots held a step back to a ninth of the engines when one node worked on it, and nothing queued callers by priority. Change: limits.py decides windows for callers and trainers from the occupancy that targets report; limiter.py queues callers by priority and refuses at once what can not end in time; routing.py ranks targets by prefix with a bounded load and knows slow targets by their pace; policies.py names the baselines.

--- a/samphirecleat/controllers/__init__.py
+++ b/samphirecleat/controllers/__init__.py
@@ -4,8 +4,9 @@
 from .discovery import Discovery
 from .dispatcher import Dispatcher
 from .leases import LeaseKeeper
-from .limits import Limiter
+from .limiter import Limiter
 from .membership import Membership
+from .policies import Policies
 from .step_runner import StepRunner
 from .target_watch import TargetWatch
 from .weights import WeightCoordinator
@@ -17,6 +18,7 @@
     "LeaseKeeper",
     "Limiter",
     "Membership",
+    "Policies",
     "StepRunner",
     "TargetWatch",
     "WeightCoordinator",
--- a/samphirecleat/controllers/dispatcher.py
+++ b/samphirecleat/controllers/dispatcher.py
@@ -7,16 +7,19 @@
 from typing import Final
 
 from ..blackboard import Blackboard, TargetView
-from ..config import Service
+from ..config import Service, ServiceKind
 from ..errors import ErrorKind, Ran, RequestError
 from ..observe import Observer
 from ..requests import AnswerLine, AnswerLog, Call
 from ..targets import TargetClient, TargetError
-from .limits import Limiter
+from .limiter import Limiter
+from .pace import PaceKeeper
+from .policies import Policies
 from .retries import GiveUp, RetryBudget, TryElsewhere, decide_retry
 from .routing import RoutingView, choose_target
 
 NO_TARGET_RETRY_S: Final = 1.0
+PRIORITIES_PER_CLASS: Final = 10
 
 
 class Dispatcher:
@@ -29,6 +32,7 @@
         client: TargetClient,
         observer: Observer,
         rng: random.Random,
+        policies: Policies,
     ) -> None:
         """Wire the parts that a call passes through."""
         self._board = board
@@ -36,6 +40,9 @@
         self._client = client
         self._observer = observer
         self._rng = rng
+        self._policies = policies
+        self._paces = PaceKeeper()
+        self._turns: Counter[str] = Counter()
         self._budgets: dict[str, RetryBudget] = {}
 
     async def run(self, call: Call, answer: AnswerLog) -> None:
@@ -59,10 +66,12 @@
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, f'no service "{call.service}"')
         self._check_dependencies(service)
         await self._limiter.admit(call)
+        loop = asyncio.get_running_loop()
+        started_at_s = loop.time()
         try:
             await self._attempt_until_done(service, call, answer)
         finally:
-            self._limiter.release(call)
+            self._limiter.release(call, loop.time() - started_at_s)
 
     def _check_dependencies(self, service: Service) -> None:
         """Refuse before any work is done when a needed service has no target."""
@@ -76,12 +85,14 @@
 
     async def _attempt_until_done(self, service: Service, call: Call, answer: AnswerLog) -> None:
         loop = asyncio.get_running_loop()
-        budget = self._budgets.setdefault(service.name, RetryBudget())
+        budget = self._budgets.setdefault(
+            service.name, RetryBudget(self._policies.retry_budget_ratio)
+        )
         budget.note_first_attempt()
         tried: list[str] = []
         may_have_run = False
         while True:
-            target = self._choose(service, tried)
+            target = self._choose(service, call, tried)
             if target is None:
                 raise _no_target(service, may_have_run)
             tried.append(target.address)
@@ -104,15 +115,21 @@
                         if not budget.take():
                             raise _no_target(service, may_have_run) from error
 
-    def _choose(self, service: Service, tried: Sequence[str]) -> TargetView | None:
+    def _choose(self, service: Service, call: Call, tried: Sequence[str]) -> TargetView | None:
+        now_s = asyncio.get_running_loop().time()
+        targets = self._board.targets_of(service.name)
         view = RoutingView(
-            targets=self._board.targets_of(service.name),
+            targets=targets,
             own_in_flight=self._board.in_flight,
             node_count=len(self._board.live_members()),
             zone=self._board.identity.zone,
             excluded=tried,
+            pace=self._paces.paces([target.address for target in targets], now_s),
+            prompt=str(call.body.get("prompt", "")) if _has_prefix_cache(service) else "",
+            turn=self._turns[service.name],
         )
-        return choose_target(view, self._rng, asyncio.get_running_loop().time())
+        self._turns[service.name] += 1
+        return choose_target(self._policies.routing, view, self._rng, now_s)
 
     async def _attempt(
         self, service: Service, target: TargetView, call: Call, answer: AnswerLog
@@ -120,24 +137,37 @@
         in_flight: Counter[str] = self._board.in_flight
         in_flight[target.address] += 1
         held: list[AnswerLine] = []
+        tokens = 0
         # Only a streamed answer is passed on before its end; a whole one is
         # held back, so that an attempt which fails midway leaves no trace in it.
         streamed = bool(call.body.get("stream", False))
         try:
             with self._observer.span("target", call.traceparent, target=target.address) as parent:
                 now_s = asyncio.get_running_loop().time()
-                sent = call._replace(traceparent=parent)
+                sent = call._replace(traceparent=parent, priority=_target_priority(call))
                 async for line in self._client.run(service, target, sent, now_s):
+                    tokens += sum(span.tokens for span in line.get("spans", ()))
                     if streamed:
                         answer.add(line)
                     else:
                         held.append(line)
             for line in held:
                 answer.add(line)
+            ended_at_s = asyncio.get_running_loop().time()
+            self._paces.note(target.address, ended_at_s - now_s, tokens, ended_at_s)
         finally:
             in_flight[target.address] -= 1
 
 
+def _has_prefix_cache(service: Service) -> bool:
+    return service.kind is ServiceKind.ENGINE
+
+
+def _target_priority(call: Call) -> int:
+    """Return the priority that the target sees: any caller before any trainer."""
+    return int(call.work_class) * PRIORITIES_PER_CLASS + call.priority
+
+
 def _may_have_run(error: TargetError) -> bool:
     from ..targets import NotSent, Refused
 
--- a/samphirecleat/controllers/limits.py
+++ b/samphirecleat/controllers/limits.py
@@ -1,33 +1,114 @@
-"""Admits work to a service: callers before trainers, within this node's share."""
+"""Decides how much of a service's work this node lets in, and what waits or is refused.
+
+Two windows for each service, one for callers and one for trainers, follow the
+occupancy that the targets report. Nothing is agreed between nodes: every node
+sees the same occupancy and gives way or grows by the same rule, so that shares
+even out by themselves, and a caller's peak squeezes trainers wherever it comes
+in.
+"""
 
-import asyncio
-from collections import Counter
 from dataclasses import dataclass
 from typing import Final, NamedTuple
 
-from ..blackboard import Blackboard
-from ..errors import ErrorKind, RequestError
-from ..requests import Call, WorkClass
+from .policies import AdaptiveWindow, LimitPolicy, NoLimits, StaticShare
 
-SHARE_SLACK: Final = 1.5
-QUEUE_PER_SLOT: Final = 4.0
-RETRY_AFTER_S: Final = 1.0
-POLL_S: Final = 0.02
+UNLIMITED: Final = 1_000_000.0
+SMALLEST_WINDOW: Final = 1.0
+QUEUE_PER_SLOT: Final = 8.0
+FIRST_RETRY_AFTER_S: Final = 0.5
+LONGEST_RETRY_AFTER_S: Final = 5.0
 
 
-class AdmissionView(NamedTuple):
-    """What one admission is decided from.
+class OccupancyView(NamedTuple):
+    """A service as its targets report it, seen from one node.
 
-    ``slots`` are those of the service's usable targets, ``node_count`` the live
-    nodes that share them, ``caller_share`` the share that trainers leave free.
+    ``slots`` are those of the usable targets, ``in_use`` what runs and waits
+    there by their reports, ``node_count`` the live nodes that share them and
+    ``trainer_count`` the trainers that the text names for the service.
     """
 
     slots: int
+    in_use: int
     node_count: int
-    callers_in_flight: int
-    trainers_in_flight: int
+    trainer_count: int
+
+    @property
+    def node_share(self) -> float:
+        """This node's even share of the slots."""
+        return self.slots / max(1, self.node_count)
+
+
+class Windows(NamedTuple):
+    """How many calls of each class this node may have in flight to a service."""
+
+    callers: float
+    trainers: float
+
+
+def next_windows(
+    policy: LimitPolicy, windows: Windows | None, view: OccupancyView, in_flight: Windows
+) -> Windows:
+    """Return the windows for the next control period; None starts them afresh."""
+    match policy:
+        case NoLimits():
+            return Windows(UNLIMITED, UNLIMITED)
+        case StaticShare(slack=slack):
+            share = max(SMALLEST_WINDOW, view.node_share * slack)
+            return Windows(share, share)
+        case AdaptiveWindow():
+            if windows is None:
+                share = max(SMALLEST_WINDOW, view.node_share)
+                return Windows(share, share)
+            return Windows(
+                _next_caller_window(policy, windows.callers, view, in_flight.callers),
+                _next_trainer_window(policy, windows.trainers, view, in_flight.trainers),
+            )
+
+
+def _next_caller_window(
+    policy: AdaptiveWindow, window: float, view: OccupancyView, in_flight: float
+) -> float:
+    """Never below the node's even share: callers give way to nobody else."""
+    floor = max(SMALLEST_WINDOW, view.node_share)
+    room = policy.caller_occupancy * view.slots - view.in_use
+    if room < 0.0:
+        return max(floor, window * policy.decrease)
+    if in_flight < 0.8 * window:
+        return max(floor, window)
+    return min(max(floor, window + room / max(1, view.node_count)), view.slots * 2.0)
+
+
+def _next_trainer_window(
+    policy: AdaptiveWindow, window: float, view: OccupancyView, in_flight: float
+) -> float:
+    """Grow into what is free, since all of a step may be worked on by one node.
+
+    The growth is divided among the trainers of the service, for each of them may
+    have its step at another node that sees the same room at the same time.
+    """
+    room = policy.trainer_occupancy * view.slots - view.in_use
+    if room < 0.0:
+        return max(SMALLEST_WINDOW, window * policy.decrease)
+    if in_flight < 0.8 * window:
+        return window
+    grown = window + room / max(1, view.trainer_count)
+    return min(max(SMALLEST_WINDOW, grown), float(max(1, view.slots)))
+
+
+class AdmissionView(NamedTuple):
+    """What one caller's admission is decided from.
+
+    ``ahead`` counts queued calls of the same or a higher priority;
+    ``service_s`` is how long calls took lately; ``left_s`` what is left until the
+    deadline.
+    """
+
+    window: float
+    in_flight: int
+    ahead: int
     queued: int
-    caller_share: float
+    service_s: float
+    left_s: float
 
 
 @dataclass(frozen=True)
@@ -50,88 +131,29 @@
 Admission = Admit | Queue | Refuse
 
 
-def decide_admission(view: AdmissionView, work_class: WorkClass) -> Admission:
-    """Decide whether one call starts, waits, or is refused.
+def decide_admission(view: AdmissionView) -> Admission:
+    """Decide whether a caller's call starts, waits, or is refused.
 
-    Trainers keep off ``caller_share`` of the node's share of slots and never
-    wait here: their samples wait with the step instead, where the whole step is
-    in view.
+    A call that can not be expected to end before its deadline is refused when it
+    comes, not when its deadline nears: it would only take a slot from a call
+    that can still be answered, and its caller can turn elsewhere meanwhile.
     """
-    share = max(1.0, view.slots * SHARE_SLACK / max(1, view.node_count))
-    in_flight = view.callers_in_flight + view.trainers_in_flight
-    match work_class:
-        case WorkClass.TRAINER:
-            trainer_share = max(1.0, share * (1.0 - view.caller_share))
-            idle = view.callers_in_flight < share * view.caller_share * 0.5
-            allowed = share if idle else trainer_share
-            return Admit() if in_flight < allowed else Refuse(RETRY_AFTER_S)
-        case WorkClass.CALLER:
-            if in_flight < share:
-                return Admit()
-            return Queue() if view.queued < share * QUEUE_PER_SLOT else Refuse(RETRY_AFTER_S)
-
-
-class Limiter:
-    """Counts what is in flight here and applies :func:`decide_admission`."""
-
-    def __init__(self, board: Blackboard) -> None:
-        """Read targets and members from the blackboard."""
-        self._board = board
-        self._in_flight: Counter[tuple[str, WorkClass]] = Counter()
-        self._queued: Counter[str] = Counter()
-
-    def view(self, service: str) -> AdmissionView:
-        """Return what an admission to ``service`` is decided from now."""
-        known = self._board.service(service)
-        targets = [t for t in self._board.targets_of(service) if t.usable]
-        return AdmissionView(
-            slots=sum(target.slots for target in targets),
-            node_count=len(self._board.live_members()),
-            callers_in_flight=self._in_flight[service, WorkClass.CALLER],
-            trainers_in_flight=self._in_flight[service, WorkClass.TRAINER],
-            queued=self._queued[service],
-            caller_share=known.caller_share if known is not None else 0.0,
-        )
-
-    async def admit(self, call: Call) -> None:
-        """Return once the call may start; pair it with :meth:`release`.
-
-        :raises samphirecleat.errors.RequestError: OVERLOADED at once when it can
-            not be expected to start, or when its deadline passes in the queue.
-        """
-        loop = asyncio.get_running_loop()
-        while True:
-            match decide_admission(self.view(call.service), call.work_class):
-                case Admit():
-                    self._in_flight[call.service, call.work_class] += 1
-                    return
-                case Refuse(retry_after_s=retry_after_s):
-                    raise _overloaded(call.service, retry_after_s)
-                case Queue():
-                    if loop.time() >= call.deadline_at_s:
-                        raise _overloaded(call.service, RETRY_AFTER_S)
-                    await self._wait(call.service)
-
-    def release(self, call: Call) -> None:
-        """Give back what :meth:`admit` took."""
-        self._in_flight[call.service, call.work_class] -= 1
+    if view.in_flight < view.window and not view.ahead:
+        return Admit()
+    wait_s = expected_wait_s(view)
+    if view.queued >= view.window * QUEUE_PER_SLOT or wait_s + view.service_s > view.left_s:
+        return Refuse(min(LONGEST_RETRY_AFTER_S, max(FIRST_RETRY_AFTER_S, wait_s)))
+    return Queue()
 
-    @property
-    def in_flight(self) -> int:
-        """All calls in flight at this node."""
-        return self._in_flight.total()
-
-    async def _wait(self, service: str) -> None:
-        self._queued[service] += 1
-        try:
-            await asyncio.sleep(POLL_S)
-        finally:
-            self._queued[service] -= 1
-
-
-def _overloaded(service: str, retry_after_s: float) -> RequestError:
-    return RequestError(
-        ErrorKind.OVERLOADED,
-        f'"{service}" has no room for this request; it was not run',
-        retry_after_s=retry_after_s,
-    )
+
+def expected_wait_s(view: AdmissionView) -> float:
+    """Return how long a call that comes now would wait for its start."""
+    rounds = (view.ahead + 1) / max(SMALLEST_WINDOW, view.window)
+    return rounds * view.service_s
+
+
+def trainer_room(windows: Windows, callers_queued: int, trainers_in_flight: int) -> int:
+    """Return how many more trainer calls may start; none while callers wait."""
+    if callers_queued:
+        return 0
+    return max(0, int(windows.trainers) - trainers_in_flight)
--- /dev/null
+++ b/samphirecleat/controllers/policies.py
@@ -0,0 +1,83 @@
+"""The policies that a node is built with, and the baselines that benches measure against.
+
+Each family is a set of frozen data classes; the decision functions of
+:mod:`~samphirecleat.controllers.routing` and
+:mod:`~samphirecleat.controllers.limits` match on them.
+"""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+
+@dataclass(frozen=True)
+class RandomTarget:
+    """Baseline: any usable target with equal chance."""
+
+
+@dataclass(frozen=True)
+class RoundRobin:
+    """Baseline: the usable targets in turn, as this node counts."""
+
+
+@dataclass(frozen=True)
+class LeastReported:
+    """Baseline: the target with the lowest last report; nodes that share reports herd."""
+
+
+@dataclass(frozen=True)
+class TwoChoices:
+    """The better of two targets drawn at random, without regard to prefixes."""
+
+
+@dataclass(frozen=True)
+class PrefixAffinity:
+    """The targets that rank first for the prompt's prefix, while their load is bounded.
+
+    A target is passed over when its expected load exceeds ``load_bound`` times
+    the mean of the service, plus one call. ``prefix_length`` is in characters.
+    """
+
+    prefix_length: int = 32
+    load_bound: float = 1.25
+
+
+RoutingPolicy = RandomTarget | RoundRobin | LeastReported | TwoChoices | PrefixAffinity
+
+
+@dataclass(frozen=True)
+class NoLimits:
+    """Baseline: everything is admitted at once."""
+
+
+@dataclass(frozen=True)
+class StaticShare:
+    """Baseline: a fixed share of the service's slots for each node, no classes."""
+
+    slack: float = 1.5
+
+
+@dataclass(frozen=True)
+class AdaptiveWindow:
+    """A window for each class that follows the reported occupancy of the targets.
+
+    Occupancy is running plus waiting calls per slot. Trainers grow while it is
+    below ``trainer_occupancy`` and give way above it; callers give way only
+    above ``caller_occupancy``. Windows grow by ``increase`` calls for each slot
+    of this node's share and shrink to ``decrease`` of themselves.
+    """
+
+    trainer_occupancy: float = 0.9
+    caller_occupancy: float = 1.5
+    increase: float = 0.1
+    decrease: float = 0.85
+
+
+LimitPolicy = NoLimits | StaticShare | AdaptiveWindow
+
+
+class Policies(NamedTuple):
+    """The policies of one node; the defaults are what the benches favoured."""
+
+    routing: RoutingPolicy = PrefixAffinity()
+    limits: LimitPolicy = AdaptiveWindow()
+    retry_budget_ratio: float = 0.2
--- a/samphirecleat/controllers/retries.py
+++ b/samphirecleat/controllers/retries.py
@@ -7,7 +7,6 @@
 from ..requests import Call
 from ..targets import Failed, Lost, NotSent, Refused, TargetFailure
 
-BUDGET_RATIO: Final = 0.2
 BUDGET_CAP: Final = 20.0
 MAX_ATTEMPTS: Final = 4
 
@@ -19,13 +18,14 @@
     times over just when it is weakest.
     """
 
-    def __init__(self) -> None:
-        """Start with a full budget."""
+    def __init__(self, ratio: float) -> None:
+        """Start with a full budget and earn ``ratio`` of a retry per first attempt."""
+        self._ratio = ratio
         self._tokens = BUDGET_CAP
 
     def note_first_attempt(self) -> None:
         """Earn a share of a retry."""
-        self._tokens = min(BUDGET_CAP, self._tokens + BUDGET_RATIO)
+        self._tokens = min(BUDGET_CAP, self._tokens + self._ratio)
 
     def take(self) -> bool:
         """Spend one retry; False when the budget is empty."""
--- a/samphirecleat/controllers/step_runner.py
+++ b/samphirecleat/controllers/step_runner.py
@@ -10,7 +10,7 @@
 from ..requests import AnswerLog, Call, Span, WorkClass, merge_spans
 from ..steps import Pull, PullReply, Sample, StartSample, Step, StepSpec
 from .dispatcher import Dispatcher
-from .limits import Admit, Limiter, decide_admission
+from .limiter import Limiter
 
 TICK_S: Final = 0.02
 SAMPLE_DEADLINE_S: Final = 60.0
@@ -81,7 +81,7 @@
             if self._board.leaving:
                 continue
             for step in list(self.steps.values()):
-                for start in step.decide_starts(self._room(step.spec.service)):
+                for start in step.decide_starts(self._limiter.trainer_room(step.spec.service)):
                     self._start(step, start)
 
     async def close(self) -> None:
@@ -90,18 +90,6 @@
             task.cancel()
         await asyncio.gather(*self._runs, return_exceptions=True)
 
-    def _room(self, service: str) -> int:
-        view = self._limiter.view(service)
-        if not view.slots:
-            return 0
-        room = 0
-        while room < view.slots:
-            more = view._replace(trainers_in_flight=view.trainers_in_flight + room)
-            if not isinstance(decide_admission(more, WorkClass.TRAINER), Admit):
-                break
-            room += 1
-        return room
-
     def _start(self, step: Step, start: StartSample) -> None:
         step.note_started(start)
         task = asyncio.get_running_loop().create_task(self._make(step, start))
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -19,6 +19,7 @@
     LeaseKeeper,
     Limiter,
     Membership,
+    Policies,
     StepRunner,
     TargetWatch,
     WeightCoordinator,
@@ -45,8 +46,9 @@
     flight and no caller's kept entry list can name it any more.
     """
 
-    def __init__(self, settings: Settings) -> None:
-        """Build a node that does not run yet."""
+    def __init__(self, settings: Settings, policies: Policies | None = None) -> None:
+        """Build a node that does not run yet; benches pass other ``policies``."""
+        self._policies = policies if policies is not None else Policies()
         self.settings = settings
         self.observer = Observer(settings.node_id)
         self.board = Blackboard(
@@ -142,8 +144,10 @@
             probe_timeout_s=timings.probe_timeout_s,
         )
         self.peers = PeerClient(settings.shared_key)
-        self.limiter = Limiter(board)
-        self.dispatcher = Dispatcher(board, self.limiter, client, self.observer, self._rng)
+        self.limiter = Limiter(board, self._policies.limits)
+        self.dispatcher = Dispatcher(
+            board, self.limiter, client, self.observer, self._rng, self._policies
+        )
         self.steps = StepRunner(board, self.dispatcher, self.limiter, self.observer)
         self.config_reader = ConfigReader(board, log, self.observer, self._rng, timings.log_wait_s)
         self.leases = LeaseKeeper(
@@ -218,6 +222,7 @@
             self.discovery.drive,
             self.target_watch.drive,
             self.weights.drive,
+            self.limiter.drive,
             self.steps.drive,
             self._follow_peers,
         ]
