--- a/samphirecleat/bench/_harness.py
+++ b/samphirecleat/bench/_harness.py
@@ -50,12 +50,13 @@
     names = list(policy.figures)
     table: list[list[object]] = []
     for row in result.rows:
-        table.append([row.variant, row.repeats, *(row.figures[name] for name in names)])
+        table.append([row.variant, row.repeats, *(f"{row.figures[name]:.4g}" for name in names)])
         if row is not policy:
             ratios = [_ratio(row.figures[name], policy.figures[name]) for name in names]
             table.append(["  / policy", "", *ratios])
     print(f"bench {result.name}, seed {result.seed}")
-    print(tabulate(table, headers=["variant", "repeats", *names], floatfmt=".4g"))
+    headers = ["variant", "repeats", *names]
+    print(tabulate(table, headers, stralign="right", disable_numparse=True))
     if result.note:
         print(result.note)
 
--- a/samphirecleat/blackboard.py
+++ b/samphirecleat/blackboard.py
@@ -109,6 +109,7 @@
     targets: dict[str, TargetView] = field(default_factory=dict)  # controllers.target_watch
     leases: dict[str, LeaseView] = field(default_factory=dict)  # controllers.leases
     weights: dict[str, WeightsView] = field(default_factory=dict)  # controllers.weights
+    active_trainers: Mapping[str, frozenset[str]] = field(default_factory=dict)  # step_runner
     in_flight: Counter[str] = field(default_factory=Counter)  # requests.dispatcher, by target
     refusals: Counter[str] = field(default_factory=Counter)  # entry, by error kind
     key_epoch: int = 0  # requests.key_book
--- a/samphirecleat/controllers/dispatcher.py
+++ b/samphirecleat/controllers/dispatcher.py
@@ -85,9 +85,7 @@
 
     async def _attempt_until_done(self, service: Service, call: Call, answer: AnswerLog) -> None:
         loop = asyncio.get_running_loop()
-        budget = self._budgets.setdefault(
-            service.name, RetryBudget(self._policies.retry_budget_ratio)
-        )
+        budget = self._budgets.setdefault(service.name, RetryBudget(self._policies.retries))
         budget.note_first_attempt()
         tried: list[str] = []
         may_have_run = False
--- a/samphirecleat/controllers/limiter.py
+++ b/samphirecleat/controllers/limiter.py
@@ -22,10 +22,9 @@
     trainer_room,
 )
 from .policies import LimitPolicy
+from .service_time import ServiceTime
 
 CONTROL_PERIOD_S: Final = 0.25
-FIRST_SERVICE_S: Final = 0.1
-SMOOTHING: Final = 0.1
 TRAINER_RETRY_S: Final = 0.1
 
 
@@ -45,7 +44,7 @@
     windows: Windows | None = None
     callers: int = 0
     trainers: int = 0
-    service_s: float = FIRST_SERVICE_S
+    service_time: ServiceTime = field(default_factory=ServiceTime)
     waiters: list[_Waiter] = field(default_factory=list)
 
     def in_flight(self, work_class: WorkClass) -> int:
@@ -109,7 +108,7 @@
         gate = self._gates[call.service]
         gate.change(call.work_class, -1)
         if call.work_class is WorkClass.CALLER:
-            gate.service_s += SMOOTHING * (took_s - gate.service_s)
+            gate.service_time.note(took_s)
         self._start_waiters(call.service)
 
     async def drive(self) -> None:
@@ -135,14 +134,22 @@
 
     def _occupancy(self, service: str) -> OccupancyView:
         usable = [target for target in self._board.targets_of(service) if target.usable]
-        trainers = self._board.config.services.trainers.values()
         return OccupancyView(
             slots=sum(target.slots for target in usable),
             in_use=sum(target.running + target.waiting for target in usable),
             node_count=len(self._board.live_members()),
-            trainer_count=sum(1 for trainer in trainers if trainer.service == service),
+            trainer_share=self._trainer_share(service),
         )
 
+    def _trainer_share(self, service: str) -> float:
+        """Return the part of the trainers' shares that has steps at this node."""
+        trainers = self._board.config.services.trainers.values()
+        shares = {t.name: t.share for t in trainers if t.service == service}
+        here = self._board.active_trainers.get(service, frozenset())
+        if not shares:
+            return 1.0
+        return sum(shares.get(name, 0.0) for name in here) / sum(shares.values())
+
     def _admission_view(self, gate: _Gate, call: Call) -> AdmissionView:
         now_s = asyncio.get_running_loop().time()
         return AdmissionView(
@@ -150,13 +157,14 @@
             in_flight=gate.callers,
             ahead=sum(1 for waiter in gate.waiters if -waiter.order[0] >= call.priority),
             queued=len(gate.waiters),
-            service_s=gate.service_s,
+            service_s=gate.service_time.mean_s,
+            upper_s=gate.service_time.upper_s,
             left_s=call.deadline_at_s - now_s,
         )
 
     async def _wait(self, gate: _Gate, call: Call) -> None:
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        latest_start_s = call.deadline_at_s - gate.service_s
+        latest_start_s = call.deadline_at_s - gate.service_time.upper_s
         waiter = _Waiter((-call.priority, next(self._arrivals)), latest_start_s, turn)
         heapq.heappush(gate.waiters, waiter)
         try:
@@ -184,7 +192,7 @@
         now_s = asyncio.get_running_loop().time()
         for waiter in gate.waiters:
             if waiter.latest_start_s <= now_s and not waiter.turn.done():
-                waiter.turn.set_exception(_overloaded(service, gate.service_s))
+                waiter.turn.set_exception(_overloaded(service, gate.service_time.mean_s))
         gate.waiters = [waiter for waiter in gate.waiters if not waiter.turn.done()]
         heapq.heapify(gate.waiters)
 
--- a/samphirecleat/controllers/limits.py
+++ b/samphirecleat/controllers/limits.py
@@ -23,14 +23,15 @@
     """A service as its targets report it, seen from one node.
 
     ``slots`` are those of the usable targets, ``in_use`` what runs and waits
-    there by their reports, ``node_count`` the live nodes that share them and
-    ``trainer_count`` the trainers that the text names for the service.
+    there by their reports, ``node_count`` the live nodes that share them.
+    ``trainer_share`` is the part of all trainers' shares in the service that
+    belongs to trainers with steps at this node, 0.0 to 1.0.
     """
 
     slots: int
     in_use: int
     node_count: int
-    trainer_count: int
+    trainer_share: float
 
     @property
     def node_share(self) -> float:
@@ -58,7 +59,7 @@
         case AdaptiveWindow():
             if windows is None:
                 share = max(SMALLEST_WINDOW, view.node_share)
-                return Windows(share, share)
+                return Windows(share * policy.caller_slack, share)
             return Windows(
                 _next_caller_window(policy, windows.callers, view, in_flight.callers),
                 _next_trainer_window(policy, windows.trainers, view, in_flight.trainers),
@@ -68,8 +69,8 @@
 def _next_caller_window(
     policy: AdaptiveWindow, window: float, view: OccupancyView, in_flight: float
 ) -> float:
-    """Never below the node's even share: callers give way to nobody else."""
-    floor = max(SMALLEST_WINDOW, view.node_share)
+    """Never below the node's even share and some slack: callers give way to nobody else."""
+    floor = max(SMALLEST_WINDOW, view.node_share * policy.caller_slack)
     room = policy.caller_occupancy * view.slots - view.in_use
     if room < 0.0:
         return max(floor, window * policy.decrease)
@@ -83,15 +84,15 @@
 ) -> float:
     """Grow into what is free, since all of a step may be worked on by one node.
 
-    The growth is divided among the trainers of the service, for each of them may
-    have its step at another node that sees the same room at the same time.
+    The room is divided by the trainers' shares, for each of them may have its
+    step at another node, which sees the same room at the same time.
     """
     room = policy.trainer_occupancy * view.slots - view.in_use
     if room < 0.0:
         return max(SMALLEST_WINDOW, window * policy.decrease)
     if in_flight < 0.8 * window:
         return window
-    grown = window + room / max(1, view.trainer_count)
+    grown = window + room * view.trainer_share
     return min(max(SMALLEST_WINDOW, grown), float(max(1, view.slots)))
 
 
@@ -99,8 +100,8 @@
     """What one caller's admission is decided from.
 
     ``ahead`` counts queued calls of the same or a higher priority;
-    ``service_s`` is how long calls took lately; ``left_s`` what is left until the
-    deadline.
+    ``service_s`` is the mean that calls took lately and ``upper_s`` what few of them
+    exceeded; ``left_s`` is what is left until the deadline.
     """
 
     window: float
@@ -108,6 +109,7 @@
     ahead: int
     queued: int
     service_s: float
+    upper_s: float
     left_s: float
 
 
@@ -141,7 +143,7 @@
     if view.in_flight < view.window and not view.ahead:
         return Admit()
     wait_s = expected_wait_s(view)
-    if view.queued >= view.window * QUEUE_PER_SLOT or wait_s + view.service_s > view.left_s:
+    if view.queued >= view.window * QUEUE_PER_SLOT or wait_s + view.upper_s > view.left_s:
         return Refuse(min(LONGEST_RETRY_AFTER_S, max(FIRST_RETRY_AFTER_S, wait_s)))
     return Queue()
 
--- a/samphirecleat/controllers/policies.py
+++ b/samphirecleat/controllers/policies.py
@@ -62,22 +62,35 @@
 
     Occupancy is running plus waiting calls per slot. Trainers grow while it is
     below ``trainer_occupancy`` and give way above it; callers give way only
-    above ``caller_occupancy``. Windows grow by ``increase`` calls for each slot
-    of this node's share and shrink to ``decrease`` of themselves.
+    above ``caller_occupancy``, and never below ``caller_slack`` times this node's
+    even share of the slots. Windows grow by their part of what is free and shrink
+    to ``decrease`` of themselves.
     """
 
     trainer_occupancy: float = 0.9
-    caller_occupancy: float = 1.5
-    increase: float = 0.1
+    caller_occupancy: float = 1.25
+    caller_slack: float = 1.1
     decrease: float = 0.85
 
 
 LimitPolicy = NoLimits | StaticShare | AdaptiveWindow
 
 
+class RetryLimit(NamedTuple):
+    """How many retries a node may send for a service, in retries.
+
+    Each first attempt earns ``ratio`` of a retry, up to ``cap`` saved ones. The
+    cap is what all nodes together may send on top in the first moment of a
+    fault, so it is kept small: it counts once for each node.
+    """
+
+    ratio: float = 0.2
+    cap: float = 3.0
+
+
 class Policies(NamedTuple):
     """The policies of one node; the defaults are what the benches favoured."""
 
     routing: RoutingPolicy = PrefixAffinity()
     limits: LimitPolicy = AdaptiveWindow()
-    retry_budget_ratio: float = 0.2
+    retries: RetryLimit = RetryLimit()
--- a/samphirecleat/controllers/retries.py
+++ b/samphirecleat/controllers/retries.py
@@ -6,8 +6,8 @@
 from ..errors import ErrorKind, Ran, RequestError
 from ..requests import Call
 from ..targets import Failed, Lost, NotSent, Refused, TargetFailure
+from .policies import RetryLimit
 
-BUDGET_CAP: Final = 20.0
 MAX_ATTEMPTS: Final = 4
 
 
@@ -18,14 +18,14 @@
     times over just when it is weakest.
     """
 
-    def __init__(self, ratio: float) -> None:
-        """Start with a full budget and earn ``ratio`` of a retry per first attempt."""
-        self._ratio = ratio
-        self._tokens = BUDGET_CAP
+    def __init__(self, limit: RetryLimit) -> None:
+        """Start with a full budget."""
+        self._limit = limit
+        self._tokens = limit.cap
 
     def note_first_attempt(self) -> None:
         """Earn a share of a retry."""
-        self._tokens = min(BUDGET_CAP, self._tokens + self._ratio)
+        self._tokens = min(self._limit.cap, self._tokens + self._limit.ratio)
 
     def take(self) -> bool:
         """Spend one retry; False when the budget is empty."""
--- a/samphirecleat/controllers/step_runner.py
+++ b/samphirecleat/controllers/step_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+from collections.abc import Mapping
 from typing import Final
 
 from ..blackboard import Blackboard
@@ -80,6 +81,7 @@
             self._forget_old(asyncio.get_running_loop().time())
             if self._board.leaving:
                 continue
+            self._board.active_trainers = self._find_active_trainers()
             for step in list(self.steps.values()):
                 for start in step.decide_starts(self._limiter.trainer_room(step.spec.service)):
                     self._start(step, start)
@@ -90,6 +92,14 @@
             task.cancel()
         await asyncio.gather(*self._runs, return_exceptions=True)
 
+    def _find_active_trainers(self) -> Mapping[str, frozenset[str]]:
+        """Return the trainers with samples still to make here, by service."""
+        active: dict[str, set[str]] = {}
+        for step in self.steps.values():
+            if step.missing:
+                active.setdefault(step.spec.service, set()).add(step.spec.trainer)
+        return {service: frozenset(trainers) for service, trainers in active.items()}
+
     def _start(self, step: Step, start: StartSample) -> None:
         step.note_started(start)
         task = asyncio.get_running_loop().create_task(self._make(step, start))
--- a/samphirecleat/standins/_engine.py
+++ b/samphirecleat/standins/_engine.py
@@ -76,6 +76,8 @@
         self.refused_orders = 0
         self.cached_prefixes: OrderedDict[str, None] = OrderedDict()
         self.cache_size = 64
+        self.prefix_hits = 0
+        self.prefix_misses = 0
         self._boots = itertools.count(1)
         self._instance = ""
         self._weight_store_url = weight_store_url
@@ -135,13 +137,13 @@
         )
         self.runs.append(run)
         response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
-        await response.prepare(request)
-        await self._send(request, response, {"run_id": run.run_id, "instance": self._instance})
-        await asyncio.sleep(self._prefill_time_s(prompt))
         task = asyncio.current_task()
         assert task is not None
         self._running[run.request_id] = task
         try:
+            await response.prepare(request)
+            await self._send(request, response, {"run_id": run.run_id, "instance": self._instance})
+            await asyncio.sleep(self._prefill_time_s(prompt))
             for index in range(int(body["max_tokens"])):
                 await asyncio.sleep(self.token_s)
                 await self._emit(request, response, run, index)
@@ -150,6 +152,9 @@
         except asyncio.CancelledError:
             run.cancelled = True
             raise
+        except ConnectionError:
+            # The node closed the connection; an engine then stops the run.
+            run.cancelled = True
         finally:
             self._running.pop(run.request_id, None)
         return response
@@ -174,6 +179,8 @@
     def _prefill_time_s(self, prompt: str) -> float:
         prefix = prompt[:32]
         hit = prefix in self.cached_prefixes
+        self.prefix_hits += int(hit)
+        self.prefix_misses += int(not hit)
         self.cached_prefixes[prefix] = None
         self.cached_prefixes.move_to_end(prefix)
         if not hit:
--- a/samphirecleat/standins/_plain.py
+++ b/samphirecleat/standins/_plain.py
@@ -36,6 +36,7 @@
         self.refuse_next = 0
         self.fail_next = 0
         self.lose_next_answers = 0
+        self.refused = 0
         self.runs: list[PlainRun] = []
         self.runs_by_request: Counter[str] = Counter()
         self._busy = 0
@@ -51,6 +52,7 @@
         body = await request.json()
         if self.refuse_next > 0 or self.leaving:
             self.refuse_next = max(0, self.refuse_next - 1)
+            self.refused += 1
             return web.json_response({"error": "refused"}, status=503)
         request_id = request.headers["x-request-id"]
         method = request.match_info["method"]
