--- a/samphirecleat/controllers/dispatcher.py
+++ b/samphirecleat/controllers/dispatcher.py
@@ -4,6 +4,8 @@
 import random
 from collections import Counter
 from collections.abc import Sequence
+from contextlib import aclosing
+from dataclasses import dataclass, field
 from typing import Final
 
 from ..blackboard import Blackboard, TargetView
@@ -22,6 +24,14 @@
 PRIORITIES_PER_CLASS: Final = 10
 
 
+@dataclass
+class _Attempts:
+    """What was tried for one call; ``may_have_run`` includes the present attempt."""
+
+    tried: list[str] = field(default_factory=list)
+    may_have_run: bool = False
+
+
 class Dispatcher:
     """Takes calls from callers, from other nodes and from steps, and runs them."""
 
@@ -44,13 +54,21 @@
         self._paces = PaceKeeper()
         self._turns: Counter[str] = Counter()
         self._budgets: dict[str, RetryBudget] = {}
+        self._cancels: set[asyncio.Task[None]] = set()
 
     async def run(self, call: Call, answer: AnswerLog) -> None:
-        """Run a call and fill its answer; every end of it closes the answer."""
+        """Run a call and fill its answer; every end of it closes the answer.
+
+        The call ends at its deadline at the latest, whatever its target does.
+        """
+        attempts = _Attempts()
         try:
             with self._observer.span("dispatch", call.traceparent, service=call.service) as parent:
-                await self._admit_and_run(call._replace(traceparent=parent), answer)
+                async with asyncio.timeout_at(call.deadline_at_s):
+                    await self._admit_and_run(call._replace(traceparent=parent), attempts, answer)
             answer.close()
+        except TimeoutError:
+            answer.close(_deadline_exceeded(attempts))
         except RequestError as error:
             answer.close(error)
         except asyncio.CancelledError:
@@ -60,7 +78,13 @@
             self._observer.log("dispatch").exception("Call %s failed.", call.request_id)
             answer.close(RequestError(ErrorKind.INTERNAL, repr(error)))
 
-    async def _admit_and_run(self, call: Call, answer: AnswerLog) -> None:
+    async def close(self) -> None:
+        """Drop the cancels that are still on their way to engines."""
+        for task in list(self._cancels):
+            task.cancel()
+        await asyncio.gather(*self._cancels, return_exceptions=True)
+
+    async def _admit_and_run(self, call: Call, attempts: _Attempts, answer: AnswerLog) -> None:
         service = self._board.service(call.service)
         if service is None:
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, f'no service "{call.service}"')
@@ -69,7 +93,7 @@
         loop = asyncio.get_running_loop()
         started_at_s = loop.time()
         try:
-            await self._attempt_until_done(service, call, answer)
+            await self._attempt_until_done(service, call, attempts, answer)
         finally:
             self._limiter.release(call, loop.time() - started_at_s)
 
@@ -83,37 +107,39 @@
                     retry_after_s=NO_TARGET_RETRY_S,
                 )
 
-    async def _attempt_until_done(self, service: Service, call: Call, answer: AnswerLog) -> None:
-        loop = asyncio.get_running_loop()
+    async def _attempt_until_done(
+        self, service: Service, call: Call, attempts: _Attempts, answer: AnswerLog
+    ) -> None:
         budget = self._budgets.setdefault(
             service.name, RetryBudget(self._policies.retry_budget_ratio)
         )
         budget.note_first_attempt()
-        tried: list[str] = []
-        may_have_run = False
         while True:
-            target = self._choose(service, call, tried)
+            target = self._choose(service, call, attempts.tried)
             if target is None:
-                raise _no_target(service, may_have_run)
-            tried.append(target.address)
+                raise _no_target(service, attempts.may_have_run)
+            attempts.tried.append(target.address)
+            earlier_may_have_run = attempts.may_have_run
+            attempts.may_have_run = True
             try:
                 await self._attempt(service, target, call, answer)
                 return
             except TargetError as error:
+                attempts.may_have_run = earlier_may_have_run or error.may_have_run
+                self._observer.counters[f"attempts_{type(error.failure).__name__.lower()}"] += 1
                 decision = decide_retry(
                     call,
                     error.failure,
-                    attempt=len(tried),
+                    attempt=len(attempts.tried),
                     answer_started=answer.started,
-                    now_s=loop.time(),
+                    now_s=asyncio.get_running_loop().time(),
                 )
                 match decision:
                     case GiveUp(error=final):
-                        raise _weaken(final, may_have_run) from error
+                        raise _weaken(final, attempts.may_have_run) from error
                     case TryElsewhere():
-                        may_have_run = may_have_run or _may_have_run(error)
                         if not budget.take():
-                            raise _no_target(service, may_have_run) from error
+                            raise _no_target(service, attempts.may_have_run) from error
 
     def _choose(self, service: Service, call: Call, tried: Sequence[str]) -> TargetView | None:
         now_s = asyncio.get_running_loop().time()
@@ -145,19 +171,37 @@
             with self._observer.span("target", call.traceparent, target=target.address) as parent:
                 now_s = asyncio.get_running_loop().time()
                 sent = call._replace(traceparent=parent, priority=_target_priority(call))
-                async for line in self._client.run(service, target, sent, now_s):
-                    tokens += sum(span.tokens for span in line.get("spans", ()))
-                    if streamed:
-                        answer.add(line)
-                    else:
-                        held.append(line)
+                async with aclosing(self._client.run(service, target, sent, now_s)) as lines:
+                    async for line in lines:
+                        tokens += sum(span.tokens for span in line.get("spans", ()))
+                        if streamed:
+                            answer.add(line)
+                        else:
+                            held.append(line)
             for line in held:
                 answer.add(line)
             ended_at_s = asyncio.get_running_loop().time()
             self._paces.note(target.address, ended_at_s - now_s, tokens, ended_at_s)
+        except BaseException as error:
+            if not isinstance(error, TargetError) or error.may_have_run:
+                self._cancel_at(service, target, call)
+            raise
         finally:
             in_flight[target.address] -= 1
 
+    def _cancel_at(self, service: Service, target: TargetView, call: Call) -> None:
+        """Tell an engine to stop a run that nobody waits for any more.
+
+        Without it, a run whose connection went silent or whose caller went away
+        would hold its slot to the last token.
+        """
+        if service.kind is not ServiceKind.ENGINE:
+            return
+        cancel = self._client.cancel(target, call.request_id)
+        task = asyncio.get_running_loop().create_task(cancel)
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
 
 def _has_prefix_cache(service: Service) -> bool:
     return service.kind is ServiceKind.ENGINE
@@ -168,15 +212,6 @@
     return int(call.work_class) * PRIORITIES_PER_CLASS + call.priority
 
 
-def _may_have_run(error: TargetError) -> bool:
-    from ..targets import NotSent, Refused
-
-    match error.failure:
-        case NotSent() | Refused(not_run=True):
-            return False
-    return True
-
-
 def _weaken(error: RequestError, may_have_run: bool) -> RequestError:
     """Never say "not run" of a call of which an earlier attempt may have run."""
     if may_have_run and error.ran is Ran.NO:
@@ -191,3 +226,11 @@
         retry_after_s=NO_TARGET_RETRY_S,
     )
     return _weaken(error, may_have_run)
+
+
+def _deadline_exceeded(attempts: _Attempts) -> RequestError:
+    if attempts.may_have_run:
+        return RequestError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed while it ran")
+    return RequestError(
+        ErrorKind.DEADLINE_EXCEEDED, "the deadline passed before it was sent", ran=Ran.NO
+    )
--- a/samphirecleat/controllers/retries.py
+++ b/samphirecleat/controllers/retries.py
@@ -1,38 +1,22 @@
-"""Decides whether a failed call is sent to another target, within a budget."""
+"""Decides whether a failed call is sent to another target, within a budget.
+
+Only one hop retries a given failure, so that retries never multiply. The node
+that runs a call retries what its targets fail at, and nothing else. A node that
+forwards a call retries nothing. A caller's client retries what a node fails at:
+a lost answer with the same key, and an answer that says "not run" and names any
+node with a new one.
+"""
 
 from dataclasses import dataclass
 from typing import Final
 
 from ..errors import ErrorKind, Ran, RequestError
-from ..requests import Call
+from ..requests import Call, RetryBudget
 from ..targets import Failed, Lost, NotSent, Refused, TargetFailure
 
-BUDGET_CAP: Final = 20.0
 MAX_ATTEMPTS: Final = 4
 
-
-class RetryBudget:
-    """Lets retries be a bounded share of first attempts.
-
-    Without it, a service whose targets all fail would get every request several
-    times over just when it is weakest.
-    """
-
-    def __init__(self, ratio: float) -> None:
-        """Start with a full budget and earn ``ratio`` of a retry per first attempt."""
-        self._ratio = ratio
-        self._tokens = BUDGET_CAP
-
-    def note_first_attempt(self) -> None:
-        """Earn a share of a retry."""
-        self._tokens = min(BUDGET_CAP, self._tokens + self._ratio)
-
-    def take(self) -> bool:
-        """Spend one retry; False when the budget is empty."""
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
+__all__ = ["GiveUp", "MAX_ATTEMPTS", "RetryBudget", "RetryDecision", "TryElsewhere", "decide_retry"]
 
 
 @dataclass(frozen=True)
@@ -62,6 +46,8 @@
     error = _final_error(failure)
     if attempt >= MAX_ATTEMPTS or now_s >= call.deadline_at_s:
         return GiveUp(error)
+    if isinstance(failure, Failed) and failure.permanent:
+        return GiveUp(error)
     if error.ran is Ran.NO:
         return TryElsewhere()
     if call.idempotent and not answer_started:
--- a/samphirecleat/entry/_app.py
+++ b/samphirecleat/entry/_app.py
@@ -1,5 +1,6 @@
 """The HTTP application of a node and its one place that turns errors into answers."""
 
+import math
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -32,7 +33,13 @@
         except RequestError as error:
             board.refusals[error.kind.value] += 1
             return _error_response(error)
-        except web.HTTPException:
+        except web.HTTPException as error:
+            # No route matched, or the request is no valid HTTP.
+            kind = ErrorKind.UNKNOWN_METHOD if error.status == 404 else ErrorKind.MALFORMED
+            board.refusals[kind.value] += 1
+            return _error_response(RequestError(kind, f"{request.path}: {error.reason}"))
+        except ConnectionError:
+            observer.counters["callers_gone"] += 1
             raise
         except Exception as error:
             observer.log("entry").exception("Request failed.")
@@ -47,5 +54,7 @@
 
 
 def _error_response(error: RequestError) -> web.Response:
-    headers = {"Retry-After": f"{error.retry_after_s:g}"} if error.retry_after_s else {}
+    headers = {}
+    if error.retry_after_s:
+        headers["Retry-After"] = str(math.ceil(error.retry_after_s))
     return web.json_response({"error": error.body()}, status=error.status, headers=headers)
--- a/samphirecleat/entry/_call_headers.py
+++ b/samphirecleat/entry/_call_headers.py
@@ -1,12 +1,16 @@
 """Reads a caller's request from its headers and body."""
 
+import asyncio
 import json
+import math
+import re
 from collections.abc import Mapping
 from typing import Any, Final, NamedTuple
 
 from aiohttp import web
 
-from ..errors import ErrorKind, RequestError
+from ..config import ServiceKind
+from ..errors import ErrorKind, Ran, RequestError
 
 DEADLINE_HEADER: Final = "x-deadline-ms"
 PRIORITY_HEADER: Final = "x-priority"
@@ -15,6 +19,7 @@
 TRACE_HEADER: Final = "traceparent"
 DEFAULT_DEADLINE_S: Final = 30.0
 HIGHEST_PRIORITY: Final = 9
+MOST_TOKENS: Final = 1_000_000
 
 
 class CallHeaders(NamedTuple):
@@ -23,7 +28,6 @@
     deadline_in_s: float
     priority: int
     idempotent: bool
-    key: str
     traceparent: str
 
 
@@ -36,27 +40,62 @@
         deadline_in_s=min(max_deadline_s, _read_deadline(headers)),
         priority=_read_priority(headers),
         idempotent=_read_idempotent(headers),
-        key=headers.get(KEY_HEADER, ""),
         traceparent=headers.get(TRACE_HEADER, ""),
     )
 
 
-async def read_body(request: web.Request) -> Mapping[str, Any]:
+async def read_body(
+    request: web.Request, timeout_s: float = DEFAULT_DEADLINE_S
+) -> Mapping[str, Any]:
     """Return the JSON object in a request's body.
 
-    :raises samphirecleat.errors.RequestError: MALFORMED or BODY_TOO_LARGE.
+    :raises samphirecleat.errors.RequestError: MALFORMED, BODY_TOO_LARGE, or
+        DEADLINE_EXCEEDED, not run, when the body has not come in ``timeout_s``.
     """
     try:
-        body = json.loads(await request.read())
+        async with asyncio.timeout(timeout_s):
+            raw = await request.read()
     except web.HTTPRequestEntityTooLarge as error:
         raise RequestError(ErrorKind.BODY_TOO_LARGE, str(error.text)) from error
-    except ValueError as error:
+    except TimeoutError as error:
+        raise RequestError(
+            ErrorKind.DEADLINE_EXCEEDED, "the body did not come in time", ran=Ran.NO
+        ) from error
+    return parse_body(raw)
+
+
+def parse_body(raw: bytes) -> Mapping[str, Any]:
+    """Return the JSON object that ``raw`` holds.
+
+    :raises samphirecleat.errors.RequestError: MALFORMED.
+    """
+    try:
+        body = json.loads(raw)
+    except (ValueError, RecursionError) as error:
         raise RequestError(ErrorKind.MALFORMED, f"the body is no JSON: {error}") from error
     if not isinstance(body, dict):
         raise RequestError(ErrorKind.MALFORMED, "the body must be a JSON object")
+    if not isinstance(body.get("stream", False), bool):
+        raise RequestError(ErrorKind.MALFORMED, '"stream" must be true or false')
     return body
 
 
+def check_call_body(kind: ServiceKind, body: Mapping[str, Any]) -> None:
+    """Check what the node itself reads of a call's body.
+
+    :raises samphirecleat.errors.RequestError: MALFORMED.
+    """
+    if kind is not ServiceKind.ENGINE:
+        return
+    if not isinstance(body.get("prompt"), str):
+        raise RequestError(ErrorKind.MALFORMED, '"prompt" must be a text')
+    max_tokens = body.get("max_tokens", 1)
+    if type(max_tokens) is not int or not 1 <= max_tokens <= MOST_TOKENS:
+        raise RequestError(
+            ErrorKind.MALFORMED, f'"max_tokens" must be a whole number, 1 to {MOST_TOKENS}'
+        )
+
+
 def _read_deadline(headers: Mapping[str, str]) -> float:
     text = headers.get(DEADLINE_HEADER)
     if text is None:
@@ -67,14 +106,16 @@
         raise RequestError(
             ErrorKind.MALFORMED, f"{DEADLINE_HEADER} must be milliseconds from now"
         ) from error
-    if not deadline_s > 0.0:
+    if math.isnan(deadline_s):
+        raise RequestError(ErrorKind.MALFORMED, f"{DEADLINE_HEADER} must be milliseconds from now")
+    if deadline_s <= 0.0:
         raise RequestError(ErrorKind.DEADLINE_PASSED, f"{DEADLINE_HEADER} is {text}")
     return deadline_s
 
 
 def _read_priority(headers: Mapping[str, str]) -> int:
     text = headers.get(PRIORITY_HEADER, "5")
-    if not (text.isdigit() and int(text) <= HIGHEST_PRIORITY):
+    if not re.fullmatch(r"[0-9]", text):
         raise RequestError(
             ErrorKind.MALFORMED, f"{PRIORITY_HEADER} must be 0 to {HIGHEST_PRIORITY}"
         )
--- a/samphirecleat/entry/_callers.py
+++ b/samphirecleat/entry/_callers.py
@@ -1,9 +1,10 @@
 """What callers meet: the entry list, and requests to services."""
 
 import asyncio
-import json
 import secrets
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, Callable, Mapping
+from contextlib import aclosing
+from typing import Any, Final, NamedTuple
 
 from aiohttp import web
 
@@ -16,18 +17,38 @@
 from ..requests import (
     AnswerLine,
     AnswerLog,
+    AnswerStore,
     Call,
     ForwardTo,
     JoinHere,
     KeyBook,
-    Span,
+    RequestKey,
+    RequestStatus,
+    RunState,
     StartHere,
     WorkClass,
-    merge_spans,
     parse_key,
 )
 from ..settings import Timings
-from ._call_headers import CallHeaders, read_body, read_headers
+from ._answers import send_lines, send_whole
+from ._call_headers import (
+    KEY_HEADER,
+    CallHeaders,
+    check_call_body,
+    parse_body,
+    read_body,
+    read_headers,
+)
+
+READER_SLACK_S: Final = 0.25
+"""The run ends at its own deadline; a reader that waits for it is told a little later."""
+
+
+class _Accepted(NamedTuple):
+    """A call that was taken in, and the lines of its answer."""
+
+    call: Call
+    lines: AsyncGenerator[AnswerLine, None]
 
 
 class CallerEntry:
@@ -37,6 +58,7 @@
         self,
         board: Blackboard,
         key_book: KeyBook,
+        store: AnswerStore,
         dispatcher: Dispatcher,
         peers: PeerClient,
         observer: Observer,
@@ -45,17 +67,24 @@
         """Wire the parts that a request passes through."""
         self._board = board
         self._key_book = key_book
+        self._store = store
         self._dispatcher = dispatcher
         self._peers = peers
         self._observer = observer
         self._timings = timings
         self._runs: set[asyncio.Task[None]] = set()
-        self.in_flight = 0
+        self._handlers = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are read or answered, and runs, also those nobody reads now."""
+        return self._handlers + len(self._runs)
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add the callers' routes."""
         router.add_get("/v1/entries", self.entries)
         router.add_post("/v1/services/{service}/{method}", self.call)
+        router.add_get("/v1/requests/{key}", self.status)
 
     async def entries(self, _request: web.Request) -> web.Response:
         """Return the nodes to use; one that leaves or holds no text is not among them."""
@@ -73,36 +102,112 @@
         ]
         return web.json_response({"ttl_s": self._timings.entry_ttl_s, "entries": rows})
 
+    async def status(self, request: web.Request) -> web.Response:
+        """Tell how far a key is, for a client whose connection went quiet."""
+        status = self.status_of(request.match_info["key"])
+        return web.json_response({"state": status.state.value, "progress": status.progress})
+
+    def status_of(self, key_text: str) -> RequestStatus:
+        """Return how far a key is; WAITING for one that another process owns.
+
+        :raises samphirecleat.errors.RequestError: KEY_MALFORMED.
+        """
+        key = parse_key(key_text)
+        if not self._key_book.owns(key):
+            return RequestStatus(RunState.WAITING, 0)
+        return self._key_book.status(key, _now_s())
+
     async def call(self, request: web.Request) -> web.StreamResponse:
         """Run one request and return its answer, whole or as lines."""
-        self.in_flight += 1
-        started_at_s = asyncio.get_running_loop().time()
+        self._handlers += 1
+        started_at_s = _now_s()
         try:
             return await self._call(request)
         finally:
-            self.in_flight -= 1
-            self._observer.record_s("request", asyncio.get_running_loop().time() - started_at_s)
+            self._handlers -= 1
+            self._observer.record_s("request", _now_s() - started_at_s)
 
     async def _call(self, request: web.Request) -> web.StreamResponse:
-        if self._board.config.revision < 0:
-            raise RequestError(ErrorKind.NOT_READY, "this node holds no service text yet")
+        key = _read_key(request.headers.get(KEY_HEADER, ""))
+        try:
+            headers, body = await self._read(request)
+            with self._observer.span("entry", headers.traceparent) as traceparent:
+                headers = headers._replace(traceparent=traceparent)
+                accepted = self._accept(
+                    request.match_info["service"], request.match_info["method"], body, headers, key
+                )
+        except RequestError as error:
+            raise self._settle(error, key) from error
+        if body.get("stream", False):
+            return await send_lines(request, *accepted)
+        return await send_whole(*accepted)
+
+    async def _read(self, request: web.Request) -> tuple[CallHeaders, Mapping[str, Any]]:
         headers = read_headers(request.headers, self._timings.max_deadline_s)
-        body = await read_body(request)
-        with self._observer.span("entry", headers.traceparent) as traceparent:
-            call = self._make_call(
-                request.match_info["service"],
-                request.match_info["method"],
-                body,
-                headers._replace(traceparent=traceparent),
-            )
-            lines = self._answer(call, headers.key)
-            if body.get("stream", False):
-                return await _send_lines(request, call, lines)
-            return await _send_whole(call, lines)
+        return headers, await read_body(request, headers.deadline_in_s)
+
+    async def serve_forwarded(self, request: ForwardRequest) -> AsyncGenerator[AnswerLine, None]:
+        """Run a call that another node forwarded; this node must own its key."""
+        key = parse_key(request.key)
+        if not self._key_book.owns(key):
+            raise _owner_gone(key)
+        headers = CallHeaders(
+            request.deadline_in_s, request.priority, request.idempotent, request.traceparent
+        )
+        self._handlers += 1
+        try:
+            try:
+                body = parse_body(request.body)
+                accepted = self._accept(request.service, request.method, body, headers, key)
+            except RequestError as error:
+                raise self._settle(error, key) from error
+            async with aclosing(accepted.lines) as lines:
+                async for line in lines:
+                    yield line
+        finally:
+            self._handlers -= 1
+
+    def _settle(self, error: RequestError, key: RequestKey | None) -> RequestError:
+        """Let a refusal of a keyed request say "not run" only if that stays true.
+
+        Another copy of the same request may have run before, or may still be on
+        its way here: the key's owner alone can tell, and can keep it from running.
+        """
+        if key is not None and error.ran is Ran.NO:
+            error.ran = self._key_book.refuse(key, _now_s())
+        return error
+
+    def _accept(
+        self,
+        service: str,
+        method: str,
+        body: Mapping[str, Any],
+        headers: CallHeaders,
+        key: RequestKey | None,
+    ) -> _Accepted:
+        call = self._make_call(service, method, body, headers, key)
+        if key is None:
+            return _Accepted(call, self._run_without_key(call))
+        match self._key_book.bind(key, call.body, _now_s()):
+            case StartHere(answer=answer):
+                self._start(call, answer)
+                return _Accepted(call, answer.read(call.deadline_at_s + READER_SLACK_S))
+            case JoinHere(answer=answer):
+                self._observer.counters["keys_joined"] += 1
+                return _Accepted(call, answer.read(call.deadline_at_s + READER_SLACK_S))
+            case ForwardTo():
+                return _Accepted(call, self._forward(call, key))
 
     def _make_call(
-        self, service_name: str, method_name: str, body: object, headers: CallHeaders
+        self,
+        service_name: str,
+        method_name: str,
+        body: Mapping[str, Any],
+        headers: CallHeaders,
+        key: RequestKey | None,
     ) -> Call:
+        if self._board.config.revision < 0:
+            raise RequestError(ErrorKind.NOT_READY, "this node holds no service text yet")
         service = self._board.service(service_name)
         if service is None:
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, f'no service "{service_name}"')
@@ -112,16 +217,15 @@
             raise RequestError(
                 ErrorKind.UNKNOWN_METHOD, f'"{service_name}" has no "{method_name}", only {known}'
             )
-        assert isinstance(body, dict)
-        deadline_in_s = min(headers.deadline_in_s, method.max_s)
+        check_call_body(service.kind, body)
         return Call(
             service=service_name,
             method=method_name,
             body=body,
-            deadline_at_s=asyncio.get_running_loop().time() + deadline_in_s,
+            deadline_at_s=_now_s() + min(headers.deadline_in_s, method.max_s),
             priority=headers.priority,
             idempotent=method.idempotent and headers.idempotent,
-            request_id=headers.key or self._own_request_id(),
+            request_id=str(key) if key is not None else self._own_request_id(),
             work_class=WorkClass.CALLER,
             traceparent=headers.traceparent,
         )
@@ -130,58 +234,38 @@
         identity = self._board.identity
         return f"{identity.node_id}.{identity.incarnation}.unkeyed.{secrets.token_hex(8)}"
 
-    def _answer(self, call: Call, key_text: str) -> AsyncIterator[AnswerLine]:
-        if not key_text:
-            answer = AnswerLog()
-            self._start(call, answer)
-            return answer.read()
-        key = parse_key(key_text)
-        now_s = asyncio.get_running_loop().time()
-        match self._key_book.bind(key, call.body, now_s):
-            case StartHere(answer=answer):
-                self._start(call, answer)
-                return answer.read()
-            case JoinHere(answer=answer):
-                return answer.read()
-            case ForwardTo(node_id=node_id, incarnation=incarnation):
-                return self._forward(call, node_id, incarnation)
-
-    def _start(self, call: Call, answer: AnswerLog) -> None:
+    def _start(self, call: Call, answer: AnswerLog) -> Callable[[], object]:
+        """Start a run that goes on whoever reads it; return what cancels it."""
         task = asyncio.get_running_loop().create_task(self._dispatcher.run(call, answer))
         self._runs.add(task)
         task.add_done_callback(self._runs.discard)
+        return task.cancel
 
-    def _forward(self, call: Call, node_id: str, incarnation: str) -> AsyncIterator[AnswerLine]:
-        view = self._board.members.get(node_id)
-        if view is None or view.member.incarnation != incarnation:
-            # Only the named incarnation knows whether it started the request,
-            # and it is gone: starting it here could run it a second time.
+    async def _run_without_key(self, call: Call) -> AsyncGenerator[AnswerLine, None]:
+        """Run a call that nobody can ask for again, so that it ends with its reader."""
+        if not self._store.has_room:
             raise RequestError(
-                ErrorKind.OUTCOME_UNKNOWN,
-                f"the process {node_id}.{incarnation} that the key names is gone",
+                ErrorKind.OVERLOADED, "this node holds as many answers as it may", retry_after_s=1.0
             )
-        return self._peers.forward(view.member, call, asyncio.get_running_loop().time())
-
-    async def serve_forwarded(self, request: ForwardRequest) -> AsyncIterator[AnswerLine]:
-        """Run a call that another node forwarded; this node must own its key."""
-        key = parse_key(request.key)
-        headers = CallHeaders(
-            request.deadline_in_s,
-            request.priority,
-            request.idempotent,
-            request.key,
-            request.traceparent,
-        )
-        identity = self._board.identity
-        if (key.node_id, key.incarnation) != (identity.node_id, identity.incarnation):
-            raise RequestError(ErrorKind.OUTCOME_UNKNOWN, "the process that the key names is gone")
-        call = self._make_call(request.service, request.method, json.loads(request.body), headers)
-        self.in_flight += 1
+        answer = self._store.open()
+        cancel = self._start(call, answer)
         try:
-            async for line in self._answer(call, request.key):
-                yield line
+            async with aclosing(answer.read(call.deadline_at_s + READER_SLACK_S)) as lines:
+                async for line in lines:
+                    yield line
         finally:
-            self.in_flight -= 1
+            cancel()
+            answer.close()
+            self._store.forget(answer)
+
+    def _forward(self, call: Call, key: RequestKey) -> AsyncGenerator[AnswerLine, None]:
+        view = self._board.members.get(key.node_id)
+        if view is None or view.member.incarnation != key.incarnation:
+            # Only the named incarnation knows whether it started the request,
+            # and it is gone: starting it here could run it a second time.
+            raise _owner_gone(key)
+        self._observer.counters["forwarded"] += 1
+        return self._peers.forward(view.member, call, _now_s())
 
     async def close(self) -> None:
         """Cancel what still runs."""
@@ -190,48 +274,16 @@
         await asyncio.gather(*self._runs, return_exceptions=True)
 
 
-async def _send_whole(call: Call, lines: AsyncIterator[AnswerLine]) -> web.Response:
-    text: list[str] = []
-    spans: list[Span] = []
-    answer: dict[str, object] = {"request_id": call.request_id}
-    async for line in lines:
-        text.append(line.get("text", ""))
-        spans.extend(line.get("spans", ()))
-        for field in ("result", "run_id", "target"):
-            if field in line:
-                answer[field] = line[field]
-    if spans:
-        answer["text"] = "".join(text)
-        answer["spans"] = [list(span) for span in merge_spans(spans)]
-    return web.json_response(answer)
-
-
-async def _send_lines(
-    request: web.Request, call: Call, lines: AsyncIterator[AnswerLine]
-) -> web.StreamResponse:
-    """Send lines as they come; an error after the first one is itself a line."""
-    response: web.StreamResponse | None = None
-    try:
-        async for line in lines:
-            if response is None:
-                response = await _open_stream(request, call)
-            await response.write(json.dumps(line).encode() + b"\n")
-    except RequestError as error:
-        if response is None:
-            raise
-        # What was sent cannot be taken back, so it can no longer be "not run".
-        body = error.body()
-        if error.ran is Ran.NO:
-            body["ran"] = Ran.UNKNOWN.value
-        await response.write(json.dumps({"error": body}).encode() + b"\n")
-    assert response is not None
-    await response.write_eof()
-    return response
-
-
-async def _open_stream(request: web.Request, call: Call) -> web.StreamResponse:
-    response = web.StreamResponse(
-        headers={"Content-Type": "application/x-ndjson", "x-request-id": call.request_id}
+def _read_key(text: str) -> RequestKey | None:
+    return parse_key(text) if text else None
+
+
+def _owner_gone(key: RequestKey) -> RequestError:
+    return RequestError(
+        ErrorKind.OUTCOME_UNKNOWN,
+        f"the process {key.node_id}.{key.incarnation} that the key names is gone",
     )
-    await response.prepare(request)
-    return response
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/samphirecleat/errors.py
+++ b/samphirecleat/errors.py
@@ -72,7 +72,7 @@
     ErrorKind.UNKNOWN_STEP: Answer(404, Ran.NO, RetryAt.ANY_NODE),
     ErrorKind.STEP_CONFLICT: Answer(409, Ran.NO, RetryAt.NEVER),
     ErrorKind.KEY_MALFORMED: Answer(400, Ran.NO, RetryAt.NEVER),
-    ErrorKind.KEY_CONFLICT: Answer(409, Ran.NO, RetryAt.NEVER),
+    ErrorKind.KEY_CONFLICT: Answer(409, Ran.UNKNOWN, RetryAt.NEVER),
     ErrorKind.KEY_EXPIRED: Answer(410, Ran.UNKNOWN, RetryAt.NEVER),
     ErrorKind.KEY_TABLE_FULL: Answer(503, Ran.NO, RetryAt.LATER),
     ErrorKind.DEADLINE_PASSED: Answer(400, Ran.NO, RetryAt.NEVER),
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -28,7 +28,7 @@
 from .observe import Observer
 from .peers import HeartbeatCodec, PeerClient, PeerServer, PeerUnavailableError
 from .platform import HttpHostList, HttpLog, HttpWeightStore
-from .requests import KeyBook
+from .requests import AnswerStore, KeyBook
 from .settings import Settings
 from .targets import TargetClient
 
@@ -90,6 +90,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.close()
         await self.steps.close()
+        await self.dispatcher.close()
         self._udp.close()
         self._grpc.close()
         await self._grpc.wait_closed()
@@ -97,6 +98,7 @@
             await self._runner.cleanup()
         self.peers.close()
         await self._session.close()
+        await self._fresh_session.close()
 
     def own_report(self) -> Mapping[str, Any]:
         """Return this node's part of the fleet report."""
@@ -129,21 +131,27 @@
         settings, timings, board = self.settings, self.settings.timings, self.board
         now_s = asyncio.get_running_loop().time()
         self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self._fresh_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
         log = HttpLog(self._session, settings.log_url)
+        store = AnswerStore(settings.bounds.answer_store_bytes)
         self.key_book = KeyBook(
             settings.node_id,
             board.identity.incarnation,
+            store,
             epoch_s=timings.key_epoch_s,
             max_keys=settings.bounds.keys,
             now_s=now_s,
         )
         client = TargetClient(
             self._session,
+            self._fresh_session,
             progress_timeout_s=timings.progress_timeout_s,
             connect_timeout_s=timings.connect_timeout_s,
             probe_timeout_s=timings.probe_timeout_s,
         )
-        self.peers = PeerClient(settings.shared_key)
+        self.peers = PeerClient(settings.shared_key, timings.progress_timeout_s)
         self.limiter = Limiter(board, self._policies.limits)
         self.dispatcher = Dispatcher(
             board, self.limiter, client, self.observer, self._rng, self._policies
@@ -183,7 +191,7 @@
             self.observer,
         )
         self.callers = CallerEntry(
-            board, self.key_book, self.dispatcher, self.peers, self.observer, timings
+            board, self.key_book, store, self.dispatcher, self.peers, self.observer, timings
         )
 
     async def _listen(self) -> None:
@@ -196,13 +204,16 @@
             self.observer,
             max_body_bytes=settings.bounds.body_bytes,
         )
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.1, handler_cancellation=True
+        )
         await self._runner.setup()
         host, port = _split_address(settings.http_address)
         await web.TCPSite(self._runner, host, port, reuse_address=True).start()
         peer_server = PeerServer(
             settings.shared_key,
             self.callers.serve_forwarded,
+            self.callers.status_of,
             lambda: self.board.config,
             self.own_report,
         )
--- a/samphirecleat/peers/_client.py
+++ b/samphirecleat/peers/_client.py
@@ -3,19 +3,38 @@
 import asyncio
 import hashlib
 import json
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncGenerator, Mapping
+from contextlib import aclosing
 from typing import Any, Final
 
-from grpclib.client import Channel
+from grpclib.client import Channel, Stream
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from ..blackboard import Member
 from ..config import Restatement
 from ..errors import ErrorKind, RequestError
-from ..requests import AnswerLine, Call, Span
+from ..requests import (
+    AnswerLine,
+    Call,
+    NoAnswer,
+    Probe,
+    ProgressWatch,
+    RequestStatus,
+    RunState,
+    SilentConnectionError,
+    Span,
+)
 from .peers_grpc import PeersStub
-from .peers_pb2 import ConfigRequest, ForwardRequest, ReportRequest
-
+from .peers_pb2 import (
+    ConfigRequest,
+    ForwardChunk,
+    ForwardRequest,
+    ReportRequest,
+    StatusRequest,
+)
+
+DEADLINE_SLACK_S: Final = 0.5
+RETIRED_CHANNEL_S: Final = 120.0
 KEY_HEADER: Final = "x-shared-key-digest"
 PEER_FAILURES: Final = (GRPCError, StreamTerminatedError, OSError, asyncio.TimeoutError)
 
@@ -32,44 +51,77 @@
 class PeerClient:
     """Asks other nodes; its failures are errors with a kind, never lost."""
 
-    def __init__(self, shared_key: str) -> None:
-        """Show the digest of ``shared_key`` with each call."""
+    def __init__(self, shared_key: str, progress_timeout_s: float) -> None:
+        """Show the digest of ``shared_key``; probe after ``progress_timeout_s`` of quiet."""
+        self._progress_timeout_s = progress_timeout_s
         self._metadata = {KEY_HEADER: peer_token(shared_key)}
         self._channels: dict[str, Channel] = {}
 
-    async def forward(self, member: Member, call: Call, now_s: float) -> AsyncIterator[AnswerLine]:
+    async def forward(
+        self, member: Member, call: Call, now_s: float
+    ) -> AsyncGenerator[AnswerLine, None]:
         """Run a call at the node that owns its key and yield the answer's lines.
 
-        :raises samphirecleat.errors.RequestError: the owner's own error, or
-            OUTCOME_UNKNOWN when the owner was lost after the call was sent.
+        Only the owner's own word says "not run": that no byte reached the owner
+        now does not tell whether an earlier copy of the request did, so every
+        failure on the way is OUTCOME_UNKNOWN. Nothing is sent a second time.
+
+        :raises samphirecleat.errors.RequestError: the owner's own error,
+            OUTCOME_UNKNOWN when the owner was lost, or DEADLINE_EXCEEDED.
         """
         left_s = max(0.01, call.deadline_at_s - now_s)
-        request = ForwardRequest(
-            service=call.service,
-            method=call.method,
-            body=json.dumps(call.body).encode(),
-            deadline_in_s=left_s,
-            priority=call.priority,
-            idempotent=call.idempotent,
-            key=call.request_id,
-            traceparent=call.traceparent,
-        )
+        # The owner ends the call at the same deadline; the slack lets its own
+        # last word, which may say more than ours, get through.
+        timeout_s = left_s + DEADLINE_SLACK_S
+        channel = self._channel(member)
         try:
-            stub = self._stub(member)
-            async with stub.Forward.open(timeout=left_s, metadata=self._metadata) as stream:
-                await stream.send_message(request, end=True)
-                async for chunk in stream:
-                    if chunk.error:
-                        raise RequestError.from_body(json.loads(chunk.error))
-                    if chunk.last:
-                        return
-                    yield decode_line(chunk.line)
-        except PEER_FAILURES as error:
+            opening = PeersStub(channel).Forward.open(timeout=timeout_s, metadata=self._metadata)
+            async with opening as stream:
+                await stream.send_message(_forward_request(call, left_s), end=True)
+                async with aclosing(self._read_forward(member, call, stream)) as lines:
+                    async for line in lines:
+                        yield line
+        except SilentConnectionError as error:
+            self._drop(member, channel)
+            raise _lost(member, f"silent connection: {error}") from error
+        except TimeoutError as error:
             raise RequestError(
-                ErrorKind.OUTCOME_UNKNOWN,
-                f"node {member.node_id}, which owns the key, was lost: {error}",
+                ErrorKind.DEADLINE_EXCEEDED, "the key's owner gave no answer in time"
             ) from error
-        raise RequestError(ErrorKind.OUTCOME_UNKNOWN, "the owner's answer ended early")
+        except PEER_FAILURES as error:
+            raise _lost(member, str(error)) from error
+
+    async def _read_forward(
+        self, member: Member, call: Call, stream: Stream[ForwardRequest, ForwardChunk]
+    ) -> AsyncGenerator[AnswerLine, None]:
+        watch = ProgressWatch(
+            lambda: self.probe(member, call.request_id),
+            period_s=self._progress_timeout_s,
+            counts_progress=bool(call.body.get("stream", False)),
+        )
+        while True:
+            chunk = await watch.wait(stream.recv_message())
+            if chunk is None:
+                raise _lost(member, "its answer ended early")
+            if chunk.error:
+                raise RequestError.from_body(json.loads(chunk.error))
+            if chunk.last:
+                return
+            watch.note_progress(1)
+            yield decode_line(chunk.line)
+
+    async def probe(self, member: Member, key: str) -> Probe:
+        """Ask a node on a new connection how far a key of its own is."""
+        channel = _open_channel(member.peer_address)
+        try:
+            reply = await PeersStub(channel).RequestStatus(
+                StatusRequest(key=key), timeout=self._progress_timeout_s, metadata=self._metadata
+            )
+            return RequestStatus(RunState(reply.state), reply.progress)
+        except (*PEER_FAILURES, ValueError):
+            return NoAnswer()
+        finally:
+            channel.close()
 
     async def fetch_config(self, member: Member, timeout_s: float) -> Restatement:
         """Return what another node has in force.
@@ -105,12 +157,45 @@
         self._channels.clear()
 
     def _stub(self, member: Member) -> PeersStub:
+        return PeersStub(self._channel(member))
+
+    def _channel(self, member: Member) -> Channel:
         channel = self._channels.get(member.peer_address)
         if channel is None:
-            host, port = member.peer_address.rsplit(":", 1)
-            channel = Channel(host, int(port))
+            channel = _open_channel(member.peer_address)
             self._channels[member.peer_address] = channel
-        return PeersStub(channel)
+        return channel
+
+    def _drop(self, member: Member, channel: Channel) -> None:
+        """Use a new connection from now on, and let others end on the old one."""
+        if self._channels.get(member.peer_address) is channel:
+            del self._channels[member.peer_address]
+            asyncio.get_running_loop().call_later(RETIRED_CHANNEL_S, channel.close)
+
+
+def _open_channel(address: str) -> Channel:
+    host, port = address.rsplit(":", 1)
+    return Channel(host, int(port))
+
+
+def _forward_request(call: Call, left_s: float) -> ForwardRequest:
+    return ForwardRequest(
+        service=call.service,
+        method=call.method,
+        body=json.dumps(call.body).encode(),
+        deadline_in_s=left_s,
+        priority=call.priority,
+        idempotent=call.idempotent,
+        key=call.request_id,
+        traceparent=call.traceparent,
+    )
+
+
+def _lost(member: Member, detail: str) -> RequestError:
+    return RequestError(
+        ErrorKind.OUTCOME_UNKNOWN,
+        f"node {member.node_id}, which owns the key, was lost: {detail}",
+    )
 
 
 def decode_line(raw: bytes) -> AnswerLine:
--- a/samphirecleat/peers/_server.py
+++ b/samphirecleat/peers/_server.py
@@ -2,7 +2,8 @@
 
 import hmac
 import json
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncGenerator, Callable, Mapping
+from contextlib import aclosing
 from typing import Any
 
 from grpclib.const import Status
@@ -11,7 +12,7 @@
 
 from ..config import ConfigState
 from ..errors import RequestError
-from ..requests import AnswerLine
+from ..requests import AnswerLine, RequestStatus
 from ._client import KEY_HEADER, peer_token
 from .peers_grpc import PeersBase
 from .peers_pb2 import (
@@ -21,9 +22,11 @@
     ForwardRequest,
     ReportReply,
     ReportRequest,
+    StatusReply,
+    StatusRequest,
 )
 
-ForwardHandler = Callable[[ForwardRequest], AsyncIterator[AnswerLine]]
+ForwardHandler = Callable[[ForwardRequest], AsyncGenerator[AnswerLine, None]]
 
 
 class PeerServer(PeersBase):
@@ -33,12 +36,14 @@
         self,
         shared_key: str,
         forward: ForwardHandler,
+        status: Callable[[str], RequestStatus],
         config: Callable[[], ConfigState],
         report: Callable[[], Mapping[str, Any]],
     ) -> None:
         """Answer from the given callables."""
         self._token = peer_token(shared_key)
         self._forward = forward
+        self._status = status
         self._config = config
         self._report = report
 
@@ -46,16 +51,25 @@
         """Run a forwarded call as the owner of its key."""
         self._check_key(stream)
         request = await stream.recv_message()
-        assert request is not None
+        if request is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "a request is expected")
         try:
-            async for line in self._forward(request):
-                await stream.send_message(ForwardChunk(line=json.dumps(line).encode()))
+            async with aclosing(self._forward(request)) as lines:
+                async for line in lines:
+                    await stream.send_message(ForwardChunk(line=json.dumps(line).encode()))
         except RequestError as error:
             body = json.dumps(error.body()).encode()
             await stream.send_message(ForwardChunk(error=body, last=True))
             return
         await stream.send_message(ForwardChunk(last=True))
 
+    async def RequestStatus(self, stream: Stream[StatusRequest, StatusReply]) -> None:  # noqa: N802
+        """Tell how far a key of this node is."""
+        self._check_key(stream)
+        request = await stream.recv_message()
+        status = self._status(request.key if request is not None else "")
+        await stream.send_message(StatusReply(state=status.state.value, progress=status.progress))
+
     async def FetchConfig(self, stream: Stream[ConfigRequest, ConfigReply]) -> None:  # noqa: N802
         """Tell what this node has in force."""
         self._check_key(stream)
--- a/samphirecleat/peers/peers_grpc.py
+++ b/samphirecleat/peers/peers_grpc.py
@@ -18,6 +18,10 @@
     async def Forward(self, stream: 'grpclib.server.Stream[samphirecleat.peers.peers_pb2.ForwardRequest, samphirecleat.peers.peers_pb2.ForwardChunk]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def RequestStatus(self, stream: 'grpclib.server.Stream[samphirecleat.peers.peers_pb2.StatusRequest, samphirecleat.peers.peers_pb2.StatusReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def FetchConfig(self, stream: 'grpclib.server.Stream[samphirecleat.peers.peers_pb2.ConfigRequest, samphirecleat.peers.peers_pb2.ConfigReply]') -> None:
         pass
@@ -34,6 +38,12 @@
                 samphirecleat.peers.peers_pb2.ForwardRequest,
                 samphirecleat.peers.peers_pb2.ForwardChunk,
             ),
+            '/samphirecleat.peers.Peers/RequestStatus': grpclib.const.Handler(
+                self.RequestStatus,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                samphirecleat.peers.peers_pb2.StatusRequest,
+                samphirecleat.peers.peers_pb2.StatusReply,
+            ),
             '/samphirecleat.peers.Peers/FetchConfig': grpclib.const.Handler(
                 self.FetchConfig,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -58,6 +68,12 @@
             samphirecleat.peers.peers_pb2.ForwardRequest,
             samphirecleat.peers.peers_pb2.ForwardChunk,
         )
+        self.RequestStatus = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/samphirecleat.peers.Peers/RequestStatus',
+            samphirecleat.peers.peers_pb2.StatusRequest,
+            samphirecleat.peers.peers_pb2.StatusReply,
+        )
         self.FetchConfig = grpclib.client.UnaryUnaryMethod(
             channel,
             '/samphirecleat.peers.Peers/FetchConfig',
--- a/samphirecleat/requests/__init__.py
+++ b/samphirecleat/requests/__init__.py
@@ -1,22 +1,51 @@
 """A request as the node holds it: its call, its key, and the lines of its answer."""
 
-from ._answer_log import AnswerLog
+from ._answer_log import AnswerLog, join_lines
+from ._answer_store import AnswerStore
 from ._call import AnswerLine, Call, Span, WorkClass, merge_spans
 from ._key import RequestKey, parse_key
 from ._key_book import Binding, ForwardTo, JoinHere, KeyBook, StartHere
+from ._progress import (
+    NoAnswer,
+    NoStatus,
+    Probe,
+    ProgressWatch,
+    RequestStatus,
+    RunState,
+    Silent,
+    SilentConnectionError,
+    Slow,
+    decide_silence,
+)
+from ._refused_keys import RefusedKeys
+from ._retry_budget import RetryBudget
 
 __all__ = [
     "AnswerLine",
     "AnswerLog",
+    "AnswerStore",
     "Binding",
     "Call",
     "ForwardTo",
     "JoinHere",
     "KeyBook",
+    "NoAnswer",
+    "NoStatus",
+    "Probe",
+    "ProgressWatch",
+    "RefusedKeys",
     "RequestKey",
+    "RequestStatus",
+    "RetryBudget",
+    "RunState",
+    "Silent",
+    "SilentConnectionError",
+    "Slow",
     "Span",
     "StartHere",
     "WorkClass",
+    "decide_silence",
+    "join_lines",
     "merge_spans",
     "parse_key",
 ]
--- a/samphirecleat/standins/_engine.py
+++ b/samphirecleat/standins/_engine.py
@@ -71,6 +71,7 @@
         self.fail_next_loads = 0
         self.pretend_next_loads = 0
         self.report_lag_s = 0.2
+        self.tells_status = True
         self.runs: list[EngineRun] = []
         self.orders: list[dict[str, Any]] = []
         self.refused_orders = 0
@@ -81,7 +82,8 @@
         self._weight_store_url = weight_store_url
         self._highest_fencing = -1
         self._loading = False
-        self._running: dict[str, asyncio.Task[Any]] = {}
+        self._handling: dict[str, asyncio.Task[Any]] = {}
+        self._latest_runs: dict[str, EngineRun] = {}
         self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
         self._busy = 0
         self._arrivals = itertools.count()
@@ -96,6 +98,8 @@
         router.add_post("/v1/generate", self._generate)
         router.add_post("/v1/cancel", self._cancel)
         router.add_get("/v1/load", self._load_report)
+        if self.tells_status:
+            router.add_get("/v1/status", self._status)
         router.add_post("/v1/orders", self._order)
         router.add_get("/v1/cache-events", self._events)
 
@@ -113,19 +117,33 @@
         self._highest_fencing = -1
         self._report = (-1e9, {})
         self.cached_prefixes.clear()
+        self._latest_runs.clear()
         await self.start(port)
 
     async def _generate(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
-        if self.leaving:
-            return web.json_response({"error": "leaving"}, status=503)
-        await self._take_slot(int(body.get("priority", 0)))
+        fault = self.take_fault()
+        if fault == "drop":
+            _abort(request)
+            return web.Response()
+        if fault == "refuse" or self.leaving:
+            return web.json_response({"error": "refused"}, status=503)
+        request_id = str(body["request_id"])
+        task = asyncio.current_task()
+        assert task is not None
+        self._handling[request_id] = task
         try:
-            return await self._run(request, body)
+            await self._take_slot(int(body.get("priority", 0)))
+            try:
+                return await self._run(request, body, fault)
+            finally:
+                self._release_slot()
         finally:
-            self._release_slot()
+            self._handling.pop(request_id, None)
 
-    async def _run(self, request: web.Request, body: dict[str, Any]) -> web.StreamResponse:
+    async def _run(
+        self, request: web.Request, body: dict[str, Any], fault: str
+    ) -> web.StreamResponse:
         prompt = str(body["prompt"])
         run = EngineRun(
             run_id=f"{self._instance}/{next(self._run_numbers)}",
@@ -134,26 +152,50 @@
             started_at_s=time.monotonic(),
         )
         self.runs.append(run)
+        self._latest_runs[run.request_id] = run
+        if fault == "fail":
+            return web.json_response({"error": "failed"}, status=500)
         response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
         await response.prepare(request)
         await self._send(request, response, {"run_id": run.run_id, "instance": self._instance})
-        await asyncio.sleep(self._prefill_time_s(prompt))
-        task = asyncio.current_task()
-        assert task is not None
-        self._running[run.request_id] = task
         try:
-            for index in range(int(body["max_tokens"])):
-                await asyncio.sleep(self.token_s)
-                await self._emit(request, response, run, index)
-            run.ended = True
-            await self._send(request, response, {"end": "stop", "tokens": run.tokens})
+            await asyncio.sleep(self._prefill_time_s(prompt))
+            await self._make_tokens(request, response, run, int(body["max_tokens"]), fault)
         except asyncio.CancelledError:
             run.cancelled = True
             raise
-        finally:
-            self._running.pop(run.request_id, None)
         return response
 
+    async def _make_tokens(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        run: EngineRun,
+        max_tokens: int,
+        fault: str,
+    ) -> None:
+        for index in range(max_tokens):
+            await asyncio.sleep(self.token_s)
+            if index == max_tokens // 2:
+                await self._bring_about(request, response, fault)
+            await self._emit(request, response, run, index)
+        run.ended = True
+        if fault == "lose":
+            _abort(request)
+        await self._send(request, response, {"end": "stop", "tokens": run.tokens})
+
+    async def _bring_about(
+        self, request: web.Request, response: web.StreamResponse, fault: str
+    ) -> None:
+        """Break the stream midway in the way that ``fault`` names."""
+        if fault == "garble":
+            await response.write(b"}{\n")
+        elif fault == "truncate":
+            await response.write_eof()
+            raise ConnectionResetError
+        elif fault == "silent" and request.transport is not None:
+            self._silent.add(request.transport)
+
     async def _emit(
         self, request: web.Request, response: web.StreamResponse, run: EngineRun, index: int
     ) -> None:
@@ -216,11 +258,21 @@
 
     async def _cancel(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
-        task = self._running.get(str(body["request_id"]))
+        task = self._handling.get(str(body["request_id"]))
         if task is not None:
             task.cancel()
         return web.json_response({"cancelled": task is not None})
 
+    async def _status(self, request: web.Request) -> web.StreamResponse:
+        request_id = request.query["request_id"]
+        run = self._latest_runs.get(request_id)
+        if request_id in self._handling:
+            state = "running" if run is not None else "waiting"
+        else:
+            state = "ended" if run is not None else "unknown"
+        progress = run.tokens if run is not None else 0
+        return web.json_response({"state": state, "progress": progress})
+
     async def _load_report(self, _request: web.Request) -> web.StreamResponse:
         now_s = time.monotonic()
         if now_s - self._report[0] >= self.report_lag_s:
@@ -284,3 +336,8 @@
         from_sequence = int(request.query.get("from", "0"))
         events = [e for e in self._cache_events if e["sequence"] >= from_sequence]
         return web.json_response({"events": events, "next": self._next_event})
+
+
+def _abort(request: web.Request) -> None:
+    assert request.transport is not None
+    request.transport.abort()
--- a/samphirecleat/standins/_plain.py
+++ b/samphirecleat/standins/_plain.py
@@ -25,7 +25,8 @@
 
     Faults: ``refuse_next`` calls get 503 before they start;
     ``lose_next_answers`` calls run and their connection is closed in place of
-    the answer; ``fail_next`` calls run and answer 500.
+    the answer; ``fail_next`` calls run and answer 500. ``tells_status``, set
+    before the start, adds ``GET /v1/status``, which few plain services have.
     """
 
     def __init__(self, service: str, zone: str, *, slots: int = 16, call_s: float = 0.02) -> None:
@@ -38,6 +39,8 @@
         self.lose_next_answers = 0
         self.runs: list[PlainRun] = []
         self.runs_by_request: Counter[str] = Counter()
+        self.tells_status = False
+        self._ended: set[str] = set()
         self._busy = 0
         self._boot = 0
 
@@ -46,10 +49,16 @@
         self._boot += 1
         router.add_post("/v1/call/{method}", self._call)
         router.add_get("/v1/load", self._load_report)
+        if self.tells_status:
+            router.add_get("/v1/status", self._status)
 
     async def _call(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
-        if self.refuse_next > 0 or self.leaving:
+        fault = self.take_fault()
+        if fault == "drop":
+            _abort(request)
+            return web.Response()
+        if fault == "refuse" or self.refuse_next > 0 or self.leaving:
             self.refuse_next = max(0, self.refuse_next - 1)
             return web.json_response({"error": "refused"}, status=503)
         request_id = request.headers["x-request-id"]
@@ -62,14 +71,35 @@
             await asyncio.sleep(self.call_s)
         finally:
             self._busy -= 1
-        if self.fail_next > 0:
-            self.fail_next -= 1
+        self._ended.add(request_id)
+        if fault == "fail" or self.fail_next > 0:
+            self.fail_next = max(0, self.fail_next - 1)
             return web.json_response({"error": "failed"}, status=500)
-        if self.lose_next_answers > 0:
-            self.lose_next_answers -= 1
-            assert request.transport is not None
-            request.transport.abort()
-        return web.json_response(self.answer(method, body))
+        if fault == "lose" or self.lose_next_answers > 0:
+            self.lose_next_answers = max(0, self.lose_next_answers - 1)
+            _abort(request)
+        return await self._send(request, fault, self.answer(method, body))
+
+    async def _send(
+        self, request: web.Request, fault: str, answer: dict[str, object]
+    ) -> web.StreamResponse:
+        if fault == "silent":
+            await asyncio.Event().wait()
+        if fault == "garble":
+            return web.Response(text="}{", content_type="application/json")
+        if fault == "truncate":
+            response = web.StreamResponse(headers={"Content-Length": "1000"})
+            await response.prepare(request)
+            await response.write(b'{"method": ')
+            _abort(request)
+        return web.json_response(answer)
+
+    async def _status(self, request: web.Request) -> web.StreamResponse:
+        request_id = request.query["request_id"]
+        state = "unknown"
+        if self.runs_by_request[request_id]:
+            state = "ended" if request_id in self._ended else "running"
+        return web.json_response({"state": state, "progress": 0})
 
     def answer(self, method: str, body: object) -> dict[str, object]:
         """Return what a call answers."""
@@ -90,6 +120,11 @@
         )
 
 
+def _abort(request: web.Request) -> None:
+    assert request.transport is not None
+    request.transport.abort()
+
+
 class StandInScoring(StandInPlainService):
     """Scores a sample by a digest of its text, so that a check can repeat it."""
 
--- a/samphirecleat/standins/_server.py
+++ b/samphirecleat/standins/_server.py
@@ -79,7 +79,14 @@
 
 
 class StandInTarget(StandInServer):
-    """A stand-in that the host list shows as a target of a service."""
+    """A stand-in that the host list shows as a target of a service.
+
+    ``next_faults`` names the faults of the requests to come, in their order:
+    ``refuse`` (503 before it starts), ``drop`` (connection closed before it
+    starts), ``fail`` (500 after it ran), ``lose`` (connection closed in place of
+    the answer, after it ran), ``garble`` (an answer that is no JSON), ``truncate``
+    (an answer that breaks off), ``silent`` (it runs, and nothing is sent any more).
+    """
 
     def __init__(self, service: str, zone: str) -> None:
         """Stand in for one target of ``service`` in ``zone``."""
@@ -87,3 +94,8 @@
         self.service = service
         self.zone = zone
         self.leaving = False
+        self.next_faults: list[str] = []
+
+    def take_fault(self) -> str:
+        """Return the fault of the request that arrives now, empty for none."""
+        return self.next_faults.pop(0) if self.next_faults else ""
--- a/samphirecleat/targets/_client.py
+++ b/samphirecleat/targets/_client.py
@@ -2,118 +2,170 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Mapping
-from typing import Any
+from collections.abc import AsyncGenerator, Mapping
+from contextlib import aclosing
+from typing import Any, Final
 
 import aiohttp
 
 from ..blackboard import TargetView
 from ..config import Service, ServiceKind
-from ..requests import AnswerLine, Call, Span
+from ..requests import (
+    AnswerLine,
+    Call,
+    NoAnswer,
+    NoStatus,
+    Probe,
+    ProgressWatch,
+    RequestStatus,
+    RunState,
+    SilentConnectionError,
+)
 from ._errors import Failed, Lost, NotSent, Refused, TargetError
+from ._generation import GenerationReader, generate_body
+
+ANSWER_BYTES: Final = 4_000_000
+PATIENCE_PERIODS: Final = 2
+DEADLINE_SLACK_S: Final = 1.0
+"""The dispatcher ends a call at its deadline; this only bounds what it forgot."""
+REFUSAL_STATUSES: Final = (429, 503)
+RETRIED_CLIENT_ERRORS: Final = (408, 425)
 
 
 class TargetClient:
-    """Calls targets; one session is shared with the rest of the process."""
+    """Calls targets; the sessions are shared with the rest of the process.
+
+    ``fresh_session`` makes a new connection for each request. Calls that may not
+    be repeated use it, since a kept connection may be closed or dead by the time
+    it is used, and then nobody can tell whether the request arrived. So do probes
+    and cancels, which are needed just when a kept connection has gone silent.
+    """
 
     def __init__(
         self,
         session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
         *,
         progress_timeout_s: float,
         connect_timeout_s: float,
         probe_timeout_s: float,
     ) -> None:
-        """Take a target as silent after ``progress_timeout_s`` without a byte."""
+        """Probe a target after each ``progress_timeout_s`` without a byte."""
         self._session = session
+        self._fresh_session = fresh_session
         self._progress_timeout_s = progress_timeout_s
         self._connect_timeout_s = connect_timeout_s
         self._probe_timeout_s = probe_timeout_s
 
     async def run(
         self, service: Service, target: TargetView, call: Call, now_s: float
-    ) -> AsyncIterator[AnswerLine]:
+    ) -> AsyncGenerator[AnswerLine, None]:
         """Run a call on a target and yield the lines of its answer.
 
         :raises TargetError: with what is known of the run.
         """
         timeout = aiohttp.ClientTimeout(
-            total=max(0.01, call.deadline_at_s - now_s),
+            total=max(0.0, call.deadline_at_s - now_s) + DEADLINE_SLACK_S,
             sock_connect=self._connect_timeout_s,
-            sock_read=self._progress_timeout_s,
         )
         match service.kind:
             case ServiceKind.ENGINE:
-                lines = self._generate(target, call, timeout)
+                lines = self._generate(service, target, call, timeout)
             case ServiceKind.PLAIN | ServiceKind.SCORING:
                 lines = self._call_plain(service, target, call, timeout)
         try:
-            async for line in lines:
-                yield line
-        except aiohttp.ClientConnectorError as error:
+            async with aclosing(lines):
+                async for line in lines:
+                    yield line
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            # Both are raised only while the connection is being made.
             raise TargetError(NotSent(str(error))) from error
+        except SilentConnectionError as error:
+            raise TargetError(Lost(f"silent connection: {error}")) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             # The request may have left before the connection failed.
             raise TargetError(Lost(str(error) or type(error).__name__)) from error
-        except (ValueError, KeyError) as error:
-            raise TargetError(Lost(f"the answer is not understood: {error!r}")) from error
 
     async def _generate(
-        self, target: TargetView, call: Call, timeout: aiohttp.ClientTimeout
-    ) -> AsyncIterator[AnswerLine]:
-        body = {
-            "request_id": call.request_id,
-            "prompt": str(call.body.get("prompt", "")),
-            "max_tokens": int(call.body.get("max_tokens", 16)),
-            "priority": call.priority,
-        }
-        url = f"http://{target.address}/v1/generate"
-        headers = _trace_headers(call)
-        async with self._session.post(url, json=body, timeout=timeout, headers=headers) as response:
-            if response.status != 200:
-                # An engine refuses before it starts: it answers 200 first otherwise.
-                raise TargetError(Refused(f"HTTP {response.status}", not_run=True))
-            run_id = ""
-            tokens = 0
-            async for raw in response.content:
-                line = json.loads(raw)
-                if "run_id" in line:
-                    run_id = str(line["run_id"])
-                elif "end" in line:
-                    if int(line["tokens"]) != tokens:
-                        raise TargetError(Lost("tokens are missing from the stream"))
-                    yield {"end": str(line["end"]), "run_id": run_id, "target": target.address}
-                    return
-                else:
-                    count = int(line["tokens"])
-                    tokens += count
-                    yield {"text": str(line["text"]), "spans": [Span(int(line["version"]), count)]}
-            raise TargetError(Lost("the stream ended before its last line"))
+        self, service: Service, target: TargetView, call: Call, timeout: aiohttp.ClientTimeout
+    ) -> AsyncGenerator[AnswerLine, None]:
+        watch = self._watch(target, call, counts_progress=True, patience=PATIENCE_PERIODS)
+        sending = self._session_for(call).post(
+            f"http://{target.address}/v1/generate",
+            json=generate_body(call),
+            timeout=timeout,
+            headers=_trace_headers(call),
+        )
+        async with await watch.wait(sending) as response:
+            _check_status(service, response.status)
+            reader = GenerationReader(target.address)
+            while not reader.ended:
+                before = reader.tokens
+                line = reader.read(await watch.wait(_read_line(response)))
+                watch.note_progress(reader.tokens - before)
+                if line is not None:
+                    yield line
 
     async def _call_plain(
         self, service: Service, target: TargetView, call: Call, timeout: aiohttp.ClientTimeout
-    ) -> AsyncIterator[AnswerLine]:
+    ) -> AsyncGenerator[AnswerLine, None]:
         method = "score" if service.kind is ServiceKind.SCORING else call.method
-        url = f"http://{target.address}/v1/call/{method}"
-        headers = {"x-request-id": call.request_id, **_trace_headers(call)}
-        async with self._session.post(
-            url, json=dict(call.body), timeout=timeout, headers=headers
-        ) as response:
-            if response.status in (429, 503):
-                raise TargetError(
-                    Refused(f"HTTP {response.status}", not_run=service.refusal_is_not_run)
-                )
-            if response.status != 200:
-                raise TargetError(Failed(f"HTTP {response.status}"))
-            result = await response.json()
+        # A plain service rarely tells of one request. One that may not be
+        # repeated is then waited for until its deadline: taking a slow one for
+        # lost would lose an answer that could not be had again.
+        patience = PATIENCE_PERIODS if call.idempotent else None
+        watch = self._watch(target, call, counts_progress=False, patience=patience)
+        sending = self._session_for(call).post(
+            f"http://{target.address}/v1/call/{method}",
+            json=dict(call.body),
+            timeout=timeout,
+            headers={"x-request-id": call.request_id, **_trace_headers(call)},
+        )
+        async with await watch.wait(sending) as response:
+            _check_status(service, response.status)
+            result = await watch.wait(_read_result(response))
             yield {"result": result, "end": "stop", "target": target.address}
 
+    def _session_for(self, call: Call) -> aiohttp.ClientSession:
+        return self._session if call.idempotent else self._fresh_session
+
+    def _watch(
+        self, target: TargetView, call: Call, *, counts_progress: bool, patience: int | None
+    ) -> ProgressWatch:
+        return ProgressWatch(
+            lambda: self.probe(target, call.request_id),
+            period_s=self._progress_timeout_s,
+            counts_progress=counts_progress,
+            patience=patience,
+        )
+
+    async def probe(self, target: TargetView, request_id: str) -> Probe:
+        """Ask a target on a new connection how far a request is."""
+        timeout = aiohttp.ClientTimeout(total=self._probe_timeout_s)
+        params = {"request_id": request_id}
+        try:
+            async with self._fresh_session.get(
+                f"http://{target.address}/v1/status", params=params, timeout=timeout
+            ) as response:
+                if response.status == 200:
+                    body = await response.json()
+                    return RequestStatus(RunState(body["state"]), int(body["progress"]))
+            async with self._fresh_session.get(
+                f"http://{target.address}/v1/load", timeout=timeout
+            ) as response:
+                body = await response.json()
+                return NoStatus(queued=int(body["waiting"]) > 0)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return NoAnswer()
+        except (ValueError, KeyError, TypeError):
+            return NoStatus()
+
     async def cancel(self, target: TargetView, request_id: str) -> None:
-        """Ask an engine to stop a run; its failure only costs tokens."""
+        """Ask an engine on a new connection to stop a run; its failure only costs tokens."""
         timeout = aiohttp.ClientTimeout(total=self._probe_timeout_s)
         url = f"http://{target.address}/v1/cancel"
         try:
-            async with self._session.post(
+            async with self._fresh_session.post(
                 url, json={"request_id": request_id}, timeout=timeout
             ) as response:
                 await response.read()
@@ -139,7 +191,7 @@
                     reported_at_s=now_s - float(body["age_s"]),
                     reachable=True,
                 )
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError):
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
             return target._replace(reachable=False)
 
     async def order_version(self, target: TargetView, version: int, fencing: int) -> bool:
@@ -159,5 +211,38 @@
             return False
 
 
+def _check_status(service: Service, status: int) -> None:
+    """Raise what a status other than 200 tells of the run."""
+    if status == 200:
+        return
+    detail = f"HTTP {status}"
+    if status in REFUSAL_STATUSES:
+        raise TargetError(Refused(detail, not_run=service.refusal_is_not_run))
+    permanent = 400 <= status < 500 and status not in RETRIED_CLIENT_ERRORS
+    raise TargetError(Failed(detail, permanent))
+
+
+async def _read_line(response: aiohttp.ClientResponse) -> bytes:
+    try:
+        return await response.content.readline()
+    except ValueError as error:
+        # The line is longer than the reader's buffer.
+        raise TargetError(Lost(f"a line is not understood: {error}")) from error
+
+
+async def _read_result(response: aiohttp.ClientResponse) -> Any:
+    if (response.content_length or 0) > ANSWER_BYTES:
+        raise TargetError(Failed(f"the answer is larger than {ANSWER_BYTES} bytes", permanent=True))
+    raw = bytearray()
+    async for chunk in response.content.iter_any():
+        raw.extend(chunk)
+        if len(raw) > ANSWER_BYTES:
+            raise TargetError(Failed("the answer is too large", permanent=True))
+    try:
+        return json.loads(raw)
+    except (ValueError, RecursionError) as error:
+        raise TargetError(Lost(f"the answer is not understood: {error}")) from error
+
+
 def _trace_headers(call: Call) -> Mapping[str, str]:
     return {"traceparent": call.traceparent} if call.traceparent else {}
--- a/samphirecleat/targets/_errors.py
+++ b/samphirecleat/targets/_errors.py
@@ -30,9 +30,13 @@
 
 @dataclass(frozen=True)
 class Failed:
-    """The target ran the request and answered that it failed."""
+    """The target answered that the request failed; it may have run.
+
+    ``permanent`` holds when every other target would answer the same.
+    """
 
     detail: str
+    permanent: bool = False
 
 
 TargetFailure = NotSent | Refused | Lost | Failed
@@ -45,3 +49,11 @@
         """Wrap the kind of failure."""
         super().__init__(f"{type(failure).__name__}: {failure.detail}")
         self.failure = failure
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the target may have started the request."""
+        match self.failure:
+            case NotSent() | Refused(not_run=True):
+                return False
+        return True
