--- a/samphirecleat/client/_entries.py
+++ b/samphirecleat/client/_entries.py
@@ -10,6 +10,7 @@
 from ..errors import ErrorKind, RequestError
 
 REQUEST_TIMEOUT_S: Final = 2.0
+PAUSE_AFTER_FAILURE_S: Final = 0.5
 
 
 class Entry(NamedTuple):
@@ -44,25 +45,39 @@
         self._rng = rng
         self._entries: Sequence[Entry] = ()
         self._valid_until_s = 0.0
+        self._failed: set[tuple[str, str]] = set()
+        self._refreshing = asyncio.Lock()
 
     async def choose(self, excluded: Collection[str] = ()) -> Entry:
         """Return a node to use, of this zone if there is one, not among ``excluded``.
 
+        Nodes that failed lately come last.
+
         :raises samphirecleat.errors.RequestError: NO_TARGET when none is left.
         """
-        if asyncio.get_running_loop().time() >= self._valid_until_s:
-            await self.refresh()
+        async with self._refreshing:
+            if asyncio.get_running_loop().time() >= self._valid_until_s:
+                await self.refresh()
         usable = [entry for entry in self._entries if entry.node_id not in excluded]
         if not usable:
             raise RequestError(
                 ErrorKind.NO_TARGET, "no node is left to try; it was not run", retry_after_s=1.0
             )
-        near = [entry for entry in usable if entry.zone == self._zone]
-        pool = near or usable
+        sound = [e for e in usable if (e.node_id, e.incarnation) not in self._failed]
+        near = [entry for entry in sound if entry.zone == self._zone]
+        pool = near or sound or usable
         return self._rng.choices(pool, [entry.weight for entry in pool])[0]
 
+    def note_failed(self, entry: Entry) -> None:
+        """Prefer other nodes until the list is fetched again."""
+        self._failed.add((entry.node_id, entry.incarnation))
+
+    def expire(self) -> None:
+        """Fetch the list again before the next choice."""
+        self._valid_until_s = 0.0
+
     async def refresh(self) -> None:
-        """Ask for the list now; a failure keeps the old one."""
+        """Ask for the list now; a failure keeps the old one a little longer."""
         addresses = [entry.address for entry in self._entries]
         self._rng.shuffle(addresses)
         bootstrap = [address for address in self._bootstrap if address not in addresses]
@@ -70,9 +85,11 @@
         for address in [*addresses, *bootstrap]:
             if await self._ask(address):
                 return
+        self._valid_until_s = asyncio.get_running_loop().time() + PAUSE_AFTER_FAILURE_S
 
     async def _ask(self, address: str) -> bool:
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        asked_at_s = asyncio.get_running_loop().time()
         try:
             async with self._session.get(
                 f"http://{address}/v1/entries", timeout=timeout
@@ -89,10 +106,13 @@
                     )
                     for row in body["entries"]
                 ]
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError):
+                ttl_s = float(body["ttl_s"])
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
             return False
         if not entries:
             return False
         self._entries = entries
-        self._valid_until_s = asyncio.get_running_loop().time() + float(body["ttl_s"])
+        self._failed.clear()
+        # Counted from the question, since the answer may have been long on its way.
+        self._valid_until_s = asked_at_s + ttl_s
         return True
--- a/samphirecleat/requests/_answer_log.py
+++ b/samphirecleat/requests/_answer_log.py
@@ -42,6 +42,11 @@
         """Whether the answer is whole or has failed."""
         return self._closed
 
+    @property
+    def error(self) -> RequestError | None:
+        """The error that ended the answer, None while it has none."""
+        return self._error
+
     @property
     def started(self) -> bool:
         """Whether a reader may have seen a part of it."""
--- /dev/null
+++ b/tests/requests/test_progress.py
@@ -0,0 +1,70 @@
+"""A silent connection told from a slow one."""
+
+import asyncio
+
+import pytest
+
+from samphirecleat.requests import (
+    NoAnswer,
+    NoStatus,
+    Probe,
+    ProgressWatch,
+    RequestStatus,
+    RunState,
+    Silent,
+    SilentConnectionError,
+    Slow,
+    decide_silence,
+)
+
+
+@pytest.mark.parametrize(
+    ("probe", "received", "quiet_periods", "verdict"),
+    [
+        (NoAnswer(), 0, 1, Silent),
+        (RequestStatus(RunState.WAITING, 0), 0, 50, Slow),
+        (RequestStatus(RunState.RUNNING, 5), 5, 50, Slow),
+        (RequestStatus(RunState.RUNNING, 6), 5, 1, Silent),
+        (RequestStatus(RunState.RUNNING, 6), None, 1, Slow),
+        (RequestStatus(RunState.ENDED, 5), 5, 1, Silent),
+        (RequestStatus(RunState.ENDED, 0), None, 1, Silent),
+        (RequestStatus(RunState.UNKNOWN, 0), 0, 1, Silent),
+        (NoStatus(), 0, 1, Slow),
+        (NoStatus(), 0, 2, Silent),
+        (NoStatus(queued=True), 0, 2, Slow),
+        (NoStatus(queued=True), 3, 2, Silent),
+        (NoStatus(queued=True), 0, 8, Silent),
+    ],
+)
+def test_the_verdict_on_a_quiet_connection(
+    probe: Probe, received: int | None, quiet_periods: int, verdict: type
+) -> None:
+    assert isinstance(decide_silence(probe, received, quiet_periods, patience=2), verdict)
+
+
+def test_without_a_bound_a_side_that_lives_is_waited_for() -> None:
+    assert isinstance(decide_silence(NoStatus(), None, 1_000, patience=None), Slow)
+
+
+def test_a_slow_step_is_waited_for_and_a_silent_one_given_up() -> None:
+    """A connection brings nothing: once since the answer is slow, once since it is dead.
+
+    Given up too early, a slow answer would be lost; never given up, the caller of
+    a dead one would wait to its deadline.
+    """
+    probes: list[Probe] = [RequestStatus(RunState.WAITING, 0)] * 3
+
+    async def answer_probe() -> Probe:
+        if len(probes) == 1:
+            ready.set()
+        return probes.pop(0) if probes else RequestStatus(RunState.ENDED, 1)
+
+    async def scenario() -> None:
+        watch = ProgressWatch(answer_probe, period_s=0.01, counts_progress=True)
+        await watch.wait(ready.wait())
+        assert not probes
+        with pytest.raises(SilentConnectionError):
+            await watch.wait(asyncio.Event().wait())
+
+    ready = asyncio.Event()
+    asyncio.run(scenario())
