Membership by probes with news riding along, at constant cost per node

Deaths on hearsay are only probed. Processes are told apart by incarnation alone. A woken process drops what waited in its socket and is not ready until somebody answers. SWIM-style probing was preferred to gossiped heartbeat counters, whose datagrams carry a counter of every node and so grow with the fleet.

--- a/samphirecleat/blackboard.py
+++ b/samphirecleat/blackboard.py
@@ -27,7 +27,8 @@
     """What a node says of itself in its heartbeats.
 
     ``sequence`` rises with every change that the node makes to its own row, so
-    that of two rows of one incarnation the newer can be told.
+    that of two rows of one incarnation the newer can be told. ``key_epoch_age_ms``
+    is how far the node was into its key epoch when it made the row.
     """
 
     node_id: str
@@ -42,15 +43,29 @@
     config_revision: int
     key_epoch: int
     in_flight: int
+    key_epoch_age_ms: int = 0
 
 
 class MemberView(NamedTuple):
-    """A member and when this node last had news of it, on its own clock."""
+    """A member, and when it made this row, on this node's clock.
+
+    The row may have come by way of other nodes.
+    """
 
     member: Member
     heard_at_s: float
     alive: bool
 
+    def key_epoch_at(self, now_s: float, epoch_s: float) -> int:
+        """Return the key epoch that the member has reached by now.
+
+        In a large fleet a row is several seconds old, and a key made from an old
+        epoch would expire early. Time that the row spent on its way is not counted,
+        so the result never runs ahead of the member itself.
+        """
+        age_s = self.member.key_epoch_age_ms / 1000.0 + max(0.0, now_s - self.heard_at_s)
+        return self.member.key_epoch + int(age_s / epoch_s)
+
 
 class TargetView(NamedTuple):
     """The latest that this node knows of one target.
--- a/samphirecleat/controllers/membership.py
+++ b/samphirecleat/controllers/membership.py
@@ -1,49 +1,36 @@
-"""Who the members are: heartbeats merged by incarnation, silence taken for death."""
+"""Who the members are: the thin UDP driver around the pure gossip decisions."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
-from typing import Any, Final, cast
+import random
+from collections.abc import Callable, Sequence
+from typing import Any, Final, Protocol, cast
 
-from ..blackboard import Blackboard, Member, MemberView
+from ..blackboard import Blackboard, Member
 from ..observe import Observer
-from ..peers import HeartbeatCodec, HeartbeatError
+from ..peers import HeartbeatCodec, HeartbeatError, Message, Outgoing
+from ._gossip import Gossip
 
-FORGET_AFTER_S: Final = 60.0
+START_JITTER: Final = 0.2
 
 
-def merge_row(known: MemberView | None, row: Member, now_s: float) -> MemberView:
-    """Return the view of a member after a row of it arrived.
+class Rider(Protocol):
+    """Another part whose news rides on the datagrams."""
 
-    A later start wins over an earlier one: a host that was replaced at its old
-    address is another process, whatever old rows still go around. Of one
-    incarnation the higher sequence wins.
-    """
-    if known is None:
-        return MemberView(row, now_s, alive=True)
-    old = known.member
-    if row.incarnation != old.incarnation:
-        newer = (row.started_at_ms, row.incarnation) > (old.started_at_ms, old.incarnation)
-        return MemberView(row, now_s, alive=True) if newer else known
-    if row.sequence <= old.sequence:
-        return known
-    return MemberView(row, now_s, alive=True)
-
-
-def find_silent(
-    members: Iterable[MemberView], own_node_id: str, suspect_after_s: float, now_s: float
-) -> Sequence[MemberView]:
-    """Return the live members that have been silent for too long."""
-    return [
-        view
-        for view in members
-        if view.alive
-        and view.member.node_id != own_node_id
-        and now_s - view.heard_at_s >= suspect_after_s
-    ]
+    def load(self, message: Message, now_s: float) -> Message:
+        """Return the message with this part's news put in."""
+        ...
+
+    def unload(self, message: Message, now_s: float) -> None:
+        """Take this part's news out of a message that arrived."""
+        ...
 
 
 class Membership(asyncio.DatagramProtocol):
-    """Sends and takes heartbeats, and keeps the member section."""
+    """Sends and takes datagrams, and keeps the member section.
+
+    ``contacts`` of a node are its seeds and what the host list shows. The list is
+    only a hint of where to knock: it neither makes a member nor ends one.
+    """
 
     def __init__(
         self,
@@ -55,6 +42,8 @@
         seeds: Sequence[str],
         heartbeat_s: float,
         suspect_after_s: float,
+        rng: random.Random | None = None,
+        rider: Rider | None = None,
     ) -> None:
         """Ask ``own_row`` for this node's row at each heartbeat."""
         self._board = board
@@ -63,8 +52,16 @@
         self._own_row = own_row
         self._seeds = seeds
         self._heartbeat_s = heartbeat_s
-        self._suspect_after_s = suspect_after_s
+        self._rng = rng or random.Random()
+        self._rider = rider
         self._transport: asyncio.DatagramTransport | None = None
+        self._told_revision = board.config.revision
+        self.gossip = Gossip(
+            own_row(),
+            self._rng,
+            heartbeat_s=heartbeat_s,
+            suspect_after_s=suspect_after_s,
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -72,52 +69,73 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:  # noqa: ARG002
-        """Merge the rows of a heartbeat; a datagram without the key is counted."""
+        """Take in a datagram; one without the key is counted and changes nothing."""
+        counters = self._observer.counters
+        counters["member_bytes_received"] += len(data)
         try:
-            rows = self._codec.unpack(data)
+            message = self._codec.unpack(data)
         except HeartbeatError:
-            self._observer.counters["heartbeats_rejected"] += 1
+            counters["heartbeats_rejected"] += 1
             return
         now_s = asyncio.get_running_loop().time()
-        for row in rows:
-            if row.node_id != self._board.identity.node_id:
-                known = self._board.members.get(row.node_id)
-                self._board.members[row.node_id] = merge_row(known, row, now_s)
+        outgoing = self.gossip.receive(message, now_s)
+        if self._rider is not None:
+            self._rider.unload(message, now_s)
+        self._write_members()
+        self._send(outgoing, now_s)
 
     async def drive(self) -> None:
-        """Send heartbeats and look for silent members for as long as the node lives."""
+        """Send heartbeats for as long as the node lives."""
         while True:
             self.beat()
-            await asyncio.sleep(self._heartbeat_s)
+            # Jitter: nodes that started together would else send together for good.
+            jitter = 1.0 + START_JITTER * (self._rng.random() - 0.5)
+            await asyncio.sleep(self._heartbeat_s * jitter)
 
     def beat(self) -> None:
-        """Send one heartbeat to everyone known."""
+        """Probe the next members."""
         now_s = asyncio.get_running_loop().time()
-        row = self._own_row()
-        self._board.members[row.node_id] = MemberView(row, now_s, alive=True)
-        for view in find_silent(
-            self._board.members.values(), row.node_id, self._suspect_after_s, now_s
-        ):
-            self._board.members[view.member.node_id] = view._replace(alive=False)
-            self._observer.log("members").info("Node %s is silent.", view.member.node_id)
-        self._forget_dead(now_s)
-        datagram = self._codec.pack([row])
-        for address in self._peer_addresses(row):
-            self._send(datagram, address)
-
-    def _peer_addresses(self, own: Member) -> Iterable[str]:
-        addresses = {view.member.peer_address for view in self._board.members.values()}
-        addresses.update(self._seeds)
-        addresses.update(self._board.listed_nodes)
-        addresses.discard(own.peer_address)
-        return addresses
-
-    def _send(self, datagram: bytes, address: str) -> None:
-        host, port = address.rsplit(":", 1)
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(datagram, (host, int(port)))
-
-    def _forget_dead(self, now_s: float) -> None:
-        for node_id, view in list(self._board.members.items()):
-            if not view.alive and now_s - view.heard_at_s > FORGET_AFTER_S:
-                del self._board.members[node_id]
+        contacts = [*self._seeds, *self._board.listed_nodes]
+        outgoing = self.gossip.tick(self._own_row(), contacts, now_s)
+        self._write_members()
+        self._send(outgoing, now_s)
+
+    def announce(self) -> None:
+        """Tell several members at once that this node changed, as when it leaves."""
+        now_s = asyncio.get_running_loop().time()
+        outgoing = self.gossip.announce(self._own_row(), now_s)
+        self._write_members()
+        self._send(outgoing, now_s)
+
+    def say_gone(self) -> None:
+        """Tell several members that this process ends now."""
+        now_s = asyncio.get_running_loop().time()
+        self._send(self.gossip.say_gone(now_s), now_s)
+
+    def _write_members(self) -> None:
+        table = self.gossip.table
+        for node_id in table.changed_node_ids:
+            own = node_id == self._board.identity.node_id
+            view = table.shown_own(self.gossip.own) if own else table.shown(node_id)
+            before = self._board.members.get(node_id)
+            if view is None:
+                self._board.members.pop(node_id, None)
+                continue
+            self._board.members[node_id] = view
+            if before is None or before.alive != view.alive:
+                word = "alive" if view.alive else "gone"
+                self._observer.log("members").info("Node %s is %s.", node_id, word)
+        table.changed_node_ids.clear()
+
+    def _send(self, outgoing: Sequence[Outgoing], now_s: float) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        for address, message in outgoing:
+            if self._rider is not None:
+                message = self._rider.load(message, now_s)
+            datagram = self._codec.pack(message)
+            self._observer.counters["member_bytes_sent"] += len(datagram)
+            self._observer.counters["member_datagrams_sent"] += 1
+            host, port = address.rsplit(":", 1)
+            transport.sendto(datagram, (host.strip("[]"), int(port)))
--- a/samphirecleat/entry/_callers.py
+++ b/samphirecleat/entry/_callers.py
@@ -59,17 +59,18 @@
 
     async def entries(self, _request: web.Request) -> web.Response:
         """Return the nodes to use; one that leaves or holds no text is not among them."""
+        now_s = asyncio.get_running_loop().time()
         rows = [
             {
-                "node": member.node_id,
-                "address": member.http_address,
-                "zone": member.zone,
-                "incarnation": member.incarnation,
-                "key_epoch": member.key_epoch,
+                "node": view.member.node_id,
+                "address": view.member.http_address,
+                "zone": view.member.zone,
+                "incarnation": view.member.incarnation,
+                "key_epoch": view.key_epoch_at(now_s, self._timings.key_epoch_s),
                 "weight": 1.0,
             }
-            for member in self._board.live_members()
-            if member.ready and not member.leaving
+            for view in self._board.members.values()
+            if view.alive and view.member.ready and not view.member.leaving
         ]
         return web.json_response({"ttl_s": self._timings.entry_ttl_s, "entries": rows})
 
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -59,7 +59,6 @@
             )
         )
         self._started_at_ms = time.time_ns() // 1_000_000
-        self._sequence = 0
         self._rng = random.Random(settings.seed or None)
         self._tasks: list[asyncio.Task[None]] = []
         self._runner: web.AppRunner | None = None
@@ -75,7 +74,7 @@
     async def drain(self) -> None:
         """Leave the entry list, serve what still comes, and return when all is done."""
         self.board.leaving = True
-        self.membership.beat()
+        self.membership.announce()
         loop = asyncio.get_running_loop()
         kept_until_s = loop.time() + self.settings.timings.entry_ttl_s
         while loop.time() < kept_until_s or self.callers.in_flight or self.limiter.in_flight:
@@ -83,6 +82,7 @@
 
     async def stop(self) -> None:
         """Stop at once; call :meth:`drain` first to cut nothing off."""
+        self.membership.say_gone()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -163,6 +163,7 @@
             seeds=settings.seeds,
             heartbeat_s=timings.heartbeat_s,
             suspect_after_s=timings.suspect_after_s,
+            rng=self._rng,
         )
         self.discovery = Discovery(
             board,
@@ -254,8 +255,8 @@
             self.config_reader.take_from_peer(state)
 
     def _own_row(self) -> Member:
-        self._sequence += 1
         identity = self.board.identity
+        now_s = asyncio.get_running_loop().time()
         return Member(
             node_id=identity.node_id,
             incarnation=identity.incarnation,
@@ -263,12 +264,13 @@
             zone=identity.zone,
             http_address=identity.http_address,
             peer_address=identity.peer_address,
-            sequence=self._sequence,
+            sequence=0,  # the gossip numbers the rows that it sends
             leaving=self.board.leaving,
             ready=self.board.ready,
             config_revision=self.board.config.revision,
-            key_epoch=self.key_book.epoch(asyncio.get_running_loop().time()),
+            key_epoch=self.key_book.epoch(now_s),
             in_flight=self.limiter.in_flight,
+            key_epoch_age_ms=int(self.key_book.epoch_age_s(now_s) * 1000.0),
         )
 
 
--- a/samphirecleat/peers/_heartbeat.py
+++ b/samphirecleat/peers/_heartbeat.py
@@ -1,16 +1,14 @@
-"""Heartbeat datagrams: member rows, packed and signed with the shared key."""
+"""The codec of the datagrams between nodes: packed, and signed with the shared key."""
 
 import hashlib
 import hmac
-from collections.abc import Sequence
 from typing import Final
 
 import msgspec
 
-from ..blackboard import Member
+from ._messages import Message
 
 DIGEST_BYTES: Final = 16
-MAX_DATAGRAM_BYTES: Final = 60_000
 
 
 class HeartbeatError(Exception):
@@ -18,34 +16,35 @@
 
 
 class HeartbeatCodec:
-    """Packs and unpacks heartbeats; only nodes with the shared key can do either."""
+    """Packs and unpacks datagrams; only nodes with the shared key can do either."""
 
     def __init__(self, shared_key: str) -> None:
         """Sign with ``shared_key``."""
         self._key = hashlib.blake2b(shared_key.encode(), digest_size=32).digest()
-        self._decoder = msgspec.msgpack.Decoder(list[Member])
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Message)
 
-    def pack(self, members: Sequence[Member]) -> bytes:
-        """Return a datagram that carries the rows; the first is the sender's."""
-        payload = msgspec.msgpack.encode(list(members))
+    def pack(self, message: Message) -> bytes:
+        """Return the datagram that carries a message."""
+        payload = self._encoder.encode(message)
         return self._sign(payload) + payload
 
-    def unpack(self, datagram: bytes) -> Sequence[Member]:
-        """Return the rows of a datagram.
+    def unpack(self, datagram: bytes) -> Message:
+        """Return the message of a datagram.
 
         :raises HeartbeatError: for one that is not signed with the shared key, or
-            that does not hold member rows.
+            that does not hold a message.
         """
         digest, payload = datagram[:DIGEST_BYTES], datagram[DIGEST_BYTES:]
         if not hmac.compare_digest(digest, self._sign(payload)):
             raise HeartbeatError("the signature does not match")
         try:
-            rows = self._decoder.decode(payload)
+            message = self._decoder.decode(payload)
         except msgspec.MsgspecError as error:
             raise HeartbeatError(str(error)) from error
-        if not rows:
+        if not message.rows:
             raise HeartbeatError("no row")
-        return rows
+        return message
 
     def _sign(self, payload: bytes) -> bytes:
         return hashlib.blake2b(payload, key=self._key, digest_size=DIGEST_BYTES).digest()
--- /dev/null
+++ b/samphirecleat/peers/_messages.py
@@ -0,0 +1,91 @@
+"""The datagrams between nodes: probes, and the news that rides on them.
+
+Ages travel instead of times of day, since no two hosts share a clock: a sender
+says how long ago a thing was so, and the receiver subtracts that from its own
+clock. Time spent on the network makes a row look a little younger than it is.
+"""
+
+from collections.abc import Sequence
+from enum import IntEnum
+from typing import NamedTuple
+
+from ..blackboard import Member
+
+
+class MessageKind(IntEnum):
+    """What a datagram asks of its receiver."""
+
+    PING = 1
+    ACK = 2
+    ASK = 3
+    NEWS = 4
+    GONE = 5
+
+
+class MemberRow(NamedTuple):
+    """A member's own row and how long ago the member itself made it."""
+
+    member: Member
+    age_ms: int
+
+
+class Death(NamedTuple):
+    """That a process gives no sign of life.
+
+    ``silent_for_ms`` is the time since the first probe that it left unanswered.
+    ``own_word`` is set when the process itself said that it ends.
+    """
+
+    incarnation: str
+    silent_for_ms: int
+    own_word: bool
+
+
+class TargetRow(NamedTuple):
+    """What a target said of itself; sent when something but its load changed."""
+
+    address: str
+    instance: str
+    version: int
+    loading: bool
+    leaving: bool
+    reachable: bool
+    running: int
+    waiting: int
+    slots: int
+    age_ms: int
+
+
+class TargetLoad(NamedTuple):
+    """A target's load in few bytes; address and instance by their hashes."""
+
+    address_hash: int
+    instance_hash: int
+    running: int
+    waiting: int
+    age_ms: int
+
+
+class Message(NamedTuple):
+    """One datagram; the first of ``rows`` is the sender's own.
+
+    ``nonce`` ties an ACK to the PING that it answers. ``target`` is the peer
+    address that an ASK wants probed. ``known`` is how many live members the
+    sender knows, so that one who knows few is told of more.
+    """
+
+    kind: MessageKind
+    nonce: int
+    target: str
+    known: int
+    rows: Sequence[MemberRow]
+    deaths: Sequence[Death] = ()
+    targets: Sequence[TargetRow] = ()
+    loads: Sequence[TargetLoad] = ()
+
+
+class Outgoing(NamedTuple):
+    """A message and the peer address that it goes to."""
+
+    address: str
+    message: Message
--- a/samphirecleat/requests/_key_book.py
+++ b/samphirecleat/requests/_key_book.py
@@ -70,6 +70,10 @@
         """Return the present epoch, which the entry list hands out."""
         return int((now_s - self._started_at_s) / self._epoch_s)
 
+    def epoch_age_s(self, now_s: float) -> float:
+        """Return how long ago the present epoch began."""
+        return (now_s - self._started_at_s) % self._epoch_s
+
     def bind(self, key: RequestKey, body: Mapping[str, Any], now_s: float) -> Binding:
         """Decide what this node may do with a key.
 
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""The tests of samphirecleat."""
--- /dev/null
+++ b/tests/controllers/test_membership.py
@@ -0,0 +1,274 @@
+"""The pure decisions of membership, over a simulated network with faults."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from samphirecleat.controllers._gossip import DEAF_S
+from samphirecleat.controllers._member_table import Change, Life, MemberTable
+from samphirecleat.peers import (
+    Death,
+    HeartbeatCodec,
+    HeartbeatError,
+    MemberRow,
+    Message,
+    MessageKind,
+)
+
+from .gossip_network import HEARTBEAT_S, SUSPECT_AFTER_S, Network, make_member
+
+SETTLE_S = 25.0
+INTERLEAVINGS = {"runs": 0, "datagrams": 0}
+
+
+def build_network(count: int, seed: int = 1) -> Network:
+    network = Network(random.Random(seed))
+    for index in range(count):
+        network.start(f"n{index}", f"n{index}-a")
+    network.run(10.0)
+    assert network.views_agree()
+    return network
+
+
+def seconds_until(network: Network, condition, at_most_s: float) -> float:
+    began_s = network.now_s
+    while not condition():
+        assert network.now_s - began_s < at_most_s, "the condition did not come about in time"
+        network.run(0.1)
+    return network.now_s - began_s
+
+
+@settings(max_examples=60)
+@given(
+    seed=st.integers(0, 2**32),
+    count=st.integers(2, 9),
+    loss=st.floats(0.0, 0.5),
+    doubled=st.floats(0.0, 0.5),
+    max_delay_s=st.floats(0.001, 1.5),
+    faults=st.lists(
+        st.tuples(
+            st.sampled_from(["kill", "replace", "pause", "cut", "heal", "leave"]),
+            st.integers(0, 8),
+            st.floats(0.1, 6.0),
+        ),
+        max_size=8,
+    ),
+)
+def explore_faults(seed, count, loss, doubled, max_delay_s, faults) -> None:
+    network = Network(random.Random(seed), loss, doubled, max_delay_s)
+    for index in range(count):
+        network.start(f"n{index}", f"n{index}-a", 1000 + index)
+    for number, (fault, index, pause_s) in enumerate(faults):
+        address = f"n{index % count}"
+        bring_about(network, fault, address, number, pause_s)
+        network.run(pause_s)
+    network.cut = lambda _a, _b: False
+    network.loss = network.doubled = 0.0
+    network.max_delay_s = 0.01
+    network.run(SETTLE_S)
+    INTERLEAVINGS["runs"] += 1
+    INTERLEAVINGS["datagrams"] += network.delivered
+    assert network.views_agree(), {a: network.alive_at(a) for a in network.nodes}
+    for viewer in network.nodes.values():
+        for known in viewer.gossip.table.alive():
+            leaving = network.nodes[known.member.node_id].own.leaving
+            assert known.member.leaving == leaving
+
+
+def bring_about(network: Network, fault: str, address: str, number: int, pause_s: float) -> None:
+    match fault:
+        case "kill" if address in network.nodes and len(network.nodes) > 1:
+            network.stop(address)
+        case "replace":
+            if address in network.nodes:
+                network.stop(address)
+            # The clock of the new host is behind that of the old one.
+            network.start(address, f"{address}-{number}", 500 - number)
+        case "pause" if address in network.nodes:
+            network.nodes[address].paused_until_s = network.now_s + pause_s
+        case "cut":
+            side = {name for name in network.nodes if name <= address}
+            network.cut = lambda a, b: (a in side) != (b in side)
+        case "heal":
+            network.cut = lambda _a, _b: False
+        case "leave" if address in network.nodes:
+            node = network.nodes[address]
+            node.own = node.own._replace(leaving=True)
+            network.send(address, node.gossip.announce(node.own, network.now_s))
+
+
+def test_all_live_processes_agree_after_any_faults(capsys) -> None:
+    """Datagrams are lost, doubled and late while processes die, freeze and are replaced.
+
+    Once the network is whole again, a node that kept a wrong view would send callers
+    to hosts that are gone, or leave a live one without work.
+    """
+    explore_faults()
+    with capsys.disabled():
+        print(f"\nmembership: {INTERLEAVINGS['runs']} interleavings, ", end="")
+        print(f"{INTERLEAVINGS['datagrams']} datagrams delivered")
+    assert INTERLEAVINGS["runs"] >= 60
+
+
+@pytest.mark.parametrize("count", [3, 9, 40])
+def test_a_death_is_known_everywhere_in_bounded_time(count: int) -> None:
+    """A process is killed without a word; until it is known, work is sent to it."""
+    network = build_network(count)
+    network.stop("n2")
+    seconds_until(network, network.views_agree, 5 * SUSPECT_AFTER_S)
+
+
+@pytest.mark.parametrize("count", [3, 9, 40])
+def test_leaving_is_known_everywhere_in_a_few_periods(count: int) -> None:
+    """A node begins to drain; callers must not be handed its address any more."""
+    network = build_network(count)
+    bring_about(network, "leave", "n1", 0, 0.0)
+
+    def known_everywhere() -> bool:
+        tables = [node.gossip.table for node in network.nodes.values()]
+        return all(table.known["n1-a"].member.leaving for table in tables)
+
+    seconds_until(network, known_everywhere, 8 * HEARTBEAT_S)
+
+
+def test_a_zone_that_is_lost_at_once_is_known_to_be_gone() -> None:
+    """A third of the hosts loses power in the same moment."""
+    network = build_network(30)
+    for index in range(10):
+        network.stop(f"n{index}")
+    seconds_until(network, network.views_agree, 8 * SUSPECT_AFTER_S)
+
+
+def test_halves_that_lost_each_other_meet_again() -> None:
+    """Regions are parted until each takes the other for dead, and then come back.
+
+    If nobody knocked at dead addresses, there would be two systems from then on.
+    """
+    network = build_network(8)
+    side = {"n0", "n1", "n2", "n3"}
+    network.cut = lambda a, b: (a in side) != (b in side)
+    network.run(600.0)
+    assert network.alive_at("n5") == {"n4-a", "n5-a", "n6-a", "n7-a"}
+    network.cut = lambda _a, _b: False
+    seconds_until(network, network.views_agree, 20 * HEARTBEAT_S)
+
+
+def test_a_host_replaced_with_a_clock_behind_is_shown_at_once() -> None:
+    """A host comes back at its address as a new process, and its clock runs behind.
+
+    If the later start won, the new process would get no work for as long as its
+    clock stays behind.
+    """
+    network = build_network(5)
+    network.stop("n3")
+    network.start("n3", "n3-b", started_at_ms=-10_000_000)
+    seconds_until(network, network.views_agree, SUSPECT_AFTER_S)
+    shown = network.nodes["n0"].gossip.table.shown("n3")
+    assert shown is not None
+    assert shown.member.incarnation == "n3-b"
+
+
+def test_a_process_that_froze_and_woke_offers_itself_only_after_an_answer() -> None:
+    """A process freezes for a minute and wakes with an old view of the system.
+
+    What waited in its socket looks fresh. It must neither take others for dead or
+    alive by it, nor be handed to callers before it has spoken with somebody.
+    """
+    network = build_network(5)
+    node = network.nodes["n4"]
+    node.paused_until_s = network.now_s + 60.0
+    network.run(59.0)
+    assert "n4-a" not in network.alive_at("n0")
+    network.stop("n3")
+    before = dict(node.gossip.table.known)
+    network.cut = lambda a, b: "n4" in (a, b)
+    network.run(1.0 + DEAF_S / 2)
+    assert node.gossip.own.ready is False
+    assert {k: v.made_at_s for k, v in node.gossip.table.known.items() if k != "n4-a"} == {
+        k: v.made_at_s for k, v in before.items() if k != "n4-a"
+    }
+    network.cut = lambda _a, _b: False
+    seconds_until(
+        network, lambda: network.views_agree() and node.gossip.own.ready, 5 * SUSPECT_AFTER_S
+    )
+
+
+def test_a_member_that_is_wrongly_called_dead_refutes_it() -> None:
+    """One node's path to a live process fails, and it tells the others of a death."""
+    network = build_network(6)
+    network.cut = lambda a, b: {a, b} == {"n0", "n5"}
+    network.run(20.0)
+    assert all("n5-a" in network.alive_at(f"n{index}") for index in range(1, 5))
+
+
+@pytest.mark.parametrize(
+    ("life", "sequence", "age_s", "change"),
+    [
+        pytest.param(Life.ALIVE, 4, 0.0, Change.NONE, id="an old row"),
+        pytest.param(Life.ALIVE, 5, 0.0, Change.NONE, id="the same row again"),
+        pytest.param(Life.ALIVE, 6, 0.0, Change.FRESHER, id="a fresher row"),
+        pytest.param(Life.DEAD, 6, 9.0, Change.FRESHER, id="made before it fell silent"),
+        pytest.param(Life.DEAD, 6, 0.0, Change.NEWS, id="made after it fell silent"),
+        pytest.param(Life.GONE, 6, 0.0, Change.NONE, id="after its own last word"),
+    ],
+)
+def test_which_rows_change_what_is_known(life, sequence, age_s, change) -> None:
+    """Rows arrive late, twice, or are replayed, also of processes that are gone.
+
+    If one of them counted, callers would be sent to a process that is not there.
+    """
+    table = MemberTable()
+    table.merge(make_member("n1", "a")._replace(sequence=5), 0.0, 10.0)
+    if life is not Life.ALIVE:
+        table.bury("a", life, 15.0)
+    row = make_member("n1", "a")._replace(sequence=sequence)
+    assert table.merge(row, age_s, 20.0) is change
+    assert (table.known["a"].life is Life.ALIVE) == (life is Life.ALIVE or change is Change.NEWS)
+
+
+def test_a_replayed_row_of_a_forgotten_process_changes_nothing() -> None:
+    """Somebody replays a datagram of a process that ended hours ago."""
+    table = MemberTable()
+    row = make_member("n1", "a")._replace(sequence=5)
+    table.merge(row, 0.0, 0.0)
+    table.bury("a", Life.DEAD, 1.0)
+    table.forget_old(1e6)
+    assert "a" not in table.known
+    assert table.merge(row, 0.0, 1e6) is Change.NONE
+    assert table.known == {}
+
+
+def test_the_number_of_datagrams_per_node_does_not_grow_with_the_fleet() -> None:
+    """The fleet grows; a node that spoke to everyone would run out of its budget."""
+    per_node = []
+    for count in (10, 30, 60):
+        network = build_network(count)
+        network.sent_by_kind.clear()
+        network.run(20.0)
+        per_node.append(sum(network.sent_by_kind.values()) / count / 20.0)
+    assert max(per_node) < 1.2 * min(per_node)
+
+
+def ping(incarnation: str = "n9-a") -> Message:
+    rows = [MemberRow(make_member("n9", incarnation), 0)]
+    return Message(MessageKind.PING, 7, "", 1, rows, [Death("n1-a", 0, own_word=True)], [], [])
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        pytest.param(lambda _good: HeartbeatCodec("another-shared-key").pack(ping()), id="key"),
+        pytest.param(lambda good: good[:-1], id="cut short"),
+        pytest.param(lambda good: good[:40] + bytes([good[40] ^ 1]) + good[41:], id="bit flip"),
+        pytest.param(lambda _good: b"", id="empty"),
+        pytest.param(lambda _good: HeartbeatCodec("k" * 16)._sign(b"\xc1") + b"\xc1", id="no pack"),
+    ],
+)
+def test_a_datagram_that_is_not_whole_and_signed_is_rejected(spoil) -> None:
+    """A stranger, or a fault on the way, sends what no node with the key has made."""
+    codec = HeartbeatCodec("k" * 16)
+    assert codec.unpack(codec.pack(ping())) == ping()
+    with pytest.raises(HeartbeatError):
+        codec.unpack(spoil(codec.pack(ping())))
