One watcher per target; what it hears rides on the members' datagrams

Change: the watcher of a target is the first of the live members by rendezvous, kept up to date incrementally; changes of instance, version, leaving or reachability travel as rows at once, load as 5 numbers, a fixed count per datagram. A node asks for itself when the news is silent, and before it believes that a target is unreachable. A refused connection takes a target out of use at once. The host list is read 16 times per period by all nodes together, and what one finds changed it tells the others.

--- a/samphirecleat/controllers/_gossip.py
+++ b/samphirecleat/controllers/_gossip.py
@@ -101,7 +101,7 @@
     def receive(self, message: Message, now_s: float) -> Sequence[Outgoing]:
         """Take in a message and return what to send in answer."""
         sender = message.rows[0].member
-        if now_s < self._deaf_until_s or sender.incarnation == self.own.incarnation:
+        if self.is_deaf(now_s) or sender.incarnation == self.own.incarnation:
             return ()
         for row in message.rows:
             self._hear_row(row, now_s)
@@ -121,6 +121,11 @@
         outgoing.extend(self._sync(sender, message.known, now_s))
         return outgoing
 
+    def is_deaf(self, now_s: float) -> bool:
+        """Whether what arrives now may have waited while this process was frozen."""
+        late = self._last_tick_s is not None and now_s - self._last_tick_s >= self._suspect_after_s
+        return late or now_s < self._deaf_until_s
+
     def _notice_own_pause(self, now_s: float) -> None:
         """Start over carefully after this process was frozen.
 
--- a/samphirecleat/controllers/discovery.py
+++ b/samphirecleat/controllers/discovery.py
@@ -1,41 +1,149 @@
 """Reads the host list, a late hint of which nodes and targets there are."""
 
 import asyncio
-from typing import Final
+import random
+from collections import OrderedDict
+from collections.abc import Mapping, Sequence
+from typing import Final, NamedTuple
 
 from ..blackboard import Blackboard
 from ..observe import Observer
-from ..platform import HostListUnavailableError, HttpHostList
+from ..peers import ListedChange, Message
+from ..platform import HostListUnavailableError, HttpHostList, ListedHost
 
 ENTRY_SERVICE: Final = "entry"
+READERS_AT_ONCE: Final = 16
+TELL_TIMES: Final = 10
+REMEMBER_GONE_S: Final = 600.0
+CHANGES_PER_MESSAGE: Final = 4
+
+
+class ListedRow(NamedTuple):
+    """A row as last read by some node, None once it was gone from the list."""
+
+    row: ListedHost | None
+    read_at_s: float
+
+
+def reading_period_s(period_s: float, node_count: int) -> float:
+    """Return how often one node reads the list, so that all together read it evenly.
+
+    The whole list is sent at each read. Up to 16 nodes read it every ``period_s``;
+    of more, each reads it less often, and what one finds changed it tells the others.
+    """
+    return period_s * max(1.0, node_count / READERS_AT_ONCE)
+
+
+class ListedNews:
+    """The list as this node knows it, and the changes that it passes on. Pure."""
+
+    def __init__(self) -> None:
+        """Start with an empty list."""
+        self.rows: dict[str, ListedRow] = {}
+        self._untold: OrderedDict[str, int] = OrderedDict()
+
+    def read(self, rows: Sequence[ListedHost], now_s: float) -> None:
+        """Take in a list that this node read itself."""
+        fresh = {row.address: row for row in rows}
+        for address in set(fresh) | set(self.rows):
+            self._note(address, fresh.get(address), now_s)
+        self.rows = {
+            address: listed
+            for address, listed in self.rows.items()
+            if listed.row is not None or listed.read_at_s > now_s - REMEMBER_GONE_S
+        }
+
+    def hear(self, change: ListedChange, now_s: float) -> None:
+        """Take in what another node read, unless this node has a later reading."""
+        row = ListedHost(change.address, change.service, change.zone, change.leaving)
+        read_at_s = now_s - change.age_ms / 1000.0
+        self._note(change.address, row if change.present else None, read_at_s)
+
+    def tell(self, now_s: float) -> Sequence[ListedChange]:
+        """Return changes for one datagram."""
+        told = list(self._untold)[:CHANGES_PER_MESSAGE]
+        for address in told:
+            self._untold[address] -= 1
+            if not self._untold[address]:
+                del self._untold[address]
+        return [self._change(address, now_s) for address in told]
+
+    def present(self) -> Sequence[ListedHost]:
+        """Return the rows that are on the list."""
+        return [listed.row for listed in self.rows.values() if listed.row is not None]
+
+    def _note(self, address: str, row: ListedHost | None, read_at_s: float) -> None:
+        known = self.rows.get(address)
+        if known is not None and (read_at_s <= known.read_at_s or known.row is row is None):
+            return
+        self.rows[address] = ListedRow(row, read_at_s)
+        if known is None or known.row != row:
+            self._untold[address] = TELL_TIMES
+
+    def _change(self, address: str, now_s: float) -> ListedChange:
+        listed = self.rows.get(address, ListedRow(None, now_s - REMEMBER_GONE_S))
+        row = listed.row or ListedHost(address, "", "", False)
+        age_ms = max(0, int((now_s - listed.read_at_s) * 1000.0))
+        present = listed.row is not None
+        return ListedChange(address, row.service, row.zone, row.leaving, present, age_ms)
 
 
 class Discovery:
     """Writes what the host list shows to the blackboard."""
 
     def __init__(
-        self, board: Blackboard, host_list: HttpHostList, observer: Observer, period_s: float
+        self,
+        board: Blackboard,
+        host_list: HttpHostList,
+        observer: Observer,
+        period_s: float,
+        rng: random.Random | None = None,
     ) -> None:
-        """Read the list every ``period_s``."""
+        """Read the list every ``period_s`` in a small fleet, less often in a large one."""
         self._board = board
         self._host_list = host_list
         self._observer = observer
         self._period_s = period_s
+        self._rng = rng or random.Random()
+        self.news = ListedNews()
 
     async def drive(self) -> None:
         """Read the list for as long as the node lives."""
         while True:
             try:
-                await self._read_once()
+                rows = await self._host_list.read()
             except HostListUnavailableError as error:
                 self._observer.log("hosts").warning("Host list not readable: %s.", error)
-            await asyncio.sleep(self._period_s)
+            else:
+                self.news.read(rows, asyncio.get_running_loop().time())
+                self._write()
+            period_s = reading_period_s(self._period_s, len(self._board.live_members()))
+            # Jitter: nodes that read together would find the same change together.
+            await asyncio.sleep(period_s * (0.75 + 0.5 * self._rng.random()))
 
-    async def _read_once(self) -> None:
-        rows = await self._host_list.read()
+    def load(self, message: Message, now_s: float) -> Message:
+        """Put changes of the list into a datagram to other nodes."""
+        return message._replace(listed=self.news.tell(now_s))
+
+    def unload(self, message: Message, now_s: float) -> None:
+        """Take in changes that another node read."""
+        if not message.listed:
+            return
+        for change in message.listed:
+            self.news.hear(change, now_s)
+        self._write()
+
+    def _write(self) -> None:
+        rows = self.news.present()
+        listed_targets = _targets(rows)
         self._board.listed_nodes = [row.address for row in rows if row.service == ENTRY_SERVICE]
-        self._board.listed_targets = {
-            row.address: (row.service, row.zone, row.leaving)
-            for row in rows
-            if row.service != ENTRY_SERVICE
-        }
+        if listed_targets != self._board.listed_targets:
+            self._board.listed_targets = listed_targets
+
+
+def _targets(rows: Sequence[ListedHost]) -> Mapping[str, tuple[str, str, bool]]:
+    return {
+        row.address: (row.service, row.zone, row.leaving)
+        for row in rows
+        if row.service != ENTRY_SERVICE
+    }
--- a/samphirecleat/controllers/dispatcher.py
+++ b/samphirecleat/controllers/dispatcher.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from ..blackboard import Blackboard, TargetView
@@ -11,7 +11,7 @@
 from ..errors import ErrorKind, Ran, RequestError
 from ..observe import Observer
 from ..requests import AnswerLine, AnswerLog, Call
-from ..targets import TargetClient, TargetError
+from ..targets import NotSent, TargetClient, TargetError
 from .limiter import Limiter
 from .pace import PaceKeeper
 from .policies import Policies
@@ -44,6 +44,7 @@
         self._paces = PaceKeeper()
         self._turns: Counter[str] = Counter()
         self._budgets: dict[str, RetryBudget] = {}
+        self.on_refused: Callable[[str], None] = _ignore
 
     async def run(self, call: Call, answer: AnswerLog) -> None:
         """Run a call and fill its answer; every end of it closes the answer."""
@@ -100,6 +101,8 @@
                 await self._attempt(service, target, call, answer)
                 return
             except TargetError as error:
+                if isinstance(error.failure, NotSent):
+                    self.on_refused(target.address)
                 decision = decide_retry(
                     call,
                     error.failure,
@@ -168,6 +171,10 @@
     return int(call.work_class) * PRIORITIES_PER_CLASS + call.priority
 
 
+def _ignore(_address: str) -> None:
+    """Stand in until somebody wants to know of refused connections."""
+
+
 def _may_have_run(error: TargetError) -> bool:
     from ..targets import NotSent, Refused
 
--- a/samphirecleat/controllers/membership.py
+++ b/samphirecleat/controllers/membership.py
@@ -43,7 +43,7 @@
         heartbeat_s: float,
         suspect_after_s: float,
         rng: random.Random | None = None,
-        rider: Rider | None = None,
+        riders: Sequence[Rider] = (),
     ) -> None:
         """Ask ``own_row`` for this node's row at each heartbeat."""
         self._board = board
@@ -53,7 +53,7 @@
         self._seeds = seeds
         self._heartbeat_s = heartbeat_s
         self._rng = rng or random.Random()
-        self._rider = rider
+        self._riders = riders
         self._transport: asyncio.DatagramTransport | None = None
         self._told_revision = board.config.revision
         self.gossip = Gossip(
@@ -79,8 +79,9 @@
             return
         now_s = asyncio.get_running_loop().time()
         outgoing = self.gossip.receive(message, now_s)
-        if self._rider is not None:
-            self._rider.unload(message, now_s)
+        if not self.gossip.is_deaf(now_s):
+            for rider in self._riders:
+                rider.unload(message, now_s)
         self._write_members()
         self._send(outgoing, now_s)
 
@@ -132,8 +133,8 @@
         if transport is None or transport.is_closing():
             return
         for address, message in outgoing:
-            if self._rider is not None:
-                message = self._rider.load(message, now_s)
+            for rider in self._riders:
+                message = rider.load(message, now_s)
             datagram = self._codec.pack(message)
             self._observer.counters["member_bytes_sent"] += len(datagram)
             self._observer.counters["member_datagrams_sent"] += 1
--- a/samphirecleat/controllers/target_watch.py
+++ b/samphirecleat/controllers/target_watch.py
@@ -1,45 +1,179 @@
-"""Asks targets for their reports and keeps the target section."""
+"""Keeps the target section: one node asks each target and tells the others."""
 
 import asyncio
-from collections.abc import Mapping
+import random
+from collections.abc import Mapping, Sequence
+from typing import Final, NamedTuple
 
 from ..blackboard import Blackboard, TargetView
+from ..peers import Message, RendezvousOwners, TargetRow
 from ..targets import TargetClient
+from ._target_news import TargetNews, view_of_row
+
+SILENT_AFTER_S: Final = 2.0
+SILENT_PER_TARGET_S: Final = 1.0 / 60.0
+FALLBACK_POLLS: Final = 20
+DOUBT_PERIOD_S: Final = 5.0
+
+
+class WatchView(NamedTuple):
+    """What one round of questions is decided from.
+
+    ``owned`` are the targets that this node comes first for; ``polled_at_s`` is
+    when any node last asked a target, as far as this one heard; ``doubted`` are
+    targets that this node found unreachable, with the time to ask again.
+    """
+
+    wanted: Sequence[str]
+    owned: frozenset[str]
+    polled_at_s: Mapping[str, float]
+    doubted: Mapping[str, float]
+
+
+def decide_polls(view: WatchView, now_s: float) -> Sequence[str]:
+    """Return the targets that this node asks now.
+
+    It asks its own each time; others only when their news went silent or when it
+    doubts them, and not more than a few at once, lest all nodes ask for everything
+    together after a silence.
+    """
+    silent_after_s = SILENT_AFTER_S + SILENT_PER_TARGET_S * len(view.wanted)
+    due: list[str] = []
+    fallback: list[tuple[float, str]] = []
+    for address in view.wanted:
+        polled_at_s = view.polled_at_s.get(address, float("-inf"))
+        doubted_until_s = view.doubted.get(address)
+        if address in view.owned:
+            due.append(address)
+        elif doubted_until_s is not None:
+            if now_s >= doubted_until_s:
+                due.append(address)
+        elif now_s - polled_at_s >= silent_after_s:
+            fallback.append((polled_at_s, address))
+    fallback.sort()
+    return [*due, *(address for _at, address in fallback[:FALLBACK_POLLS])]
 
 
 class TargetWatch:
-    """Polls every target of the services in force."""
+    """Asks targets and rides on the members' datagrams with what they said."""
 
-    def __init__(self, board: Blackboard, client: TargetClient, period_s: float) -> None:
-        """Ask each target every ``period_s``."""
+    def __init__(
+        self,
+        board: Blackboard,
+        client: TargetClient,
+        period_s: float,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Ask the targets that are this node's to ask every ``period_s``."""
         self._board = board
         self._client = client
         self._period_s = period_s
+        self._rng = rng or random.Random()
+        self._owners = RendezvousOwners()
+        self._wanted: Mapping[str, TargetView] = {}
+        self._wanted_from: tuple[object, object] = (None, None)
+        self._doubted: dict[str, float] = {}
+        self.news = TargetNews()
+        self.polls = 0
 
     async def drive(self) -> None:
-        """Poll for as long as the node lives."""
+        """Ask for as long as the node lives."""
         while True:
             await self.poll_once()
             await asyncio.sleep(self._period_s)
 
     async def poll_once(self) -> None:
-        """Ask every target once and write what they say."""
-        wanted = wanted_targets(self._board)
-        for address in list(self._board.targets):
-            if address not in wanted:
-                del self._board.targets[address]
-        await asyncio.gather(*(self._ask(target) for target in wanted.values()))
-
-    async def _ask(self, target: TargetView) -> None:
-        known = self._board.targets.get(target.address, target)
+        """Ask what is to be asked now and write what was said."""
+        self._refresh_wanted()
         now_s = asyncio.get_running_loop().time()
-        report = await self._client.report(known, now_s)
-        listed = self._board.listed_targets.get(target.address)
-        leaving_on_list = listed is not None and listed[2]
-        self._board.targets[target.address] = report._replace(
-            leaving=report.leaving or leaving_on_list
+        await asyncio.gather(*(self._ask(address) for address in decide_polls(self._view(), now_s)))
+        self._write(list(self._wanted))
+
+    def note_refused(self, address: str) -> None:
+        """Take a target out of use at once: it refused a connection of this node."""
+        known = self._board.targets.get(address)
+        if known is not None and known.reachable:
+            self._doubted[address] = 0.0
+            self._board.targets[address] = known._replace(reachable=False)
+
+    def load(self, message: Message, now_s: float) -> Message:
+        """Put this part's news into a datagram to other nodes."""
+        return self.news.load(message, now_s)
+
+    def unload(self, message: Message, now_s: float) -> None:
+        """Take in what another node tells of targets."""
+        for row in message.targets:
+            self._hear(row, now_s)
+        self.news.unload_loads(message.loads, now_s)
+        self._write([address for address in self.news.changed if address in self._wanted])
+
+    def _hear(self, row: TargetRow, now_s: float) -> None:
+        wanted = self._wanted.get(row.address)
+        if wanted is None:
+            return
+        known = self.news.heard.get(row.address)
+        if known is not None and known.view.reachable and not row.reachable:
+            # Another node's path may be at fault: believe only an own question.
+            self._doubted.setdefault(row.address, 0.0)
+            return
+        if row.address in self._doubted and row.reachable:
+            self._doubted[row.address] = min(self._doubted[row.address], now_s)
+            return
+        self.news.note(view_of_row(row, wanted, now_s), now_s - row.poll_age_ms / 1000.0)
+
+    async def _ask(self, address: str) -> None:
+        wanted = self._wanted[address]
+        heard = self.news.heard.get(address)
+        known = heard.view if heard is not None else wanted
+        asked_at_s = asyncio.get_running_loop().time()
+        self.polls += 1
+        view = await self._client.report(known, asked_at_s)
+        if view.reachable:
+            self._doubted.pop(address, None)
+        else:
+            jitter = 0.5 + self._rng.random()
+            self._doubted[address] = asked_at_s + DOUBT_PERIOD_S * jitter
+        if address in self._wanted:
+            self.news.note(view, asked_at_s)
+
+    def _refresh_wanted(self) -> None:
+        board = self._board
+        if (board.config, board.listed_targets) != self._wanted_from:
+            self._wanted_from = (board.config, board.listed_targets)
+            self._wanted = wanted_targets(board)
+            self.news.keep_only(self._wanted)
+            for address in set(board.targets) - set(self._wanted):
+                del board.targets[address]
+        for address in set(self._doubted) - set(self._wanted):
+            del self._doubted[address]
+        staying = [m.node_id for m in self._board.live_members() if not m.leaving]
+        self._owners.update(staying, list(self._wanted))
+
+    def _view(self) -> WatchView:
+        own_id = self._board.identity.node_id
+        return WatchView(
+            wanted=list(self._wanted),
+            owned=frozenset(a for a in self._wanted if self._owners.owner(a) == own_id),
+            polled_at_s={a: heard.polled_at_s for a, heard in self.news.heard.items()},
+            doubted=self._doubted,
         )
 
+    def _write(self, addresses: Sequence[str]) -> None:
+        """Write rows of the section: what was heard, and who leaves by the host list."""
+        board = self._board
+        for address in addresses:
+            wanted = self._wanted[address]
+            heard = self.news.heard.get(address)
+            view = heard.view if heard is not None else wanted
+            listed = board.listed_targets.get(address)
+            board.targets[address] = view._replace(
+                service=wanted.service,
+                zone=wanted.zone,
+                leaving=view.leaving or (listed is not None and listed[2]),
+                reachable=view.reachable and address not in self._doubted,
+            )
+        self.news.changed.clear()
+
 
 def wanted_targets(board: Blackboard) -> Mapping[str, TargetView]:
     """Return the targets that the text names or the host list shows."""
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -159,6 +159,15 @@
             grace_s=timings.longest_order_s,
             log_wait_s=timings.log_wait_s,
         )
+        self.discovery = Discovery(
+            board,
+            HttpHostList(self._session, settings.host_list_url),
+            self.observer,
+            timings.host_list_s,
+            self._rng,
+        )
+        self.target_watch = TargetWatch(board, client, timings.watch_s, self._rng)
+        self.dispatcher.on_refused = self.target_watch.note_refused
         self.membership = Membership(
             board,
             HeartbeatCodec(settings.shared_key),
@@ -168,14 +177,8 @@
             heartbeat_s=timings.heartbeat_s,
             suspect_after_s=timings.suspect_after_s,
             rng=self._rng,
+            riders=[self.target_watch, self.discovery],
         )
-        self.discovery = Discovery(
-            board,
-            HttpHostList(self._session, settings.host_list_url),
-            self.observer,
-            timings.host_list_s,
-        )
-        self.target_watch = TargetWatch(board, client, timings.watch_s)
         self.weights = WeightCoordinator(
             board,
             self.leases,
--- a/samphirecleat/peers/__init__.py
+++ b/samphirecleat/peers/__init__.py
@@ -4,6 +4,7 @@
 from ._heartbeat import HeartbeatCodec, HeartbeatError
 from ._messages import (
     Death,
+    ListedChange,
     MemberRow,
     Message,
     MessageKind,
@@ -11,13 +12,14 @@
     TargetLoad,
     TargetRow,
 )
-from ._rendezvous import rank_members
+from ._rendezvous import RendezvousOwners, rank_members
 from ._server import PeerServer
 
 __all__ = [
     "Death",
     "HeartbeatCodec",
     "HeartbeatError",
+    "ListedChange",
     "MemberRow",
     "Message",
     "MessageKind",
@@ -25,6 +27,7 @@
     "PeerClient",
     "PeerServer",
     "PeerUnavailableError",
+    "RendezvousOwners",
     "TargetLoad",
     "TargetRow",
     "rank_members",
--- a/samphirecleat/peers/_messages.py
+++ b/samphirecleat/peers/_messages.py
@@ -42,7 +42,11 @@
 
 
 class TargetRow(NamedTuple):
-    """What a target said of itself; sent when something but its load changed."""
+    """What a target said of itself; sent when something but its load changed.
+
+    ``poll_age_ms`` is the time since a node asked it, ``report_age_ms`` the time
+    since the target took the load that it reported.
+    """
 
     address: str
     instance: str
@@ -53,16 +57,28 @@
     running: int
     waiting: int
     slots: int
-    age_ms: int
+    poll_age_ms: int
+    report_age_ms: int
 
 
 class TargetLoad(NamedTuple):
-    """A target's load in few bytes; address and instance by their hashes."""
+    """A target's load in few bytes; ``key`` is a hash of its address and instance."""
 
-    address_hash: int
-    instance_hash: int
+    key: int
     running: int
     waiting: int
+    poll_age_ms: int
+    report_age_ms: int
+
+
+class ListedChange(NamedTuple):
+    """A row of the host list that changed, read ``age_ms`` ago."""
+
+    address: str
+    service: str
+    zone: str
+    leaving: bool
+    present: bool
     age_ms: int
 
 
@@ -82,6 +98,7 @@
     deaths: Sequence[Death] = ()
     targets: Sequence[TargetRow] = ()
     loads: Sequence[TargetLoad] = ()
+    listed: Sequence[ListedChange] = ()
 
 
 class Outgoing(NamedTuple):
