--- a/samphirecleat/blackboard.py
+++ b/samphirecleat/blackboard.py
@@ -128,6 +128,7 @@
     refusals: Counter[str] = field(default_factory=Counter)  # entry, by error kind
     key_epoch: int = 0  # requests.key_book
     leaving: bool = False  # controllers.drain
+    accepting: bool = True  # controllers.drain
 
     @property
     def ready(self) -> bool:
--- a/samphirecleat/controllers/__init__.py
+++ b/samphirecleat/controllers/__init__.py
@@ -3,6 +3,7 @@
 from .config_reader import ConfigReader
 from .discovery import Discovery
 from .dispatcher import Dispatcher
+from .drain import Drain, longest_drain_s
 from .leases import LeaseKeeper
 from .limiter import Limiter
 from .membership import Membership
@@ -15,6 +16,7 @@
     "ConfigReader",
     "Discovery",
     "Dispatcher",
+    "Drain",
     "LeaseKeeper",
     "Limiter",
     "Membership",
@@ -22,4 +24,5 @@
     "StepRunner",
     "TargetWatch",
     "WeightCoordinator",
+    "longest_drain_s",
 ]
--- a/samphirecleat/daemon.py
+++ b/samphirecleat/daemon.py
@@ -8,6 +8,7 @@
 import aiomisc
 
 from ._jsonc import DocumentError
+from .controllers import longest_drain_s
 from .node import Node
 from .settings import Settings, read_settings
 
@@ -41,7 +42,7 @@
 
 
 def _run(settings: Settings) -> None:
-    shutdown_timeout_s = settings.timings.entry_ttl_s + settings.timings.max_deadline_s
+    shutdown_timeout_s = longest_drain_s(settings.timings)
     with aiomisc.entrypoint(
         NodeService(node=Node(settings)),
         log_level=settings.log_level,
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -16,6 +16,7 @@
     ConfigReader,
     Discovery,
     Dispatcher,
+    Drain,
     LeaseKeeper,
     Limiter,
     Membership,
@@ -32,7 +33,6 @@
 from .settings import Settings
 from .targets import TargetClient
 
-DRAIN_POLL_S: Final = 0.05
 PEER_CONFIG_PERIOD_S: Final = 0.25
 PEER_TIMEOUT_S: Final = 1.0
 RESTART_AFTER_S: Final = 1.0
@@ -75,12 +75,18 @@
 
     async def drain(self) -> None:
         """Leave the entry list, serve what still comes, and return when all is done."""
-        self.board.leaving = True
-        self.membership.announce()
-        loop = asyncio.get_running_loop()
-        kept_until_s = loop.time() + self.settings.timings.entry_ttl_s
-        while loop.time() < kept_until_s or self.callers.in_flight or self.limiter.in_flight:
-            await asyncio.sleep(DRAIN_POLL_S)
+        timings = self.settings.timings
+        drain = Drain(
+            self.board,
+            self.observer,
+            announce=self.membership.announce,
+            in_flight=lambda: self.callers.in_flight + self.limiter.in_flight,
+            undelivered=lambda: False,
+            entry_ttl_s=timings.entry_ttl_s,
+            heartbeat_s=timings.heartbeat_s,
+            longest_s=timings.max_deadline_s,
+        )
+        await drain.run()
 
     async def stop(self) -> None:
         """Stop at once; call :meth:`drain` first to cut nothing off."""
--- /dev/null
+++ b/tests/controllers/test_drain.py
@@ -0,0 +1,78 @@
+"""The pure decision of a drain, and its driver."""
+
+import asyncio
+
+import pytest
+
+from samphirecleat.blackboard import Blackboard, Identity
+from samphirecleat.controllers.drain import (
+    Drain,
+    DrainView,
+    FinishAccepted,
+    ServeAll,
+    Stop,
+    decide_drain,
+)
+from samphirecleat.observe import Observer
+
+VIEW = DrainView(
+    began_at_s=100.0,
+    entry_ttl_s=5.0,
+    spread_s=4.0,
+    longest_s=60.0,
+    in_flight=0,
+    undelivered=False,
+    last_busy_at_s=100.0,
+)
+
+
+@pytest.mark.parametrize(
+    ("changes", "now_s", "step"),
+    [
+        pytest.param({}, 108.9, ServeAll(), id="a kept entry list may still name it"),
+        pytest.param({"in_flight": 3}, 108.9, ServeAll(), id="and it is busy"),
+        pytest.param({}, 109.0, Stop(0), id="nothing to do"),
+        pytest.param({"in_flight": 1}, 109.0, FinishAccepted(), id="a request in flight"),
+        pytest.param({"undelivered": True}, 109.0, FinishAccepted(), id="samples not yet pulled"),
+        pytest.param({"last_busy_at_s": 108.8}, 109.0, FinishAccepted(), id="just ended"),
+        pytest.param({"last_busy_at_s": 108.4}, 109.0, Stop(0), id="ended a while ago"),
+        pytest.param({"in_flight": 1}, 168.9, FinishAccepted(), id="within its deadline"),
+        pytest.param({"in_flight": 2}, 169.0, Stop(2), id="past every deadline"),
+    ],
+)
+def test_what_a_draining_node_does(changes, now_s, step) -> None:
+    """A host is replaced while callers still hold entry lists that name it.
+
+    If the node ended too early, a request in flight would be cut off; if it never
+    ended, its host could not be replaced.
+    """
+    assert decide_drain(VIEW._replace(**changes), now_s) == step
+
+
+def test_a_drain_outlives_what_is_in_flight() -> None:
+    """SIGTERM comes while a request runs for longer than any entry list is kept."""
+
+    async def scenario() -> None:
+        board = Blackboard(Identity("n1", "a", "z", "h:1", "h:2"))
+        in_flight = 1
+        announced: list[bool] = []
+        drain = Drain(
+            board,
+            Observer("n1"),
+            announce=lambda: announced.append(board.leaving),
+            in_flight=lambda: in_flight,
+            undelivered=lambda: False,
+            entry_ttl_s=0.05,
+            heartbeat_s=0.01,
+            longest_s=30.0,
+        )
+        task = asyncio.create_task(drain.run())
+        while board.accepting:
+            await asyncio.sleep(0.01)
+        assert announced == [True]
+        assert not board.ready
+        assert not task.done()
+        in_flight = 0
+        await asyncio.wait_for(task, 10.0)
+
+    asyncio.run(scenario())
