--- a/samphirecleat/controllers/target_watch.py
+++ b/samphirecleat/controllers/target_watch.py
@@ -89,6 +89,11 @@
         await asyncio.gather(*(self._ask(address) for address in decide_polls(self._view(), now_s)))
         self._write(list(self._wanted))
 
+    def owned(self) -> frozenset[str]:
+        """Return the targets that this node asks for all the others."""
+        own_id = self._board.identity.node_id
+        return frozenset(a for a in self._wanted if self._owners.owner(a) == own_id)
+
     def note_refused(self, address: str) -> None:
         """Take a target out of use at once: it refused a connection of this node."""
         known = self._board.targets.get(address)
@@ -150,10 +155,9 @@
         self._owners.update(staying, list(self._wanted))
 
     def _view(self) -> WatchView:
-        own_id = self._board.identity.node_id
         return WatchView(
             wanted=list(self._wanted),
-            owned=frozenset(a for a in self._wanted if self._owners.owner(a) == own_id),
+            owned=self.owned(),
             polled_at_s={a: heard.polled_at_s for a, heard in self.news.heard.items()},
             doubted=self._doubted,
         )
--- a/samphirecleat/entry/_operators.py
+++ b/samphirecleat/entry/_operators.py
@@ -7,14 +7,20 @@
 from aiohttp import web
 
 from ..blackboard import Blackboard, Member
-from ..observe import Observer
+from ..errors import ErrorKind, RequestError
+from ..observe import Metrics, MetricsFormatError, Observer, merge_metrics, read_metrics, summarize
 from ..peers import PeerClient, PeerUnavailableError
 
 REPORT_TIMEOUT_S: Final = 2.0
+ASKED_AT_ONCE: Final = 32
 
 
 class OperatorEntry:
-    """Answers operators from this node and, for the report, from all others."""
+    """Answers operators from this node and, for the fleet, from all others.
+
+    Nodes are asked at the moment of the question and nothing is sent around
+    beforehand, so that the report costs nothing while nobody reads it.
+    """
 
     def __init__(
         self,
@@ -37,28 +43,54 @@
 
     async def report(self, _request: web.Request) -> web.Response:
         """Return every node's report, asked for now; a silent node is named as such."""
+        nodes = await self._ask_all()
+        return web.json_response({"asked": self._board.identity.node_id, "nodes": nodes})
+
+    async def traces(self, request: web.Request) -> web.Response:
+        """Return this node's newest spans, of one trace with ``?trace=ID``."""
+        return web.json_response({"spans": self._observer.spans(request.query.get("trace", ""))})
+
+    async def metrics(self, request: web.Request) -> web.Response:
+        """Return this node's metrics, or those of all nodes with ``?scope=fleet``."""
+        match request.query.get("scope", "node"):
+            case "node":
+                return web.json_response(_metrics_body(self._observer.metrics()))
+            case "fleet":
+                return web.json_response(await self._fleet_metrics())
+        raise RequestError(ErrorKind.MALFORMED, 'scope is "node" or "fleet"')
+
+    async def _fleet_metrics(self) -> Mapping[str, Any]:
+        """Merge what each node answers; nodes that gave nothing usable are named."""
+        parts: list[Metrics] = []
+        missing: list[str] = []
+        for node_id, report in (await self._ask_all()).items():
+            try:
+                part = read_metrics(report.get("metrics", {}))
+                summarize(part)
+            except MetricsFormatError:
+                missing.append(node_id)
+            else:
+                parts.append(part)
+        merged = _metrics_body(merge_metrics(parts))
+        return {**merged, "merged_from": len(parts), "missing": missing}
+
+    async def _ask_all(self) -> Mapping[str, Mapping[str, Any]]:
         own_id = self._board.identity.node_id
         others = [m for m in self._board.live_members() if m.node_id != own_id]
-        reports = await asyncio.gather(*(self._ask(member) for member in others))
+        # All at once, the answers of a large fleet would come in one burst.
+        turns = asyncio.Semaphore(ASKED_AT_ONCE)
+        reports = await asyncio.gather(*(self._ask(member, turns) for member in others))
         nodes = {own_id: self._own_report()}
         nodes.update({member.node_id: r for member, r in zip(others, reports, strict=True)})
-        return web.json_response({"asked": own_id, "nodes": nodes})
-
-    async def traces(self, _request: web.Request) -> web.Response:
-        """Return this node's newest spans."""
-        return web.json_response({"spans": self._observer.spans()})
-
-    async def metrics(self, _request: web.Request) -> web.Response:
-        """Return this node's counters and encoded histograms."""
-        return web.json_response(
-            {
-                "counters": dict(self._observer.counters),
-                "histograms": dict(self._observer.histograms()),
-            }
-        )
-
-    async def _ask(self, member: Member) -> Mapping[str, Any]:
-        try:
-            return await self._peers.fetch_report(member, REPORT_TIMEOUT_S)
-        except PeerUnavailableError as error:
-            return {"unavailable": str(error)}
+        return nodes
+
+    async def _ask(self, member: Member, turns: asyncio.Semaphore) -> Mapping[str, Any]:
+        async with turns:
+            try:
+                return await self._peers.fetch_report(member, REPORT_TIMEOUT_S)
+            except PeerUnavailableError as error:
+                return {"unavailable": str(error)}
+
+
+def _metrics_body(metrics: Metrics) -> Mapping[str, Any]:
+    return {**metrics._asdict(), "summary": summarize(metrics)}
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 import time
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Collection, Mapping, Sequence
 from typing import Any, Final
 
 import aiohttp
@@ -36,6 +36,7 @@
 PEER_CONFIG_PERIOD_S: Final = 0.25
 PEER_TIMEOUT_S: Final = 1.0
 RESTART_AFTER_S: Final = 1.0
+SMALL_FLEET: Final = 16
 Driver = Callable[[], Awaitable[None]]
 
 
@@ -91,6 +92,7 @@
     async def stop(self) -> None:
         """Stop at once; call :meth:`drain` first to cut nothing off."""
         self.membership.say_gone()
+        self._peer_server.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -113,7 +115,8 @@
             "leaving": board.leaving,
             "revision": board.config.revision,
             "members": sorted(member.node_id for member in board.live_members()),
-            "targets": {a: t._asdict() for a, t in board.targets.items()},
+            "targets": {a: board.targets[a]._asdict() for a in self._reported_targets()},
+            "metrics": self.observer.metrics()._asdict(),
             "refusals": dict(board.refusals),
             "steps": [
                 {
@@ -131,6 +134,16 @@
             },
         }
 
+    def _reported_targets(self) -> Collection[str]:
+        """Return the targets in this node's part of the report.
+
+        A small fleet shows what every node knows of every target. In a large one
+        that would be hundreds of megabytes, so each node shows those it asks itself.
+        """
+        if len(self.board.live_members()) <= SMALL_FLEET:
+            return list(self.board.targets)
+        return [address for address in self.target_watch.owned() if address in self.board.targets]
+
     def _build(self) -> None:
         settings, timings, board = self.settings, self.settings.timings, self.board
         now_s = asyncio.get_running_loop().time()
@@ -210,13 +223,13 @@
         await self._runner.setup()
         host, port = _split_address(settings.http_address)
         await web.TCPSite(self._runner, host, port, reuse_address=True).start()
-        peer_server = PeerServer(
+        self._peer_server = PeerServer(
             settings.shared_key,
             self.callers.serve_forwarded,
             lambda: self.board.config,
             self.own_report,
         )
-        self._grpc = Server([peer_server])
+        self._grpc = Server([self._peer_server])
         peer_host, peer_port = _split_address(settings.peer_address)
         await self._grpc.start(peer_host, peer_port, reuse_address=True)
         loop = asyncio.get_running_loop()
--- a/samphirecleat/observe/__init__.py
+++ b/samphirecleat/observe/__init__.py
@@ -1,5 +1,28 @@
 """Logs, traces and metrics."""
 
+from ._logs import JsonFormatter, PrefixedLog, make_formatter
+from ._metrics import (
+    Histograms,
+    Metrics,
+    MetricsFormatError,
+    merge_metrics,
+    read_metrics,
+    summarize,
+)
 from ._observer import Observer
+from ._spans import RecentSpans, SpanRow
 
-__all__ = ["Observer"]
+__all__ = [
+    "Histograms",
+    "JsonFormatter",
+    "Metrics",
+    "MetricsFormatError",
+    "Observer",
+    "PrefixedLog",
+    "RecentSpans",
+    "SpanRow",
+    "make_formatter",
+    "merge_metrics",
+    "read_metrics",
+    "summarize",
+]
--- a/samphirecleat/peers/_server.py
+++ b/samphirecleat/peers/_server.py
@@ -41,6 +41,11 @@
         self._forward = forward
         self._config = config
         self._report = report
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Answer nothing more: closing the server leaves its open connections open."""
+        self._stopped = True
 
     async def Forward(self, stream: Stream[ForwardRequest, ForwardChunk]) -> None:  # noqa: N802
         """Run a forwarded call as the owner of its key."""
@@ -77,6 +82,8 @@
         await stream.send_message(ReportReply(report=json.dumps(self._report()).encode()))
 
     def _check_key(self, stream: Stream[Any, Any]) -> None:
+        if self._stopped:
+            raise GRPCError(Status.UNAVAILABLE, "this node has stopped")
         assert stream.metadata is not None
         shown = str(stream.metadata.get(KEY_HEADER, ""))
         if not hmac.compare_digest(shown, self._token):
--- /dev/null
+++ b/tests/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs, spans and metrics."""
--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what passes between nodes."""
