--- a/samphirecleat/controllers/dispatcher.py
+++ b/samphirecleat/controllers/dispatcher.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import aclosing
 from dataclasses import dataclass, field
 from typing import Final
@@ -13,7 +13,7 @@
 from ..errors import ErrorKind, Ran, RequestError
 from ..observe import Observer
 from ..requests import AnswerLine, AnswerLog, Call
-from ..targets import TargetClient, TargetError
+from ..targets import NotSent, TargetClient, TargetError
 from .limiter import Limiter
 from .pace import PaceKeeper
 from .policies import Policies
@@ -55,6 +55,7 @@
         self._turns: Counter[str] = Counter()
         self._budgets: dict[str, RetryBudget] = {}
         self._cancels: set[asyncio.Task[None]] = set()
+        self.on_refused: Callable[[str], None] = _ignore
 
     async def run(self, call: Call, answer: AnswerLog) -> None:
         """Run a call and fill its answer; every end of it closes the answer.
@@ -126,6 +127,8 @@
             except TargetError as error:
                 attempts.may_have_run = earlier_may_have_run or error.may_have_run
                 self._observer.counters[f"attempts_{type(error.failure).__name__.lower()}"] += 1
+                if isinstance(error.failure, NotSent):
+                    self.on_refused(target.address)
                 decision = decide_retry(
                     call,
                     error.failure,
@@ -211,6 +214,10 @@
     return int(call.work_class) * PRIORITIES_PER_CLASS + call.priority
 
 
+def _ignore(_address: str) -> None:
+    """Stand in until somebody wants to know of refused connections."""
+
+
 def _weaken(error: RequestError, may_have_run: bool) -> RequestError:
     """Never say "not run" of a call of which an earlier attempt may have run."""
     if may_have_run and error.ran is Ran.NO:
