Steps: the trainer's record decides delivery; staleness, copies and shares as pure decisions

Cause: a repeated or overtaken pull could get changed samples, a trainer that lost its record was told that all was held, stale work was found only at the pull, a straggler had one run only, and trainers shared a service by order of their steps. Change: TrainerRecord at the client; pulls carry the record's id; whole groups in replies; runs are streamed, so that the oldest span is known while a run goes on; second copies by pace within a token budget; weighted fair queueing between trainers; scoring retried with the text kept; a bound on steps held.

--- a/samphirecleat/blackboard.py
+++ b/samphirecleat/blackboard.py
@@ -79,6 +79,15 @@
         return self.reachable and not self.leaving and not self.loading
 
 
+class DisprovedVersion(NamedTuple):
+    """A version that a target reports while its tokens come of an older one."""
+
+    instance: str
+    reported: int
+    streamed: int
+    seen_at_s: float
+
+
 class LeaseView(NamedTuple):
     """A lease as folded from the log; ``epoch`` is the fencing number of its orders."""
 
@@ -107,6 +116,7 @@
     listed_nodes: Sequence[str] = ()  # controllers.discovery
     listed_targets: Mapping[str, tuple[str, str, bool]] = field(default_factory=dict)  # discovery
     targets: dict[str, TargetView] = field(default_factory=dict)  # controllers.target_watch
+    disproved: dict[str, DisprovedVersion] = field(default_factory=dict)  # controllers.step_runner
     leases: dict[str, LeaseView] = field(default_factory=dict)  # controllers.leases
     weights: dict[str, WeightsView] = field(default_factory=dict)  # controllers.weights
     in_flight: Counter[str] = field(default_factory=Counter)  # requests.dispatcher, by target
--- a/samphirecleat/client/_trainer.py
+++ b/samphirecleat/client/_trainer.py
@@ -2,22 +2,35 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+import secrets
+from collections.abc import AsyncIterator, Callable, Collection, Mapping, Sequence
 from typing import Any, Final, NamedTuple
 
 import aiohttp
 
 from ..errors import ErrorKind, RequestError
-from ..steps import Sample, encode_positions, sample_from_json
+from ..steps import PullReply, Sample, TrainerRecord, encode_positions, reply_from_json
 from ._entries import Entry, EntryList
 
 PULL_WAIT_S: Final = 2.0
-PULL_TIMEOUT_S: Final = 5.0
-BACKOFF_S: Final = 0.2
+PULL_TIMEOUT_S: Final = 3.0
+PULL_LIMIT: Final = 512
+FIRST_BACKOFF_S: Final = 0.1
+LONGEST_BACKOFF_S: Final = 2.0
+_FINAL_KINDS: Final = (
+    ErrorKind.STEP_CONFLICT,
+    ErrorKind.MALFORMED,
+    ErrorKind.BODY_TOO_LARGE,
+    ErrorKind.UNKNOWN_SERVICE,
+)
 
 
 class StepRequest(NamedTuple):
-    """A step as the trainer's code asks for it."""
+    """A step as the trainer's code asks for it.
+
+    ``group_max_tokens`` and ``group_length_hints`` hold one number a group, or
+    nothing. A hint is the expected length in tokens: the longest start first.
+    """
 
     step_id: str
     service: str
@@ -26,6 +39,8 @@
     max_tokens: int
     staleness_bound: int
     scoring: str = ""
+    group_max_tokens: Sequence[int] = ()
+    group_length_hints: Sequence[int] = ()
 
     @property
     def size(self) -> int:
@@ -33,6 +48,13 @@
         return len(self.prompts) * self.samples_per_group
 
 
+class Group(NamedTuple):
+    """All samples of one prompt, by their index."""
+
+    number: int
+    samples: Sequence[Sample]
+
+
 class TrainerClient:
     """Runs steps for one trainer and hands on each sample exactly once.
 
@@ -54,81 +76,104 @@
         self._session = session
         self._trainer = trainer
         self._current_version = current_version
-        self._entries = EntryList(session, bootstrap, zone, random.Random(seed))
-        self._pulls = 0
+        self._rng = random.Random(seed)
+        self._entries = EntryList(session, bootstrap, zone, self._rng)
 
-    async def run_step(self, request: StepRequest) -> AsyncIterator[Sample]:
+    async def run_step(
+        self, request: StepRequest, held: Collection[int] = ()
+    ) -> AsyncIterator[Sample]:
         """Yield every sample of a step once, as they become ready.
 
+        ``held`` names the positions that the trainer has from before, as after
+        its own restart; they are not made again.
+
         :raises samphirecleat.errors.RequestError: when the step itself is wrong.
         """
-        held: set[int] = set()
-        node: Entry | None = None
+        record = TrainerRecord(
+            secrets.token_hex(6), request.size, request.staleness_bound, frozenset(held)
+        )
         failed: list[str] = []
-        while len(held) < request.size:
-            if node is None:
-                node = await self._submit(request, held, failed)
-                if node is None:
-                    await asyncio.sleep(BACKOFF_S)
-                    failed.clear()
-                    continue
-            samples = await self._pull(node, request, held)
-            if samples is None:
+        node: Entry | None = None
+        while not record.whole:
+            node = node or await self._submit(request, record, failed)
+            reply = await self._pull(node, request, record)
+            if reply is not None:
+                for sample in record.accept(reply, self._current_version()):
+                    yield sample
+            if reply is None or reply.leaving:
                 failed.append(node.node_id)
                 node = None
-                continue
-            for sample in samples:
-                if sample.position not in held:
-                    held.add(sample.position)
-                    yield sample
         if node is not None:
-            await self._pull(node, request, held, wait_s=0.0)
+            # Tells the node that the step is whole, so that it forgets it soon.
+            await self._pull(node, request, record, wait_s=0.0)
+
+    async def run_groups(self, request: StepRequest) -> AsyncIterator[Group]:
+        """Yield each group of a step once, as soon as all of its samples are there.
+
+        :raises samphirecleat.errors.RequestError: when the step itself is wrong.
+        """
+        partial: dict[int, list[Sample]] = {}
+        async for sample in self.run_step(request):
+            number = sample.position // request.samples_per_group
+            samples = partial.setdefault(number, [])
+            samples.append(sample)
+            if len(samples) == request.samples_per_group:
+                del partial[number]
+                yield Group(number, sorted(samples, key=lambda s: s.position))
 
     async def _submit(
-        self, request: StepRequest, held: set[int], failed: Sequence[str]
-    ) -> Entry | None:
-        try:
-            entry = await self._entries.choose(failed)
-        except RequestError:
-            await self._entries.refresh()
-            return None
-        body = {
-            "service": request.service,
-            "prompts": list(request.prompts),
-            "samples_per_group": request.samples_per_group,
-            "max_tokens": request.max_tokens,
-            "staleness_bound": request.staleness_bound,
-            "scoring": request.scoring,
-            "held": encode_positions(frozenset(held)),
-        }
-        try:
-            await self._post(entry, request.step_id, "", body, PULL_TIMEOUT_S)
-        except RequestError as error:
-            if error.kind in (ErrorKind.STEP_CONFLICT, ErrorKind.MALFORMED):
-                raise
-            return None
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
-            return None
-        return entry
+        self, request: StepRequest, record: TrainerRecord, failed: list[str]
+    ) -> Entry:
+        """Return the node that took the step, trying until one does.
+
+        Nodes that failed before are tried again once no other is left; the wait
+        between rounds grows, so that trainers do not crowd a fleet that recovers.
+        """
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            try:
+                entry = await self._entries.choose(failed)
+            except RequestError as error:
+                await asyncio.sleep(max(backoff_s, error.retry_after_s * 0.1) * self._jitter())
+                backoff_s = min(LONGEST_BACKOFF_S, backoff_s * 2.0)
+                failed.clear()
+                await self._entries.refresh()
+                continue
+            body = _submission(request, record, self._current_version())
+            try:
+                await self._post(entry, request.step_id, "", body, PULL_TIMEOUT_S)
+            except RequestError as error:
+                if error.kind in _FINAL_KINDS:
+                    raise
+                failed.append(entry.node_id)
+            except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError):
+                failed.append(entry.node_id)
+            else:
+                return entry
 
     async def _pull(
-        self, node: Entry, request: StepRequest, held: set[int], wait_s: float = PULL_WAIT_S
-    ) -> Sequence[Sample] | None:
-        """Return the samples of one pull, or None when the node can not be asked."""
-        self._pulls += 1
-        number = self._pulls
+        self,
+        node: Entry,
+        request: StepRequest,
+        record: TrainerRecord,
+        wait_s: float = PULL_WAIT_S,
+    ) -> PullReply | None:
+        """Return the reply to one pull, or None when the node can not be asked."""
+        pull = record.next_pull(self._current_version(), wait_s, PULL_LIMIT)
         body = {
-            "pull": number,
-            "version": self._current_version(),
-            "held": encode_positions(frozenset(held)),
-            "wait_s": wait_s,
+            "pull": pull.number,
+            "client": pull.client_id,
+            "version": pull.version,
+            "held": encode_positions(pull.held),
+            "wait_s": pull.wait_s,
+            "limit": pull.limit,
         }
         try:
             reply = await self._post(node, request.step_id, "/pull", body, wait_s + PULL_TIMEOUT_S)
-            if int(reply["pull"]) != number:
-                return ()
-            return [sample_from_json(row) for row in reply["samples"]]
-        except (RequestError, aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError):
+            return reply_from_json(reply)
+        except (RequestError, aiohttp.ClientError, TimeoutError, OSError):
+            return None
+        except (ValueError, KeyError, TypeError):
             return None
 
     async def _post(
@@ -141,3 +186,22 @@
             if response.status != 200:
                 raise RequestError.from_body(answer["error"])
             return answer
+
+    def _jitter(self) -> float:
+        return 0.5 + self._rng.random()
+
+
+def _submission(request: StepRequest, record: TrainerRecord, version: int) -> Mapping[str, Any]:
+    return {
+        "service": request.service,
+        "prompts": list(request.prompts),
+        "samples_per_group": request.samples_per_group,
+        "max_tokens": request.max_tokens,
+        "staleness_bound": request.staleness_bound,
+        "scoring": request.scoring,
+        "group_max_tokens": list(request.group_max_tokens),
+        "group_length_hints": list(request.group_length_hints),
+        "held": encode_positions(frozenset(record.held)),
+        "client": record.client_id,
+        "version": version,
+    }
--- a/samphirecleat/controllers/dispatcher.py
+++ b/samphirecleat/controllers/dispatcher.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from ..blackboard import Blackboard, TargetView
-from ..config import Service
+from ..config import Service, ServiceKind
 from ..errors import ErrorKind, Ran, RequestError
 from ..observe import Observer
 from ..requests import AnswerLine, AnswerLog, Call
@@ -37,6 +37,7 @@
         self._observer = observer
         self._rng = rng
         self._budgets: dict[str, RetryBudget] = {}
+        self._cancels: set[asyncio.Task[None]] = set()
 
     async def run(self, call: Call, answer: AnswerLog) -> None:
         """Run a call and fill its answer; every end of it closes the answer."""
@@ -81,7 +82,7 @@
         tried: list[str] = []
         may_have_run = False
         while True:
-            target = self._choose(service, tried)
+            target = self._choose(service, [*call.excluded_targets, *tried])
             if target is None:
                 raise _no_target(service, may_have_run)
             tried.append(target.address)
@@ -104,13 +105,13 @@
                         if not budget.take():
                             raise _no_target(service, may_have_run) from error
 
-    def _choose(self, service: Service, tried: Sequence[str]) -> TargetView | None:
+    def _choose(self, service: Service, excluded: Sequence[str]) -> TargetView | None:
         view = RoutingView(
             targets=self._board.targets_of(service.name),
             own_in_flight=self._board.in_flight,
             node_count=len(self._board.live_members()),
             zone=self._board.identity.zone,
-            excluded=tried,
+            excluded=excluded,
         )
         return choose_target(view, self._rng, asyncio.get_running_loop().time())
 
@@ -119,6 +120,7 @@
     ) -> None:
         in_flight: Counter[str] = self._board.in_flight
         in_flight[target.address] += 1
+        answer.target = target.address
         held: list[AnswerLine] = []
         # Only a streamed answer is passed on before its end; a whole one is
         # held back, so that an attempt which fails midway leaves no trace in it.
@@ -134,9 +136,22 @@
                         held.append(line)
             for line in held:
                 answer.add(line)
+        except asyncio.CancelledError:
+            # An engine does not always notice that its reader is gone; without
+            # this it would go on making tokens that nobody reads.
+            self._cancel_at(service, target, call)
+            raise
         finally:
             in_flight[target.address] -= 1
 
+    def _cancel_at(self, service: Service, target: TargetView, call: Call) -> None:
+        if service.kind is not ServiceKind.ENGINE:
+            return
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._client.cancel(target, call.request_id))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
 
 def _may_have_run(error: TargetError) -> bool:
     from ..targets import NotSent, Refused
--- /dev/null
+++ b/samphirecleat/controllers/sample_maker.py
@@ -0,0 +1,135 @@
+"""Makes one sample: generation with its spans as they come, then its score."""
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable, Collection
+from typing import Final
+
+from ..blackboard import Blackboard
+from ..errors import ErrorKind, RequestError
+from ..requests import AnswerLine, AnswerLog, Call, Span, WorkClass, merge_spans
+from ..steps import Run, Sample, StepSpec
+from .dispatcher import Dispatcher
+
+SAMPLE_DEADLINE_S: Final = 600.0
+SCORE_DEADLINE_S: Final = 30.0
+SCORE_ATTEMPTS: Final = 8
+FIRST_SCORE_RETRY_S: Final = 0.1
+LONGEST_SCORE_RETRY_S: Final = 3.0
+SpanHook = Callable[[Run, Span], None]
+
+
+class _ProgressLog(AnswerLog):
+    """An answer that also keeps its run's progress as its lines come in."""
+
+    def __init__(self, run: Run, on_span: SpanHook) -> None:
+        super().__init__()
+        self._run = run
+        self._on_span = on_span
+
+    def add(self, line: AnswerLine) -> None:
+        self._run.target = self.target
+        for span in line.get("spans", ()):
+            self._run.note_span(span, asyncio.get_running_loop().time())
+            self._on_span(self._run, span)
+        super().add(line)
+
+
+class SampleMaker:
+    """Sends the calls of one sample through the dispatcher."""
+
+    def __init__(self, board: Blackboard, dispatcher: Dispatcher, rng: random.Random) -> None:
+        """Take calls' jitter from ``rng``."""
+        self._board = board
+        self._dispatcher = dispatcher
+        self._rng = rng
+
+    async def make(
+        self, spec: StepSpec, run: Run, excluded: Collection[str], on_span: SpanHook
+    ) -> Sample:
+        """Return the sample of a run; its spans hold all tokens that came.
+
+        A score that fails is asked for again with the same text: generating
+        anew would cost far more and gain nothing.
+
+        :raises samphirecleat.errors.RequestError: when there is no sample.
+        """
+        request_id = self._request_id(spec, run)
+        body = {
+            "prompt": spec.prompt_of(run.position),
+            "max_tokens": spec.max_tokens_of(run.position),
+            # Streamed, so that a run's progress and versions are known as it goes on.
+            "stream": True,
+        }
+        answer = _ProgressLog(run, on_span)
+        await self._call(spec.service, "generate", body, request_id, answer, excluded)
+        text: list[str] = []
+        spans: list[Span] = []
+        target = run_id = ""
+        async for line in answer.read():
+            text.append(line.get("text", ""))
+            spans.extend(line.get("spans", ()))
+            target = line.get("target", target)
+            run_id = line.get("run_id", run_id)
+        if not spans:
+            raise RequestError(ErrorKind.TARGET_FAILED, "the engine made no token")
+        run.generated_at_s = asyncio.get_running_loop().time()
+        whole = "".join(text)
+        score = await self._score(spec, whole, request_id)
+        return Sample(run.position, whole, merge_spans(spans), score, target, run_id, request_id)
+
+    async def _score(self, spec: StepSpec, text: str, request_id: str) -> float | None:
+        if not spec.scoring:
+            return None
+        attempt = 0
+        while True:
+            attempt += 1
+            try:
+                return await self._score_once(spec.scoring, text, f"{request_id}/score-{attempt}")
+            except RequestError as error:
+                if attempt >= SCORE_ATTEMPTS or error.kind is ErrorKind.UNKNOWN_SERVICE:
+                    raise
+                doubled_s = FIRST_SCORE_RETRY_S * 2.0 ** (attempt - 1)
+                wait_s = max(error.retry_after_s, min(LONGEST_SCORE_RETRY_S, doubled_s))
+                await asyncio.sleep(wait_s * (0.5 + self._rng.random()))
+
+    async def _score_once(self, service: str, text: str, request_id: str) -> float:
+        answer = AnswerLog()
+        await self._call(service, "score", {"text": text}, request_id, answer)
+        async for line in answer.read():
+            try:
+                return float(line["result"]["score"])
+            except (KeyError, TypeError, ValueError) as error:
+                raise RequestError(ErrorKind.TARGET_FAILED, "the score is no number") from error
+        raise RequestError(ErrorKind.TARGET_FAILED, "the scoring service gave no score")
+
+    async def _call(
+        self,
+        service: str,
+        method: str,
+        body: dict[str, object],
+        request_id: str,
+        answer: AnswerLog,
+        excluded: Collection[str] = (),
+    ) -> None:
+        deadline_s = SAMPLE_DEADLINE_S if method == "generate" else SCORE_DEADLINE_S
+        call = Call(
+            service=service,
+            method=method,
+            body=body,
+            deadline_at_s=asyncio.get_running_loop().time() + deadline_s,
+            priority=0,
+            idempotent=True,
+            request_id=request_id,
+            work_class=WorkClass.TRAINER,
+            excluded_targets=excluded,
+        )
+        await self._dispatcher.run(call, answer)
+
+    def _request_id(self, spec: StepSpec, run: Run) -> str:
+        incarnation = self._board.identity.incarnation
+        return (
+            f"{spec.trainer}/{spec.step_id}/{run.position}"
+            f"/{incarnation}-{run.attempt}-{secrets.token_hex(3)}"
+        )
--- a/samphirecleat/controllers/weights.py
+++ b/samphirecleat/controllers/weights.py
@@ -97,6 +97,10 @@
                     await self._leases.keep(lease_name(service.name))
                     await self._coordinate(service)
 
+    def report(self) -> Mapping[str, Mapping[str, float]]:
+        """Return what this node knows of each service's weights."""
+        return {name: {"latest": view.latest_version} for name, view in self._board.weights.items()}
+
     def _should_hold(self, service: str) -> bool:
         """Whether this node comes first for a service among the live members.
 
--- a/samphirecleat/entry/_trainers.py
+++ b/samphirecleat/entry/_trainers.py
@@ -1,6 +1,6 @@
 """What trainers meet: submitting a step and pulling its samples."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
 from aiohttp import web
@@ -8,11 +8,12 @@
 from ..blackboard import Blackboard
 from ..controllers import StepRunner
 from ..errors import ErrorKind, RequestError
-from ..steps import Pull, StepSpec, decode_positions, sample_to_json
+from ..steps import NO_VERSION, Pull, StepSpec, decode_positions, reply_to_json
 from ._call_headers import read_body
 
 MAX_STEP_SAMPLES: Final = 8192
 MAX_WAIT_S: Final = 20.0
+MAX_PULLED_SAMPLES: Final = 512
 
 
 class TrainerEntry:
@@ -35,57 +36,86 @@
         body = await read_body(request)
         try:
             spec = self._read_spec(request, body)
-            held = decode_positions(str(body.get("held", "0")))
-        except (KeyError, TypeError, ValueError) as error:
+            held = decode_positions(str(body.get("held", "0")), spec.size)
+            client_id = str(body.get("client", ""))
+            version = int(body.get("version", NO_VERSION))
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise RequestError(
                 ErrorKind.MALFORMED, f"the step is not understood: {error!r}"
             ) from error
-        self._runner.submit(spec, held)
+        self._runner.submit(spec, held, client_id, version)
         return web.json_response({"node": self._board.identity.node_id, "size": spec.size})
 
     async def pull(self, request: web.Request) -> web.Response:
         """Return samples that the trainer lacks."""
         body = await read_body(request)
+        trainer, step_id = request.match_info["trainer"], request.match_info["step"]
+        spec = self._runner.find(trainer, step_id).spec
         try:
-            pull = Pull(
-                number=int(body["pull"]),
-                version=int(body["version"]),
-                held=decode_positions(str(body["held"])),
-                wait_s=min(MAX_WAIT_S, float(body.get("wait_s", 0.0))),
-                limit=int(body.get("limit", 512)),
-            )
-        except (KeyError, TypeError, ValueError) as error:
+            pull = _read_pull(body, spec)
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise RequestError(
                 ErrorKind.MALFORMED, f"the pull is not understood: {error!r}"
             ) from error
-        trainer, step_id = request.match_info["trainer"], request.match_info["step"]
         reply = await self._runner.pull(trainer, step_id, pull)
-        spec = self._runner.steps[trainer, step_id].spec
-        return web.json_response(
-            {
-                "pull": reply.number,
-                "samples": [sample_to_json(sample, spec) for sample in reply.samples],
-                "missing": reply.missing,
-            }
-        )
+        return web.json_response(reply_to_json(reply, spec))
 
     def _read_spec(self, request: web.Request, body: Mapping[str, Any]) -> StepSpec:
         service_name = str(body["service"])
         service = self._board.service(service_name)
         if service is None:
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, f'no service "{service_name}"')
+        trainer, step_id = request.match_info["trainer"], request.match_info["step"]
+        known = self._runner.steps.get((trainer, step_id))
+        # A step that names no bound keeps the one that it was first taken with,
+        # so that a changed service text does not make it another step.
+        default_bound = known.spec.staleness_bound if known else service.staleness_bound
         spec = StepSpec(
-            trainer=request.match_info["trainer"],
-            step_id=request.match_info["step"],
+            trainer=trainer,
+            step_id=step_id,
             service=service_name,
-            prompts=tuple(str(prompt) for prompt in body["prompts"]),
+            prompts=_read_prompts(body),
             samples_per_group=int(body["samples_per_group"]),
             max_tokens=int(body["max_tokens"]),
-            staleness_bound=int(body.get("staleness_bound", service.staleness_bound)),
+            staleness_bound=int(body.get("staleness_bound", default_bound)),
             scoring=str(body.get("scoring", "")),
+            group_max_tokens=tuple(int(most) for most in body.get("group_max_tokens", ())),
+            group_length_hints=tuple(int(hint) for hint in body.get("group_length_hints", ())),
         )
-        if not 0 < spec.size <= MAX_STEP_SAMPLES:
-            raise ValueError(f"{spec.size} samples; 1 to {MAX_STEP_SAMPLES} are allowed")
-        if spec.samples_per_group < 1 or spec.max_tokens < 1:
-            raise ValueError("samples_per_group and max_tokens must be at least 1")
+        _check_spec(spec)
+        if spec.scoring and self._board.service(spec.scoring) is None:
+            raise RequestError(ErrorKind.UNKNOWN_SERVICE, f'no service "{spec.scoring}"')
         return spec
+
+
+def _read_prompts(body: Mapping[str, Any]) -> Sequence[str]:
+    prompts = body["prompts"]
+    if not isinstance(prompts, list):
+        raise ValueError("prompts is no list")
+    return tuple(str(prompt) for prompt in prompts)
+
+
+def _read_pull(body: Mapping[str, Any], spec: StepSpec) -> Pull:
+    return Pull(
+        number=int(body["pull"]),
+        version=int(body["version"]),
+        held=decode_positions(str(body["held"]), spec.size),
+        wait_s=max(0.0, min(MAX_WAIT_S, float(body.get("wait_s", 0.0)))),
+        limit=max(1, min(MAX_PULLED_SAMPLES, int(body.get("limit", MAX_PULLED_SAMPLES)))),
+        client_id=str(body.get("client", "")),
+    )
+
+
+def _check_spec(spec: StepSpec) -> None:
+    if spec.samples_per_group < 1 or spec.max_tokens < 1 or spec.staleness_bound < 0:
+        raise ValueError(
+            "samples_per_group and max_tokens must be at least 1, staleness_bound at least 0"
+        )
+    if not 0 < spec.size <= MAX_STEP_SAMPLES:
+        raise ValueError(f"{spec.size} samples; 1 to {MAX_STEP_SAMPLES} are allowed")
+    for name in ("group_max_tokens", "group_length_hints"):
+        numbers = getattr(spec, name)
+        if numbers and len(numbers) != len(spec.prompts):
+            raise ValueError(f"{name} needs one number for each of {len(spec.prompts)} groups")
+        if numbers and min(numbers) < 1:
+            raise ValueError(f"{name} must be at least 1 each")
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -78,7 +78,12 @@
         self.membership.beat()
         loop = asyncio.get_running_loop()
         kept_until_s = loop.time() + self.settings.timings.entry_ttl_s
-        while loop.time() < kept_until_s or self.callers.in_flight or self.limiter.in_flight:
+        while (
+            loop.time() < kept_until_s
+            or self.callers.in_flight
+            or self.limiter.in_flight
+            or self.steps.undelivered(loop.time())
+        ):
             await asyncio.sleep(DRAIN_POLL_S)
 
     async def stop(self) -> None:
@@ -114,13 +119,15 @@
                     "size": step.spec.size,
                     "held": len(step.held),
                     "ready": len(step.ready),
+                    "running": len(step.runs),
+                    "copies": step.copies,
+                    "wasted_tokens": step.wasted_tokens,
                     "discarded_stale": step.discarded_stale,
                 }
                 for (trainer, step_id), step in self.steps.steps.items()
             ],
-            "weights": {
-                name: {"latest": view.latest_version} for name, view in board.weights.items()
-            },
+            "trainers": self.steps.trainers_report(asyncio.get_running_loop().time()),
+            "weights": self.weights.report(),
         }
 
     def _build(self) -> None:
@@ -144,7 +151,7 @@
         self.peers = PeerClient(settings.shared_key)
         self.limiter = Limiter(board)
         self.dispatcher = Dispatcher(board, self.limiter, client, self.observer, self._rng)
-        self.steps = StepRunner(board, self.dispatcher, self.limiter, self.observer)
+        self.steps = StepRunner(board, self.dispatcher, self.limiter, self.observer, self._rng)
         self.config_reader = ConfigReader(board, log, self.observer, self._rng, timings.log_wait_s)
         self.leases = LeaseKeeper(
             board,
--- a/samphirecleat/requests/_answer_log.py
+++ b/samphirecleat/requests/_answer_log.py
@@ -21,6 +21,8 @@
         self._closed = False
         self._discarded = False
         self._grew = asyncio.Event()
+        self.target = ""
+        """The target that the run is at, or was last."""
 
     @property
     def closed(self) -> bool:
--- a/samphirecleat/requests/_call.py
+++ b/samphirecleat/requests/_call.py
@@ -1,6 +1,6 @@
 """One request of a caller, or one sample of a trainer, as the node works on it."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from enum import IntEnum
 from typing import Any, NamedTuple, TypedDict
 
@@ -17,6 +17,7 @@
 
     ``deadline_at_s`` is on this node's monotonic clock. ``request_id`` is what
     targets see: the request key, or an id that this node made.
+    ``excluded_targets`` are addresses that it must not be sent to.
     """
 
     service: str
@@ -28,6 +29,7 @@
     request_id: str
     work_class: WorkClass
     traceparent: str = ""
+    excluded_targets: Collection[str] = ()
 
 
 class Span(NamedTuple):
--- a/samphirecleat/steps/_step.py
+++ b/samphirecleat/steps/_step.py
@@ -8,81 +8,235 @@
 import asyncio
 from collections import Counter
 from collections.abc import Mapping, Sequence
-from typing import NamedTuple
 
-from ._types import Pull, PullReply, Sample, StepSpec
-
-
-class StartSample(NamedTuple):
-    """Start a run for a position; ``attempt`` numbers the runs of one position."""
-
-    position: int
-    attempt: int
+from ._copies import CopyPolicy, CopyView, Pace, decide_copies
+from ._positions import PositionQueue
+from ._run import Run
+from ._types import NO_VERSION, Pull, PullReply, Sample, StepSpec, is_fresh
 
 
 class Step:
     """A step in progress. Its methods are plain state changes without I/O."""
 
-    def __init__(self, spec: StepSpec, held: frozenset[int], now_s: float) -> None:
+    def __init__(
+        self, spec: StepSpec, held: frozenset[int], now_s: float, client_id: str = ""
+    ) -> None:
         """Begin with what the trainer already holds."""
         self.spec = spec
         self.held: set[int] = set(held)
         self.ready: dict[int, Sample] = {}
-        self.running: Counter[int] = Counter()
-        self.attempts: Counter[int] = Counter()
-        self.trainer_version = 0
+        self.runs: list[Run] = []
+        self.client_id = client_id
+        self.coming_version = NO_VERSION
         self.discarded_stale = 0
+        self.wasted_tokens = 0
+        self.copied_tokens = 0
+        self.copies = 0
+        self.submitted_at_s = now_s
         self.touched_at_s = now_s
+        self.pulled = False
         self.changed = asyncio.Event()
+        self._attempts: Counter[int] = Counter()
+        self._queue = PositionQueue(spec)
+        self._last_number = 0
+        self._last_samples: dict[int, Sample] = {}
+        self._queue_missing()
 
     @property
-    def missing(self) -> Sequence[int]:
-        """The positions that the trainer lacks and that are not ready."""
-        return [
-            position
-            for position in range(self.spec.size)
-            if position not in self.held and position not in self.ready
-        ]
+    def done(self) -> bool:
+        """Whether the trainer holds every sample."""
+        return len(self.held) == self.spec.size
+
+    @property
+    def missing(self) -> int:
+        """How many positions the trainer lacks that are not ready either."""
+        return self.spec.size - len(self.held) - len(self.ready)
 
-    def decide_starts(self, room: int) -> Sequence[StartSample]:
-        """Return the runs to start now, at most ``room``, first positions first."""
-        idle = [position for position in self.missing if not self.running[position]]
-        return [StartSample(position, self.attempts[position] + 1) for position in idle[:room]]
+    @property
+    def all_started(self) -> bool:
+        """Whether every position that is missing has a run."""
+        return not len(self._queue)
 
-    def note_started(self, start: StartSample) -> None:
-        """Record that a run was started."""
-        self.running[start.position] += 1
-        self.attempts[start.position] = start.attempt
+    def take_held(self, client_id: str, held: frozenset[int], now_s: float) -> None:
+        """Learn what the trainer holds.
 
-    def note_ended(self, position: int, sample: Sample | None) -> None:
-        """Record a run's end; the first sample of a position is kept for good."""
-        self.running[position] -= 1
-        if sample is not None and position not in self.ready and position not in self.held:
-            self.ready[position] = sample
-        self._wake()
+        What one record of the trainer holds only grows, so an older message can
+        not undo a newer one. Another record is a trainer that started again: it
+        lacks all it does not name, also what an earlier one held.
+        """
+        self.touched_at_s = now_s
+        if client_id != self.client_id:
+            self.client_id = client_id
+            self.held = set(held)
+            self._last_number = 0
+            self._last_samples = {}
+            self._queue_missing()
+        self.held |= held
+        for position in held:
+            self.ready.pop(position, None)
+            self._queue.remove(position)
 
     def pull(self, pull: Pull, now_s: float) -> PullReply:
         """Return ready samples that the trainer lacks and that are fresh enough.
 
         A sample past the staleness bound of the version that the pull names is
-        dropped here and made again; it is never in a reply.
+        dropped here and made again; it is never in a reply. A pull that comes
+        twice gets the same samples again, or fewer or more, but none in another
+        content; one that was overtaken by a later one gets nothing.
         """
-        self.touched_at_s = now_s
-        self.held |= pull.held
-        self.trainer_version = max(self.trainer_version, pull.version)
-        for position in list(self.ready):
-            if position in self.held:
-                del self.ready[position]
-        self._drop_stale(pull.version)
-        samples = [self.ready[position] for position in sorted(self.ready)][: pull.limit]
-        return PullReply(pull.number, samples, len(self.missing))
+        self.pulled = True
+        self.take_held(pull.client_id, pull.held, now_s)
+        if pull.number < self._last_number:
+            return self._reply(pull, ())
+        if pull.number > self._last_number:
+            self._last_number = pull.number
+            self._last_samples = {}
+        self._drop_ready(pull.version)
+        samples = self._choose_samples(pull)
+        self._last_samples.update((sample.position, sample) for sample in samples)
+        return self._reply(pull, samples)
+
+    def expect_version(self, coming_version: int) -> Sequence[Run]:
+        """Take the version that the trainer is expected to pull with next.
+
+        Ready samples past the bound by then are made again, but kept meanwhile:
+        a pull may still name an older version. Returns the runs to cancel: their
+        oldest tokens are past the bound already, or the trainer holds their
+        position from elsewhere.
+        """
+        if coming_version > self.coming_version:
+            self.coming_version = coming_version
+            for position, sample in self.ready.items():
+                if not self._will_be_fresh(sample) and not self._has_run(position):
+                    self._queue.add(position)
+        return [run for run in self.runs if self._is_useless(run)]
+
+    def next_start(self, now_s: float) -> int | None:
+        """Return the position to start next, longest first, or None."""
+        return self._queue.first(now_s)
+
+    def note_started(self, position: int, now_s: float, *, is_copy: bool = False) -> Run:
+        """Record that a run was started, and return it."""
+        self._queue.remove(position)
+        self._attempts[position] += 1
+        tokens = self.spec.expected_tokens_of(position)
+        run = Run(position, self._attempts[position], is_copy, now_s, tokens)
+        self.runs.append(run)
+        if is_copy:
+            self.copies += 1
+            self.copied_tokens += tokens
+        return run
+
+    def copies_wanted(
+        self, policy: CopyPolicy, pace: Pace | None, room: int, now_s: float
+    ) -> Sequence[Run]:
+        """Return the runs of which to start a second copy now."""
+        if not self.all_started or room < 1:
+            return ()
+        step_tokens = sum(self.spec.expected_tokens_of(p) for p in range(self.spec.size))
+        view = CopyView(self.runs, pace, step_tokens, self.copied_tokens)
+        return decide_copies(view, policy, room, now_s)
+
+    def note_made(self, run: Run, sample: Sample) -> Sequence[Run]:
+        """Record a run's sample; return the other runs of its position, to cancel.
+
+        The first sample of a position counts. A later one replaces it only where
+        the first will be past the bound and the later will not.
+        """
+        self._end(run)
+        position = run.position
+        first = self.ready.get(position)
+        superseded = (
+            first is not None
+            and not self._will_be_fresh(first)
+            and sample.oldest_version > first.oldest_version
+        )
+        if position in self.held or (first is not None and not superseded):
+            self.wasted_tokens += run.tokens
+        else:
+            self.wasted_tokens += first.tokens if first is not None else 0
+            self.ready[position] = sample
+            self._queue.remove(position)
+        if not self._will_be_fresh(sample) and position not in self.held:
+            self._queue.add(position)
+        self._wake()
+        return [other for other in self.runs if other.position == position]
+
+    def note_failed(self, run: Run, now_s: float, jitter: float) -> None:
+        """Record a run that ended without a sample; its position is queued again."""
+        self._end(run)
+        self.wasted_tokens += run.tokens
+        if self._needs_run(run.position):
+            self._queue.add_failed(run.position, now_s, jitter)
+
+    def note_cancelled(self, run: Run) -> None:
+        """Record a run that was cancelled on purpose."""
+        self._end(run)
+        self.wasted_tokens += run.tokens
+        if self._needs_run(run.position):
+            self._queue.add(run.position)
+
+    def whole_groups(self, also: frozenset[int]) -> Sequence[int]:
+        """Return the groups of which every sample is held or among ``also``."""
+        there = self.held | also
+        return [
+            group
+            for group in range(len(self.spec.prompts))
+            if all(position in there for position in self.spec.positions_of(group))
+        ]
+
+    def _choose_samples(self, pull: Pull) -> Sequence[Sample]:
+        again = [s for s in self._last_samples.values() if self._may_deliver(s, pull)]
+        others = [s for p, s in self.ready.items() if p not in self._last_samples]
+        group_counts = Counter(self.spec.group_of(sample.position) for sample in others)
+        # The groups nearest to whole come first, should not all fit in one reply.
+        others.sort(key=lambda s: (-group_counts[self.spec.group_of(s.position)], s.position))
+        return [*again, *others][: pull.limit]
+
+    def _may_deliver(self, sample: Sample, pull: Pull) -> bool:
+        held = sample.position in pull.held
+        return not held and is_fresh(sample, pull.version, self.spec.staleness_bound)
+
+    def _reply(self, pull: Pull, samples: Sequence[Sample]) -> PullReply:
+        positions = frozenset(sample.position for sample in samples)
+        return PullReply(pull.number, samples, self.missing, self.whole_groups(positions))
 
-    def _drop_stale(self, version: int) -> None:
+    def _drop_ready(self, version: int) -> None:
         for position, sample in list(self.ready.items()):
-            if version - sample.oldest_version > self.spec.staleness_bound:
+            if not is_fresh(sample, version, self.spec.staleness_bound):
                 del self.ready[position]
                 self.discarded_stale += 1
-                self._wake()
+                self.wasted_tokens += sample.tokens
+                if not self._has_run(position):
+                    self._queue.add(position)
+
+    def _end(self, run: Run) -> None:
+        if run in self.runs:
+            self.runs.remove(run)
+
+    def _queue_missing(self) -> None:
+        for position in range(self.spec.size):
+            if self._needs_run(position):
+                self._queue.add(position)
+
+    def _needs_run(self, position: int) -> bool:
+        if position in self.held or self._has_run(position):
+            return False
+        sample = self.ready.get(position)
+        return sample is None or not self._will_be_fresh(sample)
+
+    def _has_run(self, position: int) -> bool:
+        return any(run.position == position for run in self.runs)
+
+    def _will_be_fresh(self, sample: Sample) -> bool:
+        return is_fresh(sample, self.coming_version, self.spec.staleness_bound)
+
+    def _is_useless(self, run: Run) -> bool:
+        if run.position in self.held:
+            return True
+        if run.oldest_version is None:
+            return False
+        return self.coming_version - run.oldest_version > self.spec.staleness_bound
 
     def _wake(self) -> None:
         self.changed.set()
--- /dev/null
+++ b/tests/steps/test_scheduling.py
@@ -0,0 +1,154 @@
+"""Staleness ahead of time, second copies, and fair shares: the pure decisions."""
+
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from samphirecleat.blackboard import TargetView
+from samphirecleat.steps import (
+    NO_VERSION,
+    CopyAllLate,
+    CopyPolicy,
+    CopySlow,
+    CopyView,
+    NoCopies,
+    Pace,
+    Run,
+    ShareBook,
+    TrainerPace,
+    coming_version,
+    decide_copies,
+    remaining_s,
+    stale_targets,
+)
+
+PACE = Pace(first_token_s=0.1, token_s=0.01)
+
+
+@pytest.mark.parametrize(
+    ("pace", "newest", "expected"),
+    [
+        pytest.param(TrainerPace(NO_VERSION), 7, 7, id="nothing known of the trainer"),
+        pytest.param(TrainerPace(7), 8, 8, id="it trains, and newer weights exist"),
+        pytest.param(TrainerPace(7), 7, 7, id="no newer weights exist"),
+        pytest.param(TrainerPace(7, pulling=True), 8, 7, id="it waits for this step"),
+        pytest.param(TrainerPace(7, True, True), 8, 8, id="it moves on within steps"),
+        pytest.param(TrainerPace(7), 20, 8, id="another trainer's weights are far ahead"),
+        pytest.param(TrainerPace(9), 7, 9, id="it is ahead of the engines"),
+    ],
+)
+def test_the_version_that_the_next_pull_will_name(
+    pace: TrainerPace, newest: int, expected: int
+) -> None:
+    assert coming_version(pace, newest) == expected
+
+
+@pytest.mark.parametrize(("bound", "stale"), [(0, {"a", "b"}), (1, {"a"}), (2, set())])
+def test_runs_are_not_started_on_weights_that_will_be_too_old(bound: int, stale: set[str]) -> None:
+    targets = [TargetView(address, "s", "z", version=v) for v, address in enumerate("abc", 5)]
+    assert stale_targets(targets, 7, bound) == stale
+
+
+def run_at(
+    position: int, tokens: int, started_at_s: float, first_at_s: float = 0.0, expected: int = 100
+) -> Run:
+    run = Run(position, 1, False, started_at_s, expected)
+    run.tokens = tokens
+    if tokens:
+        run.first_token_at_s = first_at_s
+    return run
+
+
+NORMAL = run_at(0, 50, 0.0, 0.1)
+SILENT_AFTER_SOME = run_at(1, 10, 0.0, 0.1)
+NO_TOKEN_YET = run_at(2, 0, 0.0)
+LONG_AND_ON_PACE = run_at(3, 60, 0.0, 0.0, expected=1000)
+
+
+@pytest.mark.parametrize(
+    ("policy", "now_s", "copied"),
+    [
+        (NoCopies(), 0.6, set()),
+        (CopyAllLate(), 0.6, {0, 1, 2, 3}),
+        (CopySlow(0.5), 0.5, {1}),
+        (CopySlow(0.5), 1.2, {1, 2}),
+        (CopySlow(0.0), 1.2, set()),
+    ],
+)
+def test_only_runs_that_lag_behind_the_usual_pace_are_copied(
+    policy: CopyPolicy, now_s: float, copied: set[int]
+) -> None:
+    """An engine slows down or goes silent with the last samples of a step.
+
+    Without a copy the whole step waits; a copy of each that is merely long only costs tokens.
+    """
+    runs = [NORMAL, SILENT_AFTER_SOME, NO_TOKEN_YET, LONG_AND_ON_PACE]
+    view = CopyView(runs, PACE, step_tokens=1300, copied_tokens=0)
+    assert {run.position for run in decide_copies(view, policy, 9, now_s)} == copied
+
+
+def test_no_position_runs_three_times() -> None:
+    runs = [SILENT_AFTER_SOME, run_at(1, 0, 0.5)]
+    view = CopyView(runs, PACE, step_tokens=1000, copied_tokens=0)
+    assert decide_copies(view, CopyAllLate(), 9, 60.0) == []
+
+
+def test_without_a_known_pace_nothing_is_copied() -> None:
+    view = CopyView([SILENT_AFTER_SOME], None, 1000, 0)
+    assert decide_copies(view, CopySlow(1.0), 9, 60.0) == ()
+
+
+@given(
+    tokens=st.lists(st.integers(min_value=0, max_value=99), max_size=20),
+    ratio=st.floats(min_value=0.0, max_value=1.0),
+    spent=st.integers(min_value=0, max_value=500),
+    room=st.integers(min_value=0, max_value=9),
+)
+def test_copies_stay_within_room_and_budget(
+    tokens: list[int], ratio: float, spent: int, room: int
+) -> None:
+    runs = [run_at(position, count, 0.0, 0.1) for position, count in enumerate(tokens)]
+    view = CopyView(runs, PACE, 100 * len(runs), spent)
+    chosen = decide_copies(view, CopySlow(ratio), room, 60.0)
+    assert len(chosen) <= room
+    expected = sum(run.expected_tokens for run in chosen)
+    assert not chosen or spent + expected <= ratio * view.step_tokens
+    left = [remaining_s(run, PACE, 60.0) for run in chosen]
+    assert left == sorted(left, reverse=True)
+
+
+@pytest.mark.parametrize("shares", [{"a": 1.0, "b": 1.0}, {"a": 3.0, "b": 1.0}, {"a": 0.5}])
+def test_trainers_get_their_shares_of_tokens(shares: dict[str, float]) -> None:
+    book = ShareBook()
+    got: Counter[str] = Counter()
+    for turn in range(2000):
+        trainer = book.next_trainer({"a", "b"})
+        tokens = 10 + turn % 7
+        got[trainer] += tokens
+        book.charge(trainer, tokens, shares)
+    assert got["a"] / got["b"] == pytest.approx(shares["a"] / shares.get("b", 1.0), rel=0.05)
+
+
+def test_a_trainer_that_paused_does_not_hold_the_others_up_to_catch_up() -> None:
+    """A trainer comes back after an hour.
+
+    With all that it did not use to its credit, the others would get nothing until it had caught up.
+    """
+    book = ShareBook()
+    for _turn in range(100):
+        book.charge(book.next_trainer({"a"}), 10, {})
+    turns = Counter()
+    for _turn in range(10):
+        trainer = book.next_trainer({"a", "b"})
+        turns[trainer] += 1
+        book.charge(trainer, 10, {})
+    assert turns == {"a": 5, "b": 5}
+
+
+def test_the_share_book_forgets_trainers_without_steps() -> None:
+    book = ShareBook()
+    book.charge(book.next_trainer({"gone"}), 10, {})
+    book.rest({"here"})
+    assert book.next_trainer({"gone"}) == "gone"
