--- a/samphirecleat/controllers/step_runner.py
+++ b/samphirecleat/controllers/step_runner.py
@@ -9,7 +9,7 @@
 from ..blackboard import Blackboard
 from ..errors import ErrorKind, RequestError
 from ..observe import Observer
-from ..requests import Span, WorkClass
+from ..requests import Span
 from ..steps import (
     DEFAULT_COPY_POLICY,
     NO_VERSION,
@@ -27,7 +27,7 @@
     stale_targets,
 )
 from .dispatcher import Dispatcher
-from .limits import Admit, Limiter, decide_admission
+from .limiter import Limiter
 from .sample_maker import SampleMaker
 from .streamed_versions import StreamedVersions, true_version
 
@@ -178,7 +178,9 @@
             if now_s < self._resume_at_s[service]:
                 continue
             active = [step for step in steps if not step.done and not _abandoned(step, now_s)]
-            room = self._start_first_runs(service, active, self._room(service), now_s)
+            room = self._start_first_runs(
+                service, active, self._limiter.trainer_room(service), now_s
+            )
             self._start_copies(service, active, room, now_s)
 
     async def close(self) -> None:
@@ -237,17 +239,6 @@
                     self._start(step, run, excluded)
                     room -= 1
 
-    def _room(self, service: str) -> int:
-        """Return how many runs the limiter would admit now."""
-        view = self._limiter.view(service)
-        room = 0
-        while room < view.slots:
-            more = view._replace(trainers_in_flight=view.trainers_in_flight + room)
-            if not isinstance(decide_admission(more, WorkClass.TRAINER), Admit):
-                break
-            room += 1
-        return room
-
     def _start(self, step: Step, run: Run, excluded: frozenset[str]) -> None:
         task = asyncio.get_running_loop().create_task(self._make(step, run, excluded))
         self._tasks[run] = task
