Weights: orders settled by reading back, retries with growing waits, leases, store and orders apart

Cause: an order that failed was repeated each 3 s for ever, its refusal for an old fencing number was not told from any other failure, one slow store or log held up every order, and staleness_weight was not used. Tests: step runner on scripted targets, client against real nodes (owner killed at four stages, 40% of answers lost and 40% of messages doubled).

--- a/samphirecleat/controllers/policies.py
+++ b/samphirecleat/controllers/policies.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from ..steps import DEFAULT_COPY_POLICY, CopyPolicy
+from .swaps import DEFAULT_SWAP_POLICY, SwapPolicy
 
 
 @dataclass(frozen=True)
@@ -84,3 +85,4 @@
     limits: LimitPolicy = AdaptiveWindow()
     retry_budget_ratio: float = 0.2
     copies: CopyPolicy = DEFAULT_COPY_POLICY
+    swaps: SwapPolicy = DEFAULT_SWAP_POLICY
--- a/samphirecleat/controllers/weights.py
+++ b/samphirecleat/controllers/weights.py
@@ -2,69 +2,32 @@
 
 import asyncio
 import math
+import random
 from collections.abc import Mapping, Sequence
-from typing import Final, NamedTuple
+from typing import Final
 
 from ..blackboard import Blackboard, TargetView, WeightsView
 from ..config import Service, ServiceKind
 from ..observe import Observer
 from ..peers import rank_members
-from ..platform import HttpWeightStore, WeightStoreUnavailableError
-from ..targets import TargetClient
+from ..platform import HttpWeightStore, StoreInfo, WeightStoreUnavailableError
+from ..targets import OrderFenced, OrderOutcome, TargetClient
 from .leases import LeaseKeeper
+from .streamed_versions import true_version
+from .swaps import (
+    DEFAULT_SWAP_POLICY,
+    OrderRecord,
+    OrderVersion,
+    SwapPolicy,
+    SwapView,
+    decide_swaps,
+    retry_wait_s,
+)
 
 PERIOD_S: Final = 0.2
-ORDER_AGAIN_AFTER_S: Final = 3.0
-
-
-class SwapView(NamedTuple):
-    """What the next orders of one service are decided from.
-
-    ``ordered_at_s`` holds when this coordinator last ordered a target.
-    """
-
-    service: Service
-    targets: Sequence[TargetView]
-    in_flight: Mapping[str, int]
-    latest_version: int
-    parallel_loads: int
-    ordered_at_s: Mapping[str, float]
-
-
-class OrderVersion(NamedTuple):
-    """Order one target to load a version."""
-
-    target: TargetView
-    version: int
-
-
-def decide_swaps(view: SwapView, now_s: float) -> Sequence[OrderVersion]:
-    """Return the orders to give now, those with the least work in hand first.
-
-    The store's parallel loads and the service's ``max_swapping_share`` bound how
-    many load at once; a service with one engine swaps it all the same.
-    """
-    behind = [
-        target
-        for target in view.targets
-        if target.reachable and not target.leaving and target.version < view.latest_version
-    ]
-    loading = [target for target in view.targets if _is_loading(target, view, now_s)]
-    allowed = max(1, math.floor(len(view.targets) * view.service.max_swapping_share))
-    room = min(allowed, view.parallel_loads) - len(loading)
-    waiting = [target for target in behind if not _is_loading(target, view, now_s)]
-    waiting.sort(key=lambda target: (target.running + target.waiting, target.address))
-    return [OrderVersion(target, view.latest_version) for target in waiting[: max(0, room)]]
-
-
-def _is_loading(target: TargetView, view: SwapView, now_s: float) -> bool:
-    """Whether a target loads by its own word, or was ordered to so lately."""
-    if target.loading:
-        return True
-    ordered_at_s = view.ordered_at_s.get(target.address)
-    if ordered_at_s is None or target.version >= view.latest_version:
-        return False
-    return now_s - ordered_at_s < ORDER_AGAIN_AFTER_S
+STORE_PERIOD_S: Final = 0.5
+LONGEST_STORE_WAIT_S: Final = 10.0
+MAX_STORE_DOUBLINGS: Final = 6
 
 
 class WeightCoordinator:
@@ -77,6 +40,8 @@
         store: HttpWeightStore,
         client: TargetClient,
         observer: Observer,
+        rng: random.Random,
+        policy: SwapPolicy = DEFAULT_SWAP_POLICY,
     ) -> None:
         """Wire the parts that an order passes through."""
         self._board = board
@@ -84,22 +49,60 @@
         self._store = store
         self._client = client
         self._observer = observer
-        self._ordered_at_s: dict[str, float] = {}
+        self._rng = rng
+        self._policy = policy
+        self._orders: dict[str, OrderRecord] = {}
+        self._fenced_epochs: dict[str, int] = {}
+        self._read_at_s: dict[str, float] = {}
+        self._read_failures: dict[str, int] = {}
 
     async def drive(self) -> None:
-        """Coordinate for as long as the node lives."""
+        """Coordinate for as long as the node lives.
+
+        Leases, the store and the orders go on each by themselves, so that a slow
+        log or store holds up no order that is already decided.
+        """
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._keep_leases())
+            group.create_task(self._follow_store())
+            group.create_task(self._swap())
+
+    def report(self) -> Mapping[str, Mapping[str, float]]:
+        """Return the weights of the services that this node coordinates."""
+        return {name: self._report_one(name, view) for name, view in self._board.weights.items()}
+
+    async def _keep_leases(self) -> None:
         while True:
             await asyncio.sleep(PERIOD_S)
-            if self._board.leaving:
-                continue
-            for service in self._board.config.services.services.values():
-                if service.kind is ServiceKind.ENGINE and self._should_hold(service.name):
-                    await self._leases.keep(lease_name(service.name))
-                    await self._coordinate(service)
+            for service in self._own_services():
+                await self._leases.keep(lease_name(service.name))
 
-    def report(self) -> Mapping[str, Mapping[str, float]]:
-        """Return what this node knows of each service's weights."""
-        return {name: {"latest": view.latest_version} for name, view in self._board.weights.items()}
+    async def _follow_store(self) -> None:
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            own = {service.name for service in self._own_services()}
+            for name in [name for name in self._board.weights if name not in own]:
+                # Another node coordinates it; what this one knew gets old.
+                del self._board.weights[name]
+            now_s = asyncio.get_running_loop().time()
+            due = [name for name in own if now_s >= self._read_at_s.get(name, 0.0)]
+            await asyncio.gather(*(self._read_store(name) for name in due))
+
+    async def _swap(self) -> None:
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            self._forget_gone()
+            services = [s for s in self._own_services() if s.name in self._board.weights]
+            await asyncio.gather(*(self._coordinate(service) for service in services))
+
+    def _own_services(self) -> Sequence[Service]:
+        if self._board.leaving:
+            return ()
+        return [
+            service
+            for service in self._board.config.services.services.values()
+            if service.kind is ServiceKind.ENGINE and self._should_hold(service.name)
+        ]
 
     def _should_hold(self, service: str) -> bool:
         """Whether this node comes first for a service among the live members.
@@ -116,48 +119,138 @@
         ranked = rank_members(members, service)
         return bool(ranked) and ranked[0].node_id == self._board.identity.node_id
 
+    async def _read_store(self, service: str) -> None:
+        """Read the newest version; after a failure wait longer each time.
+
+        The jitter keeps coordinators from coming back to a store all at once.
+        """
+        try:
+            info = await self._store.read(service)
+        except WeightStoreUnavailableError as error:
+            failures = self._read_failures.get(service, 0) + 1
+            self._read_failures[service] = failures
+            if failures == 1:
+                self._observer.log("weights").warning("The weight store fails: %s.", error)
+        else:
+            self._read_failures[service] = 0
+            self._note_latest(service, info)
+        doublings = min(MAX_STORE_DOUBLINGS, self._read_failures[service])
+        wait_s = min(LONGEST_STORE_WAIT_S, STORE_PERIOD_S * 2.0**doublings)
+        now_s = asyncio.get_running_loop().time()
+        self._read_at_s[service] = now_s + wait_s * (0.75 + 0.5 * self._rng.random())
+
     async def _coordinate(self, service: Service) -> None:
         now_s = asyncio.get_running_loop().time()
-        fencing = self._leases.may_order(lease_name(service.name), now_s)
-        if fencing is None:
+        self._note_everywhere(service.name, now_s)
+        if self._fencing_number(service.name, now_s) is None:
             return
-        try:
-            info = await self._store.read(service.name)
-        except WeightStoreUnavailableError:
-            return
-        self._note_latest(service.name, info.latest_version, info.parallel_loads, now_s)
         view = SwapView(
             service=service,
-            targets=self._board.targets_of(service.name),
+            targets=self._true_targets(service.name, now_s),
             in_flight=self._board.in_flight,
-            latest_version=info.latest_version,
-            parallel_loads=info.parallel_loads,
-            ordered_at_s=self._ordered_at_s,
+            latest_version=self._board.weights[service.name].latest_version,
+            parallel_loads=self._board.weights[service.name].parallel_loads,
+            orders=self._orders,
         )
-        for order in decide_swaps(view, now_s):
-            await self._order(service, order)
+        orders = decide_swaps(view, now_s, self._policy)
+        await asyncio.gather(*(self._order(service, order) for order in orders))
 
     async def _order(self, service: Service, order: OrderVersion) -> None:
-        now_s = asyncio.get_running_loop().time()
-        # Asked again before each order: this process may have been paused since.
-        fencing = self._leases.may_order(lease_name(service.name), now_s)
+        loop = asyncio.get_running_loop()
+        # Asked again before each order: this process may have been paused since
+        # it decided. Another coordinator's newer order would be undone by ours on
+        # a target that checks no fencing number.
+        fencing = self._fencing_number(service.name, loop.time())
         if fencing is None:
             return
-        self._ordered_at_s[order.target.address] = now_s
-        taken = await self._client.order_version(order.target, order.version, fencing)
+        record = self._begin_order(order, loop.time())
+        outcome = await self._client.order_version(order.target, order.version, fencing)
+        self._end_order(order.target.address, record, outcome, loop.time())
+        if isinstance(outcome, OrderFenced):
+            self._fenced_epochs[service.name] = fencing
+        self._observer.counters[f"orders_{type(outcome).__name__}"] += 1
         self._observer.log("weights").info(
-            "Ordered %s to load version %d: %s.", order.target.address, order.version, taken
+            "Ordered %s to load version %d, attempt %d: %s.",
+            order.target.address,
+            order.version,
+            record.attempts,
+            outcome,
         )
 
-    def _note_latest(self, service: str, latest: int, parallel_loads: int, now_s: float) -> None:
+    def _begin_order(self, order: OrderVersion, now_s: float) -> OrderRecord:
+        target = order.target
+        known = self._orders.get(target.address)
+        same = known is not None and (known.version, known.instance) == (
+            order.version,
+            target.instance,
+        )
+        attempts = known.attempts + 1 if known is not None and same else 1
+        record = OrderRecord(order.version, target.instance, attempts, now_s)
+        self._orders[target.address] = record
+        return record
+
+    def _end_order(
+        self, address: str, record: OrderRecord, outcome: OrderOutcome, now_s: float
+    ) -> None:
+        wait_s = retry_wait_s(record.attempts, self._rng.random())
+        self._orders[address] = record._replace(
+            outcome=outcome, answered_at_s=now_s, retry_at_s=now_s + wait_s
+        )
+
+    def _fencing_number(self, service: str, now_s: float) -> int | None:
+        """Return the number to order with, or None while this node may not order.
+
+        A target that refused it has seen a higher one: another node holds the
+        lease, whatever this node has read of the log so far.
+        """
+        fencing = self._leases.may_order(lease_name(service), now_s)
+        if fencing is None or fencing <= self._fenced_epochs.get(service, -1):
+            return None
+        return fencing
+
+    def _note_latest(self, service: str, info: StoreInfo) -> None:
         known = self._board.weights.get(service)
-        if known is None or known.latest_version != latest:
-            known = WeightsView(latest, parallel_loads, now_s, math.inf)
-        targets = [t for t in self._board.targets_of(service) if t.reachable]
-        everywhere = targets and all(target.version >= latest for target in targets)
-        if everywhere and known.everywhere_at_s == math.inf:
-            known = known._replace(everywhere_at_s=now_s)
-        self._board.weights[service] = known
+        if known is None or known.latest_version < info.latest_version:
+            now_s = asyncio.get_running_loop().time()
+            known = WeightsView(info.latest_version, info.parallel_loads, now_s, math.inf)
+        self._board.weights[service] = known._replace(parallel_loads=info.parallel_loads)
+
+    def _note_everywhere(self, service: str, now_s: float) -> None:
+        known = self._board.weights[service]
+        if known.everywhere_at_s != math.inf:
+            return
+        targets = [t for t in self._true_targets(service, now_s) if t.reachable]
+        if targets and all(target.version >= known.latest_version for target in targets):
+            self._board.weights[service] = known._replace(everywhere_at_s=now_s)
+            self._observer.record_s("weights_everywhere", now_s - known.first_seen_at_s)
+
+    def _true_targets(self, service: str, now_s: float) -> Sequence[TargetView]:
+        return [
+            target._replace(version=true_version(self._board, target, now_s))
+            for target in self._board.targets_of(service)
+        ]
+
+    def _report_one(self, service: str, view: WeightsView) -> Mapping[str, float]:
+        now_s = asyncio.get_running_loop().time()
+        targets = self._true_targets(service, now_s)
+        done = view.everywhere_at_s != math.inf
+        ended_at_s = view.everywhere_at_s if done else now_s
+        return {
+            "latest": view.latest_version,
+            "everywhere": done,
+            "everywhere_s": round(ended_at_s - view.first_seen_at_s, 3),
+            "behind": sum(1 for t in targets if t.version < view.latest_version),
+            "loading": sum(1 for t in targets if t.loading),
+            "most_attempts": max(
+                (self._orders[t.address].attempts for t in targets if t.address in self._orders),
+                default=0,
+            ),
+            "store_failures": self._read_failures.get(service, 0),
+        }
+
+    def _forget_gone(self) -> None:
+        for address in [a for a in self._orders if a not in self._board.targets]:
+            del self._orders[address]
 
 
 def lease_name(service: str) -> str:
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -190,6 +190,8 @@
             HttpWeightStore(self._session, settings.weight_store_url),
             client,
             self.observer,
+            self._rng,
+            self._policies.swaps,
         )
         self.callers = CallerEntry(
             board, self.key_book, self.dispatcher, self.peers, self.observer, timings
--- a/samphirecleat/standins/_engine.py
+++ b/samphirecleat/standins/_engine.py
@@ -150,6 +150,9 @@
         except asyncio.CancelledError:
             run.cancelled = True
             raise
+        except ConnectionError:
+            # Its reader is gone: the run ends here, as by a cancel.
+            run.cancelled = True
         finally:
             self._running.pop(run.request_id, None)
         return response
--- a/samphirecleat/targets/__init__.py
+++ b/samphirecleat/targets/__init__.py
@@ -2,11 +2,17 @@
 
 from ._client import TargetClient
 from ._errors import Failed, Lost, NotSent, Refused, TargetError, TargetFailure
+from ._orders import OrderFenced, OrderOutcome, OrderRefused, OrderTaken, OrderUnknown
 
 __all__ = [
     "Failed",
     "Lost",
     "NotSent",
+    "OrderFenced",
+    "OrderOutcome",
+    "OrderRefused",
+    "OrderTaken",
+    "OrderUnknown",
     "Refused",
     "TargetClient",
     "TargetError",
--- a/samphirecleat/targets/_client.py
+++ b/samphirecleat/targets/_client.py
@@ -1,9 +1,8 @@
 """The HTTP client of every kind of target."""
 
-import asyncio
 import json
 from collections.abc import AsyncIterator, Mapping
-from typing import Any
+from typing import Any, Final
 
 import aiohttp
 
@@ -11,6 +10,10 @@
 from ..config import Service, ServiceKind
 from ..requests import AnswerLine, Call, Span
 from ._errors import Failed, Lost, NotSent, Refused, TargetError
+from ._orders import OrderFenced, OrderOutcome, OrderRefused, OrderTaken, OrderUnknown
+
+HTTP_OK: Final = 200
+HTTP_FENCED: Final = 409
 
 
 class TargetClient:
@@ -142,8 +145,8 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError):
             return target._replace(reachable=False)
 
-    async def order_version(self, target: TargetView, version: int, fencing: int) -> bool:
-        """Order an engine to load a version; False when it refused or said nothing.
+    async def order_version(self, target: TargetView, version: int, fencing: int) -> OrderOutcome:
+        """Order an engine to load a version.
 
         Only a later :meth:`report` tells whether the version is live.
         """
@@ -153,10 +156,16 @@
             async with self._session.post(
                 f"http://{target.address}/v1/orders", json=body, timeout=timeout
             ) as response:
+                if response.status == HTTP_FENCED:
+                    return OrderFenced()
+                if response.status != HTTP_OK:
+                    return OrderRefused(f"HTTP {response.status}")
                 await response.read()
-                return response.status == 200
-        except (aiohttp.ClientError, TimeoutError, OSError, asyncio.IncompleteReadError):
-            return False
+                return OrderTaken()
+        except aiohttp.ClientConnectorError as error:
+            return OrderRefused(str(error))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return OrderUnknown(str(error) or type(error).__name__)
 
 
 def _trace_headers(call: Call) -> Mapping[str, str]:
