--- a/samphirecleat/controllers/dispatcher.py
+++ b/samphirecleat/controllers/dispatcher.py
@@ -151,7 +151,7 @@
             own_in_flight=self._board.in_flight,
             node_count=len(self._board.live_members()),
             zone=self._board.identity.zone,
-            excluded=tried,
+            excluded=[*call.excluded_targets, *tried],
             pace=self._paces.paces([target.address for target in targets], now_s),
             prompt=str(call.body.get("prompt", "")) if _has_prefix_cache(service) else "",
             turn=self._turns[service.name],
@@ -164,6 +164,7 @@
     ) -> None:
         in_flight: Counter[str] = self._board.in_flight
         in_flight[target.address] += 1
+        answer.target = target.address
         held: list[AnswerLine] = []
         tokens = 0
         # Only a streamed answer is passed on before its end; a whole one is
--- a/samphirecleat/controllers/policies.py
+++ b/samphirecleat/controllers/policies.py
@@ -8,6 +8,9 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from ..steps import DEFAULT_COPY_POLICY, CopyPolicy
+from .swaps import DEFAULT_SWAP_POLICY, SwapPolicy
+
 
 @dataclass(frozen=True)
 class RandomTarget:
@@ -94,3 +97,5 @@
     routing: RoutingPolicy = PrefixAffinity()
     limits: LimitPolicy = AdaptiveWindow()
     retries: RetryLimit = RetryLimit()
+    copies: CopyPolicy = DEFAULT_COPY_POLICY
+    swaps: SwapPolicy = DEFAULT_SWAP_POLICY
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -82,7 +82,7 @@
             self.observer,
             announce=self.membership.announce,
             in_flight=lambda: self.callers.in_flight + self.limiter.in_flight,
-            undelivered=lambda: False,
+            undelivered=lambda: self.steps.undelivered(asyncio.get_running_loop().time()),
             entry_ttl_s=timings.entry_ttl_s,
             heartbeat_s=timings.heartbeat_s,
             longest_s=timings.max_deadline_s,
@@ -127,13 +127,15 @@
                     "size": step.spec.size,
                     "held": len(step.held),
                     "ready": len(step.ready),
+                    "running": len(step.runs),
+                    "copies": step.copies,
+                    "wasted_tokens": step.wasted_tokens,
                     "discarded_stale": step.discarded_stale,
                 }
                 for (trainer, step_id), step in self.steps.steps.items()
             ],
-            "weights": {
-                name: {"latest": view.latest_version} for name, view in board.weights.items()
-            },
+            "trainers": self.steps.trainers_report(asyncio.get_running_loop().time()),
+            "weights": self.weights.report(),
         }
 
     def _reported_targets(self) -> Collection[str]:
@@ -175,7 +177,9 @@
         self.dispatcher = Dispatcher(
             board, self.limiter, client, self.observer, self._rng, self._policies
         )
-        self.steps = StepRunner(board, self.dispatcher, self.limiter, self.observer)
+        self.steps = StepRunner(
+            board, self.dispatcher, self.limiter, self.observer, self._rng, self._policies.copies
+        )
         self.config_reader = ConfigReader(board, log, self.observer, self._rng, timings.log_wait_s)
         self.leases = LeaseKeeper(
             board,
@@ -212,6 +216,8 @@
             HttpWeightStore(self._session, settings.weight_store_url),
             client,
             self.observer,
+            self._rng,
+            self._policies.swaps,
         )
         self.callers = CallerEntry(
             board, self.key_book, store, self.dispatcher, self.peers, self.observer, timings
