--- a/samphirecleat/cli.py
+++ b/samphirecleat/cli.py
@@ -12,7 +12,6 @@
 
 from .config import DocumentError, read_service_text
 
-EXIT_BROKEN: Final = 1
 EXIT_BAD_INPUT: Final = 2
 T = TypeVar("T")
 
@@ -35,28 +34,6 @@
 
         run_daemon(settings)
 
-    def try_(
-        self,
-        nodes: int = 9,
-        seconds: float = 20.0,
-        seed: int = 1,
-        deployment: str = "los-aromos",
-        faults: str = "none",
-        report: str = "",
-    ) -> None:
-        """Run a whole deployment in one process and check every promise."""
-        from .trial import TrialOptions, print_report, run_trial, write_report
-
-        del faults
-        options = TrialOptions(nodes, seconds, seed, deployment)
-        result = _run(run_trial(options))
-        print_report(result)
-        if report:
-            write_report(result, report)
-        if result.broken:
-            print(f"Broken: {', '.join(result.broken)}", file=sys.stderr)
-            sys.exit(EXIT_BROKEN)
-
     def bench(self, name: str, seed: int | None = None, json: bool = False) -> None:
         """Run a bench by name and print policy against baselines; ``list`` names them."""
         from .bench import BENCH_MODULES, UnknownBenchError, print_result, run_bench
@@ -77,13 +54,15 @@
 
 def main() -> None:
     """Run the command line."""
+    from .trial import try_command
+
     commands = Commands()
     fire.Fire(
         {
             "bench": commands.bench,
             "check": commands.check,
             "node": commands.node,
-            "try": commands.try_,
+            "try": try_command,
         },
         name="samphirecleat",
     )
--- a/samphirecleat/standins/__init__.py
+++ b/samphirecleat/standins/__init__.py
@@ -2,14 +2,16 @@
 
 from ._engine import EngineRun, StandInEngine, digest_prompt
 from ._host_list import HostRow, StandInHostList
-from ._log import StandInLog
+from ._log import LogAppend, StandInLog
 from ._plain import PlainRun, StandInPlainService, StandInScoring, score_text
-from ._server import StandInServer, StandInTarget
+from ._server import Arrival, StandInServer, StandInTarget
 from ._weight_store import StandInWeightStore
 
 __all__ = [
+    "Arrival",
     "EngineRun",
     "HostRow",
+    "LogAppend",
     "PlainRun",
     "StandInEngine",
     "StandInHostList",
--- a/samphirecleat/standins/_engine.py
+++ b/samphirecleat/standins/_engine.py
@@ -37,7 +37,7 @@
 
 def digest_prompt(prompt: str) -> str:
     """Return a short digest, from which every token of the answer is made."""
-    return hashlib.blake2b(prompt.encode(), digest_size=4).hexdigest()
+    return hashlib.blake2b(prompt.encode(), digest_size=8).hexdigest()
 
 
 class StandInEngine(StandInTarget):
@@ -45,6 +45,8 @@
 
     Faults: ``fail_next_loads`` loads fail partway and keep the old version;
     ``pretend_next_loads`` loads are reported as done and are not;
+    ``order_delay_s`` holds an order back before it is looked at, as the network
+    or a paused sender does;
     ``crash`` ends every run; ``restart`` comes back with ``boot_version``.
     """
 
@@ -70,6 +72,7 @@
         self.version = boot_version
         self.fail_next_loads = 0
         self.pretend_next_loads = 0
+        self.order_delay_s = 0.0
         self.report_lag_s = 0.2
         self.runs: list[EngineRun] = []
         self.orders: list[dict[str, Any]] = []
@@ -101,24 +104,26 @@
 
     async def crash(self) -> None:
         """End every run and stop listening, as a killed process does."""
-        await self.stop()
+        await super().crash()
         self._busy = 0
         self._waiting.clear()
 
     async def restart(self, version: int | None = None) -> None:
         """Listen again at the same address, as a new instance with boot weights."""
-        port = int(self.address.rsplit(":", 1)[1])
+        if self.listening:
+            return
         self.version = self.boot_version if version is None else version
         self._loading = False
         self._highest_fencing = -1
         self._report = (-1e9, {})
         self.cached_prefixes.clear()
-        await self.start(port)
+        await super().restart()
 
     async def _generate(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
-        if self.leaving:
-            return web.json_response({"error": "leaving"}, status=503)
+        self.note_arrival(str(body["request_id"]))
+        if self.refuses():
+            return web.json_response({"error": "refused"}, status=503)
         await self._take_slot(int(body.get("priority", 0)))
         try:
             return await self._run(request, body)
@@ -244,6 +249,8 @@
 
     async def _order(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
+        if self.order_delay_s:
+            await asyncio.sleep(self.order_delay_s)
         self.orders.append({**body, "at_s": time.monotonic()})
         fencing = int(body["fencing"])
         if self.checks_fencing and fencing < self._highest_fencing:
--- a/samphirecleat/standins/_log.py
+++ b/samphirecleat/standins/_log.py
@@ -13,6 +13,15 @@
 READ_LIMIT = 500
 
 
+class LogAppend(NamedTuple):
+    """One record that was truly appended; the ledger's row."""
+
+    stream: str
+    offset: int
+    payload: Mapping[str, Any]
+    at_s: float
+
+
 class _Stored(NamedTuple):
     offset: int
     appended_at_s: float
@@ -49,7 +58,7 @@
 
     ``down`` answers 503 to everything. ``lose_answers`` appends that many more
     records and closes the connection in place of the answer. ``slow_s`` delays
-    every answer. The ledger of appends is ``appends``: (stream, offset, payload).
+    every answer. The ledger of appends is ``appends``; it outlives retention.
     """
 
     def __init__(self, *, retention_s: float = 3600.0, appends_per_s: float = 300.0) -> None:
@@ -60,7 +69,7 @@
         self.down = False
         self.slow_s = 0.0
         self.lose_answers = 0
-        self.appends: list[tuple[str, int, Mapping[str, Any]]] = []
+        self.appends: list[LogAppend] = []
         self.reads = 0
         self._streams: dict[str, _Stream] = {}
         self._recent_appends: deque[float] = deque()
@@ -70,6 +79,11 @@
         router.add_post("/v1/streams/{stream}/records", self._append)
         router.add_get("/v1/streams/{stream}/records", self._read)
 
+    def trim(self, older_than_s: float) -> None:
+        """Drop every record that is older, as the end of its retention does."""
+        for stream in self._streams.values():
+            stream.trim(time.monotonic() - older_than_s)
+
     async def _append(self, request: web.Request) -> web.StreamResponse:
         if self.slow_s:
             await asyncio.sleep(self.slow_s)
@@ -81,7 +95,7 @@
         payload = await request.json()
         name = request.match_info["stream"]
         offset = self._stream(name).append(payload, now_s)
-        self.appends.append((name, offset, payload))
+        self.appends.append(LogAppend(name, offset, payload, now_s))
         if self.lose_answers > 0:
             self.lose_answers -= 1
             assert request.transport is not None
--- a/samphirecleat/standins/_plain.py
+++ b/samphirecleat/standins/_plain.py
@@ -33,7 +33,6 @@
         super().__init__(service, zone)
         self.slots = slots
         self.call_s = call_s
-        self.refuse_next = 0
         self.fail_next = 0
         self.lose_next_answers = 0
         self.runs: list[PlainRun] = []
@@ -49,10 +48,10 @@
 
     async def _call(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
-        if self.refuse_next > 0 or self.leaving:
-            self.refuse_next = max(0, self.refuse_next - 1)
-            return web.json_response({"error": "refused"}, status=503)
         request_id = request.headers["x-request-id"]
+        self.note_arrival(request_id)
+        if self.refuses():
+            return web.json_response({"error": "refused"}, status=503)
         method = request.match_info["method"]
         prompt = str(body.get("prompt", ""))
         self.runs.append(PlainRun(request_id, method, prompt, time.monotonic()))
--- a/samphirecleat/standins/_server.py
+++ b/samphirecleat/standins/_server.py
@@ -1,8 +1,9 @@
 """What every stand-in shares: an HTTP server on loopback with connection faults."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Final, NamedTuple
 
 from aiohttp import web
 
@@ -29,6 +30,11 @@
         """The base URL of this stand-in."""
         return f"http://{self.address}"
 
+    @property
+    def listening(self) -> bool:
+        """Whether it takes connections now."""
+        return self._runner is not None
+
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add the stand-in's routes."""
         raise NotImplementedError
@@ -78,8 +84,20 @@
         self._silent &= self._open
 
 
+class Arrival(NamedTuple):
+    """A request for work that reached a target, whether or not it ran."""
+
+    request_id: str
+    at_s: float
+
+
 class StandInTarget(StandInServer):
-    """A stand-in that the host list shows as a target of a service."""
+    """A stand-in that the host list shows as a target of a service.
+
+    The ledger of what reached it is ``arrivals``. ``leaving_since_s`` is when
+    somebody, itself or the host list, first said that it leaves. Fault:
+    ``refuse_next`` requests are refused before they start.
+    """
 
     def __init__(self, service: str, zone: str) -> None:
         """Stand in for one target of ``service`` in ``zone``."""
@@ -87,3 +105,32 @@
         self.service = service
         self.zone = zone
         self.leaving = False
+        self.leaving_since_s: float | None = None
+        self.refuse_next = 0
+        self.arrivals: list[Arrival] = []
+
+    async def crash(self) -> None:
+        """End everything it runs and stop listening, as a killed process does."""
+        await self.stop()
+
+    async def restart(self) -> None:
+        """Listen again at the same address, as a new instance."""
+        if not self.listening:
+            await self.start(int(self.address.rsplit(":", 1)[1]))
+
+    def leave(self) -> None:
+        """Say in its own reports, from now on, that it leaves."""
+        self.leaving = True
+        if self.leaving_since_s is None:
+            self.leaving_since_s = time.monotonic()
+
+    def note_arrival(self, request_id: str) -> None:
+        """Enter a request in the ledger of what reached this target."""
+        self.arrivals.append(Arrival(request_id, time.monotonic()))
+
+    def refuses(self) -> bool:
+        """Decide, before anything runs, whether the next request is refused."""
+        if self.refuse_next > 0:
+            self.refuse_next -= 1
+            return True
+        return self.leaving
--- a/samphirecleat/standins/_weight_store.py
+++ b/samphirecleat/standins/_weight_store.py
@@ -1,6 +1,7 @@
 """A small stand-in for the rate-limited weight store."""
 
 import asyncio
+import time
 
 from aiohttp import web
 
@@ -20,6 +21,7 @@
         self.load_s = load_s
         self.down = False
         self.versions: dict[str, int] = {}
+        self.published_at_s: dict[tuple[str, int], float] = {}
         self.refused_loads = 0
         self._loading = 0
 
@@ -40,6 +42,7 @@
             return web.json_response({"error": "down"}, status=503)
         service = request.match_info["service"]
         version = int(request.match_info["version"])
+        self.published_at_s.setdefault((service, version), time.monotonic())
         self.versions[service] = max(version, self.versions.get(service, 0))
         return web.json_response({"version": self.versions[service]})
 
--- a/samphirecleat/trial/_checks.py
+++ b/samphirecleat/trial/_checks.py
@@ -1,37 +1,42 @@
 """Compares what was received with the ledgers of the stand-ins, promise by promise."""
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Mapping, Sequence
-from typing import NamedTuple, TypeVar
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Final, TypeVar
 
 from ..errors import Ran
-from ..standins import EngineRun, digest_prompt
+from ..standins import EngineRun, digest_prompt, score_text
+from ._config_checks import check_late, check_reverted
 from ._fleet import Fleet
-from ._records import CallReceipt, Receipts, SampleReceipt
+from ._onlooker import Onlooker
+from ._records import CallReceipt, ExchangeReceipt, Receipts, SampleReceipt, Tenure
+from ._verdict import Verdict
 
 T = TypeVar("T")
+LEAVING_GRACE_S: Final = 3.0
+END_MARGIN_S: Final = 0.5
 
 
-class Verdict(NamedTuple):
-    """How often a promise was broken, over how many checked items."""
-
-    broken: int
-    checked: int
-
-
-def check_promises(fleet: Fleet, receipts: Receipts) -> Mapping[str, Verdict]:
-    """Return the verdict on each promise that receipts and ledgers can tell of."""
+def check_promises(fleet: Fleet, receipts: Receipts, onlooker: Onlooker) -> Mapping[str, Verdict]:
+    """Return the verdict on each promise."""
     runs = {run.run_id: run for engine in fleet.engines for run in engine.runs}
+    appends = [a for a in fleet.log.appends if a.stream == "config"]
     return {
         "samples_wrong_version": _check(receipts.samples, lambda r: _wrong_version(r, runs)),
         "samples_over_staleness": _check(receipts.samples, _over_staleness),
         "samples_missing": _check_missing(receipts),
-        "samples_doubled": _check_doubled(receipts),
-        "answers_partial": _check(_generated(fleet, receipts), lambda r: _partial(r, runs)),
+        "samples_doubled": _check_samples_doubled(receipts),
+        "answers_partial": _check(_answered(receipts), lambda r: _partial(r, runs)),
         "answers_crossed": _check(_answered(receipts), _crossed),
         "answers_doubled": _check_answers_doubled(receipts),
         "not_run_but_ran": _check_not_run(fleet, receipts),
         "non_idempotent_run_twice": _check_run_twice(fleet),
+        "work_to_leaving_after_3s": _check_leaving(fleet),
+        "in_flight_cut_by_drain": _check_drains(fleet, receipts),
+        "config_reverted": check_reverted(appends, onlooker.sights),
+        "config_late": check_late(
+            appends, onlooker.sights, fleet.tenures, fleet.log_outages, onlooker.seen_until_s
+        ),
     }
 
 
@@ -40,15 +45,18 @@
 
 
 def _wrong_version(receipt: SampleReceipt, runs: Mapping[str, EngineRun]) -> bool:
-    run = runs.get(receipt.sample.run_id)
+    """Whether a sample is not exactly what the engine's ledger says of its run."""
+    sample = receipt.sample
+    run = runs.get(sample.run_id)
     if run is None or not run.ended:
         return True
-    said = [tuple(span) for span in receipt.sample.spans]
-    return said != [tuple(span) for span in run.spans]
+    said = [list(span) for span in sample.spans]
+    text = _whole_text(receipt.prompt, receipt.max_tokens)
+    return said != run.spans or sample.text != text or sample.score != score_text(text)
 
 
 def _over_staleness(receipt: SampleReceipt) -> bool:
-    return receipt.trainer_version - receipt.sample.oldest_version > receipt.staleness_bound
+    return receipt.pull_version - receipt.sample.oldest_version > receipt.staleness_bound
 
 
 def _check_missing(receipts: Receipts) -> Verdict:
@@ -59,51 +67,73 @@
     return Verdict(missing, sum(step.size for step in receipts.steps))
 
 
-def _check_doubled(receipts: Receipts) -> Verdict:
-    counts = Counter((r.step_id, r.sample.position) for r in receipts.samples)
-    return Verdict(sum(count - 1 for count in counts.values()), len(counts))
+def _check_samples_doubled(receipts: Receipts) -> Verdict:
+    """Count positions that came twice, and runs that stand behind two positions."""
+    positions = _count_doubled((r.step_id, r.sample.position) for r in receipts.samples)
+    runs = _count_doubled(r.sample.run_id for r in receipts.samples)
+    return Verdict(positions + runs, len(receipts.samples))
 
 
-def _answered(receipts: Receipts) -> Sequence[CallReceipt]:
-    return [call for call in receipts.calls if call.answer is not None]
+def _count_doubled(items: Iterable[T]) -> int:
+    return sum(count - 1 for count in Counter(items).values())
 
 
-def _generated(fleet: Fleet, receipts: Receipts) -> Sequence[CallReceipt]:
-    engine_service = fleet.shape.engine_service
-    return [call for call in _answered(receipts) if call.service == engine_service]
+def _answered(receipts: Receipts) -> Sequence[CallReceipt]:
+    return [call for call in receipts.calls if call.answer is not None]
 
 
 def _partial(receipt: CallReceipt, runs: Mapping[str, EngineRun]) -> bool:
+    """Whether an answer lacks a part of what the target made for this call."""
     assert receipt.answer is not None
-    run = runs.get(str(receipt.answer.body["run_id"]))
-    spans = receipt.answer.body["spans"]
-    return run is None or not run.ended or spans != [list(span) for span in run.spans]
+    body = receipt.answer.body
+    if "text" not in body:
+        return bool(body.get("result", {}).get("echo") != dict(receipt.body))
+    run = runs.get(str(body["run_id"]))
+    if run is None or not run.ended or body["spans"] != run.spans:
+        return True
+    tokens = int(receipt.body["max_tokens"])
+    return len(str(body["text"]).split()) != tokens or run.tokens != tokens
 
 
 def _crossed(receipt: CallReceipt) -> bool:
+    """Whether an answer, or any part of it, is that of another prompt."""
     assert receipt.answer is not None
     body = receipt.answer.body
     if "text" in body:
-        return digest_prompt(receipt.prompt) not in str(body["text"])
+        digest = digest_prompt(receipt.prompt)
+        return any(token.split(".")[0] != digest for token in str(body["text"]).split())
     echoed: object = body["result"]["echo"]["prompt"]
     return echoed != receipt.prompt
 
 
+def _whole_text(prompt: str, tokens: int) -> str:
+    digest = digest_prompt(prompt)
+    return "".join(f"{digest}.{index} " for index in range(tokens))
+
+
 def _check_answers_doubled(receipts: Receipts) -> Verdict:
-    keys = Counter(call.answer.key for call in receipts.calls if call.answer is not None)
-    return Verdict(sum(count - 1 for count in keys.values()), len(keys))
+    """Count runs whose answer went to more than one call."""
+    answered = _answered(receipts)
+    doubled = _count_doubled(_run_behind(call) for call in answered)
+    return Verdict(doubled, len(answered))
+
+
+def _run_behind(receipt: CallReceipt) -> str:
+    assert receipt.answer is not None
+    return str(receipt.answer.body.get("run_id") or receipt.answer.key)
 
 
 def _check_not_run(fleet: Fleet, receipts: Receipts) -> Verdict:
     """Count calls that were answered "not run" although a target ran their prompt."""
-    ran_prompts = {run.prompt_digest for engine in fleet.engines for run in engine.runs}
-    ran_numbers = {run.prompt for server in fleet.plain for run in server.runs}
+    ran_digests = {run.prompt_digest for engine in fleet.engines for run in engine.runs}
+    ran_prompts = {run.prompt for server in fleet.plain for run in server.runs}
     refused = [c for c in receipts.calls if c.error is not None and c.error.ran is Ran.NO]
-    broken = 0
-    for call in refused:
-        ran = digest_prompt(call.prompt) in ran_prompts or call.prompt in ran_numbers
-        broken += 1 if ran else 0
-    return Verdict(broken, len(refused))
+    broken = [
+        call
+        for call in refused
+        if digest_prompt(call.prompt) in ran_digests or call.prompt in ran_prompts
+    ]
+    return Verdict(len(broken), len(refused))
 
 
 def _check_run_twice(fleet: Fleet) -> Verdict:
@@ -112,3 +142,37 @@
     for server in fleet.plain:
         counts.update(run.prompt for run in server.runs if run.method == fleet.shape.plain_once)
     return Verdict(sum(count - 1 for count in counts.values()), len(counts))
+
+
+def _check_leaving(fleet: Fleet) -> Verdict:
+    """Count work that reached a target too long after it was said to leave.
+
+    Checked is all work that the services of leaving targets got from then on:
+    any of it could have gone to the leaving one.
+    """
+    broken = checked = 0
+    for leaving in fleet.targets:
+        if leaving.leaving_since_s is None:
+            continue
+        from_s = leaving.leaving_since_s + LEAVING_GRACE_S
+        for target in fleet.targets:
+            if target.service == leaving.service:
+                late = sum(1 for arrival in target.arrivals if arrival.at_s > from_s)
+                checked += late
+                broken += late if target is leaving else 0
+    return Verdict(broken, checked)
+
+
+def _check_drains(fleet: Fleet, receipts: Receipts) -> Verdict:
+    """Count exchanges with a draining node whose connection ended without a response."""
+    drains = [t for t in fleet.tenures if t.drain_began_at_s < t.ended_at_s]
+    checked = [e for e in receipts.exchanges if any(_was_in_flight(e, t) for t in drains)]
+    return Verdict(sum(1 for exchange in checked if exchange.cut), len(checked))
+
+
+def _was_in_flight(exchange: ExchangeReceipt, tenure: Tenure) -> bool:
+    return (
+        exchange.address == tenure.http_address
+        and tenure.started_at_s <= exchange.started_at_s <= tenure.ended_at_s
+        and tenure.drain_began_at_s <= exchange.ended_at_s <= tenure.ended_at_s + END_MARGIN_S
+    )
--- /dev/null
+++ b/samphirecleat/trial/_exchange_watch.py
@@ -0,0 +1,43 @@
+"""Sees every HTTP exchange of a client session from the connection's side."""
+
+import time
+from types import SimpleNamespace
+from typing import Any
+
+import aiohttp
+
+from ._records import ExchangeReceipt
+
+
+def watch_exchanges(receipts: list[ExchangeReceipt]) -> aiohttp.TraceConfig:
+    """Return a trace configuration that adds each exchange to ``receipts``."""
+
+    async def on_start(_session: Any, context: SimpleNamespace, _params: Any) -> None:
+        context.started_at_s = time.monotonic()
+
+    async def on_end(
+        _session: Any, context: SimpleNamespace, params: aiohttp.TraceRequestEndParams
+    ) -> None:
+        add(context, params, cut=False)
+
+    async def on_exception(
+        _session: Any, context: SimpleNamespace, params: aiohttp.TraceRequestExceptionParams
+    ) -> None:
+        add(context, params, cut=_is_cut(params.exception))
+
+    def add(context: SimpleNamespace, params: Any, *, cut: bool) -> None:
+        address = f"{params.url.host}:{params.url.port}"
+        receipts.append(ExchangeReceipt(address, context.started_at_s, time.monotonic(), cut))
+
+    trace = aiohttp.TraceConfig()
+    trace.on_request_start.append(on_start)
+    trace.on_request_end.append(on_end)
+    trace.on_request_exception.append(on_exception)
+    return trace
+
+
+def _is_cut(error: BaseException) -> bool:
+    """Tell a connection that ended from one never made, and from the client's own timeout."""
+    if isinstance(error, aiohttp.ClientConnectorError | TimeoutError):
+        return False
+    return isinstance(error, aiohttp.ClientError | OSError)
--- a/samphirecleat/trial/_fleet.py
+++ b/samphirecleat/trial/_fleet.py
@@ -1,12 +1,13 @@
 """A whole deployment in one process over loopback: stand-ins and real nodes."""
 
-import socket
+import random
+import time
 from collections.abc import Sequence
+from typing import Final
 
 import aiohttp
 
 from ..config import NO_REVISION, Publication, publication_payload
-from ..node import Node
 from ..platform import HttpLog
 from ..settings import Settings, Timings
 from ..standins import (
@@ -19,7 +20,10 @@
     StandInTarget,
     StandInWeightStore,
 )
+from ._addresses import AddressPool
 from ._deployments import DeploymentShape, service_text
+from ._faulty_node import FaultyNode
+from ._records import Interval, Tenure
 
 TRIAL_TIMINGS = Timings(
     entry_ttl_s=1.0,
@@ -33,10 +37,15 @@
     progress_timeout_s=2.0,
 )
 TRIAL_SHARED_KEY = "trial-only-shared-key"
+FEWEST_UNDISTURBED: Final = 2
 
 
 class Fleet:
-    """Stand-ins and nodes of one deployment; :meth:`start` and :meth:`stop` them."""
+    """Stand-ins and nodes of one deployment; :meth:`start` and :meth:`stop` them.
+
+    ``tenures`` tells of every node that ever ran, and ``log_outages`` of every
+    time in which the log could not be read.
+    """
 
     def __init__(self, shape: DeploymentShape, node_count: int, seed: int) -> None:
         """Prepare a fleet of ``node_count`` nodes spread over the zones."""
@@ -49,7 +58,12 @@
         self.engines: list[StandInEngine] = []
         self.plain: list[StandInPlainService] = []
         self.scoring: list[StandInScoring] = []
-        self.nodes: list[Node] = []
+        self.nodes: list[FaultyNode] = []
+        self.tenures: list[Tenure] = []
+        self.log_outages: list[Interval] = []
+        self._addresses = AddressPool()
+        self._disturbed: set[str] = set()
+        self._started = 0
 
     async def start(self) -> None:
         """Start everything and publish the deployment's service text."""
@@ -62,34 +76,92 @@
 
     async def stop(self) -> None:
         """Stop everything."""
-        for node in self.nodes:
+        for node in list(self.nodes):
             await node.stop()
         for target in self.targets:
             await target.stop()
         for platform in (self.log, self.host_list, self.store):
             await platform.stop()
 
-    async def start_node(self, node_id: str, zone: str) -> Node:
-        """Start one more node; its incarnation is its own."""
+    async def start_node(
+        self, node_id: str, zone: str, replaced: FaultyNode | None = None
+    ) -> FaultyNode:
+        """Start one more node, at the address of ``replaced`` if one is named."""
+        self._started += 1
+        http_address, peer_address = self._addresses.take(), self._addresses.take()
+        if replaced is not None:
+            http_address = replaced.settings.http_address
+            peer_address = replaced.settings.peer_address
         settings = Settings(
             node_id=node_id,
             zone=zone,
-            http_address=f"127.0.0.1:{free_port()}",
-            peer_address=f"127.0.0.1:{free_port()}",
+            http_address=http_address,
+            peer_address=peer_address,
             shared_key=TRIAL_SHARED_KEY,
             log_url=self.log.url,
             weight_store_url=self.store.url,
             host_list_url=self.host_list.url,
             seeds=[node.settings.peer_address for node in self.nodes[:3]],
-            seed=self.seed + len(self.nodes) + 1,
+            seed=self.seed + self._started,
             timings=TRIAL_TIMINGS,
         )
-        node = Node(settings)
+        node = FaultyNode(settings)
         await node.start()
         self.nodes.append(node)
-        self.host_list.put(HostRow(settings.peer_address, "entry", zone))
+        self.tenures.append(
+            Tenure(node_id, node.board.identity.incarnation, http_address, time.monotonic())
+        )
+        self.host_list.put(HostRow(peer_address, "entry", zone))
         return node
 
+    async def kill_node(self, node: FaultyNode) -> None:
+        """Kill a node; the host list goes on showing it for a while."""
+        self._end_tenure(node)
+        await node.kill()
+        self.host_list.remove(node.settings.peer_address)
+
+    async def drain_node(self, node: FaultyNode) -> None:
+        """Tell a node to shut down gracefully, and return when it has."""
+        tenure = self.tenure_of(node)
+        tenure.drain_began_at_s = time.monotonic()
+        await node.drain()
+        self._end_tenure(node)
+        await node.stop()
+        self.host_list.remove(node.settings.peer_address)
+
+    async def replace_node(self, old: FaultyNode, rng: random.Random) -> FaultyNode:
+        """Start a node for one that ended: at its address, or on another host."""
+        zone = old.settings.zone
+        if rng.random() < 0.5:
+            return await self.start_node(old.settings.node_id, zone, old)
+        return await self.start_node(f"n{self._started + 1}", zone)
+
+    def tenure_of(self, node: FaultyNode) -> Tenure:
+        """Return the record of a node's time in service."""
+        incarnation = node.board.identity.incarnation
+        return next(t for t in self.tenures if t.incarnation == incarnation)
+
+    def claim_node(self, rng: random.Random) -> FaultyNode | None:
+        """Return a node that no other fault works on, or None when too few are left."""
+        free = [n for n in self.nodes if n.board.identity.incarnation not in self._disturbed]
+        if len(free) <= FEWEST_UNDISTURBED:
+            return None
+        node = rng.choice(free)
+        self.claim(node)
+        return node
+
+    def claim(self, node: FaultyNode) -> bool:
+        """Keep other faults off a node; False when another fault works on it."""
+        incarnation = node.board.identity.incarnation
+        if incarnation in self._disturbed:
+            return False
+        self._disturbed.add(incarnation)
+        return True
+
+    def release_node(self, node: FaultyNode) -> None:
+        """Let other faults choose a node again."""
+        self._disturbed.discard(node.board.identity.incarnation)
+
     @property
     def targets(self) -> Sequence[StandInTarget]:
         """All stand-ins that nodes route to."""
@@ -100,6 +172,10 @@
         """The HTTP addresses of all nodes, for clients to start from."""
         return [node.settings.http_address for node in self.nodes]
 
+    def _end_tenure(self, node: FaultyNode) -> None:
+        self.tenure_of(node).ended_at_s = time.monotonic()
+        self.nodes.remove(node)
+
     def _zone(self, index: int) -> str:
         return self.shape.zones[index % len(self.shape.zones)]
 
@@ -121,16 +197,3 @@
         publication = Publication("first", NO_REVISION, service_text(self.shape), "trial")
         async with aiohttp.ClientSession() as session:
             await HttpLog(session, self.log.url).append("config", publication_payload(publication))
-
-
-def free_port() -> int:
-    """Return a port that is free for both TCP and UDP now."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-        udp.bind(("127.0.0.1", 0))
-        port = int(udp.getsockname()[1])
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
-            try:
-                tcp.bind(("127.0.0.1", port))
-            except OSError:
-                return free_port()
-    return port
--- /dev/null
+++ b/samphirecleat/trial/_measures.py
@@ -0,0 +1,57 @@
+"""Computes the measures of a trial from its receipts and what the onlooker saw."""
+
+import math
+from collections.abc import Mapping, Sequence
+
+from ..errors import Ran
+from ._config_checks import slowest_in_force_s
+from ._fleet import Fleet
+from ._onlooker import Onlooker
+from ._records import CallReceipt, Receipts
+
+
+def measure(fleet: Fleet, receipts: Receipts, onlooker: Onlooker) -> Mapping[str, float]:
+    """Return every measure; times are in the unit that its name ends with."""
+    answered_ms = [call.took_s * 1000.0 for call in receipts.calls if call.answer is not None]
+    staleness = [float(r.pull_version - r.sample.oldest_version) for r in receipts.samples]
+    ages_s = [receipt.age_s for receipt in receipts.samples]
+    total_s = receipts.waited_s + receipts.trained_s
+    appends = [append for append in fleet.log.appends if append.stream == "config"]
+    return {
+        "trainer_idle_ratio": receipts.waited_s / total_s if total_s else 0.0,
+        "staleness_versions_p50": percentile(staleness, 50),
+        "staleness_versions_p99": percentile(staleness, 99),
+        "staleness_s_p50": percentile(ages_s, 50),
+        "staleness_s_p99": percentile(ages_s, 99),
+        "steps_completed": sum(1 for step in receipts.steps if step.whole),
+        "samples_delivered": len(receipts.samples),
+        "answers_whole": len(answered_ms),
+        "answers_refused": sum(1 for call in receipts.calls if _ran(call) is Ran.NO),
+        "answers_unknown": sum(1 for call in receipts.calls if _ran(call) not in (None, Ran.NO)),
+        "request_ms_p50": percentile(answered_ms, 50),
+        "request_ms_p99": percentile(answered_ms, 99),
+        "weights_everywhere_s": percentile(_weights_everywhere_s(fleet, onlooker), 50),
+        "config_in_force_s": slowest_in_force_s(appends, onlooker.sights, fleet.tenures),
+    }
+
+
+def percentile(values: Sequence[float], percent: float) -> float:
+    """Return the nearest-rank percentile, 0.0 for no values."""
+    if not values:
+        return 0.0
+    ranked = sorted(values)
+    return ranked[max(0, math.ceil(len(ranked) * percent / 100.0) - 1)]
+
+
+def _ran(call: CallReceipt) -> Ran | None:
+    return call.error.ran if call.error is not None else None
+
+
+def _weights_everywhere_s(fleet: Fleet, onlooker: Onlooker) -> Sequence[float]:
+    """Return, for each version that got there, the time until all engines had it or newer."""
+    service = fleet.shape.engine_service
+    return [
+        at_s - fleet.store.published_at_s[service, version]
+        for version, at_s in onlooker.everywhere_at_s.items()
+        if (service, version) in fleet.store.published_at_s
+    ]
--- /dev/null
+++ b/samphirecleat/trial/_report.py
@@ -0,0 +1,65 @@
+"""The outcome of a trial: its verdicts, measures and events."""
+
+import json
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from tabulate import tabulate
+
+from ._journal import FaultEvent
+from ._verdict import Verdict
+
+
+class TrialReport(NamedTuple):
+    """The outcome of a trial, see :attr:`failed` for its verdict as a whole."""
+
+    promises: Mapping[str, Verdict]
+    measures: Mapping[str, float]
+    faults: Sequence[FaultEvent]
+
+    @property
+    def broken(self) -> Sequence[str]:
+        """The promises that did not hold."""
+        return [name for name, verdict in self.promises.items() if verdict.broken]
+
+    @property
+    def unchecked(self) -> Sequence[str]:
+        """The promises over which nothing was checked, which proves nothing."""
+        return [name for name, verdict in self.promises.items() if not verdict.checked]
+
+    @property
+    def failed(self) -> Sequence[str]:
+        """The promises that were broken or not checked; empty when the trial passed."""
+        return [*self.broken, *self.unchecked]
+
+    def to_json(self) -> Mapping[str, Any]:
+        """Return the report as it is written to a file."""
+        return {
+            "promises": {name: verdict.broken for name, verdict in self.promises.items()},
+            "measures": dict(self.measures),
+            "checked": {name: verdict.checked for name, verdict in self.promises.items()},
+            "faults": list(self.faults),
+        }
+
+
+def print_report(report: TrialReport) -> None:
+    """Print a readable summary."""
+    rows = [
+        (name, verdict.broken, verdict.checked, _describe(verdict))
+        for name, verdict in report.promises.items()
+    ]
+    print(tabulate(rows, headers=["promise", "broken", "checked", ""]))
+    print()
+    print(tabulate(report.measures.items(), headers=["measure", "value"], floatfmt=".4g"))
+
+
+def write_report(report: TrialReport, path: str) -> None:
+    """Write the report as JSON."""
+    Path(path).write_text(json.dumps(report.to_json(), indent=2) + "\n")
+
+
+def _describe(verdict: Verdict) -> str:
+    if verdict.broken:
+        return "BROKEN"
+    return "held" if verdict.checked else "NOT CHECKED"
--- a/samphirecleat/trial/_run.py
+++ b/samphirecleat/trial/_run.py
@@ -1,53 +1,40 @@
 """Runs a trial from start to its report."""
 
 import asyncio
-import json
-import math
-from collections.abc import Mapping, Sequence
-from pathlib import Path
-from typing import Any, NamedTuple
+import sys
+import time
+from collections.abc import Sequence
+from typing import Final, NamedTuple
 
-from tabulate import tabulate
-
-from ._checks import Verdict, check_promises
+from ._checks import check_promises
 from ._deployments import DEPLOYMENTS
 from ._fleet import Fleet
-from ._records import Receipts
+from ._journal import Journal
+from ._measures import measure
+from ._onlooker import Onlooker
+from ._report import TrialReport
+from ._schedule import Schedule
 from ._workload import Workload
 
-READY_TIMEOUT_S = 10.0
+READY_TIMEOUT_S: Final = 15.0
+SCHEDULE_TIMEOUT_S: Final = 60.0
+SHORTEST_LOAD_S: Final = 6.0
+PROGRESS_PERIOD_S: Final = 0.5
 
 
 class TrialOptions(NamedTuple):
-    """What the command line chose."""
+    """What the command line chose.
+
+    Load is sent for ``seconds``, but for no less than 6 s: that work has
+    stopped coming to a leaving target can only be seen after 3 s.
+    """
 
     nodes: int = 9
     seconds: float = 20.0
     seed: int = 1
     deployment: str = "los-aromos"
     faults: Sequence[str] = ()
-
-
-class TrialReport(NamedTuple):
-    """The outcome of a trial; ``passed`` only if every promise was checked and held."""
-
-    promises: Mapping[str, Verdict]
-    measures: Mapping[str, float]
-    faults: Sequence[Mapping[str, Any]]
-
-    @property
-    def broken(self) -> Sequence[str]:
-        """The promises that were broken, or over which nothing was checked."""
-        return [name for name, verdict in self.promises.items() if verdict.broken]
-
-    def to_json(self) -> Mapping[str, Any]:
-        """Return the report as it is written to a file."""
-        return {
-            "promises": {name: verdict.broken for name, verdict in self.promises.items()},
-            "measures": dict(self.measures),
-            "checked": {name: verdict.checked for name, verdict in self.promises.items()},
-            "faults": list(self.faults),
-        }
+    progress: bool = False
 
 
 async def run_trial(options: TrialOptions) -> TrialReport:
@@ -56,28 +43,56 @@
     await fleet.start()
     try:
         await _until_ready(fleet)
-        workload = Workload(fleet, options.seed)
-        await workload.run(options.seconds)
-        promises = check_promises(fleet, workload.receipts)
-        return TrialReport(promises, _measure(workload.receipts), ())
+        return await _run_on(fleet, options)
     finally:
         await fleet.stop()
 
 
-def print_report(report: TrialReport) -> None:
-    """Print a readable summary."""
-    rows = [
-        (name, verdict.broken, verdict.checked, "held" if not verdict.broken else "BROKEN")
-        for name, verdict in report.promises.items()
-    ]
-    print(tabulate(rows, headers=["promise", "broken", "checked", ""]))
-    print()
-    print(tabulate(report.measures.items(), headers=["measure", "value"], floatfmt=".4g"))
+async def _run_on(fleet: Fleet, options: TrialOptions) -> TrialReport:
+    seconds = max(SHORTEST_LOAD_S, options.seconds)
+    journal = Journal()
+    workload = Workload(fleet, options.seed)
+    onlooker = Onlooker(fleet)
+    schedule = Schedule(fleet, workload, journal, options.seed, seconds)
+    background = [asyncio.create_task(onlooker.run())]
+    if options.progress:
+        background.append(asyncio.create_task(_print_progress(workload, journal, seconds)))
+    try:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(workload.run(seconds))
+            group.create_task(_within(SCHEDULE_TIMEOUT_S + seconds, schedule, options.faults))
+        # What was changed last gets the time that it is allowed to take.
+        await asyncio.sleep(2 * PROGRESS_PERIOD_S)
+    finally:
+        for task in background:
+            task.cancel()
+        await asyncio.gather(*background, return_exceptions=True)
+    promises = check_promises(fleet, workload.receipts, onlooker)
+    measures = measure(fleet, workload.receipts, onlooker)
+    return TrialReport(promises, measures, journal.events)
+
 
+async def _within(timeout_s: float, schedule: Schedule, faults: Sequence[str]) -> None:
+    async with asyncio.timeout(timeout_s):
+        await schedule.run(faults)
 
-def write_report(report: TrialReport, path: str) -> None:
-    """Write the report as JSON."""
-    Path(path).write_text(json.dumps(report.to_json(), indent=2) + "\n")
+
+async def _print_progress(workload: Workload, journal: Journal, seconds: float) -> None:
+    started_at_s = time.monotonic()
+    try:
+        while True:
+            receipts = workload.receipts
+            print(
+                f"\r{time.monotonic() - started_at_s:5.1f} of {seconds:.0f} s: "
+                f"{len(receipts.calls)} calls, {len(receipts.steps)} steps, "
+                f"{len(receipts.samples)} samples, {len(journal.events)} events ",
+                end="",
+                file=sys.stderr,
+                flush=True,
+            )
+            await asyncio.sleep(PROGRESS_PERIOD_S)
+    finally:
+        print(file=sys.stderr)
 
 
 async def _until_ready(fleet: Fleet) -> None:
@@ -98,36 +113,3 @@
         and usable == len(fleet.targets)
         and len(board.live_members()) == fleet.node_count
     )
-
-
-def _measure(receipts: Receipts) -> Mapping[str, float]:
-    answered = [call.took_s * 1000.0 for call in receipts.calls if call.answer is not None]
-    staleness = [float(r.trainer_version - r.sample.oldest_version) for r in receipts.samples]
-    ages = [r.age_s for r in receipts.samples]
-    total_s = receipts.waited_s + receipts.trained_s
-    return {
-        "trainer_idle_ratio": receipts.waited_s / total_s if total_s else 0.0,
-        "staleness_versions_p50": percentile(staleness, 50),
-        "staleness_versions_p99": percentile(staleness, 99),
-        "staleness_s_p50": percentile(ages, 50),
-        "staleness_s_p99": percentile(ages, 99),
-        "steps_completed": len(receipts.steps),
-        "samples_delivered": len(receipts.samples),
-        "answers_whole": len(answered),
-        "answers_refused": sum(
-            1 for c in receipts.calls if c.error is not None and c.error.ran.value == "no"
-        ),
-        "answers_unknown": sum(
-            1 for c in receipts.calls if c.error is not None and c.error.ran.value != "no"
-        ),
-        "request_ms_p50": percentile(answered, 50),
-        "request_ms_p99": percentile(answered, 99),
-    }
-
-
-def percentile(values: Sequence[float], percent: float) -> float:
-    """Return the nearest-rank percentile, 0.0 for no values."""
-    if not values:
-        return 0.0
-    ranked = sorted(values)
-    return ranked[max(0, math.ceil(len(ranked) * percent / 100.0) - 1)]
--- a/samphirecleat/trial/_workload.py
+++ b/samphirecleat/trial/_workload.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import random
+import secrets
 import time
-from typing import Final
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Final
 
 import aiohttp
 
-from ..client import CallerClient, StepRequest, TrainerClient
-from ..errors import RequestError
+from ..client import CallAnswer, CallerClient, StepRequest, TrainerClient
+from ..errors import ErrorKind, RequestError
+from ..node import Node
+from ..steps import Sample
+from ._exchange_watch import watch_exchanges
 from ._fleet import Fleet
 from ._records import CallReceipt, Receipts, SampleReceipt, StepReceipt
 
@@ -20,6 +25,7 @@
 STEP_TOKENS: Final = 24
 STALENESS_BOUND: Final = 2
 TRAIN_S: Final = 0.3
+STEP_TIMEOUT_S: Final = 45.0
 
 
 class Workload:
@@ -31,34 +37,106 @@
         self._rng = random.Random(seed)
         self.receipts = Receipts()
         self.trainer_version = 0
+        self._pull_version = 0
+        self._numbers = 0
         self._calls: set[asyncio.Task[None]] = set()
         self._stopping = False
 
     async def run(self, seconds: float) -> None:
         """Send load for ``seconds``, then let what is in flight end."""
-        async with aiohttp.ClientSession() as session:
+        async with self.new_session() as session:
             trainer = asyncio.create_task(self._train(session))
             await self._send_calls(session, seconds)
             self._stopping = True
             await asyncio.gather(*self._calls, trainer)
 
-    async def _send_calls(self, session: aiohttp.ClientSession, seconds: float) -> None:
-        client = CallerClient(
-            session,
-            self._fleet.bootstrap,
-            self._fleet.shape.zones[0],
-            seed=self._rng.randrange(2**32),
+    def new_session(self) -> aiohttp.ClientSession:
+        """Return a session whose exchanges are among the receipts."""
+        traces = [watch_exchanges(self.receipts.exchanges)]
+        return aiohttp.ClientSession(trace_configs=traces)
+
+    def new_client(self, session: aiohttp.ClientSession) -> CallerClient:
+        """Return a caller's client in a zone of the deployment."""
+        zone = self._rng.choice(list(self._fleet.shape.zones))
+        return CallerClient(session, self._fleet.bootstrap, zone, seed=self._rng.randrange(2**32))
+
+    async def call(
+        self,
+        client: CallerClient,
+        service: str,
+        method: str,
+        *,
+        idempotent: bool,
+        max_tokens: int = CALL_TOKENS,
+        deadline_s: float = CALL_DEADLINE_S,
+    ) -> None:
+        """Make one call and keep its receipt."""
+        body = self._new_body(max_tokens)
+
+        async def send() -> CallAnswer:
+            return await client.call(
+                service, method, body, deadline_s=deadline_s, idempotent=idempotent
+            )
+
+        await self._receive(service, method, body, idempotent, send)
+
+    async def call_node(
+        self, session: aiohttp.ClientSession, node: Node, *, max_tokens: int
+    ) -> None:
+        """Make one call through this very node, without any retry, and keep its receipt."""
+        body = self._new_body(max_tokens)
+        service = self._fleet.shape.engine_service
+        identity = node.board.identity
+        key = f"{identity.node_id}.{identity.incarnation}.0.{secrets.token_hex(8)}"
+        url = f"http://{identity.http_address}/v1/services/{service}/generate"
+
+        async def send() -> CallAnswer:
+            try:
+                async with session.post(url, json=body, headers={"x-request-key": key}) as response:
+                    answer = await response.json()
+            except (aiohttp.ClientError, OSError) as error:
+                raise RequestError(ErrorKind.OUTCOME_UNKNOWN, str(error)) from error
+            if response.status != 200:
+                raise RequestError.from_body(answer["error"])
+            return CallAnswer(key, answer)
+
+        await self._receive(service, "generate", body, True, send)
+
+    def _new_body(self, max_tokens: int) -> dict[str, Any]:
+        """Return a body with a prompt that no other call of the trial has."""
+        self._numbers += 1
+        prompt = f"quote {self._numbers} for client {self._numbers % 50}"
+        return {"prompt": prompt, "max_tokens": max_tokens}
+
+    async def _receive(
+        self,
+        service: str,
+        method: str,
+        body: Mapping[str, Any],
+        idempotent: bool,
+        send: Callable[[], Awaitable[CallAnswer]],
+    ) -> None:
+        started_at_s = time.monotonic()
+        answer = error = None
+        try:
+            answer = await send()
+        except RequestError as failed:
+            error = failed
+        took_s = time.monotonic() - started_at_s
+        self.receipts.calls.append(
+            CallReceipt(service, method, body, idempotent, answer, error, took_s)
         )
+
+    async def _send_calls(self, session: aiohttp.ClientSession, seconds: float) -> None:
+        clients = [self.new_client(session) for _zone in self._fleet.shape.zones]
         end_at_s = time.monotonic() + seconds
-        number = 0
         while time.monotonic() < end_at_s:
-            number += 1
-            task = asyncio.create_task(self._call(client, number))
+            task = asyncio.create_task(self._call_something(self._rng.choice(clients)))
             self._calls.add(task)
             task.add_done_callback(self._calls.discard)
             await asyncio.sleep(self._rng.expovariate(CALLS_PER_S))
 
-    async def _call(self, client: CallerClient, number: int) -> None:
+    async def _call_something(self, client: CallerClient) -> None:
         shape = self._fleet.shape
         service, method, idempotent = self._rng.choice(
             [
@@ -67,32 +145,34 @@
                 (shape.plain_service, shape.plain_once, False),
             ]
         )
-        prompt = f"quote {number} for client {self._rng.randrange(50)}"
-        body = {"prompt": prompt, "max_tokens": CALL_TOKENS}
-        started_at_s = time.monotonic()
-        answer = error = None
-        try:
-            answer = await client.call(
-                service, method, body, deadline_s=CALL_DEADLINE_S, idempotent=idempotent
-            )
-        except RequestError as failed:
-            error = failed
-        took_s = time.monotonic() - started_at_s
-        self.receipts.calls.append(
-            CallReceipt(number, service, method, prompt, idempotent, answer, error, took_s)
-        )
+        await self.call(client, service, method, idempotent=idempotent)
 
     async def _train(self, session: aiohttp.ClientSession) -> None:
         client = TrainerClient(
-            session, "trainer-1", self._fleet.bootstrap, lambda: self.trainer_version
+            session,
+            "trainer-1",
+            self._fleet.bootstrap,
+            self._name_version,
+            self._fleet.shape.zones[0],
+            seed=self._rng.randrange(2**32),
         )
         number = 0
+        publishing: set[asyncio.Task[None]] = set()
         while not self._stopping:
             number += 1
             await self._step(client, number)
             await asyncio.sleep(TRAIN_S)
             self.receipts.trained_s += TRAIN_S
-            await self._publish_weights(session)
+            # Published while the next step is already being made, as trainers do.
+            task = asyncio.create_task(self._publish_weights(session))
+            publishing.add(task)
+            task.add_done_callback(publishing.discard)
+        await asyncio.gather(*publishing)
+
+    def _name_version(self) -> int:
+        """Return the trainer's version for a pull, and remember that it was named."""
+        self._pull_version = self.trainer_version
+        return self._pull_version
 
     async def _step(self, client: TrainerClient, number: int) -> None:
         request = StepRequest(
@@ -105,22 +185,33 @@
             scoring="scoring",
         )
         started_at_s = time.monotonic()
-        async for sample in client.run_step(request):
-            self.receipts.samples.append(
-                SampleReceipt(
-                    request.step_id,
-                    sample,
-                    request.prompts[sample.position // SAMPLES_PER_GROUP],
-                    self.trainer_version,
-                    STALENESS_BOUND,
-                    time.monotonic() - started_at_s,
-                )
-            )
+        whole = True
+        try:
+            async with asyncio.timeout(STEP_TIMEOUT_S):
+                async for sample in client.run_step(request):
+                    age_s = time.monotonic() - started_at_s
+                    self._keep_sample(request, sample, age_s)
+        except (TimeoutError, RequestError):
+            whole = False
         waited_s = time.monotonic() - started_at_s
         self.receipts.waited_s += waited_s
-        self.receipts.steps.append(StepReceipt(request.step_id, request.size, waited_s))
+        self.receipts.steps.append(StepReceipt(request.step_id, request.size, waited_s, whole))
+
+    def _keep_sample(self, request: StepRequest, sample: Sample, age_s: float) -> None:
+        self.receipts.samples.append(
+            SampleReceipt(
+                request.step_id,
+                sample,
+                request.prompts[sample.position // SAMPLES_PER_GROUP],
+                request.max_tokens,
+                self._pull_version,
+                STALENESS_BOUND,
+                age_s,
+            )
+        )
 
     async def _publish_weights(self, session: aiohttp.ClientSession) -> None:
+        await asyncio.sleep(self._rng.uniform(0.0, TRAIN_S))
         self.trainer_version += 1
         service = self._fleet.shape.engine_service
         url = f"{self._fleet.store.url}/v1/services/{service}/versions/{self.trainer_version}"
