--- a/samphirecleat/standins/_server.py
+++ b/samphirecleat/standins/_server.py
@@ -23,6 +23,7 @@
         self._runner: web.AppRunner | None = None
         self._open: set[asyncio.Transport] = set()
         self._silent: set[asyncio.Transport] = set()
+        self._never = asyncio.Event()
         self.address = ""
 
     @property
@@ -73,10 +74,10 @@
             self._forget_closed()
             self._open.add(transport)
         if self.is_silent(request):
-            await asyncio.Event().wait()
+            await self._never.wait()
         response = await handler(request)
         if self.is_silent(request):
-            await asyncio.Event().wait()
+            await self._never.wait()
         return response
 
     def _forget_closed(self) -> None:
--- a/samphirecleat/trial/_checks.py
+++ b/samphirecleat/trial/_checks.py
@@ -10,7 +10,7 @@
 from ._fleet import Fleet
 from ._onlooker import Onlooker
 from ._records import CallReceipt, ExchangeReceipt, Receipts, SampleReceipt, Tenure
-from ._verdict import Verdict
+from ._verdict import Verdict, judge
 
 T = TypeVar("T")
 LEAVING_GRACE_S: Final = 3.0
@@ -41,7 +41,7 @@
 
 
 def _check(items: Sequence[T], is_broken: Callable[[T], bool]) -> Verdict:
-    return Verdict(sum(1 for item in items if is_broken(item)), len(items))
+    return judge([item for item in items if is_broken(item)], len(items))
 
 
 def _wrong_version(receipt: SampleReceipt, runs: Mapping[str, EngineRun]) -> bool:
@@ -63,19 +63,26 @@
     received: dict[str, set[int]] = defaultdict(set)
     for receipt in receipts.samples:
         received[receipt.step_id].add(receipt.sample.position)
-    missing = sum(step.size - len(received[step.step_id]) for step in receipts.steps)
-    return Verdict(missing, sum(step.size for step in receipts.steps))
+    missing = {
+        step.step_id: step.size - len(received[step.step_id])
+        for step in receipts.steps
+        if step.size != len(received[step.step_id])
+    }
+    checked = sum(step.size for step in receipts.steps)
+    return judge(list(missing.items()), checked, sum(missing.values()))
 
 
 def _check_samples_doubled(receipts: Receipts) -> Verdict:
     """Count positions that came twice, and runs that stand behind two positions."""
-    positions = _count_doubled((r.step_id, r.sample.position) for r in receipts.samples)
-    runs = _count_doubled(r.sample.run_id for r in receipts.samples)
-    return Verdict(positions + runs, len(receipts.samples))
+    positions = _find_doubled((r.step_id, r.sample.position) for r in receipts.samples)
+    runs = _find_doubled(r.sample.run_id for r in receipts.samples)
+    return judge([*positions, *runs], len(receipts.samples))
 
 
-def _count_doubled(items: Iterable[T]) -> int:
-    return sum(count - 1 for count in Counter(items).values())
+def _find_doubled(items: Iterable[T]) -> Sequence[T]:
+    """Return each item as often as it came again."""
+    counts = Counter(items)
+    return list((counts - Counter(set(counts))).elements())
 
 
 def _answered(receipts: Receipts) -> Sequence[CallReceipt]:
@@ -114,8 +121,8 @@
 def _check_answers_doubled(receipts: Receipts) -> Verdict:
     """Count runs whose answer went to more than one call."""
     answered = _answered(receipts)
-    doubled = _count_doubled(_run_behind(call) for call in answered)
-    return Verdict(doubled, len(answered))
+    doubled = _find_doubled(_run_behind(call) for call in answered)
+    return judge(doubled, len(answered))
 
 
 def _run_behind(receipt: CallReceipt) -> str:
@@ -133,15 +140,14 @@
         for call in refused
         if digest_prompt(call.prompt) in ran_digests or call.prompt in ran_prompts
     ]
-    return Verdict(len(broken), len(refused))
+    return judge(broken, len(refused))
 
 
 def _check_run_twice(fleet: Fleet) -> Verdict:
     """Count plain calls that ran more than once for one caller's request."""
-    counts: Counter[str] = Counter()
-    for server in fleet.plain:
-        counts.update(run.prompt for run in server.runs if run.method == fleet.shape.plain_once)
-    return Verdict(sum(count - 1 for count in counts.values()), len(counts))
+    once = fleet.shape.plain_once
+    prompts = [run.prompt for s in fleet.plain for run in s.runs if run.method == once]
+    return judge(_find_doubled(prompts), len(set(prompts)))
 
 
 def _check_leaving(fleet: Fleet) -> Verdict:
@@ -150,24 +156,26 @@
     Checked is all work that the services of leaving targets got from then on:
     any of it could have gone to the leaving one.
     """
-    broken = checked = 0
+    broken: list[str] = []
+    checked = 0
     for leaving in fleet.targets:
         if leaving.leaving_since_s is None:
             continue
         from_s = leaving.leaving_since_s + LEAVING_GRACE_S
         for target in fleet.targets:
             if target.service == leaving.service:
-                late = sum(1 for arrival in target.arrivals if arrival.at_s > from_s)
-                checked += late
-                broken += late if target is leaving else 0
-    return Verdict(broken, checked)
+                late = [arrival for arrival in target.arrivals if arrival.at_s > from_s]
+                checked += len(late)
+                if target is leaving:
+                    broken += [f"{a} {a.at_s - from_s + 3:.2f} s after" for a in late]
+    return judge(broken, checked)
 
 
 def _check_drains(fleet: Fleet, receipts: Receipts) -> Verdict:
     """Count exchanges with a draining node whose connection ended without a response."""
     drains = [t for t in fleet.tenures if t.drain_began_at_s < t.ended_at_s]
     checked = [e for e in receipts.exchanges if any(_was_in_flight(e, t) for t in drains)]
-    return Verdict(sum(1 for exchange in checked if exchange.cut), len(checked))
+    return judge([exchange for exchange in checked if exchange.cut], len(checked))
 
 
 def _was_in_flight(exchange: ExchangeReceipt, tenure: Tenure) -> bool:
--- a/samphirecleat/trial/_config_checks.py
+++ b/samphirecleat/trial/_config_checks.py
@@ -9,7 +9,7 @@
 
 from ..standins import LogAppend
 from ._records import ConfigSight, Interval, Tenure
-from ._verdict import Verdict
+from ._verdict import Verdict, judge
 
 IN_FORCE_WITHIN_S: Final = 4.0
 INVALID_MARK: Final = "// invalid on purpose"
@@ -42,14 +42,14 @@
     """Count nodes' changes to a lower revision, or to a text that was not accepted."""
     texts = {accepted.revision: accepted.text for accepted in fold_ledger(appends)}
     highest: dict[str, int] = {}
-    broken = 0
+    broken: list[ConfigSight] = []
     held = [sight for sight in sights if sight.revision >= 0]
     for sight in held:
         falls = sight.revision < highest.get(sight.incarnation, -1)
         if falls or texts.get(sight.revision) != sight.text:
-            broken += 1
+            broken.append(sight)
         highest[sight.incarnation] = max(sight.revision, highest.get(sight.incarnation, -1))
-    return Verdict(broken, len(held))
+    return judge(broken, len(held))
 
 
 def check_late(
@@ -65,7 +65,8 @@
     be read, or the node is frozen, or does not run yet, it has not begun.
     """
     by_incarnation = _group(sights)
-    broken = checked = 0
+    broken: list[str] = []
+    checked = 0
     for accepted in fold_ledger(appends):
         for tenure in tenures:
             due_at_s = _due_at_s(accepted.at_s, tenure, log_outages)
@@ -73,8 +74,9 @@
                 continue
             checked += 1
             seen = _revision_at(by_incarnation.get(tenure.incarnation, ()), due_at_s)
-            broken += 1 if seen < accepted.revision else 0
-    return Verdict(broken, checked)
+            if seen < accepted.revision:
+                broken.append(f"{tenure.node_id} had {seen} when {accepted.revision} was due")
+    return judge(broken, checked)
 
 
 def slowest_in_force_s(
--- a/samphirecleat/trial/_report.py
+++ b/samphirecleat/trial/_report.py
@@ -50,6 +50,9 @@
         for name, verdict in report.promises.items()
     ]
     print(tabulate(rows, headers=["promise", "broken", "checked", ""]))
+    for name in report.broken:
+        for example in report.promises[name].examples:
+            print(f"{name}: {example}")
     print()
     print(tabulate(report.measures.items(), headers=["measure", "value"], floatfmt=".4g"))
 
