--- a/samphirecleat/cli.py
+++ b/samphirecleat/cli.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import sys
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from json import dumps as encode_json
 from pathlib import Path
 from typing import Any, Final, TypeVar
@@ -54,18 +54,19 @@
 
 def main() -> None:
     """Run the command line."""
-    from .trial import try_command
-
     commands = Commands()
-    fire.Fire(
-        {
-            "bench": commands.bench,
-            "check": commands.check,
-            "node": commands.node,
-            "try": try_command,
-        },
-        name="samphirecleat",
-    )
+    by_name: dict[str, Callable[..., None]] = {
+        "bench": commands.bench,
+        "check": commands.check,
+        "node": commands.node,
+    }
+    # The daemon has little memory: it must not load the trial and the stand-ins.
+    if sys.argv[1:2] != ["node"]:
+        from .standins import standin_command
+        from .trial import try_command
+
+        by_name.update({"standin": standin_command, "try": try_command})
+    fire.Fire(by_name, name="samphirecleat")
 
 
 def _run(main_coroutine: Coroutine[Any, Any, T]) -> T:
--- a/samphirecleat/standins/__init__.py
+++ b/samphirecleat/standins/__init__.py
@@ -1,6 +1,8 @@
 """Small stand-ins for the systems outside, each with a ledger of what truly happened."""
 
+from ._command import SERVER_KINDS, make_stand_in, standin_command
 from ._engine import EngineRun, StandInEngine, digest_prompt
+from ._fault_file import TimedFault, bring_about, read_fault_file
 from ._host_list import HostRow, StandInHostList
 from ._log import LogAppend, StandInLog
 from ._plain import PlainRun, StandInPlainService, StandInScoring, score_text
@@ -8,6 +10,12 @@
 from ._weight_store import StandInWeightStore
 
 __all__ = [
+    "SERVER_KINDS",
+    "TimedFault",
+    "bring_about",
+    "make_stand_in",
+    "read_fault_file",
+    "standin_command",
     "Arrival",
     "EngineRun",
     "HostRow",
--- a/samphirecleat/standins/_host_list.py
+++ b/samphirecleat/standins/_host_list.py
@@ -1,6 +1,7 @@
 """A small stand-in for the platform's host list, which lags behind reality."""
 
 import time
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from aiohttp import web
@@ -26,6 +27,7 @@
         self.lag_s = lag_s
         self.down = False
         self._changes: list[tuple[float, HostRow | str]] = []
+        self._addresses: set[str] = set()
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add the one route."""
@@ -35,10 +37,20 @@
         """Add or replace the row of an address; ``at_once`` goes round the lag."""
         visible_at_s = 0.0 if at_once else time.monotonic() + self.lag_s
         self._changes.append((visible_at_s, row))
+        self._addresses.add(row.address)
 
     def remove(self, address: str) -> None:
         """Take the row of an address off the list, after the lag."""
         self._changes.append((time.monotonic() + self.lag_s, address))
+        self._addresses.discard(address)
+
+    def put_all(self, rows: Iterable[HostRow]) -> None:
+        """Make the list hold just these rows, after the lag."""
+        wanted = {row.address: row for row in rows}
+        for address in self._addresses - set(wanted):
+            self.remove(address)
+        for row in wanted.values():
+            self.put(row)
 
     def visible_rows(self) -> list[HostRow]:
         """Return what the list shows now."""
--- /dev/null
+++ b/tests/trial/test_checks.py
@@ -0,0 +1,75 @@
+"""The trial's own checks: each must see the break that it is there for."""
+
+import math
+
+import pytest
+
+from samphirecleat.standins import LogAppend
+from samphirecleat.trial._config_checks import check_late, check_reverted, fold_ledger
+from samphirecleat.trial._records import ConfigSight, Interval, Tenure
+
+
+def publication(offset: int, base: int, text: str, at_s: float) -> LogAppend:
+    payload = {"type": "publication", "id": f"p{offset}", "base": base, "text": text}
+    return LogAppend("config", offset, payload, at_s)
+
+
+LEDGER = [
+    publication(0, -1, "first", 0.0),
+    publication(1, 0, "second", 10.0),
+    publication(2, 0, "loser of a race", 10.1),
+    publication(3, 1, "// invalid on purpose", 11.0),
+    publication(4, 1, "third", 20.0),
+]
+
+
+def test_the_ledger_accepts_only_valid_texts_on_the_base_in_force() -> None:
+    assert [accepted.revision for accepted in fold_ledger(LEDGER)] == [0, 1, 4]
+
+
+@pytest.mark.parametrize(
+    ("sights", "broken"),
+    [
+        ([(0, "first"), (1, "second"), (4, "third")], 0),
+        ([(1, "second"), (0, "first")], 1),
+        ([(2, "loser of a race")], 1),
+        ([(1, "first")], 1),
+    ],
+)
+def test_a_node_that_reverts_is_seen(sights: list[tuple[int, str]], broken: int) -> None:
+    """A node goes back to an older text, or takes one that was never accepted.
+
+    Its operator sees callers served by a text that was replaced.
+    """
+    seen = [ConfigSight("i", float(n), rev, text) for n, (rev, text) in enumerate(sights)]
+    assert check_reverted(LEDGER, seen).broken == broken
+
+
+@pytest.mark.parametrize(
+    ("in_force_at_s", "outages", "frozen", "broken", "checked"),
+    [
+        (13.9, [], [], 0, 1),
+        (14.1, [], [], 1, 1),
+        (18.0, [Interval(9.0, 15.0)], [], 0, 1),
+        (19.5, [Interval(9.0, 15.0)], [], 1, 1),
+        (18.0, [], [Interval(11.0, 15.0)], 0, 1),
+        (99.0, [], [Interval(11.0, math.inf)], 0, 0),
+    ],
+)
+def test_a_node_that_is_late_is_seen(
+    in_force_at_s: float,
+    outages: list[Interval],
+    frozen: list[Interval],
+    broken: int,
+    checked: int,
+) -> None:
+    """A node takes longer than 4 s to follow an accepted text.
+
+    Until then its callers are served by the old one. The time does not run while
+    the log can not be read or the node stands still.
+    """
+    tenure = Tenure("n1", "i", "127.0.0.1:1", started_at_s=9.0, frozen=frozen)
+    sights = [ConfigSight("i", 9.5, 0, "first"), ConfigSight("i", in_force_at_s, 1, "second")]
+    ledger = [publication(1, -1, "second", at_s=10.0)]
+    verdict = check_late(ledger, sights, [tenure], outages, seen_until_s=40.0)
+    assert (verdict.broken, verdict.checked) == (broken, checked)
