--- a/samphirecleat/trial/_workload.py
+++ b/samphirecleat/trial/_workload.py
@@ -43,13 +43,17 @@
         self._stopping = False
 
     async def run(self, seconds: float) -> None:
-        """Send load for ``seconds``, then let what is in flight end."""
+        """Send load for ``seconds`` or until :meth:`stop`, then let what is in flight end."""
         async with self.new_session() as session:
             trainer = asyncio.create_task(self._train(session))
             await self._send_calls(session, seconds)
-            self._stopping = True
+            self.stop()
             await asyncio.gather(*self._calls, trainer)
 
+    def stop(self) -> None:
+        """Send nothing new; :meth:`run` then returns once all has ended."""
+        self._stopping = True
+
     def new_session(self) -> aiohttp.ClientSession:
         """Return a session whose exchanges are among the receipts."""
         traces = [watch_exchanges(self.receipts.exchanges)]
@@ -130,7 +134,7 @@
     async def _send_calls(self, session: aiohttp.ClientSession, seconds: float) -> None:
         clients = [self.new_client(session) for _zone in self._fleet.shape.zones]
         end_at_s = time.monotonic() + seconds
-        while time.monotonic() < end_at_s:
+        while time.monotonic() < end_at_s and not self._stopping:
             task = asyncio.create_task(self._call_something(self._rng.choice(clients)))
             self._calls.add(task)
             task.add_done_callback(self._calls.discard)
