--- a/samphirecleat/standins/_host_list.py
+++ b/samphirecleat/standins/_host_list.py
@@ -19,7 +19,10 @@
 
 
 class StandInHostList(StandInServer):
-    """Shows each change only ``lag_s`` after it was made; ``down`` answers 503."""
+    """Shows each change only ``lag_s`` after it was made; ``down`` answers 503.
+
+    The ledger ``told_leaving_at_s`` holds when it first told anyone that a host leaves.
+    """
 
     def __init__(self, *, lag_s: float = 1.0) -> None:
         """Start with an empty list."""
@@ -28,6 +31,7 @@
         self.down = False
         self._changes: list[tuple[float, HostRow | str]] = []
         self._addresses: set[str] = set()
+        self.told_leaving_at_s: dict[str, float] = {}
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add the one route."""
@@ -68,4 +72,8 @@
     async def _hosts(self, _request: web.Request) -> web.StreamResponse:
         if self.down:
             return web.json_response({"error": "down"}, status=503)
-        return web.json_response({"hosts": [row._asdict() for row in self.visible_rows()]})
+        rows = self.visible_rows()
+        for row in rows:
+            if row.state == "leaving":
+                self.told_leaving_at_s.setdefault(row.address, time.monotonic())
+        return web.json_response({"hosts": [row._asdict() for row in rows]})
--- a/samphirecleat/standins/_server.py
+++ b/samphirecleat/standins/_server.py
@@ -95,9 +95,9 @@
 class StandInTarget(StandInServer):
     """A stand-in that the host list shows as a target of a service.
 
-    The ledger of what reached it is ``arrivals``. ``leaving_since_s`` is when
-    somebody, itself or the host list, first said that it leaves. Fault:
-    ``refuse_next`` requests are refused before they start.
+    The ledger of what reached it is ``arrivals``; ``leaving_since_s`` is when it
+    first said itself that it leaves. Fault: ``refuse_next`` requests are refused
+    before they start.
     """
 
     def __init__(self, service: str, zone: str) -> None:
--- a/samphirecleat/trial/_checks.py
+++ b/samphirecleat/trial/_checks.py
@@ -159,15 +159,16 @@
     broken: list[str] = []
     checked = 0
     for leaving in fleet.targets:
-        if leaving.leaving_since_s is None:
+        since_s = fleet.leaving_since_s(leaving)
+        if since_s is None:
             continue
-        from_s = leaving.leaving_since_s + LEAVING_GRACE_S
+        from_s = since_s + LEAVING_GRACE_S
         for target in fleet.targets:
             if target.service == leaving.service:
                 late = [arrival for arrival in target.arrivals if arrival.at_s > from_s]
                 checked += len(late)
                 if target is leaving:
-                    broken += [f"{a} {a.at_s - from_s + 3:.2f} s after" for a in late]
+                    broken += [f"{a} {a.at_s - since_s:.2f} s after" for a in late]
     return judge(broken, checked)
 
 
--- a/samphirecleat/trial/_exercises.py
+++ b/samphirecleat/trial/_exercises.py
@@ -1,7 +1,6 @@
 """What every trial does, with or without faults, so that every promise is checked."""
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple
 
@@ -30,7 +29,7 @@
     engine = fleet.engines[-1]
     row = HostRow(engine.address, engine.service, engine.zone, state="leaving")
     fleet.host_list.put(row)
-    engine.leaving_since_s = time.monotonic() + fleet.host_list.lag_s
+    fleet.leaving_by_list.add(engine.address)
     stage.note(f"the host list will say that {engine.address} leaves")
 
 
--- a/samphirecleat/trial/_fleet.py
+++ b/samphirecleat/trial/_fleet.py
@@ -38,13 +38,15 @@
 )
 TRIAL_SHARED_KEY = "trial-only-shared-key"
 FEWEST_UNDISTURBED: Final = 2
+LIST_READ_WITHIN_S: Final = 1.0
 
 
 class Fleet:
     """Stand-ins and nodes of one deployment; :meth:`start` and :meth:`stop` them.
 
-    ``tenures`` tells of every node that ever ran, and ``log_outages`` of every
-    time in which the log could not be read.
+    ``tenures`` tells of every node that ever ran, ``log_outages`` and
+    ``host_list_outages`` of every time in which the log or the host list could not
+    be read, and ``leaving_by_list`` of the targets that leave by the host list only.
     """
 
     def __init__(self, shape: DeploymentShape, node_count: int, seed: int) -> None:
@@ -61,6 +63,8 @@
         self.nodes: list[FaultyNode] = []
         self.tenures: list[Tenure] = []
         self.log_outages: list[Interval] = []
+        self.host_list_outages: list[Interval] = []
+        self.leaving_by_list: set[str] = set()
         self._addresses = AddressPool()
         self._disturbed: set[str] = set()
         self._started = 0
@@ -162,6 +166,24 @@
         """Let other faults choose a node again."""
         self._disturbed.discard(node.board.identity.incarnation)
 
+    def leaving_since_s(self, target: StandInTarget) -> float | None:
+        """Return when somebody first said that a target leaves, None if it stays.
+
+        A host list that told one node and then failed has not told the others, so
+        its word counts only from when it has been up for long enough to be read.
+        """
+        if target.leaving_since_s is not None:
+            return target.leaving_since_s
+        if target.address not in self.leaving_by_list:
+            return None
+        told_at_s = self.host_list.told_leaving_at_s.get(target.address)
+        if told_at_s is None:
+            return None
+        for outage in sorted(self.host_list_outages):
+            if outage.start_s < told_at_s + LIST_READ_WITHIN_S and outage.end_s > told_at_s:
+                told_at_s = outage.end_s
+        return told_at_s
+
     @property
     def targets(self) -> Sequence[StandInTarget]:
         """All stand-ins that nodes route to."""
--- a/samphirecleat/trial/_onlooker.py
+++ b/samphirecleat/trial/_onlooker.py
@@ -40,7 +40,8 @@
                 self.sights.append(ConfigSight(incarnation, now_s, *seen))
 
     def _look_at_engines(self, now_s: float) -> None:
-        serving = [e for e in self._fleet.engines if e.listening and not e.leaving_since_s]
+        fleet = self._fleet
+        serving = [e for e in fleet.engines if e.listening and fleet.leaving_since_s(e) is None]
         if not serving:
             return
         lowest = min(engine.version for engine in serving)
--- a/samphirecleat/trial/_platform_faults.py
+++ b/samphirecleat/trial/_platform_faults.py
@@ -32,14 +32,17 @@
 
 async def delay_host_list(stage: Stage) -> None:
     """The host list lags more than usual, and is down for a while."""
-    host_list = stage.fleet.host_list
+    host_list, outages = stage.fleet.host_list, stage.fleet.host_list_outages
     usual_s = host_list.lag_s
+    started_at_s = time.monotonic()
+    outages.append(Interval(started_at_s, float("inf")))
     host_list.lag_s = 4.0
     host_list.down = True
     stage.note("the host list is down and lags by 4 s")
     await stage.hold(1.0, 4.0)
     host_list.lag_s = usual_s
     host_list.down = False
+    outages[-1] = Interval(started_at_s, time.monotonic())
 
 
 async def stop_log(stage: Stage) -> None:
