--- a/samphirecleat/standins/_server.py
+++ b/samphirecleat/standins/_server.py
@@ -98,6 +98,12 @@
     The ledger of what reached it is ``arrivals``; ``leaving_since_s`` is when it
     first said itself that it leaves. Fault: ``refuse_next`` requests are refused
     before they start.
+
+    ``next_faults`` names the faults of the requests to come, in their order:
+    ``refuse`` (503 before it starts), ``drop`` (connection closed before it
+    starts), ``fail`` (500 after it ran), ``lose`` (connection closed in place of
+    the answer, after it ran), ``garble`` (an answer that is no JSON), ``truncate``
+    (an answer that breaks off), ``silent`` (it runs, and nothing is sent any more).
     """
 
     def __init__(self, service: str, zone: str) -> None:
@@ -109,6 +115,7 @@
         self.leaving_since_s: float | None = None
         self.refuse_next = 0
         self.arrivals: list[Arrival] = []
+        self.next_faults: list[str] = []
 
     async def crash(self) -> None:
         """End everything it runs and stop listening, as a killed process does."""
@@ -135,3 +142,7 @@
             self.refuse_next -= 1
             return True
         return self.leaving
+
+    def take_fault(self) -> str:
+        """Return the fault of the request that arrives now, empty for none."""
+        return self.next_faults.pop(0) if self.next_faults else ""
--- a/samphirecleat/trial/_addresses.py
+++ b/samphirecleat/trial/_addresses.py
@@ -32,7 +32,7 @@
     def take(self) -> str:
         """Return an IP:port that is free for both TCP and UDP."""
         if not self._own:
-            return f"{LOOPBACK}:{_free_port()}"
+            return f"{LOOPBACK}:{free_port()}"
         port = FIRST_PORT + next(self._numbers) % PORTS_BELOW_EPHEMERAL
         return f"{self.host}:{port}"
 
@@ -46,7 +46,8 @@
     return True
 
 
-def _free_port() -> int:
+def free_port() -> int:
+    """Return a port that is free for both TCP and UDP now."""
     while True:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
             udp.bind((LOOPBACK, 0))
--- a/samphirecleat/trial/_fleet.py
+++ b/samphirecleat/trial/_fleet.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from ..config import NO_REVISION, Publication, publication_payload
+from ..controllers import Policies
 from ..platform import HttpLog
 from ..settings import Settings, Timings
 from ..standins import (
@@ -49,8 +50,16 @@
     be read, and ``leaving_by_list`` of the targets that leave by the host list only.
     """
 
-    def __init__(self, shape: DeploymentShape, node_count: int, seed: int) -> None:
+    def __init__(
+        self,
+        shape: DeploymentShape,
+        node_count: int,
+        seed: int,
+        policies: Policies | None = None,
+    ) -> None:
         """Prepare a fleet of ``node_count`` nodes spread over the zones."""
+        self.policies = policies
+        self.first_text = service_text(shape)
         self.shape = shape
         self.node_count = node_count
         self.seed = seed
@@ -109,7 +118,7 @@
             seed=self.seed + self._started,
             timings=TRIAL_TIMINGS,
         )
-        node = FaultyNode(settings)
+        node = FaultyNode(settings, self.policies)
         await node.start()
         self.nodes.append(node)
         self.tenures.append(
@@ -216,6 +225,6 @@
             self.host_list.put(row, at_once=True)
 
     async def _publish(self) -> None:
-        publication = Publication("first", NO_REVISION, service_text(self.shape), "trial")
+        publication = Publication("first", NO_REVISION, self.first_text, "trial")
         async with aiohttp.ClientSession() as session:
             await HttpLog(session, self.log.url).append("config", publication_payload(publication))
--- a/samphirecleat/trial/_run.py
+++ b/samphirecleat/trial/_run.py
@@ -42,7 +42,7 @@
     fleet = Fleet(DEPLOYMENTS[options.deployment], options.nodes, options.seed)
     await fleet.start()
     try:
-        await _until_ready(fleet)
+        await until_ready(fleet)
         return await _run_on(fleet, options)
     finally:
         await fleet.stop()
@@ -95,7 +95,7 @@
         print(file=sys.stderr)
 
 
-async def _until_ready(fleet: Fleet) -> None:
+async def until_ready(fleet: Fleet) -> None:
     """Wait until every node holds the text and sees usable targets."""
     loop = asyncio.get_running_loop()
     give_up_at_s = loop.time() + READY_TIMEOUT_S
