--- a/samphirecleat/trial/_fleet.py
+++ b/samphirecleat/trial/_fleet.py
@@ -1,6 +1,7 @@
 """A whole deployment in one process over loopback: stand-ins and real nodes."""
 
 import random
+import secrets
 import time
 from collections.abc import Sequence
 from typing import Final
@@ -37,7 +38,6 @@
     longest_order_s=1.0,
     progress_timeout_s=2.0,
 )
-TRIAL_SHARED_KEY = "trial-only-shared-key"
 FEWEST_UNDISTURBED: Final = 2
 LIST_READ_WITHIN_S: Final = 1.0
 
@@ -58,6 +58,9 @@
         policies: Policies | None = None,
     ) -> None:
         """Prepare a fleet of ``node_count`` nodes spread over the zones."""
+        # Each fleet has a key of its own: a port that one fleet gives up may be taken by
+        # another on the same machine, whose heartbeats would else join the two.
+        self.shared_key = f"trial-{secrets.token_hex(12)}"
         self.policies = policies
         self.first_text = service_text(shape)
         self.shape = shape
@@ -110,7 +113,7 @@
             zone=zone,
             http_address=http_address,
             peer_address=peer_address,
-            shared_key=TRIAL_SHARED_KEY,
+            shared_key=self.shared_key,
             log_url=self.log.url,
             weight_store_url=self.store.url,
             host_list_url=self.host_list.url,
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -19,7 +19,7 @@
 
 from samphirecleat.trial import DEPLOYMENTS
 from samphirecleat.trial._checks import check_promises
-from samphirecleat.trial._fleet import TRIAL_SHARED_KEY, TRIAL_TIMINGS, Fleet
+from samphirecleat.trial._fleet import TRIAL_TIMINGS, Fleet
 from samphirecleat.trial._onlooker import Onlooker
 from samphirecleat.trial._records import Tenure
 from samphirecleat.trial._workload import Workload
@@ -73,7 +73,7 @@
             "zone": zone,
             "http_address": http_address,
             "peer_address": peer_address,
-            "shared_key": TRIAL_SHARED_KEY,
+            "shared_key": self.shared_key,
             "log_url": self.log.url,
             "weight_store_url": self.store.url,
             "host_list_url": self.host_list.url,
