Target news in a fixed number of bytes, the freshest first; membership bench

Cause: a profile of 104 nodes in one process showed hashing of pairs, walks over all targets for each datagram, and deaths that each hop verified before passing them on. Change: rumours of death are passed on while they are checked; rendezvous mixes two cached hashes; loads that were asked within half a second ride first.

--- /dev/null
+++ b/samphirecleat/bench/_membership.py
@@ -0,0 +1,228 @@
+"""What membership and target news cost a node, and how fast news is known to all.
+
+Real drivers over loopback UDP, all in one process, the rest of a node left out.
+The baseline is the simplest mechanism: each node sends its row to every other.
+"""
+
+import asyncio
+import gc
+import random
+import time
+from collections.abc import Callable, Mapping, Sequence
+from statistics import quantiles
+from typing import Final
+
+from ..peers import HeartbeatCodec, MemberRow, Message, MessageKind
+from ..settings import Timings
+from ._fit import fit_line
+from ._harness import BenchResult, BenchRow
+from ._member_fleet import POLL_S, SHARED_KEY, MemberFleet, MemberNode
+
+DEFAULT_SEED: Final = 1
+SIZES: Final = (9, 13, 39, 104)
+BASELINE_SIZES: Final = (9, 13, 39)
+TARGETS_PER_NODE: Final = 600 / 390
+STEADY_S: Final = 4.0
+LIMIT_S: Final = 20.0
+FULL_SIZE: Final = 390
+TIMINGS: Final = Timings()
+
+
+async def run(seed: int) -> BenchResult:
+    """Measure every size, the smallest first."""
+    random.seed(seed)
+    rows = []
+    for size in SIZES:
+        figures = await _measure(size, round(size * TARGETS_PER_NODE))
+        rows.append(BenchRow(f"probes, {size} nodes", 1, figures))
+    baseline = [
+        BenchRow(f"everyone, {size} nodes", 1, await _measure_everyone(size))
+        for size in BASELINE_SIZES
+    ]
+    return BenchResult("membership", seed, [*rows, *baseline], _note(rows, baseline))
+
+
+async def _measure(size: int, targets: int) -> Mapping[str, float]:
+    gc.collect()
+    before_kb = _resident_kb()
+    fleet = MemberFleet(size, targets, TIMINGS)
+    began_s = time.monotonic()
+    await fleet.start()
+    built_kb = _resident_kb()
+    try:
+        await _until(fleet.agrees)
+        joined_s = time.monotonic() - began_s
+        figures = await _steady(fleet, joined_s)
+        figures["memory_kb"] = (_resident_kb() - before_kb) / size
+        figures["table_kb"] = (_resident_kb() - built_kb) / size
+        figures["leave_known_s"] = await _time_leave(fleet)
+        figures["death_known_s"] = await _time_death(fleet)
+        return figures
+    finally:
+        await fleet.stop()
+
+
+async def _steady(fleet: MemberFleet, joined_s: float) -> dict[str, float]:
+    await asyncio.sleep(1.0)
+    before = _totals(fleet)
+    cpu_s, began_s = time.process_time(), time.monotonic()
+    await asyncio.sleep(STEADY_S)
+    took_s = time.monotonic() - began_s
+    used_s = time.process_time() - cpu_s
+    after = _totals(fleet)
+    size = len(fleet.nodes)
+    ages = _load_ages(fleet.nodes)
+    return {
+        "sent_B/s": (after[0] - before[0]) / took_s / size,
+        "received_B/s": (after[1] - before[1]) / took_s / size,
+        "datagrams/s": (after[2] - before[2]) / took_s / size,
+        "polls/s": (after[3] - before[3]) / took_s / size,
+        "cpu_ms/s": used_s / took_s / size * 1000.0,
+        "load_age_p50_s": ages[49],
+        "load_age_p99_s": ages[98],
+        "joined_s": joined_s,
+    }
+
+
+async def _time_leave(fleet: MemberFleet) -> float:
+    leaver = fleet.nodes[-1]
+    node_id = leaver.board.identity.node_id
+    began_s = time.monotonic()
+    leaver.leave()
+    await _until(lambda: all(n.board.members[node_id].member.leaving for n in fleet.nodes))
+    return time.monotonic() - began_s
+
+
+async def _time_death(fleet: MemberFleet) -> float:
+    victim = fleet.nodes.pop()
+    node_id = victim.board.identity.node_id
+    began_s = time.monotonic()
+    await victim.stop()
+    await _until(lambda: not any(n.board.members[node_id].alive for n in fleet.nodes))
+    return time.monotonic() - began_s
+
+
+class _Everyone(asyncio.DatagramProtocol):
+    """The baseline: one row to every other node in each period."""
+
+    def __init__(self, node: MemberNode) -> None:
+        self._codec = HeartbeatCodec(SHARED_KEY)
+        self._row = node._own_row()
+        self._rows: dict[str, MemberRow] = {}
+        self.sent_bytes = 0
+        self.datagrams = 0
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        del addr
+        for row in self._codec.unpack(data).rows:
+            self._rows[row.member.incarnation] = row
+
+    async def drive(
+        self, transport: asyncio.DatagramTransport, others: Sequence[tuple[str, int]]
+    ) -> None:
+        while True:
+            rows = [MemberRow(self._row, 0)]
+            data = self._codec.pack(Message(MessageKind.NEWS, 0, "", 1, rows))
+            for address in others:
+                transport.sendto(data, address)
+            self.sent_bytes += len(data) * len(others)
+            self.datagrams += len(others)
+            await asyncio.sleep(TIMINGS.heartbeat_s)
+
+
+async def _measure_everyone(size: int) -> Mapping[str, float]:
+    loop = asyncio.get_running_loop()
+    nodes = [_Everyone(MemberNode(i, (), 1, TIMINGS)) for i in range(size)]
+    transports = []
+    for node in nodes:
+        transport, _protocol = await loop.create_datagram_endpoint(
+            lambda node=node: node,  # type: ignore[misc]
+            local_addr=("127.0.0.1", 0),
+        )
+        transports.append(transport)
+    addresses = [transport.get_extra_info("sockname")[:2] for transport in transports]
+    tasks = [
+        loop.create_task(node.drive(transport, [a for a in addresses if a != address]))
+        for node, transport, address in zip(nodes, transports, addresses, strict=True)
+    ]
+    cpu_s, began_s = time.process_time(), time.monotonic()
+    await asyncio.sleep(STEADY_S / 2)
+    took_s, used_s = time.monotonic() - began_s, time.process_time() - cpu_s
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    for transport in transports:
+        transport.close()
+    sent = sum(node.sent_bytes for node in nodes) / took_s / size
+    figures = dict.fromkeys(FIGURES, float("nan"))
+    figures["sent_B/s"] = figures["received_B/s"] = sent
+    figures["datagrams/s"] = sum(node.datagrams for node in nodes) / took_s / size
+    figures["cpu_ms/s"] = used_s / took_s / size * 1000.0
+    return figures
+
+
+FIGURES: Final = (
+    "sent_B/s",
+    "received_B/s",
+    "datagrams/s",
+    "polls/s",
+    "cpu_ms/s",
+    "load_age_p50_s",
+    "load_age_p99_s",
+    "joined_s",
+    "memory_kb",
+    "table_kb",
+    "leave_known_s",
+    "death_known_s",
+)
+
+
+def _totals(fleet: MemberFleet) -> tuple[int, int, int, int]:
+    def total(name: str) -> int:
+        return sum(node.observer.counters[name] for node in fleet.nodes)
+
+    return (
+        total("member_bytes_sent"),
+        total("member_bytes_received"),
+        total("member_datagrams_sent"),
+        sum(node.watch.polls for node in fleet.nodes),
+    )
+
+
+def _load_ages(nodes: Sequence[MemberNode]) -> Sequence[float]:
+    now_s = asyncio.get_running_loop().time()
+    ages = [now_s - heard.polled_at_s for n in nodes for heard in n.watch.news.heard.values()]
+    return quantiles(ages, n=100)
+
+
+def _resident_kb() -> float:
+    with open("/proc/self/status") as status:
+        line = next(line for line in status if line.startswith("VmRSS"))
+    return float(line.split()[1])
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    give_up_at_s = time.monotonic() + LIMIT_S
+    while not condition():
+        if time.monotonic() > give_up_at_s:
+            raise TimeoutError("the fleet did not agree in time")
+        await asyncio.sleep(POLL_S)
+
+
+def _note(rows: Sequence[BenchRow], baseline: Sequence[BenchRow]) -> str:
+    lines = [f"least squares over nodes, and the value at {FULL_SIZE} nodes:"]
+    for label, chosen in (("probes", rows), ("everyone", baseline)):
+        for name in ("sent_B/s", "received_B/s", "datagrams/s", "cpu_ms/s", "table_kb"):
+            points = [(_size(row), row.figures[name]) for row in chosen]
+            if any(value != value for _size_, value in points):
+                continue
+            line = fit_line(points)
+            lines.append(
+                f"  {label} {name}: {line.fixed:.4g} + {line.per_unit:.4g} x nodes"
+                f" = {line.at(FULL_SIZE):.4g}"
+            )
+    return "\n".join(lines)
+
+
+def _size(row: BenchRow) -> float:
+    return float(row.variant.split(", ")[1].split(" ")[0])
--- a/samphirecleat/controllers/_gossip.py
+++ b/samphirecleat/controllers/_gossip.py
@@ -21,8 +21,9 @@
 FAN_OUT: Final = 3
 HELPERS: Final = 2
 ASKS_PER_TICK: Final = 6
-NEWS_ROWS: Final = 4
+NEWS_ROWS: Final = 6
 WALK_ROWS: Final = 2
+RUMOUR_PATIENCE: Final = 0.35
 DEATHS_PER_MESSAGE: Final = 16
 LEAVE_FAN_OUT: Final = 12
 CONTACT_EVERY_TICKS: Final = 4
@@ -40,6 +41,7 @@
     nonce: int
     first_sent_at_s: float
     sent_at_s: float
+    silent_since_s: float
     rumoured: bool
 
 
@@ -172,7 +174,10 @@
             return ()
         if known.made_at_s > silent_since_s or death.incarnation in self._probes:
             return ()
-        return [self._probe(known, now_s, rumoured=True)]
+        # Passed on before it is settled here, or each hop would cost a whole probe.
+        probe = self._probe(known, now_s, silent_since_s=silent_since_s)
+        self._tell(death.incarnation)
+        return [probe]
 
     def _hear_ack(self, nonce: int, sender: Member, now_s: float) -> Sequence[Outgoing]:
         self.catching_up = False
@@ -206,7 +211,7 @@
             if known.made_at_s > probe.first_sent_at_s:
                 del self._probes[probe.incarnation]
                 continue
-            patience_s = self._suspect_after_s * (0.5 if probe.rumoured else 1.0)
+            patience_s = self._suspect_after_s * (RUMOUR_PATIENCE if probe.rumoured else 1.0)
             if now_s - probe.first_sent_at_s >= patience_s:
                 del self._probes[probe.incarnation]
                 self._note_death(probe.incarnation, Life.DEAD, probe.first_sent_at_s)
@@ -238,14 +243,23 @@
             known = self.table.known.get(incarnation)
             if known is None or known.life is not Life.ALIVE or incarnation in self._probes:
                 continue
-            outgoing.append(self._probe(known, now_s, rumoured=False))
+            outgoing.append(self._probe(known, now_s))
         return outgoing
 
-    def _probe(self, known: Known, now_s: float, *, rumoured: bool) -> Outgoing:
+    def _probe(
+        self, known: Known, now_s: float, *, silent_since_s: float | None = None
+    ) -> Outgoing:
+        """Start a probe; ``silent_since_s`` is set when it checks a rumour."""
         member = known.member
         nonce = self._rng.getrandbits(32) | 1
         self._probes[member.incarnation] = _Probe(
-            member.incarnation, member.peer_address, nonce, now_s, now_s, rumoured
+            incarnation=member.incarnation,
+            address=member.peer_address,
+            nonce=nonce,
+            first_sent_at_s=now_s,
+            sent_at_s=now_s,
+            silent_since_s=now_s if silent_since_s is None else silent_since_s,
+            rumoured=silent_since_s is not None,
         )
         return Outgoing(member.peer_address, self._compose(MessageKind.PING, nonce, now_s))
 
@@ -266,10 +280,10 @@
 
     def _sync(self, sender: Member, known: int, now_s: float) -> Sequence[Outgoing]:
         """Tell a newcomer, who knows few members, of many at once."""
-        others = self._others()
         last_s = self._synced_at_s.get(sender.incarnation, -math.inf)
-        if known * 2 > len(others) + 1 or now_s - last_s < self._heartbeat_s:
+        if known * 4 > self.table.alive_count * 3 or now_s - last_s < self._heartbeat_s:
             return ()
+        others = self._others()
         self._synced_at_s = {
             inc: at_s for inc, at_s in self._synced_at_s.items() if now_s - at_s < 10.0
         }
@@ -292,8 +306,12 @@
             self._tell(incarnation)
 
     def _tell(self, incarnation: str) -> None:
-        """Let news of a process ride on the next datagrams, about log2 of the fleet."""
-        self._news[incarnation] = 2 + math.ceil(math.log2(len(self.table.known) + 2))
+        """Let news of a process ride on the next datagrams.
+
+        Told c times to random others by each, news misses one node in e to the c;
+        the walk through all rows reaches the rest.
+        """
+        self._news[incarnation] = 4 + math.ceil(math.log2(len(self.table.known) + 2) / 2)
 
     def _compose(
         self, kind: MessageKind, nonce: int, now_s: float, first: Member | None = None
@@ -302,20 +320,31 @@
         if first is not None:
             rows.append(MemberRow(first, 0))
         deaths: list[Death] = []
-        for incarnation in sorted(self._news, key=self._news.__getitem__, reverse=True):
+        for incarnation in self._news_in_order():
             known = self.table.known.get(incarnation)
             if known is None:
                 del self._news[incarnation]
-            elif known.life is Life.ALIVE:
-                if len(rows) <= NEWS_ROWS:
-                    if incarnation != self.own.incarnation:
-                        rows.append(_row(known, now_s))
+                continue
+            probe = self._probes.get(incarnation)
+            rumoured = probe is not None and probe.rumoured
+            if known.life is not Life.ALIVE or rumoured:
+                if len(deaths) < DEATHS_PER_MESSAGE:
+                    since_s = probe.silent_since_s if probe else known.silent_since_s
+                    own_word = known.life is Life.GONE
+                    deaths.append(Death(incarnation, _ms(now_s - since_s), own_word))
                     self._spend(incarnation)
-            elif len(deaths) < DEATHS_PER_MESSAGE:
-                deaths.append(_death(known, now_s))
+            elif len(rows) <= NEWS_ROWS:
+                if incarnation != self.own.incarnation:
+                    rows.append(_row(known, now_s))
                 self._spend(incarnation)
         rows.extend(self._walk_on(now_s))
-        return Message(kind, nonce, "", len(self._others()) + 1, rows, deaths)
+        return Message(kind, nonce, "", self.table.alive_count, rows, deaths)
+
+    def _news_in_order(self) -> Sequence[str]:
+        """Return whom to tell of, what was told least often first."""
+        if not self._news:
+            return ()
+        return sorted(self._news, key=self._news.__getitem__, reverse=True)
 
     def _spend(self, incarnation: str) -> None:
         self._news[incarnation] -= 1
@@ -343,10 +372,5 @@
     return MemberRow(known.member, _ms(now_s - known.made_at_s))
 
 
-def _death(known: Known, now_s: float) -> Death:
-    silent_for_ms = _ms(now_s - known.silent_since_s)
-    return Death(known.member.incarnation, silent_for_ms, known.life is Life.GONE)
-
-
 def _ms(seconds: float) -> int:
     return max(0, int(seconds * 1000.0))
--- a/samphirecleat/controllers/_member_table.py
+++ b/samphirecleat/controllers/_member_table.py
@@ -54,6 +54,7 @@
         """Start without any row."""
         self.known: dict[str, Known] = {}
         self.changed_node_ids: set[str] = set()
+        self.alive_count = 0
         self._incarnations: dict[str, list[str]] = {}
         self._ended: OrderedDict[str, int] = OrderedDict()
 
@@ -138,7 +139,10 @@
 
     def _put(self, known: Known) -> None:
         member = known.member
-        if member.incarnation not in self.known:
+        before = self.known.get(member.incarnation)
+        was_alive = before is not None and before.life is Life.ALIVE
+        self.alive_count += (known.life is Life.ALIVE) - was_alive
+        if before is None:
             self._incarnations.setdefault(member.node_id, []).append(member.incarnation)
         self.known[member.incarnation] = known
         self.changed_node_ids.add(member.node_id)
--- a/samphirecleat/controllers/_target_news.py
+++ b/samphirecleat/controllers/_target_news.py
@@ -8,7 +8,6 @@
 """
 
 import hashlib
-import itertools
 import math
 from collections import OrderedDict
 from collections.abc import Collection, Sequence
@@ -18,8 +17,9 @@
 from ..peers import Message, TargetLoad, TargetRow
 
 ROWS_PER_MESSAGE: Final = 3
-FRESH_LOADS: Final = 10
-OTHER_LOADS: Final = 4
+FRESH_LOADS: Final = 16
+OTHER_LOADS: Final = 6
+FRESH_S: Final = 0.5
 SAME_POLL_S: Final = 0.05
 
 
@@ -28,6 +28,7 @@
 
     view: TargetView
     polled_at_s: float
+    key: int
 
 
 class TargetNews:
@@ -37,6 +38,7 @@
         """Start with nothing heard."""
         self.heard: OrderedDict[str, Heard] = OrderedDict()
         self.changed: set[str] = set()
+        self._fresh: OrderedDict[str, None] = OrderedDict()
         self._by_key: dict[int, str] = {}
         self._untold: dict[str, int] = {}
         self._turn: list[str] = []
@@ -47,7 +49,7 @@
             del self.heard[address]
         self._by_key = {k: a for k, a in self._by_key.items() if a in self.heard}
 
-    def note(self, view: TargetView, polled_at_s: float) -> bool:
+    def note(self, view: TargetView, polled_at_s: float, now_s: float) -> bool:
         """Take in what a target said; True when it is news.
 
         A target that said that it leaves does not stay after all: only a new
@@ -60,13 +62,11 @@
                 return False
             same_instance = known.view.instance == view.instance
             view = view._replace(leaving=view.leaving or (same_instance and known.view.leaving))
-        self.heard[view.address] = Heard(view, polled_at_s)
-        self.changed.add(view.address)
-        # The end of the dictionary holds what is freshest.
-        self.heard.move_to_end(view.address)
-        self._by_key[target_key(view.address, view.instance)] = view.address
         is_news = known is None or _identity(known.view) != _identity(view)
+        key = known.key if known and not is_news else target_key(view.address, view.instance)
+        self._put(Heard(view, polled_at_s, key), now_s)
         if is_news:
+            self._by_key[key] = view.address
             self._untold[view.address] = 3 + math.ceil(math.log2(len(self.heard) + 1))
         return is_news
 
@@ -74,15 +74,12 @@
         """Return the message with rows and loads put in."""
         return message._replace(targets=self._rows(now_s), loads=self._loads(now_s))
 
-    def _newest(self, count: int) -> Sequence[str]:
-        return list(itertools.islice(reversed(self.heard), count))
-
     def unload_loads(self, loads: Sequence[TargetLoad], now_s: float) -> None:
         """Take in loads; one of an instance that this node does not know is passed over."""
         for load in loads:
             address = self._by_key.get(load.key)
             known = self.heard.get(address) if address is not None else None
-            if known is None or target_key(known.view.address, known.view.instance) != load.key:
+            if known is None or known.key != load.key:
                 continue
             polled_at_s = now_s - load.poll_age_ms / 1000.0
             if polled_at_s <= known.polled_at_s + SAME_POLL_S:
@@ -92,7 +89,28 @@
                 waiting=load.waiting,
                 reported_at_s=now_s - load.report_age_ms / 1000.0,
             )
-            self.note(view, polled_at_s)
+            self._put(Heard(view, polled_at_s, load.key), now_s)
+
+    def silent_since(self, before_s: float) -> Sequence[str]:
+        """Return targets last asked before a time, the longest silent first."""
+        silent: list[str] = []
+        for address, heard in self.heard.items():
+            if heard.polled_at_s >= before_s:
+                break
+            silent.append(address)
+        return silent
+
+    def _put(self, heard: Heard, now_s: float) -> None:
+        address = heard.view.address
+        self.heard[address] = heard
+        # The start of the dictionary holds what was silent longest, more or less.
+        self.heard.move_to_end(address)
+        self.changed.add(address)
+        if now_s - heard.polled_at_s <= FRESH_S:
+            self._fresh[address] = None
+            self._fresh.move_to_end(address)
+            if len(self._fresh) > FRESH_LOADS:
+                self._fresh.popitem(last=False)
 
     def _rows(self, now_s: float) -> Sequence[TargetRow]:
         addresses = sorted(self._untold, key=self._untold.__getitem__, reverse=True)
@@ -109,7 +127,7 @@
         return rows
 
     def _loads(self, now_s: float) -> Sequence[TargetLoad]:
-        fresh = self._newest(FRESH_LOADS)
+        fresh = [address for address in self._fresh if address in self.heard]
         others = self._next_in_turn(min(OTHER_LOADS, len(self.heard) - len(fresh)))
         chosen = dict.fromkeys([*fresh, *others])
         return [_make_load(self.heard[address], now_s) for address in chosen]
@@ -163,7 +181,7 @@
 def _make_load(heard: Heard, now_s: float) -> TargetLoad:
     view = heard.view
     return TargetLoad(
-        key=target_key(view.address, view.instance),
+        key=heard.key,
         running=view.running,
         waiting=view.waiting,
         poll_age_ms=_ms(now_s - heard.polled_at_s),
--- a/samphirecleat/controllers/target_watch.py
+++ b/samphirecleat/controllers/target_watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import Final, NamedTuple
 
 from ..blackboard import Blackboard, TargetView
@@ -10,8 +10,8 @@
 from ..targets import TargetClient
 from ._target_news import TargetNews, view_of_row
 
-SILENT_AFTER_S: Final = 2.0
-SILENT_PER_TARGET_S: Final = 1.0 / 60.0
+SILENT_AFTER_S: Final = 1.5
+SILENT_PER_TARGET_S: Final = 1.0 / 30.0
 FALLBACK_POLLS: Final = 20
 DOUBT_PERIOD_S: Final = 5.0
 
@@ -19,14 +19,13 @@
 class WatchView(NamedTuple):
     """What one round of questions is decided from.
 
-    ``owned`` are the targets that this node comes first for; ``polled_at_s`` is
-    when any node last asked a target, as far as this one heard; ``doubted`` are
-    targets that this node found unreachable, with the time to ask again.
+    ``owned`` are the targets that this node comes first for; ``silent`` those of
+    which nobody told anything for too long, the longest first; ``doubted`` those
+    that this node found unreachable, with the time to ask again.
     """
 
-    wanted: Sequence[str]
-    owned: frozenset[str]
-    polled_at_s: Mapping[str, float]
+    owned: Collection[str]
+    silent: Sequence[str]
     doubted: Mapping[str, float]
 
 
@@ -37,21 +36,18 @@
     doubts them, and not more than a few at once, lest all nodes ask for everything
     together after a silence.
     """
-    silent_after_s = SILENT_AFTER_S + SILENT_PER_TARGET_S * len(view.wanted)
-    due: list[str] = []
-    fallback: list[tuple[float, str]] = []
-    for address in view.wanted:
-        polled_at_s = view.polled_at_s.get(address, float("-inf"))
-        doubted_until_s = view.doubted.get(address)
-        if address in view.owned:
-            due.append(address)
-        elif doubted_until_s is not None:
-            if now_s >= doubted_until_s:
-                due.append(address)
-        elif now_s - polled_at_s >= silent_after_s:
-            fallback.append((polled_at_s, address))
-    fallback.sort()
-    return [*due, *(address for _at, address in fallback[:FALLBACK_POLLS])]
+    due = dict.fromkeys(view.owned)
+    due.update(dict.fromkeys(a for a, again_s in view.doubted.items() if now_s >= again_s))
+    silent = [a for a in view.silent if a not in due and a not in view.doubted]
+    return [*due, *silent[:FALLBACK_POLLS]]
+
+
+def silent_after_s(target_count: int) -> float:
+    """Return how long nothing need be heard of a target that is watched well.
+
+    News of more targets takes longer, since a datagram carries a fixed number.
+    """
+    return SILENT_AFTER_S + SILENT_PER_TARGET_S * target_count
 
 
 class TargetWatch:
@@ -72,7 +68,9 @@
         self._owners = RendezvousOwners()
         self._wanted: Mapping[str, TargetView] = {}
         self._wanted_from: tuple[object, object] = (None, None)
+        self._owned: frozenset[str] = frozenset()
         self._doubted: dict[str, float] = {}
+        self._refused: set[str] = set()
         self.news = TargetNews()
         self.polls = 0
 
@@ -86,19 +84,20 @@
         """Ask what is to be asked now and write what was said."""
         self._refresh_wanted()
         now_s = asyncio.get_running_loop().time()
-        await asyncio.gather(*(self._ask(address) for address in decide_polls(self._view(), now_s)))
-        self._write(list(self._wanted))
+        asked = decide_polls(self._view(now_s), now_s)
+        await asyncio.gather(*(self._ask(address) for address in asked))
+        self._write([a for a in {*asked, *self.news.changed} if a in self._wanted])
 
     def owned(self) -> frozenset[str]:
         """Return the targets that this node asks for all the others."""
-        own_id = self._board.identity.node_id
-        return frozenset(a for a in self._wanted if self._owners.owner(a) == own_id)
+        return self._owned
 
     def note_refused(self, address: str) -> None:
         """Take a target out of use at once: it refused a connection of this node."""
         known = self._board.targets.get(address)
         if known is not None and known.reachable:
             self._doubted[address] = 0.0
+            self._refused.add(address)
             self._board.targets[address] = known._replace(reachable=False)
 
     def load(self, message: Message, now_s: float) -> Message:
@@ -124,7 +123,7 @@
         if row.address in self._doubted and row.reachable:
             self._doubted[row.address] = min(self._doubted[row.address], now_s)
             return
-        self.news.note(view_of_row(row, wanted, now_s), now_s - row.poll_age_ms / 1000.0)
+        self.news.note(view_of_row(row, wanted, now_s), now_s - row.poll_age_ms / 1000.0, now_s)
 
     async def _ask(self, address: str) -> None:
         wanted = self._wanted[address]
@@ -135,11 +134,12 @@
         view = await self._client.report(known, asked_at_s)
         if view.reachable:
             self._doubted.pop(address, None)
+            self._refused.discard(address)
         else:
             jitter = 0.5 + self._rng.random()
             self._doubted[address] = asked_at_s + DOUBT_PERIOD_S * jitter
         if address in self._wanted:
-            self.news.note(view, asked_at_s)
+            self.news.note(view, asked_at_s, asked_at_s)
 
     def _refresh_wanted(self) -> None:
         board = self._board
@@ -149,18 +149,21 @@
             self.news.keep_only(self._wanted)
             for address in set(board.targets) - set(self._wanted):
                 del board.targets[address]
-        for address in set(self._doubted) - set(self._wanted):
-            del self._doubted[address]
-        staying = [m.node_id for m in self._board.live_members() if not m.leaving]
-        self._owners.update(staying, list(self._wanted))
-
-    def _view(self) -> WatchView:
-        return WatchView(
-            wanted=list(self._wanted),
-            owned=self.owned(),
-            polled_at_s={a: heard.polled_at_s for a, heard in self.news.heard.items()},
-            doubted=self._doubted,
-        )
+            for address in set(self._doubted) - set(self._wanted):
+                del self._doubted[address]
+            self._refused &= set(self._wanted)
+            self._write(list(self._wanted))
+        staying = {m.node_id for m in board.live_members() if not m.leaving}
+        if self._owners.update(staying, self._wanted):
+            own_id = board.identity.node_id
+            self._owned = frozenset(a for a in self._wanted if self._owners.owner(a) == own_id)
+
+    def _view(self, now_s: float) -> WatchView:
+        unheard: Sequence[str] = ()
+        if len(self.news.heard) < len(self._wanted):
+            unheard = [address for address in self._wanted if address not in self.news.heard]
+        silent = self.news.silent_since(now_s - silent_after_s(len(self._wanted)))
+        return WatchView(self._owned, [*unheard, *silent], self._doubted)
 
     def _write(self, addresses: Sequence[str]) -> None:
         """Write rows of the section: what was heard, and who leaves by the host list."""
@@ -174,7 +177,7 @@
                 service=wanted.service,
                 zone=wanted.zone,
                 leaving=view.leaving or (listed is not None and listed[2]),
-                reachable=view.reachable and address not in self._doubted,
+                reachable=view.reachable and address not in self._refused,
             )
         self.news.changed.clear()
 
--- a/samphirecleat/peers/_rendezvous.py
+++ b/samphirecleat/peers/_rendezvous.py
@@ -2,9 +2,14 @@
 
 import hashlib
 from collections.abc import Collection, Iterable, Sequence
+from functools import lru_cache
+from typing import Final
 
 from ..blackboard import Member
 
+HASHES_KEPT: Final = 4096
+_MASK: Final = (1 << 64) - 1
+
 
 def rank_members(members: Iterable[Member], thing: str) -> Sequence[Member]:
     """Return the members that stay, the one that comes first for ``thing`` first."""
@@ -22,12 +27,12 @@
     def __init__(self) -> None:
         """Start without nodes and things."""
         self._node_ids: set[str] = set()
-        self._owners: dict[str, tuple[bytes, str]] = {}
+        self._owners: dict[str, tuple[int, str]] = {}
 
-    def update(self, node_ids: Collection[str], things: Collection[str]) -> None:
-        """Take the present nodes and things."""
+    def update(self, node_ids: Collection[str], things: Collection[str]) -> bool:
+        """Take the present nodes and things; False when they are the same as before."""
         if self._node_ids == set(node_ids) and self._owners.keys() == set(things):
-            return
+            return False
         joined = set(node_ids) - self._node_ids
         left = self._node_ids - set(node_ids)
         self._node_ids = set(node_ids)
@@ -43,11 +48,25 @@
                 self._owners[thing] = max(candidates)
             else:
                 self._owners.pop(thing, None)
+        return True
 
     def owner(self, thing: str) -> str:
         """Return the node that comes first for a thing, or an empty text for none."""
-        return self._owners.get(thing, (b"", ""))[1]
+        return self._owners.get(thing, (0, ""))[1]
+
+
+def _weight(node_id: str, thing: str) -> int:
+    """Return a node's weight for a thing, the same on every node.
+
+    Both names are hashed once; the pair is mixed by the finalizer of SplitMix64,
+    which takes a tenth of the time of hashing each pair.
+    """
+    mixed = _hash(node_id) ^ _hash(thing)
+    mixed = ((mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9) & _MASK
+    mixed = ((mixed ^ (mixed >> 27)) * 0x94D049BB133111EB) & _MASK
+    return mixed ^ (mixed >> 31)
 
 
-def _weight(node_id: str, thing: str) -> bytes:
-    return hashlib.blake2b(f"{node_id}\0{thing}".encode(), digest_size=8).digest()
+@lru_cache(maxsize=HASHES_KEPT)
+def _hash(name: str) -> int:
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest())
