A node that was frozen uses no target before it answers; drains refuse new work at the end

Cause: with Python 3.11 asyncio.wait_for drops a cancellation that comes as its event is set, so that a step runner went on for ever after stop() (1 of about 12 runs of tests/client/test_trainer.py hung until its timeout). Change: asyncio.timeout there.

--- a/samphirecleat/controllers/step_runner.py
+++ b/samphirecleat/controllers/step_runner.py
@@ -4,6 +4,7 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Mapping, Sequence
+from contextlib import suppress
 from typing import Any, Final
 
 from ..blackboard import Blackboard
@@ -359,7 +360,8 @@
 
 
 async def _wait(event: asyncio.Event, timeout_s: float) -> None:
-    try:
-        await asyncio.wait_for(event.wait(), timeout_s)
-    except TimeoutError:
-        return
+    # Not asyncio.wait_for: up to Python 3.11 it drops a cancellation that comes
+    # in the moment in which the event is set, and the task then never ends.
+    with suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
--- a/samphirecleat/controllers/target_watch.py
+++ b/samphirecleat/controllers/target_watch.py
@@ -14,6 +14,9 @@
 SILENT_PER_TARGET_S: Final = 1.0 / 30.0
 FALLBACK_POLLS: Final = 20
 DOUBT_PERIOD_S: Final = 5.0
+DOUBTED_POLLS: Final = 60
+CLOCK_PERIOD_S: Final = 0.2
+PAUSE_S: Final = 1.5
 
 
 class WatchView(NamedTuple):
@@ -37,7 +40,8 @@
     together after a silence.
     """
     due = dict.fromkeys(view.owned)
-    due.update(dict.fromkeys(a for a, again_s in view.doubted.items() if now_s >= again_s))
+    doubted = [address for address, again_s in view.doubted.items() if now_s >= again_s]
+    due.update(dict.fromkeys(doubted[:DOUBTED_POLLS]))
     silent = [a for a in view.silent if a not in due and a not in view.doubted]
     return [*due, *silent[:FALLBACK_POLLS]]
 
@@ -76,9 +80,11 @@
 
     async def drive(self) -> None:
         """Ask for as long as the node lives."""
-        while True:
-            await self.poll_once()
-            await asyncio.sleep(self._period_s)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._watch_clock())
+            while True:
+                await self.poll_once()
+                await asyncio.sleep(self._period_s)
 
     async def poll_once(self) -> None:
         """Ask what is to be asked now and write what was said."""
@@ -88,6 +94,26 @@
         await asyncio.gather(*(self._ask(address) for address in asked))
         self._write([a for a in {*asked, *self.news.changed} if a in self._wanted])
 
+    def distrust_all(self) -> None:
+        """Take every target out of use until it answers this node.
+
+        After a pause of this process what it knows is as old as the pause: a target
+        may have begun to leave meanwhile, and must not get work from here.
+        """
+        for address, view in self._board.targets.items():
+            if view.reachable:
+                self._doubted[address] = 0.0
+                self._refused.add(address)
+                self._board.targets[address] = view._replace(reachable=False)
+
+    async def _watch_clock(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            before_s = loop.time()
+            await asyncio.sleep(CLOCK_PERIOD_S)
+            if loop.time() - before_s >= PAUSE_S:
+                self.distrust_all()
+
     def owned(self) -> frozenset[str]:
         """Return the targets that this node asks for all the others."""
         return self._owned
--- a/samphirecleat/entry/_callers.py
+++ b/samphirecleat/entry/_callers.py
@@ -236,7 +236,14 @@
         return f"{identity.node_id}.{identity.incarnation}.unkeyed.{secrets.token_hex(8)}"
 
     def _start(self, call: Call, answer: AnswerLog) -> Callable[[], object]:
-        """Start a run that goes on whoever reads it; return what cancels it."""
+        """Start a run that goes on whoever reads it; return what cancels it.
+
+        A node near the end of its drain starts nothing more. It closes the key with
+        that refusal, so that "not run" stays true whoever asks again.
+        """
+        if not self._board.accepting:
+            answer.close(RequestError(ErrorKind.LEAVING, "this node leaves; ask another"))
+            return answer.close
         task = asyncio.get_running_loop().create_task(self._dispatcher.run(call, answer))
         self._runs.add(task)
         task.add_done_callback(self._runs.discard)
--- a/tests/controllers/test_target_watch.py
+++ b/tests/controllers/test_target_watch.py
@@ -189,6 +189,22 @@
     asyncio.run(scenario())
 
 
+def test_after_a_pause_no_target_is_used_before_it_answers() -> None:
+    """A node's process freezes, a target begins to leave, and the node wakes."""
+
+    async def scenario() -> None:
+        board, watch, _answers = make_watch()
+        await watch.poll_once()
+        watch.distrust_all()
+        assert not board.targets[ADDRESS].usable
+        watch.unload(ping(make_row(watch.news.heard[ADDRESS], 0.0)), 1e6)
+        assert not board.targets[ADDRESS].usable
+        await watch.poll_once()
+        assert board.targets[ADDRESS].usable
+
+    asyncio.run(scenario())
+
+
 def test_leaving_by_the_host_list_holds_whatever_the_target_says() -> None:
     """The host list shows a target as leaving before the target itself knows."""
 
