--- a/samphirecleat/controllers/_member_table.py
+++ b/samphirecleat/controllers/_member_table.py
@@ -55,6 +55,7 @@
         self.known: dict[str, Known] = {}
         self.changed_node_ids: set[str] = set()
         self.alive_count = 0
+        self._highest_revision = -1
         self._incarnations: dict[str, list[str]] = {}
         self._ended: OrderedDict[str, int] = OrderedDict()
 
@@ -72,6 +73,7 @@
             if row.sequence <= self._ended.get(row.incarnation, -1):
                 return Change.NONE
             self._put(Known(row, made_at_s))
+            self._highest_revision = max(self._highest_revision, row.config_revision)
             return Change.NEWS
         if row.sequence <= known.member.sequence:
             return Change.NONE
@@ -88,7 +90,12 @@
         self._put(Known(row, made_at_s))
         old = known.member
         same = (old.leaving, old.ready) == (row.leaving, row.ready)
-        return Change.FRESHER if same else Change.NEWS
+        # The first row with a higher revision tells all where to fetch it. The rows
+        # of the others that take it follow in turn; told at once, they would be as
+        # many as the fleet has nodes.
+        raises_revision = row.config_revision > self._highest_revision
+        self._highest_revision = max(self._highest_revision, row.config_revision)
+        return Change.FRESHER if same and not raises_revision else Change.NEWS
 
     def bury(self, incarnation: str, life: Life, silent_since_s: float) -> bool:
         """Note a death; True if the process was alive until now."""
--- a/tests/controllers/test_membership.py
+++ b/tests/controllers/test_membership.py
@@ -133,6 +133,22 @@
     seconds_until(network, known_everywhere, 8 * HEARTBEAT_S)
 
 
+def test_a_new_revision_is_heard_of_everywhere_in_a_few_periods() -> None:
+    """One node reads a new configuration from the log; the others wait for word of it.
+
+    It must be in force everywhere within 4 s, of which this is the first part.
+    """
+    network = build_network(40)
+    node = network.nodes["n7"]
+    node.own = node.own._replace(config_revision=2)
+
+    def heard_everywhere() -> bool:
+        tables = [node.gossip.table for node in network.nodes.values()]
+        return all(table.known["n7-a"].member.config_revision == 2 for table in tables)
+
+    seconds_until(network, heard_everywhere, 2.5)
+
+
 def test_a_zone_that_is_lost_at_once_is_known_to_be_gone() -> None:
     """A third of the hosts loses power in the same moment."""
     network = build_network(30)
