--- a/samphirecleat/bench/_many_members.py
+++ b/samphirecleat/bench/_many_members.py
@@ -23,14 +23,21 @@
 VICTIM: Final = "node-4"
 JOIN_LIMIT_S: Final = 90.0
 EVENT_LIMIT_S: Final = 30.0
+APART_S: Final = 0.4
+SEEDS: Final = 3
 
 
 async def _run(part: int, parts: int, nodes: int, targets: int, seeds_file: str) -> dict[str, Any]:
     seeds = [] if part == 0 else await _read_seeds(seeds_file)
-    fleet = MemberFleet(nodes, targets, Timings(), first_index=part * nodes, seeds=seeds)
-    await fleet.start()
+    first_index = part * nodes
+    fleet = MemberFleet(
+        nodes, targets, Timings(), first_index=first_index, seeds=seeds, apart_s=APART_S
+    )
+    starting = asyncio.create_task(fleet.start())
     if part == 0:
+        await asyncio.sleep(APART_S * SEEDS * 2)
         _write_seeds(seeds_file, fleet.seeds)
+    await starting
     size = parts * nodes
     began_s = time.monotonic()
     joined = await _until(lambda: all(_count(node) == size for node in fleet.nodes), JOIN_LIMIT_S)
--- a/samphirecleat/bench/_member_fleet.py
+++ b/samphirecleat/bench/_member_fleet.py
@@ -130,11 +130,14 @@
         *,
         first_index: int = 0,
         seeds: Sequence[str] = (),
+        apart_s: float = 0.0,
     ) -> None:
         """Prepare ``count`` nodes that share ``targets`` targets.
 
-        ``first_index`` and ``seeds`` let several processes form one fleet.
+        ``first_index`` and ``seeds`` let several processes form one fleet, whose
+        nodes start ``apart_s`` after each other.
         """
+        self._apart_s = apart_s
         self._first_index = first_index
         self._seeds = seeds
         self._count = count
@@ -149,6 +152,7 @@
             node = MemberNode(index, seeds, self._targets, self._timings)
             await node.start()
             self.nodes.append(node)
+            await asyncio.sleep(self._apart_s)
 
     @property
     def seeds(self) -> Sequence[str]:
--- a/samphirecleat/controllers/_gossip.py
+++ b/samphirecleat/controllers/_gossip.py
@@ -30,6 +30,7 @@
 JOIN_CONTACTS: Final = 3
 SYNC_DATAGRAMS: Final = 10
 SYNC_ROWS: Final = 6
+SYNCS_PER_TICK: Final = 3
 DEAF_S: Final = 0.25
 FORGET_EVERY_TICKS: Final = 50
 ASKS_REMEMBERED: Final = 64
@@ -69,6 +70,7 @@
         self._walk: list[str] = []
         self._news: dict[str, int] = {}
         self._synced_at_s: dict[str, float] = {}
+        self._syncs_left = SYNCS_PER_TICK
         self._ticks = 0
         self._last_tick_s: float | None = None
         self._deaf_until_s = -math.inf
@@ -79,6 +81,7 @@
         self._notice_own_pause(now_s)
         self._refresh_own(own, now_s)
         self._ticks += 1
+        self._syncs_left = SYNCS_PER_TICK
         if self._ticks % FORGET_EVERY_TICKS == 0:
             self.table.forget_old(now_s)
         outgoing = list(self._follow_up(now_s))
@@ -279,10 +282,17 @@
         return [Outgoing(address, knock) for address in self._rng.sample(candidates, count)]
 
     def _sync(self, sender: Member, known: int, now_s: float) -> Sequence[Outgoing]:
-        """Tell a newcomer, who knows few members, of many at once."""
+        """Tell a newcomer, who knows few members, of many at once.
+
+        When a whole fleet starts, all newcomers turn to the same few seeds; without
+        a bound on how many a seed serves at a time it would do nothing else.
+        """
         last_s = self._synced_at_s.get(sender.incarnation, -math.inf)
         if known * 4 > self.table.alive_count * 3 or now_s - last_s < self._heartbeat_s:
             return ()
+        if not self._syncs_left:
+            return ()
+        self._syncs_left -= 1
         others = self._others()
         self._synced_at_s = {
             inc: at_s for inc, at_s in self._synced_at_s.items() if now_s - at_s < 10.0
--- a/samphirecleat/controllers/_target_news.py
+++ b/samphirecleat/controllers/_target_news.py
@@ -49,9 +49,15 @@
             del self.heard[address]
         self._by_key = {k: a for k, a in self._by_key.items() if a in self.heard}
 
-    def note(self, view: TargetView, polled_at_s: float, now_s: float) -> bool:
+    def note(
+        self, view: TargetView, polled_at_s: float, now_s: float, *, tell_first: bool = False
+    ) -> bool:
         """Take in what a target said; True when it is news.
 
+        Changes are told to others. What is heard for the first time is told only if
+        ``tell_first`` is set, by the one node that watches the target: a node that
+        starts hears of everything for the first time.
+
         A target that said that it leaves does not stay after all: only a new
         instance at its address takes work again. An older answer that comes round
         late would otherwise bring it back.
@@ -67,6 +73,7 @@
         self._put(Heard(view, polled_at_s, key), now_s)
         if is_news:
             self._by_key[key] = view.address
+        if is_news and (known is not None or tell_first):
             self._untold[view.address] = 3 + math.ceil(math.log2(len(self.heard) + 1))
         return is_news
 
--- a/samphirecleat/controllers/target_watch.py
+++ b/samphirecleat/controllers/target_watch.py
@@ -165,7 +165,7 @@
             jitter = 0.5 + self._rng.random()
             self._doubted[address] = asked_at_s + DOUBT_PERIOD_S * jitter
         if address in self._wanted:
-            self.news.note(view, asked_at_s, asked_at_s)
+            self.news.note(view, asked_at_s, asked_at_s, tell_first=address in self._owned)
 
     def _refresh_wanted(self) -> None:
         board = self._board
