Configuration: a gap settles only by a state that reaches its end; restatement, readers

Cause: after a trim, a restatement or a peer that was itself behind made a fold certain again, so that it could accept a publication that other nodes rejected. Change: the fold keeps unread_below; a state settles it only if it covers every record before that. A peer tells no more than it knows (its revision's own offset while uncertain). A publication on ANY_REVISION is the operator's way out when the state is lost for good.

--- a/samphirecleat/blackboard.py
+++ b/samphirecleat/blackboard.py
@@ -42,6 +42,7 @@
     config_revision: int
     key_epoch: int
     in_flight: int
+    reads_log: bool = True
 
 
 class MemberView(NamedTuple):
--- a/samphirecleat/config/__init__.py
+++ b/samphirecleat/config/__init__.py
@@ -3,6 +3,7 @@
 from .._jsonc import DocumentError, Fault
 from ._check import read_service_text
 from ._fold import (
+    ANY_REVISION,
     NO_REVISION,
     ConfigState,
     LogRecord,
@@ -14,6 +15,7 @@
     publication_payload,
     read_record,
     restatement_payload,
+    state_to_tell,
 )
 from ._service_text import (
     EMPTY_SERVICE_TEXT,
@@ -26,6 +28,7 @@
 )
 
 __all__ = [
+    "ANY_REVISION",
     "EMPTY_SERVICE_TEXT",
     "NO_REVISION",
     "ConfigState",
@@ -47,4 +50,5 @@
     "read_record",
     "read_service_text",
     "restatement_payload",
+    "state_to_tell",
 ]
--- a/samphirecleat/config/_fold.py
+++ b/samphirecleat/config/_fold.py
@@ -6,9 +6,14 @@
 revisions only rise. The publication's id plays no part in the decision (an id
 that is appended twice fails by its base), which keeps a fold that starts late in
 agreement with one that starts at the first record.
+
+The log trims old records. A fold that missed some is *uncertain*: it keeps its
+revision in force, but decides nothing until a statement of the accepted state,
+from the log or from a peer, covers every record that it missed.
 """
 
 from collections.abc import Mapping, Sequence
+from functools import lru_cache
 from typing import Any, Final, NamedTuple
 
 from .._jsonc import DocumentError
@@ -16,7 +21,11 @@
 from ._service_text import EMPTY_SERVICE_TEXT, ServiceText
 
 NO_REVISION: Final = -1
+ANY_REVISION: Final = -2
+"""A base that accepts whatever is in force: the operator's way out when the
+accepted state is lost for good (no node lives and the log has trimmed it)."""
 OUTCOMES_KEPT: Final = 500
+TEXTS_KEPT: Final = 8
 
 
 class LogRecord(NamedTuple):
@@ -36,9 +45,9 @@
 
 
 class Restatement(NamedTuple):
-    """The accepted state, appended again before the log trims it away.
+    """The accepted state, stated again before the log trims it away, or by a peer.
 
-    It covers every record up to and including ``folded_to``.
+    Every record up to and including ``folded_to`` is taken into account in it.
     """
 
     revision: int
@@ -46,6 +55,15 @@
     text: str
     operator: str
 
+    @property
+    def covers_to(self) -> int:
+        """The last offset that it speaks for.
+
+        At the offset that is its revision's own, that revision was in force for
+        certain, also when its writer has missed records since.
+        """
+        return max(self.revision, self.folded_to)
+
 
 class Outcome(NamedTuple):
     """What became of one publication."""
@@ -57,11 +75,11 @@
 
 
 class ConfigState(NamedTuple):
-    """What a fold knows.
+    """What a fold knows after all records up to and including ``folded_to``.
 
-    ``certain`` is false while records may have been trimmed before they were
-    read: the text stays in force, but publications wait in ``pending`` until a
-    restatement or a peer says what was in force before them.
+    Some records before ``unread_below`` were trimmed before this fold read them;
+    0 means that none were. While it is uncertain, publications wait in
+    ``pending``.
     """
 
     revision: int = NO_REVISION
@@ -69,10 +87,15 @@
     operator: str = ""
     services: ServiceText = EMPTY_SERVICE_TEXT
     folded_to: int = -1
-    certain: bool = False
+    unread_below: int = 0
     pending: Sequence[LogRecord] = ()
     outcomes: Mapping[str, Outcome] = {}
 
+    @property
+    def certain(self) -> bool:
+        """Whether the revision is known to be the one in force at ``folded_to``."""
+        return self.unread_below == 0
+
 
 def fold_records(
     state: ConfigState, records: Sequence[LogRecord], first_kept_offset: int
@@ -83,15 +106,10 @@
     were read. Records at or before ``state.folded_to`` are passed over, so that a
     batch which is read twice changes nothing.
     """
-    if first_kept_offset > state.folded_to + 1:
-        # Records were trimmed before this node read them. One of them may have
-        # replaced the revision in force; accepting a publication on top of the
-        # old one would then differ from what the other nodes accepted.
-        state = state._replace(certain=False)
-    elif state.folded_to < 0:
-        state = state._replace(certain=True)
+    state = _skip_to(state, first_kept_offset)
     for record in records:
         if record.offset > state.folded_to:
+            state = _skip_to(state, record.offset)
             state = _fold_record(state, record)._replace(folded_to=record.offset)
     return state
 
@@ -99,39 +117,49 @@
 def adopt_peer_state(state: ConfigState, peer: Restatement) -> ConfigState:
     """Return the state after a peer told what it has in force.
 
-    Only a peer that has folded further than this node's last certain point
-    changes anything, and the revision never falls.
+    The revision never falls, and a state that does not reach the end of the
+    records that were missed leaves the fold uncertain.
     """
-    if peer.revision < state.revision:
-        return state
-    if state.certain and peer.folded_to <= state.folded_to:
-        return state
     return _apply_restatement(state, peer)
 
 
+def state_to_tell(state: ConfigState) -> Restatement:
+    """Return what a node may tell a peer: no more than it knows for certain."""
+    covers_to = state.folded_to if state.certain else state.revision
+    return Restatement(state.revision, covers_to, state.text, state.operator)
+
+
 def read_record(payload: Mapping[str, Any]) -> Publication | Restatement | None:
-    """Return the typed record, or None for one that this version does not know."""
+    """Return the typed record, or None for one that is unknown or malformed."""
     try:
         match payload.get("type"):
             case "publication":
                 return Publication(
-                    str(payload["id"]),
+                    _as_text(payload["id"]),
                     int(payload["base"]),
-                    str(payload["text"]),
-                    str(payload["operator"]),
+                    _as_text(payload["text"]),
+                    _as_text(payload["operator"]),
                 )
             case "restatement":
                 return Restatement(
                     int(payload["revision"]),
                     int(payload["folded_to"]),
-                    str(payload["text"]),
-                    str(payload["operator"]),
+                    _as_text(payload["text"]),
+                    _as_text(payload["operator"]),
                 )
-    except (KeyError, TypeError, ValueError):
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError):
         return None
     return None
 
 
+def _as_text(value: object) -> str:
+    """Return a text that can be passed on; half a surrogate pair raises ValueError."""
+    if not isinstance(value, str):
+        raise ValueError("a text is expected")
+    value.encode()
+    return value
+
+
 def publication_payload(publication: Publication) -> Mapping[str, Any]:
     """Return the log payload of a publication; the inverse of :func:`read_record`."""
     return {
@@ -143,42 +171,52 @@
     }
 
 
-def restatement_payload(state: ConfigState) -> Mapping[str, Any]:
-    """Return the log payload that states ``state`` again under its revision."""
-    return {
-        "type": "restatement",
-        "revision": state.revision,
-        "folded_to": state.folded_to,
-        "text": state.text,
-        "operator": state.operator,
-    }
+def restatement_payload(restatement: Restatement) -> Mapping[str, Any]:
+    """Return the log payload of a restatement; the inverse of :func:`read_record`."""
+    return {"type": "restatement", **restatement._asdict()}
+
+
+def _skip_to(state: ConfigState, next_offset: int) -> ConfigState:
+    """Return the state when the next record to fold is the one at ``next_offset``."""
+    if next_offset <= state.folded_to + 1:
+        return state
+    # Records were trimmed before this node read them. One of them may have
+    # replaced the revision in force; accepting a publication on top of the old
+    # one would then differ from what the other nodes accepted. What was pending
+    # lies before the gap: whatever closes the gap decides it too.
+    return state._replace(folded_to=next_offset - 1, unread_below=next_offset, pending=())
 
 
 def _fold_record(state: ConfigState, record: LogRecord) -> ConfigState:
     match read_record(record.payload):
-        case Publication() as publication if state.certain:
+        case Publication(base=base) as publication if state.certain or base == ANY_REVISION:
             return _decide(state, record.offset, publication)
         case Publication():
             return state._replace(pending=(*state.pending, record))
-        case Restatement() as restatement:
+        case Restatement() as restatement if restatement.covers_to < record.offset:
             return _apply_restatement(state, restatement)
+    # Unknown, or a restatement of records that come after it: no node with a
+    # right fold writes one, and believing it would skip what lies between.
     return state
 
 
 def _decide(state: ConfigState, offset: int, publication: Publication) -> ConfigState:
-    if publication.base != state.revision:
+    if publication.base not in (state.revision, ANY_REVISION):
         in_force = f"revision {state.revision} by {state.operator or 'nobody'}"
         reason = f"made from revision {publication.base}, but {in_force} is in force"
         return _with_outcome(state, publication, offset, accepted=False, reason=reason)
-    try:
-        services = read_service_text(publication.text)
-    except DocumentError as error:
-        return _with_outcome(state, publication, offset, accepted=False, reason=str(error))
+    services = _check_text(publication.text)
+    if isinstance(services, str):
+        return _with_outcome(state, publication, offset, accepted=False, reason=services)
+    # A publication on any base settles an uncertain fold as well: whatever was
+    # in force before it, it is in force now, at every node.
     state = state._replace(
         revision=offset,
         text=publication.text,
         operator=publication.operator,
         services=services,
+        unread_below=0,
+        pending=(),
     )
     return _with_outcome(state, publication, offset, accepted=True, reason="")
 
@@ -198,29 +236,57 @@
 
 
 def _apply_restatement(state: ConfigState, restatement: Restatement) -> ConfigState:
-    """Take over a restated revision, then decide what waited behind it."""
-    if restatement.revision < state.revision or (
-        state.certain and restatement.revision == state.revision
-    ):
+    """Take over what a restatement adds, then decide what waited behind it."""
+    covers_to = restatement.covers_to
+    if restatement.revision < state.revision:
         return state
-    if state.certain and restatement.folded_to <= state.folded_to:
-        # A certain fold has decided every record up to folded_to itself. A
+    if state.certain and covers_to <= state.folded_to:
+        # A certain fold has decided every record up to covers_to itself. A
         # restatement that disagrees there was written by a node with a fault.
         return state
-    try:
-        services = read_service_text(restatement.text)
-    except DocumentError:
+    services = _read_restated_text(restatement)
+    if services is None:
         return state
-    pending = [record for record in state.pending if record.offset > restatement.folded_to]
     state = state._replace(
         revision=restatement.revision,
         text=restatement.text,
         operator=restatement.operator,
         services=services,
-        folded_to=max(state.folded_to, restatement.folded_to),
-        certain=True,
-        pending=(),
     )
+    if not state.certain and covers_to < state.unread_below - 1:
+        # It was in force once, but a record that this fold missed may have
+        # replaced it since: still no ground to decide publications on.
+        return state
+    pending = state.pending
+    state = state._replace(folded_to=max(state.folded_to, covers_to), unread_below=0, pending=())
     for record in pending:
-        state = _fold_record(state, record)
+        if record.offset > covers_to:
+            state = _fold_record(state, record)
+        elif record.offset == restatement.revision:
+            state = _note_accepted(state, record)
     return state
+
+
+def _note_accepted(state: ConfigState, record: LogRecord) -> ConfigState:
+    """Keep the outcome of a publication that others decided before this fold could."""
+    publication = read_record(record.payload)
+    if not isinstance(publication, Publication):
+        return state
+    return _with_outcome(state, publication, record.offset, accepted=True, reason="")
+
+
+def _read_restated_text(restatement: Restatement) -> ServiceText | None:
+    """Return the typed text, or None for a text that no publication put in force."""
+    if restatement.revision == NO_REVISION:
+        return EMPTY_SERVICE_TEXT
+    services = _check_text(restatement.text)
+    return None if isinstance(services, str) else services
+
+
+@lru_cache(maxsize=TEXTS_KEPT)
+def _check_text(text: str) -> ServiceText | str:
+    """Return the typed text, or what is wrong in it; restatements repeat a text often."""
+    try:
+        return read_service_text(text)
+    except DocumentError as error:
+        return str(error)
--- a/samphirecleat/controllers/__init__.py
+++ b/samphirecleat/controllers/__init__.py
@@ -1,5 +1,6 @@
 """The controllers: each decides purely, and a thin driver acts on what it decided."""
 
+from .config_follow import ConfigFollower
 from .config_reader import ConfigReader
 from .discovery import Discovery
 from .dispatcher import Dispatcher
@@ -11,6 +12,7 @@
 from .weights import WeightCoordinator
 
 __all__ = [
+    "ConfigFollower",
     "ConfigReader",
     "Discovery",
     "Dispatcher",
--- a/samphirecleat/controllers/leases.py
+++ b/samphirecleat/controllers/leases.py
@@ -16,7 +16,7 @@
 from ..blackboard import Blackboard, LeaseView
 from ..config import LogRecord
 from ..observe import Observer
-from ..platform import AppendOutcome, Log, LogUnavailableError
+from ..platform import AppendOutcome, Log, LogUnavailableError, ReadPatience
 
 CONTROL_STREAM: Final = "control"
 RENEW_FRACTION: Final = 0.4
@@ -153,6 +153,7 @@
         self._grace_s = grace_s
         self._log_wait_s = log_wait_s
         self._next_offset = 0
+        self._patience = ReadPatience()
         self._clocks: dict[str, LeaseClock] = {}
         self._sent_at_s: dict[str, float] = {}
         self.paused = False
@@ -177,7 +178,9 @@
         """Fold the control stream for as long as the node lives."""
         while True:
             try:
-                batch = await self._log.read(CONTROL_STREAM, self._next_offset, self._log_wait_s)
+                batch = await self._patience.read(
+                    self._log, CONTROL_STREAM, self._next_offset, self._log_wait_s
+                )
             except LogUnavailableError:
                 await asyncio.sleep(RETRY_S * (0.5 + self._rng.random()))
                 continue
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -13,6 +13,7 @@
 
 from .blackboard import Blackboard, Identity, Member
 from .controllers import (
+    ConfigFollower,
     ConfigReader,
     Discovery,
     Dispatcher,
@@ -25,15 +26,13 @@
 )
 from .entry import CallerEntry, OperatorEntry, TrainerEntry, build_app
 from .observe import Observer
-from .peers import HeartbeatCodec, PeerClient, PeerServer, PeerUnavailableError
+from .peers import HeartbeatCodec, PeerClient, PeerServer
 from .platform import HttpHostList, HttpLog, HttpWeightStore
 from .requests import KeyBook
 from .settings import Settings
 from .targets import TargetClient
 
 DRAIN_POLL_S: Final = 0.05
-PEER_CONFIG_PERIOD_S: Final = 0.25
-PEER_TIMEOUT_S: Final = 1.0
 RESTART_AFTER_S: Final = 1.0
 Driver = Callable[[], Awaitable[None]]
 
@@ -145,7 +144,15 @@
         self.limiter = Limiter(board)
         self.dispatcher = Dispatcher(board, self.limiter, client, self.observer, self._rng)
         self.steps = StepRunner(board, self.dispatcher, self.limiter, self.observer)
-        self.config_reader = ConfigReader(board, log, self.observer, self._rng, timings.log_wait_s)
+        self.config_reader = ConfigReader(
+            board,
+            log,
+            self.observer,
+            self._rng,
+            wait_s=timings.log_wait_s,
+            retention_s=timings.log_retention_s,
+        )
+        self.config_follower = ConfigFollower(board, self.peers, self.config_reader, self._rng)
         self.leases = LeaseKeeper(
             board,
             log,
@@ -213,13 +220,14 @@
     def _drivers(self) -> Sequence[Driver]:
         return [
             self.config_reader.drive,
+            self.config_reader.drive_restating,
+            self.config_follower.drive,
             self.leases.drive_reading,
             self.membership.drive,
             self.discovery.drive,
             self.target_watch.drive,
             self.weights.drive,
             self.steps.drive,
-            self._follow_peers,
         ]
 
     async def _supervise(self, drive: Driver) -> None:
@@ -236,23 +244,6 @@
                 self.observer.counters["controller_restarts"] += 1
             await asyncio.sleep(RESTART_AFTER_S)
 
-    async def _follow_peers(self) -> None:
-        """Take the configuration from a peer that is ahead, as when the log is out."""
-        while True:
-            await asyncio.sleep(PEER_CONFIG_PERIOD_S)
-            ahead = [
-                member
-                for member in self.board.live_members()
-                if member.config_revision > self.board.config.revision
-            ]
-            if not ahead:
-                continue
-            try:
-                state = await self.peers.fetch_config(self._rng.choice(ahead), PEER_TIMEOUT_S)
-            except PeerUnavailableError:
-                continue
-            self.config_reader.take_from_peer(state)
-
     def _own_row(self) -> Member:
         self._sequence += 1
         identity = self.board.identity
@@ -269,6 +260,7 @@
             config_revision=self.board.config.revision,
             key_epoch=self.key_book.epoch(asyncio.get_running_loop().time()),
             in_flight=self.limiter.in_flight,
+            reads_log=self.config_reader.reads_log,
         )
 
 
--- a/samphirecleat/peers/_server.py
+++ b/samphirecleat/peers/_server.py
@@ -9,7 +9,7 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
-from ..config import ConfigState
+from ..config import ConfigState, state_to_tell
 from ..errors import RequestError
 from ..requests import AnswerLine
 from ._client import KEY_HEADER, peer_token
@@ -60,15 +60,8 @@
         """Tell what this node has in force."""
         self._check_key(stream)
         await stream.recv_message()
-        state = self._config()
-        await stream.send_message(
-            ConfigReply(
-                revision=state.revision,
-                folded_to=state.folded_to if state.certain else -1,
-                text=state.text,
-                operator=state.operator,
-            )
-        )
+        told = state_to_tell(self._config())
+        await stream.send_message(ConfigReply(**told._asdict()))
 
     async def FetchReport(self, stream: Stream[ReportRequest, ReportReply]) -> None:  # noqa: N802
         """Tell this node's own part of the fleet report."""
--- a/samphirecleat/platform/__init__.py
+++ b/samphirecleat/platform/__init__.py
@@ -1,7 +1,7 @@
 """Clients of what the platform gives: the log, the host list, the weight store."""
 
 from ._host_list import HostListUnavailableError, HttpHostList, ListedHost
-from ._log import Appended, AppendOutcome, HttpLog, Log, LogBatch, LogUnavailableError
+from ._log import Appended, AppendOutcome, HttpLog, Log, LogBatch, LogUnavailableError, ReadPatience
 from ._weight_store import HttpWeightStore, StoreInfo, WeightStoreUnavailableError
 
 __all__ = [
@@ -15,6 +15,7 @@
     "Log",
     "LogBatch",
     "LogUnavailableError",
+    "ReadPatience",
     "StoreInfo",
     "WeightStoreUnavailableError",
 ]
--- a/samphirecleat/platform/_log.py
+++ b/samphirecleat/platform/_log.py
@@ -1,14 +1,25 @@
 """The platform's append-only log: what we need of it, and its HTTP client."""
 
-import asyncio
 from collections.abc import Mapping, Sequence
 from enum import Enum
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Final, NamedTuple, Protocol
 
 import aiohttp
 
 from ..config import LogRecord
 
+SHORTEST_PATIENCE_S: Final = 1.0
+LONGEST_PATIENCE_S: Final = 16.0
+ANSWER_FAULTS: Final = (
+    aiohttp.ClientError,
+    TimeoutError,
+    ConnectionError,
+    EOFError,
+    ValueError,
+    KeyError,
+    TypeError,
+)
+
 
 class AppendOutcome(Enum):
     """What is known of an append after its answer, or the lack of one."""
@@ -49,9 +60,14 @@
         """Append one record; never raises for a failure of the log."""
         ...
 
-    async def read(self, stream: str, from_offset: int, wait_s: float) -> LogBatch:
+    async def read(
+        self, stream: str, from_offset: int, wait_s: float, *, patience_s: float
+    ) -> LogBatch:
         """Read on from an offset, waiting up to ``wait_s`` for a first record.
 
+        The answer may take ``patience_s`` beyond the wait. Offsets of one stream
+        follow each other without gaps.
+
         :raises LogUnavailableError: when the log gives no answer.
         """
         ...
@@ -83,23 +99,55 @@
                 return Appended(AppendOutcome.UNKNOWN, detail=f"HTTP {response.status}")
         except aiohttp.ClientConnectorError as error:
             return Appended(AppendOutcome.NOT_APPENDED, detail=str(error))
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+        except ANSWER_FAULTS as error:
             # The record may have been taken although its answer was lost.
             return Appended(AppendOutcome.UNKNOWN, detail=str(error) or type(error).__name__)
 
-    async def read(self, stream: str, from_offset: int, wait_s: float) -> LogBatch:
+    async def read(
+        self, stream: str, from_offset: int, wait_s: float, *, patience_s: float = 3.0
+    ) -> LogBatch:
         """Read on from an offset; see :meth:`Log.read`."""
         url = f"{self._base_url}/v1/streams/{stream}/records"
         query = {"from": str(from_offset), "wait_s": str(wait_s)}
-        timeout = aiohttp.ClientTimeout(total=wait_s + self._timeout_s)
+        timeout = aiohttp.ClientTimeout(total=wait_s + patience_s)
         try:
             async with self._session.get(url, params=query, timeout=timeout) as response:
                 if response.status != 200:
                     raise LogUnavailableError(f"HTTP {response.status}")
-                body = await response.json()
-                records = [LogRecord(int(r["offset"]), r["payload"]) for r in body["records"]]
-                return LogBatch(records, int(body["first_kept_offset"]), int(body["next_offset"]))
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+                return _read_batch(await response.json())
+        except ANSWER_FAULTS as error:
             raise LogUnavailableError(str(error) or type(error).__name__) from error
-        except asyncio.IncompleteReadError as error:
-            raise LogUnavailableError(str(error)) from error
+
+
+class ReadPatience:
+    """How long one reader waits for answers: short, and longer while the log is slow.
+
+    A connection that went silent would otherwise hold up a reader for as long as
+    the slowest log may take; a log that is only slow would never be read.
+    """
+
+    def __init__(self) -> None:
+        """Start with the shortest patience."""
+        self.patience_s = SHORTEST_PATIENCE_S
+
+    async def read(self, log: Log, stream: str, from_offset: int, wait_s: float) -> LogBatch:
+        """Read with the present patience, and learn from the outcome.
+
+        :raises LogUnavailableError: when the log gives no answer.
+        """
+        try:
+            batch = await log.read(stream, from_offset, wait_s, patience_s=self.patience_s)
+        except LogUnavailableError:
+            self.patience_s = min(LONGEST_PATIENCE_S, self.patience_s * 2.0)
+            raise
+        self.patience_s = max(SHORTEST_PATIENCE_S, self.patience_s * 0.9)
+        return batch
+
+
+def _read_batch(body: Any) -> LogBatch:
+    """Return the typed batch.
+
+    :raises ValueError: and the like, when the body is no answer of the log.
+    """
+    records = [LogRecord(int(row["offset"]), row["payload"]) for row in body["records"]]
+    return LogBatch(records, int(body["first_kept_offset"]), int(body["next_offset"]))
--- /dev/null
+++ b/tests/config/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the service text and its fold."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,9 @@
 """Fixtures and hypothesis profiles that all tests share."""
 
 import os
+from collections import Counter
 
+import pytest
 from hypothesis import HealthCheck, settings
 
 settings.register_profile(
@@ -12,3 +14,17 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
+
+_INTERLEAVINGS: Counter[str] = Counter()
+
+
+@pytest.fixture(scope="session")
+def interleavings() -> Counter[str]:
+    """Count, by the name of a decision, the interleavings that were tried on it."""
+    return _INTERLEAVINGS
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Print how many interleavings each decision was tried on."""
+    for name, count in sorted(_INTERLEAVINGS.items()):
+        terminalreporter.write_line(f"interleavings of {name}: {count}")
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Contract tests of the platform clients."""
