Leases: claims fold right from any offset, own lapse is waited out, candidates read

Cause: the control stream is trimmed too; a reader that started late took no lease at all, or could have taken a past holder. A node claimed while it had not read the stream, and claimed its own lapsed lease at once although an order of the old epoch might still be under way at a target that ignores the number. Change: a claim counts when no counting record came after its base; a reader that missed records holds the lease as unsettled and claims on the last record it saw once it was silent for lease plus longest order. Only the first three in rendezvous order of a service read the control stream.

--- a/samphirecleat/blackboard.py
+++ b/samphirecleat/blackboard.py
@@ -81,12 +81,17 @@
 
 
 class LeaseView(NamedTuple):
-    """A lease as folded from the log; ``epoch`` is the fencing number of its orders."""
+    """A lease as folded from the log; ``epoch`` is the fencing number of its orders.
+
+    While it is not ``settled``, records were missed: the holder is a guess, and
+    ``last_offset`` is the latest record that might count.
+    """
 
     name: str
     holder: str
     epoch: int
     last_offset: int
+    settled: bool = True
 
 
 class WeightsView(NamedTuple):
