--- a/samphirecleat/controllers/__init__.py
+++ b/samphirecleat/controllers/__init__.py
@@ -4,9 +4,11 @@
 from .config_reader import ConfigReader
 from .discovery import Discovery
 from .dispatcher import Dispatcher
+from .drain import Drain, longest_drain_s
 from .leases import LeaseKeeper
-from .limits import Limiter
+from .limiter import Limiter
 from .membership import Membership
+from .policies import Policies
 from .step_runner import StepRunner
 from .target_watch import TargetWatch
 from .weights import WeightCoordinator
@@ -16,10 +18,13 @@
     "ConfigReader",
     "Discovery",
     "Dispatcher",
+    "Drain",
     "LeaseKeeper",
     "Limiter",
     "Membership",
+    "Policies",
     "StepRunner",
     "TargetWatch",
     "WeightCoordinator",
+    "longest_drain_s",
 ]
--- a/samphirecleat/controllers/dispatcher.py
+++ b/samphirecleat/controllers/dispatcher.py
@@ -3,20 +3,33 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from contextlib import aclosing
+from dataclasses import dataclass, field
 from typing import Final
 
 from ..blackboard import Blackboard, TargetView
-from ..config import Service
+from ..config import Service, ServiceKind
 from ..errors import ErrorKind, Ran, RequestError
 from ..observe import Observer
 from ..requests import AnswerLine, AnswerLog, Call
-from ..targets import TargetClient, TargetError
-from .limits import Limiter
+from ..targets import NotSent, TargetClient, TargetError
+from .limiter import Limiter
+from .pace import PaceKeeper
+from .policies import Policies
 from .retries import GiveUp, RetryBudget, TryElsewhere, decide_retry
 from .routing import RoutingView, choose_target
 
 NO_TARGET_RETRY_S: Final = 1.0
+PRIORITIES_PER_CLASS: Final = 10
+
+
+@dataclass
+class _Attempts:
+    """What was tried for one call; ``may_have_run`` includes the present attempt."""
+
+    tried: list[str] = field(default_factory=list)
+    may_have_run: bool = False
 
 
 class Dispatcher:
@@ -29,6 +42,7 @@
         client: TargetClient,
         observer: Observer,
         rng: random.Random,
+        policies: Policies,
     ) -> None:
         """Wire the parts that a call passes through."""
         self._board = board
@@ -36,14 +50,26 @@
         self._client = client
         self._observer = observer
         self._rng = rng
+        self._policies = policies
+        self._paces = PaceKeeper()
+        self._turns: Counter[str] = Counter()
         self._budgets: dict[str, RetryBudget] = {}
+        self._cancels: set[asyncio.Task[None]] = set()
+        self.on_refused: Callable[[str], None] = _ignore
 
     async def run(self, call: Call, answer: AnswerLog) -> None:
-        """Run a call and fill its answer; every end of it closes the answer."""
+        """Run a call and fill its answer; every end of it closes the answer.
+
+        The call ends at its deadline at the latest, whatever its target does.
+        """
+        attempts = _Attempts()
         try:
             with self._observer.span("dispatch", call.traceparent, service=call.service) as parent:
-                await self._admit_and_run(call._replace(traceparent=parent), answer)
+                async with asyncio.timeout_at(call.deadline_at_s):
+                    await self._admit_and_run(call._replace(traceparent=parent), attempts, answer)
             answer.close()
+        except TimeoutError:
+            answer.close(_deadline_exceeded(attempts))
         except RequestError as error:
             answer.close(error)
         except asyncio.CancelledError:
@@ -53,16 +79,24 @@
             self._observer.log("dispatch").exception("Call %s failed.", call.request_id)
             answer.close(RequestError(ErrorKind.INTERNAL, repr(error)))
 
-    async def _admit_and_run(self, call: Call, answer: AnswerLog) -> None:
+    async def close(self) -> None:
+        """Drop the cancels that are still on their way to engines."""
+        for task in list(self._cancels):
+            task.cancel()
+        await asyncio.gather(*self._cancels, return_exceptions=True)
+
+    async def _admit_and_run(self, call: Call, attempts: _Attempts, answer: AnswerLog) -> None:
         service = self._board.service(call.service)
         if service is None:
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, f'no service "{call.service}"')
         self._check_dependencies(service)
         await self._limiter.admit(call)
+        loop = asyncio.get_running_loop()
+        started_at_s = loop.time()
         try:
-            await self._attempt_until_done(service, call, answer)
+            await self._attempt_until_done(service, call, attempts, answer)
         finally:
-            self._limiter.release(call)
+            self._limiter.release(call, loop.time() - started_at_s)
 
     def _check_dependencies(self, service: Service) -> None:
         """Refuse before any work is done when a needed service has no target."""
@@ -74,77 +108,115 @@
                     retry_after_s=NO_TARGET_RETRY_S,
                 )
 
-    async def _attempt_until_done(self, service: Service, call: Call, answer: AnswerLog) -> None:
-        loop = asyncio.get_running_loop()
-        budget = self._budgets.setdefault(service.name, RetryBudget())
+    async def _attempt_until_done(
+        self, service: Service, call: Call, attempts: _Attempts, answer: AnswerLog
+    ) -> None:
+        limit = self._policies.retries
+        budget = self._budgets.setdefault(service.name, RetryBudget(limit.ratio, limit.cap))
         budget.note_first_attempt()
-        tried: list[str] = []
-        may_have_run = False
         while True:
-            target = self._choose(service, tried)
+            target = self._choose(service, call, attempts.tried)
             if target is None:
-                raise _no_target(service, may_have_run)
-            tried.append(target.address)
+                raise _no_target(service, attempts.may_have_run)
+            attempts.tried.append(target.address)
+            earlier_may_have_run = attempts.may_have_run
+            attempts.may_have_run = True
             try:
                 await self._attempt(service, target, call, answer)
                 return
             except TargetError as error:
+                attempts.may_have_run = earlier_may_have_run or error.may_have_run
+                self._observer.counters[f"attempts_{type(error.failure).__name__.lower()}"] += 1
+                if isinstance(error.failure, NotSent):
+                    self.on_refused(target.address)
                 decision = decide_retry(
                     call,
                     error.failure,
-                    attempt=len(tried),
+                    attempt=len(attempts.tried),
                     answer_started=answer.started,
-                    now_s=loop.time(),
+                    now_s=asyncio.get_running_loop().time(),
                 )
                 match decision:
                     case GiveUp(error=final):
-                        raise _weaken(final, may_have_run) from error
+                        raise _weaken(final, attempts.may_have_run) from error
                     case TryElsewhere():
-                        may_have_run = may_have_run or _may_have_run(error)
                         if not budget.take():
-                            raise _no_target(service, may_have_run) from error
+                            raise _no_target(service, attempts.may_have_run) from error
 
-    def _choose(self, service: Service, tried: Sequence[str]) -> TargetView | None:
+    def _choose(self, service: Service, call: Call, tried: Sequence[str]) -> TargetView | None:
+        now_s = asyncio.get_running_loop().time()
+        targets = self._board.targets_of(service.name)
         view = RoutingView(
-            targets=self._board.targets_of(service.name),
+            targets=targets,
             own_in_flight=self._board.in_flight,
             node_count=len(self._board.live_members()),
             zone=self._board.identity.zone,
-            excluded=tried,
+            excluded=[*call.excluded_targets, *tried],
+            pace=self._paces.paces([target.address for target in targets], now_s),
+            prompt=str(call.body.get("prompt", "")) if _has_prefix_cache(service) else "",
+            turn=self._turns[service.name],
         )
-        return choose_target(view, self._rng, asyncio.get_running_loop().time())
+        self._turns[service.name] += 1
+        return choose_target(self._policies.routing, view, self._rng, now_s)
 
     async def _attempt(
         self, service: Service, target: TargetView, call: Call, answer: AnswerLog
     ) -> None:
         in_flight: Counter[str] = self._board.in_flight
         in_flight[target.address] += 1
+        answer.target = target.address
         held: list[AnswerLine] = []
+        tokens = 0
         # Only a streamed answer is passed on before its end; a whole one is
         # held back, so that an attempt which fails midway leaves no trace in it.
         streamed = bool(call.body.get("stream", False))
         try:
             with self._observer.span("target", call.traceparent, target=target.address) as parent:
                 now_s = asyncio.get_running_loop().time()
-                sent = call._replace(traceparent=parent)
-                async for line in self._client.run(service, target, sent, now_s):
-                    if streamed:
-                        answer.add(line)
-                    else:
-                        held.append(line)
+                sent = call._replace(traceparent=parent, priority=_target_priority(call))
+                async with aclosing(self._client.run(service, target, sent, now_s)) as lines:
+                    async for line in lines:
+                        tokens += sum(span.tokens for span in line.get("spans", ()))
+                        if streamed:
+                            answer.add(line)
+                        else:
+                            held.append(line)
             for line in held:
                 answer.add(line)
+            ended_at_s = asyncio.get_running_loop().time()
+            self._paces.note(target.address, ended_at_s - now_s, tokens, ended_at_s)
+        except BaseException as error:
+            if not isinstance(error, TargetError) or error.may_have_run:
+                self._cancel_at(service, target, call)
+            raise
         finally:
             in_flight[target.address] -= 1
 
+    def _cancel_at(self, service: Service, target: TargetView, call: Call) -> None:
+        """Tell an engine to stop a run that nobody waits for any more.
 
-def _may_have_run(error: TargetError) -> bool:
-    from ..targets import NotSent, Refused
+        Without it, a run whose connection went silent or whose caller went away
+        would hold its slot to the last token.
+        """
+        if service.kind is not ServiceKind.ENGINE:
+            return
+        cancel = self._client.cancel(target, call.request_id)
+        task = asyncio.get_running_loop().create_task(cancel)
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
 
-    match error.failure:
-        case NotSent() | Refused(not_run=True):
-            return False
-    return True
+
+def _has_prefix_cache(service: Service) -> bool:
+    return service.kind is ServiceKind.ENGINE
+
+
+def _target_priority(call: Call) -> int:
+    """Return the priority that the target sees: any caller before any trainer."""
+    return int(call.work_class) * PRIORITIES_PER_CLASS + call.priority
+
+
+def _ignore(_address: str) -> None:
+    """Stand in until somebody wants to know of refused connections."""
 
 
 def _weaken(error: RequestError, may_have_run: bool) -> RequestError:
@@ -161,3 +233,11 @@
         retry_after_s=NO_TARGET_RETRY_S,
     )
     return _weaken(error, may_have_run)
+
+
+def _deadline_exceeded(attempts: _Attempts) -> RequestError:
+    if attempts.may_have_run:
+        return RequestError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed while it ran")
+    return RequestError(
+        ErrorKind.DEADLINE_EXCEEDED, "the deadline passed before it was sent", ran=Ran.NO
+    )
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 import time
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Collection, Mapping, Sequence
 from typing import Any, Final
 
 import aiohttp
@@ -17,9 +17,11 @@
     ConfigReader,
     Discovery,
     Dispatcher,
+    Drain,
     LeaseKeeper,
     Limiter,
     Membership,
+    Policies,
     StepRunner,
     TargetWatch,
     WeightCoordinator,
@@ -28,12 +30,12 @@
 from .observe import Observer
 from .peers import HeartbeatCodec, PeerClient, PeerServer
 from .platform import HttpHostList, HttpLog, HttpWeightStore
-from .requests import KeyBook
+from .requests import AnswerStore, KeyBook
 from .settings import Settings
 from .targets import TargetClient
 
-DRAIN_POLL_S: Final = 0.05
 RESTART_AFTER_S: Final = 1.0
+SMALL_FLEET: Final = 16
 Driver = Callable[[], Awaitable[None]]
 
 
@@ -44,8 +46,9 @@
     flight and no caller's kept entry list can name it any more.
     """
 
-    def __init__(self, settings: Settings) -> None:
-        """Build a node that does not run yet."""
+    def __init__(self, settings: Settings, policies: Policies | None = None) -> None:
+        """Build a node that does not run yet; benches pass other ``policies``."""
+        self._policies = policies if policies is not None else Policies()
         self.settings = settings
         self.observer = Observer(settings.node_id)
         self.board = Blackboard(
@@ -58,7 +61,6 @@
             )
         )
         self._started_at_ms = time.time_ns() // 1_000_000
-        self._sequence = 0
         self._rng = random.Random(settings.seed or None)
         self._tasks: list[asyncio.Task[None]] = []
         self._runner: web.AppRunner | None = None
@@ -73,20 +75,29 @@
 
     async def drain(self) -> None:
         """Leave the entry list, serve what still comes, and return when all is done."""
-        self.board.leaving = True
-        self.membership.beat()
-        loop = asyncio.get_running_loop()
-        kept_until_s = loop.time() + self.settings.timings.entry_ttl_s
-        while loop.time() < kept_until_s or self.callers.in_flight or self.limiter.in_flight:
-            await asyncio.sleep(DRAIN_POLL_S)
+        timings = self.settings.timings
+        drain = Drain(
+            self.board,
+            self.observer,
+            announce=self.membership.announce,
+            in_flight=lambda: self.callers.in_flight + self.limiter.in_flight,
+            undelivered=lambda: self.steps.undelivered(asyncio.get_running_loop().time()),
+            entry_ttl_s=timings.entry_ttl_s,
+            heartbeat_s=timings.heartbeat_s,
+            longest_s=timings.max_deadline_s,
+        )
+        await drain.run()
 
     async def stop(self) -> None:
         """Stop at once; call :meth:`drain` first to cut nothing off."""
+        self.membership.say_gone()
+        self._peer_server.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.close()
         await self.steps.close()
+        await self.dispatcher.close()
         self._udp.close()
         self._grpc.close()
         await self._grpc.wait_closed()
@@ -94,6 +105,7 @@
             await self._runner.cleanup()
         self.peers.close()
         await self._session.close()
+        await self._fresh_session.close()
 
     def own_report(self) -> Mapping[str, Any]:
         """Return this node's part of the fleet report."""
@@ -104,7 +116,8 @@
             "leaving": board.leaving,
             "revision": board.config.revision,
             "members": sorted(member.node_id for member in board.live_members()),
-            "targets": {a: t._asdict() for a, t in board.targets.items()},
+            "targets": {a: board.targets[a]._asdict() for a in self._reported_targets()},
+            "metrics": self.observer.metrics()._asdict(),
             "refusals": dict(board.refusals),
             "steps": [
                 {
@@ -113,37 +126,59 @@
                     "size": step.spec.size,
                     "held": len(step.held),
                     "ready": len(step.ready),
+                    "running": len(step.runs),
+                    "copies": step.copies,
+                    "wasted_tokens": step.wasted_tokens,
                     "discarded_stale": step.discarded_stale,
                 }
                 for (trainer, step_id), step in self.steps.steps.items()
             ],
-            "weights": {
-                name: {"latest": view.latest_version} for name, view in board.weights.items()
-            },
+            "trainers": self.steps.trainers_report(asyncio.get_running_loop().time()),
+            "weights": self.weights.report(),
         }
 
+    def _reported_targets(self) -> Collection[str]:
+        """Return the targets in this node's part of the report.
+
+        A small fleet shows what every node knows of every target. In a large one
+        that would be hundreds of megabytes, so each node shows those it asks itself.
+        """
+        if len(self.board.live_members()) <= SMALL_FLEET:
+            return list(self.board.targets)
+        return [address for address in self.target_watch.owned() if address in self.board.targets]
+
     def _build(self) -> None:
         settings, timings, board = self.settings, self.settings.timings, self.board
         now_s = asyncio.get_running_loop().time()
         self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self._fresh_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
         log = HttpLog(self._session, settings.log_url)
+        store = AnswerStore(settings.bounds.answer_store_bytes)
         self.key_book = KeyBook(
             settings.node_id,
             board.identity.incarnation,
+            store,
             epoch_s=timings.key_epoch_s,
             max_keys=settings.bounds.keys,
             now_s=now_s,
         )
         client = TargetClient(
             self._session,
+            self._fresh_session,
             progress_timeout_s=timings.progress_timeout_s,
             connect_timeout_s=timings.connect_timeout_s,
             probe_timeout_s=timings.probe_timeout_s,
         )
-        self.peers = PeerClient(settings.shared_key)
-        self.limiter = Limiter(board)
-        self.dispatcher = Dispatcher(board, self.limiter, client, self.observer, self._rng)
-        self.steps = StepRunner(board, self.dispatcher, self.limiter, self.observer)
+        self.peers = PeerClient(settings.shared_key, timings.progress_timeout_s)
+        self.limiter = Limiter(board, self._policies.limits)
+        self.dispatcher = Dispatcher(
+            board, self.limiter, client, self.observer, self._rng, self._policies
+        )
+        self.steps = StepRunner(
+            board, self.dispatcher, self.limiter, self.observer, self._rng, self._policies.copies
+        )
         self.config_reader = ConfigReader(
             board,
             log,
@@ -162,6 +197,15 @@
             grace_s=timings.longest_order_s,
             log_wait_s=timings.log_wait_s,
         )
+        self.discovery = Discovery(
+            board,
+            HttpHostList(self._session, settings.host_list_url),
+            self.observer,
+            timings.host_list_s,
+            self._rng,
+        )
+        self.target_watch = TargetWatch(board, client, timings.watch_s, self._rng)
+        self.dispatcher.on_refused = self.target_watch.note_refused
         self.membership = Membership(
             board,
             HeartbeatCodec(settings.shared_key),
@@ -170,23 +214,20 @@
             seeds=settings.seeds,
             heartbeat_s=timings.heartbeat_s,
             suspect_after_s=timings.suspect_after_s,
+            rng=self._rng,
+            riders=[self.target_watch, self.discovery],
         )
-        self.discovery = Discovery(
-            board,
-            HttpHostList(self._session, settings.host_list_url),
-            self.observer,
-            timings.host_list_s,
-        )
-        self.target_watch = TargetWatch(board, client, timings.watch_s)
         self.weights = WeightCoordinator(
             board,
             self.leases,
             HttpWeightStore(self._session, settings.weight_store_url),
             client,
             self.observer,
+            self._rng,
+            self._policies.swaps,
         )
         self.callers = CallerEntry(
-            board, self.key_book, self.dispatcher, self.peers, self.observer, timings
+            board, self.key_book, store, self.dispatcher, self.peers, self.observer, timings
         )
 
     async def _listen(self) -> None:
@@ -199,17 +240,20 @@
             self.observer,
             max_body_bytes=settings.bounds.body_bytes,
         )
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.1, handler_cancellation=True
+        )
         await self._runner.setup()
         host, port = _split_address(settings.http_address)
         await web.TCPSite(self._runner, host, port, reuse_address=True).start()
-        peer_server = PeerServer(
+        self._peer_server = PeerServer(
             settings.shared_key,
             self.callers.serve_forwarded,
+            self.callers.status_of,
             lambda: self.board.config,
             self.own_report,
         )
-        self._grpc = Server([peer_server])
+        self._grpc = Server([self._peer_server])
         peer_host, peer_port = _split_address(settings.peer_address)
         await self._grpc.start(peer_host, peer_port, reuse_address=True)
         loop = asyncio.get_running_loop()
@@ -227,6 +271,7 @@
             self.discovery.drive,
             self.target_watch.drive,
             self.weights.drive,
+            self.limiter.drive,
             self.steps.drive,
         ]
 
@@ -245,8 +290,8 @@
             await asyncio.sleep(RESTART_AFTER_S)
 
     def _own_row(self) -> Member:
-        self._sequence += 1
         identity = self.board.identity
+        now_s = asyncio.get_running_loop().time()
         return Member(
             node_id=identity.node_id,
             incarnation=identity.incarnation,
@@ -254,13 +299,14 @@
             zone=identity.zone,
             http_address=identity.http_address,
             peer_address=identity.peer_address,
-            sequence=self._sequence,
+            sequence=0,  # the gossip numbers the rows that it sends
             leaving=self.board.leaving,
             ready=self.board.ready,
             config_revision=self.board.config.revision,
-            key_epoch=self.key_book.epoch(asyncio.get_running_loop().time()),
+            key_epoch=self.key_book.epoch(now_s),
             in_flight=self.limiter.in_flight,
             reads_log=self.config_reader.reads_log,
+            key_epoch_age_ms=int(self.key_book.epoch_age_s(now_s) * 1000.0),
         )
 
 
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of samphirecleat."""
+"""The tests of samphirecleat."""
