--- /dev/null
+++ b/samphirecleat/_commands.py
@@ -0,0 +1,66 @@
+"""The operators' commands ``publish`` and ``report``; the command line calls them."""
+
+import getpass
+import json
+import sys
+from collections.abc import Mapping
+from typing import Any, Final
+
+import aiohttp
+
+from ._report_tables import report_tables
+from .config import DocumentError
+from .platform import HttpLog
+from .publish import Publisher, PublishOutcome, PublishResult
+
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+EXIT_BAD_INPUT: Final = 2
+REPORT_TIMEOUT_S: Final = 30.0
+
+
+async def publish(
+    text: str, log_url: str, operator: str, base: int | None, resume: str, timeout_s: float
+) -> int:
+    """Publish a text, print what became of it, and return the exit code.
+
+    0: accepted. 1: rejected, or nothing was appended. 2: the text has faults.
+    3: unknown; ask again with ``--resume``.
+    """
+    async with aiohttp.ClientSession() as session:
+        publisher = Publisher(HttpLog(session, log_url.rstrip("/")), timeout_s=timeout_s)
+        try:
+            if resume:
+                result = await publisher.resume(resume)
+            else:
+                result = await publisher.publish(text, operator or getpass.getuser(), base)
+        except DocumentError as error:
+            print(error, file=sys.stderr)
+            return EXIT_BAD_INPUT
+    _print_result(result)
+    return result.outcome.value
+
+
+async def report(node: str, *, as_json: bool) -> int:
+    """Print the report of the whole fleet, asked of one node; return the exit code."""
+    url = node if node.startswith("http") else f"http://{node}"
+    timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(f"{url}/v1/report") as response,
+        ):
+            response.raise_for_status()
+            body: Mapping[str, Any] = await response.json()
+    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        print(f"{node} gave no report: {error or type(error).__name__}", file=sys.stderr)
+        return EXIT_FAILED
+    print(json.dumps(body, indent=2) if as_json else report_tables(body))
+    return EXIT_OK
+
+
+def _print_result(result: PublishResult) -> None:
+    name = result.outcome.name.lower()
+    print(f"{name}: {result.detail} (id {result.publication_id})")
+    if result.outcome is PublishOutcome.UNKNOWN:
+        print(f"Ask again with --resume {result.publication_id}; publish nothing until then.")
--- /dev/null
+++ b/samphirecleat/_report_tables.py
@@ -0,0 +1,106 @@
+"""Makes the fleet report readable: one table for each thing that it tells."""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from tabulate import tabulate
+
+Row = Sequence[object]
+NodeReports = Mapping[str, Mapping[str, Any]]
+
+
+def report_tables(body: Mapping[str, Any]) -> str:
+    """Return the body of ``GET /v1/report`` as tables; empty ones are left out."""
+    nodes: NodeReports = body["nodes"]
+    answered = {name: report for name, report in nodes.items() if "unavailable" not in report}
+    tables = [
+        _table("node", "zone revision members leaving", _node_rows(nodes)),
+        _table("target", "service zone version health running waiting", _target_rows(answered)),
+        _table("trainer", "step node size held ready running stale", _step_rows(answered)),
+        _table("trainer", "node idle_ratio staleness_versions", _trainer_rows(answered)),
+        _table("refusal", "count", _refusal_rows(answered)),
+    ]
+    return "\n\n".join(table for table in tables if table)
+
+
+def _table(first: str, others: str, rows: Sequence[Row]) -> str:
+    return tabulate(rows, headers=[first, *others.split()]) if rows else ""
+
+
+def _node_rows(nodes: NodeReports) -> Sequence[Row]:
+    rows: list[Row] = []
+    for name, report in sorted(nodes.items()):
+        if "unavailable" in report:
+            rows.append((name, "", "", "", f"no answer: {report['unavailable']}"))
+            continue
+        leaving = "leaving" if report["leaving"] else ""
+        rows.append((name, report["zone"], report["revision"], len(report["members"]), leaving))
+    return rows
+
+
+def _target_rows(nodes: NodeReports) -> Sequence[Row]:
+    """Show each target as the node tells that has the newest word of it."""
+    newest: dict[str, Mapping[str, Any]] = {}
+    for report in nodes.values():
+        for address, target in report["targets"].items():
+            known = newest.get(address)
+            if known is None or (target["reachable"] and not known["reachable"]):
+                newest[address] = target
+    rows = [
+        (
+            address,
+            target["service"],
+            target["zone"],
+            target["version"] if target["version"] >= 0 else "",
+            _health(target),
+            target["running"],
+            target["waiting"],
+        )
+        for address, target in newest.items()
+    ]
+    return sorted(rows, key=lambda row: (str(row[1]), str(row[0])))
+
+
+def _health(target: Mapping[str, Any]) -> str:
+    if not target["reachable"]:
+        return "unreachable"
+    if target["leaving"]:
+        return "leaving"
+    return "loading" if target["loading"] else "serving"
+
+
+def _step_rows(nodes: NodeReports) -> Sequence[Row]:
+    return [
+        (
+            step["trainer"],
+            step["step"],
+            name,
+            step["size"],
+            step["held"],
+            step["ready"],
+            step.get("running", ""),
+            step["discarded_stale"],
+        )
+        for name, report in sorted(nodes.items())
+        for step in report["steps"]
+    ]
+
+
+def _trainer_rows(nodes: NodeReports) -> Sequence[Row]:
+    return [
+        (trainer, name, told.get("idle_ratio", ""), _counts(told.get("staleness_versions", {})))
+        for name, report in sorted(nodes.items())
+        for trainer, told in sorted(report.get("trainers", {}).items())
+    ]
+
+
+def _counts(counts: Mapping[str, int]) -> str:
+    return ", ".join(f"{key}: {count}" for key, count in counts.items())
+
+
+def _refusal_rows(nodes: NodeReports) -> Sequence[Row]:
+    total: Counter[str] = Counter()
+    for report in nodes.values():
+        total.update(report["refusals"])
+    return sorted(total.items())
--- a/samphirecleat/cli.py
+++ b/samphirecleat/cli.py
@@ -10,7 +10,7 @@
 import fire
 import uvloop
 
-from .config import DocumentError, read_service_text
+from .config import DocumentError, ServiceText, read_service_text
 
 EXIT_BROKEN: Final = 1
 EXIT_BAD_INPUT: Final = 2
@@ -22,13 +22,40 @@
 
     def check(self, file: str) -> None:
         """Check a service text and print every fault with its place."""
-        try:
-            text = read_service_text(Path(file).read_text(), file)
-        except DocumentError as error:
-            print(error, file=sys.stderr)
-            sys.exit(EXIT_BAD_INPUT)
+        text = _check_file(file)
         print(f"{file}: {len(text.services)} services, {len(text.trainers)} trainers, no fault")
 
+    def publish(
+        self,
+        file: str = "",
+        *,
+        log: str,
+        operator: str = "",
+        base: int | None = None,
+        resume: str = "",
+        timeout_s: float = 15.0,
+    ) -> None:
+        """Publish a service text and say what became of it.
+
+        BASE is the revision that the text replaces: the one in force if it is left
+        out, -2 for whatever is in force. RESUME is the id of an earlier
+        publication whose outcome stayed unknown; nothing is appended then.
+        Exit codes: 0 accepted, 1 rejected or not appended, 2 faults in the text,
+        3 unknown.
+        """
+        from ._commands import publish
+
+        if not resume:
+            _check_file(file)
+        text = "" if resume else Path(file).read_text(encoding="utf-8")
+        sys.exit(_run(publish(text, log, str(operator), base, str(resume), timeout_s)))
+
+    def report(self, node: str, *, json: bool = False) -> None:
+        """Print the state of the whole fleet; NODE is any node's HTTP address."""
+        from ._commands import report
+
+        sys.exit(_run(report(node, as_json=json)))
+
     def node(self, settings: str) -> None:
         """Run the daemon of one entry host until SIGTERM, then drain it."""
         from .daemon import run_daemon
@@ -83,12 +110,23 @@
             "bench": commands.bench,
             "check": commands.check,
             "node": commands.node,
+            "publish": commands.publish,
+            "report": commands.report,
             "try": commands.try_,
         },
         name="samphirecleat",
     )
 
 
+def _check_file(file: str) -> ServiceText:
+    """Read and check a service text; print its faults and exit when it has any."""
+    try:
+        return read_service_text(Path(file).read_text(encoding="utf-8"), file)
+    except (DocumentError, OSError, UnicodeError) as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_BAD_INPUT)
+
+
 def _run(main_coroutine: Coroutine[Any, Any, T]) -> T:
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         return runner.run(main_coroutine)
--- a/samphirecleat/config/_fold.py
+++ b/samphirecleat/config/_fold.py
@@ -262,17 +262,22 @@
     for record in pending:
         if record.offset > covers_to:
             state = _fold_record(state, record)
-        elif record.offset == restatement.revision:
-            state = _note_accepted(state, record)
+        else:
+            state = _note_decided(state, record, restatement)
     return state
 
 
-def _note_accepted(state: ConfigState, record: LogRecord) -> ConfigState:
+def _note_decided(state: ConfigState, record: LogRecord, settled: Restatement) -> ConfigState:
     """Keep the outcome of a publication that others decided before this fold could."""
     publication = read_record(record.payload)
-    if not isinstance(publication, Publication):
+    if not isinstance(publication, Publication) or record.offset < settled.revision:
+        # Before the revision in force: it may have been accepted and replaced since.
         return state
-    return _with_outcome(state, publication, record.offset, accepted=True, reason="")
+    accepted = record.offset == settled.revision
+    reason = (
+        "" if accepted else f"revision {settled.revision} by {settled.operator} stayed in force"
+    )
+    return _with_outcome(state, publication, record.offset, accepted=accepted, reason=reason)
 
 
 def _read_restated_text(restatement: Restatement) -> ServiceText | None:
--- a/samphirecleat/daemon.py
+++ b/samphirecleat/daemon.py
@@ -10,6 +10,7 @@
 from ._jsonc import DocumentError
 from .controllers import longest_drain_s
 from .node import Node
+from .observe import make_formatter
 from .settings import Settings, read_settings
 
 EXIT_BAD_SETTINGS: Final = 2
@@ -35,7 +36,7 @@
     """Run a node until SIGTERM or SIGINT; exit 2 at once for bad settings."""
     try:
         settings = read_settings(Path(settings_path).read_text(), settings_path)
-    except (DocumentError, OSError) as error:
+    except (DocumentError, OSError, UnicodeError) as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     _run(settings)
@@ -43,11 +44,17 @@
 
 def _run(settings: Settings) -> None:
     shutdown_timeout_s = longest_drain_s(settings.timings)
+    _configure_logs(settings)
     with aiomisc.entrypoint(
         NodeService(node=Node(settings)),
-        log_level=settings.log_level,
-        log_format="json" if settings.log_format == "json" else "plain",
+        log_config=False,
         shutdown_timeout=shutdown_timeout_s,
     ) as loop:
         loop.run_forever()
     logging.shutdown()
+
+
+def _configure_logs(settings: Settings) -> None:
+    handler = logging.StreamHandler()
+    handler.setFormatter(make_formatter(settings.log_format))
+    logging.basicConfig(level=settings.log_level.upper(), handlers=[handler], force=True)
--- /dev/null
+++ b/tests/controllers/test_config_follow.py
@@ -0,0 +1,89 @@
+"""Who reads the log, and whom a node asks for the configuration."""
+
+import pytest
+
+from samphirecleat.blackboard import Member
+from samphirecleat.config import ConfigState
+from samphirecleat.controllers.config_follow import (
+    ListenToPeers,
+    ReadLog,
+    decide_reading,
+    peers_to_ask,
+)
+
+
+def member(
+    number: int, zone: str = "bilbao-a", revision: int = 3, reads_log: bool = True
+) -> Member:
+    return Member(
+        node_id=f"n{number}",
+        incarnation="i",
+        started_at_ms=0,
+        zone=zone,
+        http_address="",
+        peer_address="",
+        sequence=1,
+        leaving=False,
+        ready=True,
+        config_revision=revision,
+        key_epoch=0,
+        in_flight=0,
+        reads_log=reads_log,
+    )
+
+
+def readers(members: list[Member]) -> list[str]:
+    chosen = [m for m in members if decide_reading(m.node_id, m.zone, members) == ReadLog()]
+    return [m.node_id for m in chosen]
+
+
+@pytest.mark.parametrize("count", [1, 3])
+def test_in_a_small_zone_every_node_reads(count: int) -> None:
+    members = [member(number) for number in range(count)]
+    assert len(readers(members)) == count
+
+
+def test_at_390_nodes_two_in_each_zone_read() -> None:
+    members = [member(number, zone=f"z{number % 5}") for number in range(390)]
+    assert len(readers(members)) == 10
+
+
+def test_all_read_for_themselves_when_the_readers_get_no_answer() -> None:
+    """The two readers of a zone are alive and cut off from the log."""
+    members = [member(number) for number in range(20)]
+    chosen = readers(members)
+    cut_off = [m._replace(reads_log=m.node_id not in chosen) for m in members]
+    assert len(readers(cut_off)) == 20
+
+
+def test_a_dead_reader_is_replaced_by_the_next_in_order() -> None:
+    members = [member(number) for number in range(20)]
+    first, second = readers(members)
+    left = readers([m for m in members if m.node_id != first])
+    assert len(left) == 2
+    assert second in left
+
+
+def test_a_node_that_is_not_in_its_own_view_yet_reads() -> None:
+    assert decide_reading("n0", "bilbao-a", []) == ReadLog()
+    others = [member(number, reads_log=False) for number in range(1, 9)]
+    assert decide_reading("n0", "bilbao-a", others) == ReadLog()
+    reading = [m._replace(reads_log=True) for m in others]
+    assert decide_reading("n0", "bilbao-a", reading) == ListenToPeers()
+
+
+ASKED = {
+    "a peer is ahead": (ConfigState(revision=3, folded_to=5), [2, 3, 4], ["n2"]),
+    "nobody is ahead": (ConfigState(revision=4, folded_to=5), [2, 3, 4], []),
+    "records were missed": (ConfigState(revision=3, unread_below=9), [2, 3, 4], ["n1", "n2"]),
+    "nothing is held": (ConfigState(), [-1, -1, 0], ["n2"]),
+}
+
+
+@pytest.mark.parametrize("name", ASKED)
+def test_whom_a_node_asks(name: str) -> None:
+    """A node is cut off from the log, or missed records, while its peers are not."""
+    state, revisions, expected = ASKED[name]
+    members = [member(number, revision=revision) for number, revision in enumerate(revisions)]
+    members.append(member(9, revision=99))
+    assert [m.node_id for m in peers_to_ask(state, "n9", members)] == expected
