Documents and answers that would have ended a controller are refused with their place

Cause: found by the new contract and fuzz tests: a service text nested 100,000 deep raised RecursionError in every node's fold, a number of 400 digits OverflowError, and a host list answer of null TypeError; each would have ended the controller that read it, again and again. Change: size and nesting are bounded before parsing, long numbers shortened in messages, and one list names the ways in which an answer can fail to be one.

--- a/samphirecleat/_jsonc.py
+++ b/samphirecleat/_jsonc.py
@@ -39,6 +39,11 @@
 
 T = TypeVar("T")
 
+DOCUMENT: Final = "(document)"
+MAX_CHARACTERS: Final = 1_000_000
+MAX_NESTING: Final = 30
+SHOWN_CHARACTERS: Final = 40
+
 REQUIRED: Final = _Required()
 """Stands for "no default": a missing key is then a fault."""
 
@@ -74,7 +79,7 @@
         """Note that ``key`` of this object (or the object itself) is wrong."""
         node = self._children.get(key, self._node)
         line = int(jsoncfg.node_location(node).line)
-        self._faults.append(Fault(line, self._key_path(key) or "(document)", message))
+        self._faults.append(Fault(line, self._key_path(key) or DOCUMENT, message))
 
     def keys(self) -> Sequence[str]:
         """Return the keys of this object in the order in which they stand."""
@@ -94,7 +99,7 @@
             self._wrong(key, value, f"a number from {at_least:g} to {at_most:g} is expected")
             return at_least
         if not at_least <= value <= at_most:
-            self.fault(f"{value:g} is outside {at_least:g} to {at_most:g}", key)
+            self.fault(f"{_short(value)} is outside {at_least:g} to {at_most:g}", key)
             return at_least
         return float(value)
 
@@ -112,7 +117,7 @@
             self._wrong(key, value, f"a whole number from {at_least} to {at_most} is expected")
             return at_least
         if not at_least <= value <= at_most:
-            self.fault(f"{value} is outside {at_least} to {at_most}", key)
+            self.fault(f"{_short(value)} is outside {at_least} to {at_most}", key)
             return at_least
         return value
 
@@ -196,12 +201,41 @@
     :raises DocumentError: when the text is no JSON with comments, or when
         ``build`` noted any fault; all of them are in the error.
     """
+    _check_size(text, source)
     try:
         root = jsoncfg.loads_config(text)
     except jsoncfg.JSONConfigParserException as error:
-        raise DocumentError(source, [Fault(error.line, "(document)", str(error))]) from error
+        raise DocumentError(source, [Fault(error.line, DOCUMENT, str(error))]) from error
     faults: list[Fault] = []
     value = build(Reader(root, "", faults))
     if faults:
         raise DocumentError(source, faults)
     return value
+
+
+def _check_size(text: str, source: str) -> None:
+    """Refuse a text that the parser could not take at every node alike.
+
+    The parser calls itself for each level. Where its stack ends depends on its
+    caller, so that one node could accept a deep text and another fail on it.
+    Brackets in texts and comments count as well, which no sane document notices.
+    """
+    if len(text) > MAX_CHARACTERS:
+        message = f"more than {MAX_CHARACTERS} characters"
+        raise DocumentError(source, [Fault(1, DOCUMENT, message)])
+    depth = 0
+    for number, line in enumerate(text.split("\n"), start=1):
+        for character in line:
+            if character in "{[":
+                depth += 1
+            elif character in "}]":
+                depth -= 1
+            if depth > MAX_NESTING:
+                message = f"nested more than {MAX_NESTING} deep"
+                raise DocumentError(source, [Fault(number, DOCUMENT, message)])
+
+
+def _short(value: float) -> str:
+    """Return a number as it may stand in a message, however long it is."""
+    digits = str(value) if isinstance(value, int) else f"{value:g}"
+    return digits if len(digits) <= SHOWN_CHARACTERS else f"{digits[:SHOWN_CHARACTERS]}..."
--- a/samphirecleat/platform/_host_list.py
+++ b/samphirecleat/platform/_host_list.py
@@ -5,6 +5,8 @@
 
 import aiohttp
 
+from ._answers import ANSWER_FAULTS
+
 
 class ListedHost(NamedTuple):
     """One row of the host list; ``service`` is ``entry`` for a node of ours.
@@ -53,5 +55,5 @@
                     )
                     for row in body["hosts"]
                 ]
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+        except ANSWER_FAULTS as error:
             raise HostListUnavailableError(str(error) or type(error).__name__) from error
--- a/samphirecleat/platform/_log.py
+++ b/samphirecleat/platform/_log.py
@@ -7,18 +7,10 @@
 import aiohttp
 
 from ..config import LogRecord
+from ._answers import ANSWER_FAULTS
 
 SHORTEST_PATIENCE_S: Final = 1.0
 LONGEST_PATIENCE_S: Final = 16.0
-ANSWER_FAULTS: Final = (
-    aiohttp.ClientError,
-    TimeoutError,
-    ConnectionError,
-    EOFError,
-    ValueError,
-    KeyError,
-    TypeError,
-)
 
 
 class AppendOutcome(Enum):
--- a/samphirecleat/platform/_weight_store.py
+++ b/samphirecleat/platform/_weight_store.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from ._answers import ANSWER_FAULTS
+
 
 class WeightStoreUnavailableError(Exception):
     """The weight store gave no answer."""
@@ -41,5 +43,5 @@
                     raise WeightStoreUnavailableError(f"HTTP {response.status}")
                 body = await response.json()
                 return StoreInfo(int(body["version"]), int(body["parallel_loads"]))
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+        except ANSWER_FAULTS as error:
             raise WeightStoreUnavailableError(str(error) or type(error).__name__) from error
--- /dev/null
+++ b/tests/platform/test_clients.py
@@ -0,0 +1,208 @@
+"""Contract of the log and host list clients, against stand-ins and broken answers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from samphirecleat.platform import (
+    AppendOutcome,
+    HostListUnavailableError,
+    HttpHostList,
+    HttpLog,
+    LogUnavailableError,
+    ReadPatience,
+)
+from samphirecleat.platform._log import LONGEST_PATIENCE_S, SHORTEST_PATIENCE_S
+from samphirecleat.standins import HostRow, StandInHostList, StandInLog, StandInServer
+
+T = TypeVar("T")
+RECORD = {"type": "other"}
+
+
+class BrokenServer(StandInServer):
+    """Answers every request with one status and body."""
+
+    def __init__(self, status: int, body: str) -> None:
+        """Answer with ``body`` as JSON, whether it is any or not."""
+        super().__init__()
+        self.status = status
+        self.body = body
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Take every path."""
+        router.add_route("*", "/{path:.*}", self._answer)
+
+    async def _answer(self, _request: web.Request) -> web.StreamResponse:
+        return web.Response(text=self.body, status=self.status, content_type="application/json")
+
+
+def serve(server: StandInServer, work: Callable[[aiohttp.ClientSession, str], Awaitable[T]]) -> T:
+    async def run() -> T:
+        await server.start()
+        try:
+            async with aiohttp.ClientSession() as session:
+                return await work(session, server.url)
+        finally:
+            await server.stop()
+
+    return asyncio.run(run())
+
+
+def faulty_log(fault: str) -> StandInLog:
+    log = StandInLog()
+    match fault:
+        case "down":
+            log.down = True
+        case "slow":
+            log.slow_s = 5.0
+        case "answer lost":
+            log.lose_answers = 1
+        case "over its rate":
+            log.appends_per_s = 0
+    return log
+
+
+APPENDS = {
+    "none": AppendOutcome.APPENDED,
+    "down": AppendOutcome.UNKNOWN,
+    "slow": AppendOutcome.UNKNOWN,
+    "answer lost": AppendOutcome.UNKNOWN,
+    "over its rate": AppendOutcome.NOT_APPENDED,
+}
+
+
+@pytest.mark.parametrize("fault", APPENDS)
+def test_what_an_append_says_of_itself(fault: str) -> None:
+    """The log is down, slow, or over its rate, or takes a record and loses the answer.
+
+    Called "not appended" wrongly, the record would be appended a second time.
+    """
+    log = faulty_log(fault)
+
+    async def work(session: aiohttp.ClientSession, url: str) -> AppendOutcome:
+        return (await HttpLog(session, url, timeout_s=0.2).append("config", RECORD)).outcome
+
+    outcome = serve(log, work)
+    assert outcome is APPENDS[fault]
+    if outcome is AppendOutcome.NOT_APPENDED:
+        assert not log.appends
+
+
+MALFORMED = {
+    "no JSON": (200, "{"),
+    "no object": (200, "[]"),
+    "null": (200, "null"),
+    "keys missing": (200, "{}"),
+    "an offset that is no number": (200, '{"offset": "x", "records": [{"offset": "x"}]}'),
+    "rows of another kind": (200, '{"records": [7], "hosts": [7]}'),
+    "an error": (500, "{}"),
+    "a refusal": (429, "{}"),
+}
+
+
+@pytest.mark.parametrize("name", MALFORMED)
+def test_a_malformed_answer_is_a_failure_with_its_kind(name: str) -> None:
+    """Something between the two ends answers in the platform's place."""
+    server = BrokenServer(*MALFORMED[name])
+
+    async def work(session: aiohttp.ClientSession, url: str) -> AppendOutcome:
+        log = HttpLog(session, url)
+        with pytest.raises(LogUnavailableError):
+            await log.read("config", 0, 0.0)
+        with pytest.raises(HostListUnavailableError):
+            await HttpHostList(session, url).read()
+        return (await log.append("config", RECORD)).outcome
+
+    refused = MALFORMED[name][0] == 429
+    expected = AppendOutcome.NOT_APPENDED if refused else AppendOutcome.UNKNOWN
+    assert serve(server, work) is expected
+
+
+def test_nothing_listens_at_the_address() -> None:
+    """A refused connection is the one loss that proves that nothing was appended."""
+
+    async def work(session: aiohttp.ClientSession, url: str) -> AppendOutcome:
+        await server.stop()
+        log = HttpLog(session, url)
+        with pytest.raises(LogUnavailableError):
+            await log.read("config", 0, 0.0)
+        with pytest.raises(HostListUnavailableError):
+            await HttpHostList(session, url).read()
+        return (await log.append("config", RECORD)).outcome
+
+    server = StandInLog()
+    assert serve(server, work) is AppendOutcome.NOT_APPENDED
+
+
+@pytest.mark.parametrize("fault", ["down", "slow"])
+def test_a_read_that_gets_no_answer_ends(fault: str) -> None:
+    """A reader that waited for good would never hear of a new configuration."""
+
+    async def work(session: aiohttp.ClientSession, url: str) -> None:
+        with pytest.raises(LogUnavailableError):
+            await HttpLog(session, url).read("config", 0, 0.0, patience_s=0.2)
+
+    serve(faulty_log(fault), work)
+
+
+def test_a_read_says_what_was_trimmed() -> None:
+    log = StandInLog()
+
+    async def work(session: aiohttp.ClientSession, url: str) -> None:
+        client = HttpLog(session, url)
+        for _ in range(3):
+            await client.append("config", RECORD)
+        assert [record.offset for record in (await client.read("config", 1, 0.0)).records] == [1, 2]
+        log.retention_s = 0.0
+        batch = await client.read("config", 0, 0.0)
+        assert (batch.records, batch.first_kept_offset, batch.next_offset) == ([], 3, 3)
+
+    serve(log, work)
+
+
+def test_a_waiting_read_is_woken_by_an_append() -> None:
+    async def work(session: aiohttp.ClientSession, url: str) -> None:
+        client = HttpLog(session, url)
+        waiting = asyncio.ensure_future(client.read("config", 0, 30.0))
+        await asyncio.sleep(0.05)
+        await client.append("config", RECORD)
+        assert len((await asyncio.wait_for(waiting, 10.0)).records) == 1
+
+    serve(StandInLog(), work)
+
+
+def test_patience_grows_while_the_log_is_slow_and_shrinks_slowly() -> None:
+    """The log is slow for a long time; a silent connection must be given up soon otherwise."""
+    log = faulty_log("down")
+
+    async def work(session: aiohttp.ClientSession, url: str) -> None:
+        client = HttpLog(session, url)
+        patience = ReadPatience()
+        for _ in range(6):
+            with pytest.raises(LogUnavailableError):
+                await patience.read(client, "config", 0, 0.0)
+        assert patience.patience_s == LONGEST_PATIENCE_S
+        log.down = False
+        await patience.read(client, "config", 0, 0.0)
+        assert SHORTEST_PATIENCE_S < patience.patience_s < LONGEST_PATIENCE_S
+
+    serve(log, work)
+
+
+def test_the_host_list_lags_and_marks_the_leaving() -> None:
+    hosts = StandInHostList(lag_s=3600.0)
+    hosts.put(HostRow("10.0.0.1:1", "asesor", "ar-centro-a", "leaving"), at_once=True)
+    hosts.put(HostRow("10.0.0.2:1", "asesor", "ar-centro-b"))
+
+    async def work(session: aiohttp.ClientSession, url: str) -> None:
+        (row,) = await HttpHostList(session, url).read()
+        assert (row.address, row.leaving) == ("10.0.0.1:1", True)
+        hosts.down = True
+        with pytest.raises(HostListUnavailableError):
+            await HttpHostList(session, url).read()
+
+    serve(hosts, work)
