Configuration in force within 4 s: measured, also for nodes cut off and silent connections

Cause: a waiting read on a connection that went silent held a node up for 8 s, and one patience for all reads either did that or failed while the log is slow.

--- a/samphirecleat/controllers/config_follow.py
+++ b/samphirecleat/controllers/config_follow.py
@@ -16,7 +16,7 @@
 from ..peers import PeerClient, PeerUnavailableError, rank_members
 from .config_reader import ConfigReader
 
-ALL_READ_UP_TO: Final = 3
+ALL_READ_UP_TO: Final = 5
 READERS_PER_ZONE: Final = 2
 PERIOD_S: Final = 0.25
 SETTLE_PERIODS: Final = 4
--- a/samphirecleat/controllers/config_reader.py
+++ b/samphirecleat/controllers/config_reader.py
@@ -25,7 +25,7 @@
 )
 
 CONFIG_STREAM: Final = "config"
-RETRY_S: Final = 0.5
+RETRY_S: Final = 0.2
 LONGEST_RETRY_S: Final = 2.0
 LISTEN_READ_S: Final = 60.0
 RESTATE_PERIOD_S: Final = 0.5
--- a/samphirecleat/platform/_log.py
+++ b/samphirecleat/platform/_log.py
@@ -121,6 +121,7 @@
     def __init__(self) -> None:
         """Start with the shortest patience."""
         self.patience_s = SHORTEST_PATIENCE_S
+        self._failed_before = False
 
     async def read(self, log: Log, stream: str, from_offset: int, wait_s: float) -> LogBatch:
         """Read with the present patience, and learn from the outcome.
@@ -130,8 +131,12 @@
         try:
             batch = await log.read(stream, from_offset, wait_s, patience_s=self.patience_s)
         except LogUnavailableError:
-            self.patience_s = min(LONGEST_PATIENCE_S, self.patience_s * 2.0)
+            # One read may have met a silent connection; the next has a new one.
+            if self._failed_before:
+                self.patience_s = min(LONGEST_PATIENCE_S, self.patience_s * 2.0)
+            self._failed_before = True
             raise
+        self._failed_before = False
         self.patience_s = max(SHORTEST_PATIENCE_S, self.patience_s * 0.9)
         return batch
 
--- a/samphirecleat/settings.py
+++ b/samphirecleat/settings.py
@@ -20,7 +20,7 @@
     suspect_after_s: float = 2.0
     watch_s: float = 0.5
     host_list_s: float = 1.0
-    log_wait_s: float = 2.0
+    log_wait_s: float = 1.5
     log_retention_s: float = 3600.0
     lease_s: float = 6.0
     longest_order_s: float = 10.0
