--- a/samphirecleat/controllers/_member_table.py
+++ b/samphirecleat/controllers/_member_table.py
@@ -89,7 +89,7 @@
                 return Change.NEWS
         self._put(Known(row, made_at_s))
         old = known.member
-        same = (old.leaving, old.ready) == (row.leaving, row.ready)
+        same = (old.leaving, old.ready, old.reads_log) == (row.leaving, row.ready, row.reads_log)
         # The first row with a higher revision tells all where to fetch it. The rows
         # of the others that take it follow in turn; told at once, they would be as
         # many as the fleet has nodes.
--- a/samphirecleat/peers/_rendezvous.py
+++ b/samphirecleat/peers/_rendezvous.py
@@ -8,13 +8,20 @@
 from ..blackboard import Member
 
 HASHES_KEPT: Final = 4096
+RANKINGS_KEPT: Final = 32
 _MASK: Final = (1 << 64) - 1
 
 
 def rank_members(members: Iterable[Member], thing: str) -> Sequence[Member]:
     """Return the members that stay, the one that comes first for ``thing`` first."""
-    staying = [member for member in members if not member.leaving]
-    return sorted(staying, key=lambda member: _weight(member.node_id, thing), reverse=True)
+    staying = {member.node_id: member for member in members if not member.leaving}
+    return [staying[node_id] for node_id in _rank(tuple(staying), thing)]
+
+
+@lru_cache(maxsize=RANKINGS_KEPT)
+def _rank(node_ids: tuple[str, ...], thing: str) -> Sequence[str]:
+    """Rank once for a set of nodes: controllers ask many times a second, it changes seldom."""
+    return sorted(node_ids, key=lambda node_id: _weight(node_id, thing), reverse=True)
 
 
 class RendezvousOwners:
