--- a/samphirecleat/blackboard.py
+++ b/samphirecleat/blackboard.py
@@ -43,6 +43,7 @@
     config_revision: int
     key_epoch: int
     in_flight: int
+    reads_log: bool = True
     key_epoch_age_ms: int = 0
 
 
@@ -104,12 +105,17 @@
 
 
 class LeaseView(NamedTuple):
-    """A lease as folded from the log; ``epoch`` is the fencing number of its orders."""
+    """A lease as folded from the log; ``epoch`` is the fencing number of its orders.
+
+    While it is not ``settled``, records were missed: the holder is a guess, and
+    ``last_offset`` is the latest record that might count.
+    """
 
     name: str
     holder: str
     epoch: int
     last_offset: int
+    settled: bool = True
 
 
 class WeightsView(NamedTuple):
--- a/samphirecleat/controllers/_member_table.py
+++ b/samphirecleat/controllers/_member_table.py
@@ -54,6 +54,8 @@
         """Start without any row."""
         self.known: dict[str, Known] = {}
         self.changed_node_ids: set[str] = set()
+        self.alive_count = 0
+        self._highest_revision = -1
         self._incarnations: dict[str, list[str]] = {}
         self._ended: OrderedDict[str, int] = OrderedDict()
 
@@ -71,6 +73,7 @@
             if row.sequence <= self._ended.get(row.incarnation, -1):
                 return Change.NONE
             self._put(Known(row, made_at_s))
+            self._highest_revision = max(self._highest_revision, row.config_revision)
             return Change.NEWS
         if row.sequence <= known.member.sequence:
             return Change.NONE
@@ -86,8 +89,13 @@
                 return Change.NEWS
         self._put(Known(row, made_at_s))
         old = known.member
-        same = (old.leaving, old.ready) == (row.leaving, row.ready)
-        return Change.FRESHER if same else Change.NEWS
+        same = (old.leaving, old.ready, old.reads_log) == (row.leaving, row.ready, row.reads_log)
+        # The first row with a higher revision tells all where to fetch it. The rows
+        # of the others that take it follow in turn; told at once, they would be as
+        # many as the fleet has nodes.
+        raises_revision = row.config_revision > self._highest_revision
+        self._highest_revision = max(self._highest_revision, row.config_revision)
+        return Change.FRESHER if same and not raises_revision else Change.NEWS
 
     def bury(self, incarnation: str, life: Life, silent_since_s: float) -> bool:
         """Note a death; True if the process was alive until now."""
@@ -138,7 +146,10 @@
 
     def _put(self, known: Known) -> None:
         member = known.member
-        if member.incarnation not in self.known:
+        before = self.known.get(member.incarnation)
+        was_alive = before is not None and before.life is Life.ALIVE
+        self.alive_count += (known.life is Life.ALIVE) - was_alive
+        if before is None:
             self._incarnations.setdefault(member.node_id, []).append(member.incarnation)
         self.known[member.incarnation] = known
         self.changed_node_ids.add(member.node_id)
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -13,6 +13,7 @@
 
 from .blackboard import Blackboard, Identity, Member
 from .controllers import (
+    ConfigFollower,
     ConfigReader,
     Discovery,
     Dispatcher,
@@ -27,14 +28,12 @@
 )
 from .entry import CallerEntry, OperatorEntry, TrainerEntry, build_app
 from .observe import Observer
-from .peers import HeartbeatCodec, PeerClient, PeerServer, PeerUnavailableError
+from .peers import HeartbeatCodec, PeerClient, PeerServer
 from .platform import HttpHostList, HttpLog, HttpWeightStore
 from .requests import AnswerStore, KeyBook
 from .settings import Settings
 from .targets import TargetClient
 
-PEER_CONFIG_PERIOD_S: Final = 0.25
-PEER_TIMEOUT_S: Final = 1.0
 RESTART_AFTER_S: Final = 1.0
 SMALL_FLEET: Final = 16
 Driver = Callable[[], Awaitable[None]]
@@ -180,7 +179,15 @@
         self.steps = StepRunner(
             board, self.dispatcher, self.limiter, self.observer, self._rng, self._policies.copies
         )
-        self.config_reader = ConfigReader(board, log, self.observer, self._rng, timings.log_wait_s)
+        self.config_reader = ConfigReader(
+            board,
+            log,
+            self.observer,
+            self._rng,
+            wait_s=timings.log_wait_s,
+            retention_s=timings.log_retention_s,
+        )
+        self.config_follower = ConfigFollower(board, self.peers, self.config_reader, self._rng)
         self.leases = LeaseKeeper(
             board,
             log,
@@ -257,6 +264,8 @@
     def _drivers(self) -> Sequence[Driver]:
         return [
             self.config_reader.drive,
+            self.config_reader.drive_restating,
+            self.config_follower.drive,
             self.leases.drive_reading,
             self.membership.drive,
             self.discovery.drive,
@@ -264,7 +273,6 @@
             self.weights.drive,
             self.limiter.drive,
             self.steps.drive,
-            self._follow_peers,
         ]
 
     async def _supervise(self, drive: Driver) -> None:
@@ -281,23 +289,6 @@
                 self.observer.counters["controller_restarts"] += 1
             await asyncio.sleep(RESTART_AFTER_S)
 
-    async def _follow_peers(self) -> None:
-        """Take the configuration from a peer that is ahead, as when the log is out."""
-        while True:
-            await asyncio.sleep(PEER_CONFIG_PERIOD_S)
-            ahead = [
-                member
-                for member in self.board.live_members()
-                if member.config_revision > self.board.config.revision
-            ]
-            if not ahead:
-                continue
-            try:
-                state = await self.peers.fetch_config(self._rng.choice(ahead), PEER_TIMEOUT_S)
-            except PeerUnavailableError:
-                continue
-            self.config_reader.take_from_peer(state)
-
     def _own_row(self) -> Member:
         identity = self.board.identity
         now_s = asyncio.get_running_loop().time()
@@ -314,6 +305,7 @@
             config_revision=self.board.config.revision,
             key_epoch=self.key_book.epoch(now_s),
             in_flight=self.limiter.in_flight,
+            reads_log=self.config_reader.reads_log,
             key_epoch_age_ms=int(self.key_book.epoch_age_s(now_s) * 1000.0),
         )
 
