--- a/samphirecleat/client/_caller.py
+++ b/samphirecleat/client/_caller.py
@@ -29,6 +29,7 @@
 
 MAX_KEYS: Final = 4
 RETRY_BUDGET_RATIO: Final = 0.2
+RETRY_BUDGET_CAP: Final = 20.0
 LONGEST_PAUSE_S: Final = 0.1
 
 
@@ -76,7 +77,7 @@
         self._rng = random.Random(seed)
         self._entries = EntryList(session, bootstrap, zone, self._rng)
         self._progress_timeout_s = progress_timeout_s
-        self._budget = RetryBudget(RETRY_BUDGET_RATIO)
+        self._budget = RetryBudget(RETRY_BUDGET_RATIO, RETRY_BUDGET_CAP)
 
     async def call(
         self,
--- a/samphirecleat/controllers/dispatcher.py
+++ b/samphirecleat/controllers/dispatcher.py
@@ -110,9 +110,8 @@
     async def _attempt_until_done(
         self, service: Service, call: Call, attempts: _Attempts, answer: AnswerLog
     ) -> None:
-        budget = self._budgets.setdefault(
-            service.name, RetryBudget(self._policies.retry_budget_ratio)
-        )
+        limit = self._policies.retries
+        budget = self._budgets.setdefault(service.name, RetryBudget(limit.ratio, limit.cap))
         budget.note_first_attempt()
         while True:
             target = self._choose(service, call, attempts.tried)
--- a/samphirecleat/requests/_retry_budget.py
+++ b/samphirecleat/requests/_retry_budget.py
@@ -1,9 +1,5 @@
 """Lets retries be a bounded share of first attempts."""
 
-from typing import Final
-
-BUDGET_CAP: Final = 20.0
-
 
 class RetryBudget:
     """Lets retries be a bounded share of first attempts.
@@ -12,14 +8,15 @@
     times over just when it is weakest.
     """
 
-    def __init__(self, ratio: float) -> None:
-        """Start with a full budget and earn ``ratio`` of a retry per first attempt."""
+    def __init__(self, ratio: float, cap: float) -> None:
+        """Start with ``cap`` retries and earn ``ratio`` of one per first attempt."""
         self._ratio = ratio
-        self._tokens = BUDGET_CAP
+        self._cap = cap
+        self._tokens = cap
 
     def note_first_attempt(self) -> None:
         """Earn a share of a retry."""
-        self._tokens = min(BUDGET_CAP, self._tokens + self._ratio)
+        self._tokens = min(self._cap, self._tokens + self._ratio)
 
     def take(self) -> bool:
         """Spend one retry; False when the budget is empty."""
--- a/samphirecleat/standins/_engine.py
+++ b/samphirecleat/standins/_engine.py
@@ -77,6 +77,8 @@
         self.refused_orders = 0
         self.cached_prefixes: OrderedDict[str, None] = OrderedDict()
         self.cache_size = 64
+        self.prefix_hits = 0
+        self.prefix_misses = 0
         self._boots = itertools.count(1)
         self._instance = ""
         self._weight_store_url = weight_store_url
@@ -156,14 +158,17 @@
         if fault == "fail":
             return web.json_response({"error": "failed"}, status=500)
         response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
-        await response.prepare(request)
-        await self._send(request, response, {"run_id": run.run_id, "instance": self._instance})
         try:
+            await response.prepare(request)
+            await self._send(request, response, {"run_id": run.run_id, "instance": self._instance})
             await asyncio.sleep(self._prefill_time_s(prompt))
             await self._make_tokens(request, response, run, int(body["max_tokens"]), fault)
         except asyncio.CancelledError:
             run.cancelled = True
             raise
+        except ConnectionError:
+            # The connection is closed; an engine then stops the run.
+            run.cancelled = True
         return response
 
     async def _make_tokens(
@@ -216,6 +221,8 @@
     def _prefill_time_s(self, prompt: str) -> float:
         prefix = prompt[:32]
         hit = prefix in self.cached_prefixes
+        self.prefix_hits += int(hit)
+        self.prefix_misses += int(not hit)
         self.cached_prefixes[prefix] = None
         self.cached_prefixes.move_to_end(prefix)
         if not hit:
--- a/samphirecleat/standins/_plain.py
+++ b/samphirecleat/standins/_plain.py
@@ -37,6 +37,7 @@
         self.refuse_next = 0
         self.fail_next = 0
         self.lose_next_answers = 0
+        self.refused = 0
         self.runs: list[PlainRun] = []
         self.runs_by_request: Counter[str] = Counter()
         self.tells_status = False
@@ -60,6 +61,7 @@
             return web.Response()
         if fault == "refuse" or self.refuse_next > 0 or self.leaving:
             self.refuse_next = max(0, self.refuse_next - 1)
+            self.refused += 1
             return web.json_response({"error": "refused"}, status=503)
         request_id = request.headers["x-request-id"]
         method = request.match_info["method"]
