--- a/tests/targets/test_generation.py
+++ b/tests/targets/test_generation.py
@@ -31,8 +31,7 @@
     """A stream breaks off or lacks tokens, so a sample would lack some of its spans."""
     reader = GenerationReader("10.0.0.1:80")
     with pytest.raises(TargetError) as caught:
-        for line in lines:
-            reader.read(line)
+        [reader.read(line) for line in lines]
     assert isinstance(caught.value.failure, Lost)
 
 
