Client and forwarding: nodes that die, leave, or fall silent

Cause: a call whose targets all refused was answered NO_TARGET; one dead target used up the small retry budget of its service (two tests failed after the cap went down). Change: the last failure is the answer when no target is left; an attempt whose connection was never made costs no budget; tests of the client against three real nodes behind relays, and of forwarding over grpclib.

--- a/samphirecleat/controllers/dispatcher.py
+++ b/samphirecleat/controllers/dispatcher.py
@@ -30,6 +30,7 @@
 
     tried: list[str] = field(default_factory=list)
     may_have_run: bool = False
+    last_error: RequestError | None = None
 
 
 class Dispatcher:
@@ -116,7 +117,7 @@
         while True:
             target = self._choose(service, call, attempts.tried)
             if target is None:
-                raise _no_target(service, attempts.may_have_run)
+                raise _weaken(attempts.last_error or _no_target(service), attempts.may_have_run)
             attempts.tried.append(target.address)
             earlier_may_have_run = attempts.may_have_run
             attempts.may_have_run = True
@@ -136,9 +137,10 @@
                 match decision:
                     case GiveUp(error=final):
                         raise _weaken(final, attempts.may_have_run) from error
-                    case TryElsewhere():
-                        if not budget.take():
-                            raise _no_target(service, attempts.may_have_run) from error
+                    case TryElsewhere(error=final, spends_budget=spends_budget):
+                        attempts.last_error = final
+                        if spends_budget and not budget.take():
+                            raise _weaken(final, attempts.may_have_run) from error
 
     def _choose(self, service: Service, call: Call, tried: Sequence[str]) -> TargetView | None:
         now_s = asyncio.get_running_loop().time()
@@ -218,13 +220,12 @@
     return error
 
 
-def _no_target(service: Service, may_have_run: bool) -> RequestError:
-    error = RequestError(
+def _no_target(service: Service) -> RequestError:
+    return RequestError(
         ErrorKind.NO_TARGET,
         f'"{service.name}" has no usable target now',
         retry_after_s=NO_TARGET_RETRY_S,
     )
-    return _weaken(error, may_have_run)
 
 
 def _deadline_exceeded(attempts: _Attempts) -> RequestError:
--- a/samphirecleat/controllers/retries.py
+++ b/samphirecleat/controllers/retries.py
@@ -21,7 +21,14 @@
 
 @dataclass(frozen=True)
 class TryElsewhere:
-    """Send the call to another target."""
+    """Send the call to another target; answer with ``error`` when there is none.
+
+    ``spends_budget`` is false when the failed attempt cost its target nothing, so
+    that one dead target does not use up what its service may retry.
+    """
+
+    error: RequestError
+    spends_budget: bool = True
 
 
 @dataclass(frozen=True)
@@ -49,9 +56,9 @@
     if isinstance(failure, Failed) and failure.permanent:
         return GiveUp(error)
     if error.ran is Ran.NO:
-        return TryElsewhere()
+        return TryElsewhere(error, spends_budget=not isinstance(failure, NotSent))
     if call.idempotent and not answer_started:
-        return TryElsewhere()
+        return TryElsewhere(error)
     return GiveUp(error)
 
 
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -35,3 +35,67 @@
     async with asyncio.timeout(timeout_s):
         while not condition():
             await asyncio.sleep(0.01)
+
+
+class Relay:
+    """Passes TCP connections on to an address, and can cut or silence them."""
+
+    def __init__(self, to_address: str) -> None:
+        self._to_address = to_address
+        self._links: list[tuple[asyncio.Event, asyncio.StreamWriter, asyncio.StreamWriter]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.bytes_back = 0
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening and close every connection."""
+        self._server.close()
+        self.cut()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def silence(self) -> None:
+        """Pass nothing more on connections that are open now; new ones work."""
+        for silent, _near, _far in self._links:
+            silent.set()
+
+    def cut(self) -> None:
+        """Close every connection that is open now."""
+        for _silent, near, far in self._links:
+            near.transport.abort()
+            far.transport.abort()
+
+    async def _accept(self, reader: asyncio.StreamReader, near: asyncio.StreamWriter) -> None:
+        host, port = self._to_address.split(":")
+        far_reader, far = await asyncio.open_connection(host, int(port))
+        silent = asyncio.Event()
+        self._links.append((silent, near, far))
+        for source, sink, back in ((reader, far, False), (far_reader, near, True)):
+            task = asyncio.create_task(self._pump(source, sink, silent, back))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _pump(
+        self,
+        source: asyncio.StreamReader,
+        sink: asyncio.StreamWriter,
+        silent: asyncio.Event,
+        back: bool,
+    ) -> None:
+        try:
+            while data := await source.read(65_536):
+                if silent.is_set():
+                    await asyncio.Event().wait()
+                self.bytes_back += len(data) if back else 0
+                sink.write(data)
+        except ConnectionError:
+            return
+        finally:
+            sink.close()
