--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -63,6 +63,13 @@
         ErrorKind.OUTCOME_UNKNOWN,
         "unknown",
     ),
+    "key_of_an_earlier_incarnation": (
+        CALL,
+        {"x-request-key": "n1.abc.0.k"},
+        GOOD,
+        ErrorKind.OUTCOME_UNKNOWN,
+        "unknown",
+    ),
     "foreign_key_bad_body": (
         CALL,
         {"x-request-key": "n9.abc.0.k"},
