Targets: reports asked again on a new connection; errors inside streams are counted

Cause: a kept connection that went silent made a sound target unreachable for a poll; an error after the first line of a stream was in no counter; a frozen owner made a client ask every node. Change: report() tries a new connection before it gives a target up, orders go over new ones; stream errors count by kind; at most four nodes are asked for one key.

--- a/samphirecleat/client/_caller.py
+++ b/samphirecleat/client/_caller.py
@@ -28,6 +28,9 @@
 )
 
 MAX_KEYS: Final = 4
+MAX_ASKS: Final = 4
+"""How many nodes are asked for one key; a frozen owner makes each of them wait."""
+
 RETRY_BUDGET_RATIO: Final = 0.2
 RETRY_BUDGET_CAP: Final = 20.0
 LONGEST_PAUSE_S: Final = 0.1
@@ -196,6 +199,8 @@
 
     async def _next_node(self, state: _CallState, asked: Sequence[str]) -> Entry:
         try:
+            if len(asked) >= MAX_ASKS:
+                raise RequestError(ErrorKind.OUTCOME_UNKNOWN, "several nodes gave no answer")
             return await self._entries.choose(asked)
         except RequestError as error:
             without = decide_without_nodes(
--- a/samphirecleat/entry/_answers.py
+++ b/samphirecleat/entry/_answers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from typing import Final
 
@@ -26,7 +26,10 @@
 
 
 async def send_lines(
-    request: web.Request, call: Call, lines: AsyncGenerator[AnswerLine, None]
+    request: web.Request,
+    call: Call,
+    lines: AsyncGenerator[AnswerLine, None],
+    on_error: Callable[[RequestError], None],
 ) -> web.StreamResponse:
     """Send lines as they come; an error after the first one is itself a line.
 
@@ -36,7 +39,7 @@
     """
     try:
         async with asyncio.timeout_at(call.deadline_at_s + SLOW_READER_GRACE_S):
-            return await _send_lines(request, call, lines)
+            return await _send_lines(request, call, lines, on_error)
     except TimeoutError as error:
         if request.transport is not None:
             request.transport.abort()
@@ -46,7 +49,10 @@
 
 
 async def _send_lines(
-    request: web.Request, call: Call, lines: AsyncGenerator[AnswerLine, None]
+    request: web.Request,
+    call: Call,
+    lines: AsyncGenerator[AnswerLine, None],
+    on_error: Callable[[RequestError], None],
 ) -> web.StreamResponse:
     response: web.StreamResponse | None = None
     try:
@@ -58,6 +64,7 @@
     except RequestError as error:
         if response is None:
             raise
+        on_error(error)
         # What was sent cannot be taken back, so it can no longer be "not run".
         body = error.body()
         if error.ran is Ran.NO:
--- a/samphirecleat/entry/_callers.py
+++ b/samphirecleat/entry/_callers.py
@@ -140,9 +140,12 @@
         except RequestError as error:
             raise self._settle(error, key) from error
         if body.get("stream", False):
-            return await send_lines(request, *accepted)
+            return await send_lines(request, *accepted, self._count_error)
         return await send_whole(*accepted)
 
+    def _count_error(self, error: RequestError) -> None:
+        self._board.refusals[error.kind.value] += 1
+
     async def _read(self, request: web.Request) -> tuple[CallHeaders, Mapping[str, Any]]:
         headers = read_headers(request.headers, self._timings.max_deadline_s)
         return headers, await read_body(request, headers.deadline_in_s)
--- a/samphirecleat/targets/_client.py
+++ b/samphirecleat/targets/_client.py
@@ -176,26 +176,32 @@
             return
 
     async def report(self, target: TargetView, now_s: float) -> TargetView:
-        """Return the target as it reports itself, or as unreachable."""
+        """Return the target as it reports itself, or as unreachable.
+
+        It is asked again on a new connection before it counts as unreachable: a
+        kept connection that went silent would otherwise take a sound target out
+        of routing.
+        """
+        for session in (self._session, self._fresh_session):
+            body = await self._ask_load(session, target)
+            if body is None:
+                continue
+            try:
+                return _read_report(target, body, now_s)
+            except (ValueError, KeyError, TypeError):
+                break
+        return target._replace(reachable=False)
+
+    async def _ask_load(
+        self, session: aiohttp.ClientSession, target: TargetView
+    ) -> Mapping[str, Any] | None:
         timeout = aiohttp.ClientTimeout(total=self._probe_timeout_s)
         try:
-            async with self._session.get(
-                f"http://{target.address}/v1/load", timeout=timeout
-            ) as response:
-                body = await response.json()
-                return target._replace(
-                    instance=str(body["instance"]),
-                    version=int(body["version"]),
-                    loading=bool(body["loading"]),
-                    leaving=bool(body["leaving"]),
-                    running=int(body["running"]),
-                    waiting=int(body["waiting"]),
-                    slots=int(body["slots"]),
-                    reported_at_s=now_s - float(body["age_s"]),
-                    reachable=True,
-                )
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
-            return target._replace(reachable=False)
+            async with session.get(f"http://{target.address}/v1/load", timeout=timeout) as response:
+                body: Mapping[str, Any] = await response.json()
+                return body
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return None
 
     async def order_version(self, target: TargetView, version: int, fencing: int) -> OrderOutcome:
         """Order an engine to load a version.
@@ -205,7 +211,7 @@
         timeout = aiohttp.ClientTimeout(total=self._probe_timeout_s)
         body: Mapping[str, Any] = {"kind": "load_version", "version": version, "fencing": fencing}
         try:
-            async with self._session.post(
+            async with self._fresh_session.post(
                 f"http://{target.address}/v1/orders", json=body, timeout=timeout
             ) as response:
                 if response.status == HTTP_FENCED:
@@ -220,6 +226,20 @@
             return OrderUnknown(str(error) or type(error).__name__)
 
 
+def _read_report(target: TargetView, body: Mapping[str, Any], now_s: float) -> TargetView:
+    return target._replace(
+        instance=str(body["instance"]),
+        version=int(body["version"]),
+        loading=bool(body["loading"]),
+        leaving=bool(body["leaving"]),
+        running=int(body["running"]),
+        waiting=int(body["waiting"]),
+        slots=int(body["slots"]),
+        reported_at_s=now_s - float(body["age_s"]),
+        reachable=True,
+    )
+
+
 def _check_status(service: Service, status: int) -> None:
     """Raise what a status other than 200 tells of the run."""
     if status == 200:
--- a/samphirecleat/trial/_deployments.py
+++ b/samphirecleat/trial/_deployments.py
@@ -62,6 +62,7 @@
       "kind": "engine",
       "depends_on": ["{shape.plain_service}"],
       "checks_fencing": true,
+      "refusal_is_not_run": true,
       "staleness_bound": 2,
       "staleness_weight": {shape.staleness_weight},
       "max_swapping_share": {max_swapping_share}
--- a/tests/client/test_caller.py
+++ b/tests/client/test_caller.py
@@ -94,6 +94,8 @@
         relay.cut()
     elif how == "silent":
         relay.silence()
+    elif how == "frozen":
+        relay.freeze()
     elif how == "leaving":
         relay.cut()
         setting.fleet.nodes.remove(owner)
@@ -101,9 +103,9 @@
         await owner.stop()
 
 
-@pytest.mark.parametrize("how", ["cut", "silent", "leaving"])
+@pytest.mark.parametrize("how", ["cut", "silent", "frozen", "leaving"])
 def test_a_lost_answer_is_fetched_with_the_same_key(how: str) -> None:
-    """The caller's connection closes or falls silent while its order is being made.
+    """The caller's connections close or fall silent while its order is being made.
 
     The order may not be made twice. Its answer comes through another node, which
     asks the one that the key names, also when that one is leaving.
--- a/tests/controllers/test_dispatcher.py
+++ b/tests/controllers/test_dispatcher.py
@@ -313,6 +313,26 @@
     asyncio.run(scenario())
 
 
+def test_the_http_library_repeats_nothing_by_itself() -> None:
+    """The answer is lost on a kept connection, where HTTP clients like to try again.
+
+    Such a repeat would be seen by nobody but the target: a call run twice.
+    """
+
+    async def scenario() -> None:
+        services = plain_services()[:1]
+        async with make_bench(services, ServiceKind.PLAIN) as bench:
+            assert not isinstance(
+                await run(bench, make_call(PLAIN_SERVICE, idempotent=True)), RequestError
+            )
+            services[0].next_faults[:] = ["lose"]
+            outcome = await run(bench, make_call(PLAIN_SERVICE, idempotent=True))
+            check_error(outcome, ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+            assert bench.runs() == 2
+
+    asyncio.run(scenario())
+
+
 def test_a_slow_engine_is_waited_for() -> None:
     """An engine works long on a prompt, and sends nothing for many probe periods."""
 
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -42,6 +42,7 @@
 
     def __init__(self, to_address: str) -> None:
         self._to_address = to_address
+        self._frozen = False
         self._links: list[tuple[asyncio.Event, asyncio.StreamWriter, asyncio.StreamWriter]] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self.bytes_back = 0
@@ -66,6 +67,11 @@
         for silent, _near, _far in self._links:
             silent.set()
 
+    def freeze(self) -> None:
+        """Accept connections, and pass nothing on any of them, as a stopped process does."""
+        self._frozen = True
+        self.silence()
+
     def cut(self) -> None:
         """Close every connection that is open now."""
         for _silent, near, far in self._links:
@@ -76,6 +82,8 @@
         host, port = self._to_address.split(":")
         far_reader, far = await asyncio.open_connection(host, int(port))
         silent = asyncio.Event()
+        if self._frozen:
+            silent.set()
         self._links.append((silent, near, far))
         for source, sink, back in ((reader, far, False), (far_reader, near, True)):
             task = asyncio.create_task(self._pump(source, sink, silent, back))
