--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -1,14 +1,14 @@
 """Bad input of callers over real HTTP, each with its kind, its status and what ran."""
 
 import asyncio
-import json
-import socket
 from collections.abc import Mapping
 from typing import Any
 
 import aiohttp
 import pytest
+from aiohttp import web
 
+from samphirecleat.entry import _answers
 from samphirecleat.errors import ANSWERS, ErrorKind
 from samphirecleat.trial._fleet import Fleet
 from tests.fleets import running_fleet, until
@@ -189,25 +189,46 @@
     asyncio.run(scenario())
 
 
-def test_a_reader_that_stops_reading_holds_up_nobody() -> None:
-    """A caller asks for a stream and reads nothing of it, while others are served."""
+class StuckResponse(web.StreamResponse):
+    """A response whose reader takes the first line and then no more."""
+
+    async def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Send the first line only."""
+        if self.headers.get("x-stuck"):
+            await asyncio.Event().wait()
+        self.headers["x-stuck"] = "yes"
+        await super().write(data)
+
+
+async def open_stuck_stream(request: web.Request, _call: object) -> web.StreamResponse:
+    response = StuckResponse()
+    await response.prepare(request)
+    return response
+
+
+def test_a_reader_that_stops_reading_holds_up_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A caller asks for a stream and takes nothing after its first line.
+
+    Its generation ends all the same, others are served meanwhile, and a little
+    after its deadline its connection is closed, so that the node can end too.
+    """
+    monkeypatch.setattr(_answers, "_open_stream", open_stuck_stream)
+    monkeypatch.setattr(_answers, "SLOW_READER_GRACE_S", 0.2)
 
     async def scenario() -> None:
         async with running_fleet(1) as fleet, aiohttp.ClientSession() as session:
-            for engine in fleet.engines:
-                engine.token_s = 0.0005
-            host, port = fleet.bootstrap[0].split(":")
-            body = json.dumps({"prompt": "q" * 100, "max_tokens": 300, "stream": True}).encode()
-            request = f"POST {GENERATE} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
-            stuck = socket.socket()
-            stuck.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2_048)
-            stuck.connect((host, int(port)))
-            stuck.sendall(request.encode() + body)
-            await until(lambda: any(run.ended for e in fleet.engines for run in e.runs))
-            url = f"http://{fleet.bootstrap[0]}{CALL}"
-            async with session.post(url, data=GOOD) as response:
-                assert response.status == 200
-            stuck.close()
-            await until(lambda: fleet.nodes[0].callers.in_flight == 0)
+            callers = fleet.nodes[0].callers
+            body = {"prompt": "a quote", "max_tokens": 30, "stream": True}
+            url = f"http://{fleet.bootstrap[0]}"
+            headers = {"x-deadline-ms": "1500"}
+            async with session.post(url + GENERATE, json=body, headers=headers) as response:
+                await response.content.readline()
+                await until(lambda: any(run.ended for e in fleet.engines for run in e.runs))
+                async with session.post(url + CALL, data=GOOD) as other:
+                    assert other.status == 200
+                assert callers.in_flight > 0
+                await until(lambda: callers.in_flight == 0)
+                with pytest.raises(aiohttp.ClientError):
+                    await response.read()
 
     asyncio.run(scenario())
