--- a/samphirecleat/controllers/step_runner.py
+++ b/samphirecleat/controllers/step_runner.py
@@ -178,10 +178,9 @@
             if now_s < self._resume_at_s[service]:
                 continue
             active = [step for step in steps if not step.done and not _abandoned(step, now_s)]
-            room = self._start_first_runs(
-                service, active, self._limiter.trainer_room(service), now_s
-            )
-            self._start_copies(service, active, room, now_s)
+            room = self._limiter.trainer_room(service)
+            room = self._start_copies(service, active, room, now_s)
+            self._start_first_runs(service, active, room, now_s)
 
     async def close(self) -> None:
         """Cancel the runs of this node."""
@@ -203,11 +202,10 @@
 
     def _start_first_runs(
         self, service: str, steps: Sequence[Step], room: int, now_s: float
-    ) -> int:
-        """Start runs, the trainers in turn by their shares; return the room left."""
+    ) -> None:
+        """Start runs, the trainers in turn by their shares."""
         excluded = {id(step): self._stale_targets(step, now_s) for step in steps}
         usable = {t.address for t in self._board.targets_of(service) if t.usable}
-        shares = {name: t.share for name, t in self._board.config.services.trainers.items()}
         book = self._shares[service]
         # A step without a target that is new enough waits, and holds up no other.
         waiting = _by_trainer([step for step in steps if usable - excluded[id(step)]])
@@ -220,24 +218,32 @@
             position = step.next_start(now_s)
             assert position is not None
             run = step.note_started(position, now_s)
-            book.charge(trainer, run.expected_tokens, shares)
+            self._charge(service, trainer, run)
             self._start(step, run, excluded[id(step)])
             room -= 1
         book.rest({step.spec.trainer for step in steps})
-        return room
 
-    def _start_copies(self, service: str, steps: Sequence[Step], room: int, now_s: float) -> None:
+    def _start_copies(self, service: str, steps: Sequence[Step], room: int, now_s: float) -> int:
+        """Start second copies of runs that are late; return the room left.
+
+        They go before first runs: a late run is on the step's critical path, and
+        the budget keeps copies few.
+        """
         pace = self._paces[service].pace
+        usable = {t.address for t in self._board.targets_of(service) if t.usable}
         for step in steps:
             for late in step.copies_wanted(self._copy_policy, pace, room, now_s):
                 excluded = self._stale_targets(step, now_s) | {late.target}
-                if any(
-                    target.usable and target.address not in excluded
-                    for target in self._board.targets_of(service)
-                ):
+                if usable - excluded:
                     run = step.note_started(late.position, now_s, is_copy=True)
+                    self._charge(service, step.spec.trainer, run)
                     self._start(step, run, excluded)
                     room -= 1
+        return room
+
+    def _charge(self, service: str, trainer: str, run: Run) -> None:
+        shares = {name: t.share for name, t in self._board.config.services.trainers.items()}
+        self._shares[service].charge(trainer, run.expected_tokens, shares)
 
     def _start(self, step: Step, run: Run, excluded: frozenset[str]) -> None:
         task = asyncio.get_running_loop().create_task(self._make(step, run, excluded))
--- a/samphirecleat/standins/_engine.py
+++ b/samphirecleat/standins/_engine.py
@@ -135,13 +135,13 @@
         )
         self.runs.append(run)
         response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
-        await response.prepare(request)
-        await self._send(request, response, {"run_id": run.run_id, "instance": self._instance})
-        await asyncio.sleep(self._prefill_time_s(prompt))
         task = asyncio.current_task()
         assert task is not None
         self._running[run.request_id] = task
         try:
+            await response.prepare(request)
+            await self._send(request, response, {"run_id": run.run_id, "instance": self._instance})
+            await asyncio.sleep(self._prefill_time_s(prompt))
             for index in range(int(body["max_tokens"])):
                 await asyncio.sleep(self.token_s)
                 await self._emit(request, response, run, index)
@@ -151,7 +151,7 @@
             run.cancelled = True
             raise
         except ConnectionError:
-            # Its reader is gone: the run ends here, as by a cancel.
+            # The node closed the connection; an engine then stops the run.
             run.cancelled = True
         finally:
             self._running.pop(run.request_id, None)
--- a/samphirecleat/steps/_copies.py
+++ b/samphirecleat/steps/_copies.py
@@ -71,6 +71,8 @@
 class CopySlow:
     """Copy those runs that lag behind the usual pace, within a budget.
 
+    A copy starts as late as it may without holding the step up: once the rest of
+    the queue takes no longer than the copy itself will.
     ``budget_ratio`` bounds the expected tokens of all copies of a step by a
     share of the step's own.
     """
@@ -85,32 +87,32 @@
 class CopyView(NamedTuple):
     """What the second copies of one step are decided from.
 
-    ``runs`` are all that go on; ``step_tokens`` and ``copied_tokens`` are the
-    expected tokens of the step and of the copies started so far.
+    ``runs`` are all that go on. ``queued_tokens``, ``step_tokens`` and
+    ``copied_tokens`` are the expected tokens of what still waits for a run, of the
+    whole step, and of the copies started so far.
     """
 
     runs: Sequence[Run]
     pace: Pace | None
+    queued_tokens: int
     step_tokens: int
     copied_tokens: int
 
 
 def decide_copies(view: CopyView, policy: CopyPolicy, room: int, now_s: float) -> Sequence[Run]:
-    """Return the runs to copy now, at most ``room``, the latest to end first.
-
-    Ask only once every position of the step that is missing has a run.
-    """
+    """Return the runs to copy now, at most ``room``, the latest to end first."""
     alone = _runs_alone(view.runs)
     match policy:
         case NoCopies():
             return ()
         case CopyAllLate():
-            return alone[:room]
+            return alone[:room] if not view.queued_tokens else ()
         case CopySlow(budget_ratio=budget_ratio):
             if view.pace is None:
                 return ()
             pace = view.pace
-            slow = [run for run in alone if _is_worth_a_copy(run, pace, now_s)]
+            queue_s = pace.token_s * view.queued_tokens / len(view.runs) if view.runs else 0.0
+            slow = [run for run in alone if _is_worth_a_copy(run, pace, queue_s, now_s)]
             slow.sort(key=lambda run: -remaining_s(run, pace, now_s))
             left_tokens = budget_ratio * view.step_tokens - view.copied_tokens
             return _within(slow, left_tokens)[:room]
@@ -131,9 +133,10 @@
     return left * own_token_s
 
 
-def _is_worth_a_copy(run: Run, pace: Pace, now_s: float) -> bool:
+def _is_worth_a_copy(run: Run, pace: Pace, queue_s: float, now_s: float) -> bool:
+    """Whether it would end late even if a copy began only after the queue."""
     copy_s = pace.whole_s(run.expected_tokens)
-    return remaining_s(run, pace, now_s) > WORTH_FACTOR * copy_s
+    return queue_s <= copy_s and remaining_s(run, pace, now_s) > queue_s + WORTH_FACTOR * copy_s
 
 
 def _runs_alone(runs: Sequence[Run]) -> list[Run]:
--- a/samphirecleat/steps/_positions.py
+++ b/samphirecleat/steps/_positions.py
@@ -25,6 +25,8 @@
         self._delayed: list[tuple[float, int]] = []
         self._due_at_s: dict[int, float] = {}
         self._failures: Counter[int] = Counter()
+        self.tokens = 0
+        """The expected tokens of all queued positions."""
 
     def __len__(self) -> int:
         return len(self._due_at_s)
@@ -32,7 +34,7 @@
     def add(self, position: int) -> None:
         """Queue a position, once."""
         if position not in self._due_at_s:
-            self._due_at_s[position] = AT_ONCE_S
+            self._insert(position, AT_ONCE_S)
             heapq.heappush(self._due, self._rank(position))
 
     def add_failed(self, position: int, now_s: float, jitter: float) -> None:
@@ -42,12 +44,13 @@
         self._failures[position] += 1
         doubled_s = FIRST_RETRY_S * 2.0 ** min(10, self._failures[position] - 1)
         wait_s = min(LONGEST_RETRY_S, doubled_s) * (0.5 + jitter)
-        self._due_at_s[position] = now_s + wait_s
+        self._insert(position, now_s + wait_s)
         heapq.heappush(self._delayed, (now_s + wait_s, position))
 
     def remove(self, position: int) -> None:
         """Take a position out; it is skipped when its turn comes."""
-        self._due_at_s.pop(position, None)
+        if self._due_at_s.pop(position, None) is not None:
+            self.tokens -= self._spec.expected_tokens_of(position)
 
     def first(self, now_s: float) -> int | None:
         """Return the position whose turn it is, or None when none is due."""
@@ -64,5 +67,9 @@
             heapq.heappop(self._due)
         return None
 
+    def _insert(self, position: int, due_at_s: float) -> None:
+        self._due_at_s[position] = due_at_s
+        self.tokens += self._spec.expected_tokens_of(position)
+
     def _rank(self, position: int) -> tuple[int, int]:
         return -self._spec.expected_tokens_of(position), position
--- a/samphirecleat/steps/_step.py
+++ b/samphirecleat/steps/_step.py
@@ -38,6 +38,7 @@
         self.changed = asyncio.Event()
         self._attempts: Counter[int] = Counter()
         self._queue = PositionQueue(spec)
+        self._step_tokens = sum(spec.expected_tokens_of(p) for p in range(spec.size))
         self._last_number = 0
         self._last_samples: dict[int, Sample] = {}
         self._queue_missing()
@@ -52,11 +53,6 @@
         """How many positions the trainer lacks that are not ready either."""
         return self.spec.size - len(self.held) - len(self.ready)
 
-    @property
-    def all_started(self) -> bool:
-        """Whether every position that is missing has a run."""
-        return not len(self._queue)
-
     def take_held(self, client_id: str, held: frozenset[int], now_s: float) -> None:
         """Learn what the trainer holds.
 
@@ -131,10 +127,15 @@
         self, policy: CopyPolicy, pace: Pace | None, room: int, now_s: float
     ) -> Sequence[Run]:
         """Return the runs of which to start a second copy now."""
-        if not self.all_started or room < 1:
+        if room < 1 or not self.runs:
             return ()
-        step_tokens = sum(self.spec.expected_tokens_of(p) for p in range(self.spec.size))
-        view = CopyView(self.runs, pace, step_tokens, self.copied_tokens)
+        view = CopyView(
+            runs=self.runs,
+            pace=pace,
+            queued_tokens=self._queue.tokens,
+            step_tokens=self._step_tokens,
+            copied_tokens=self.copied_tokens,
+        )
         return decide_copies(view, policy, room, now_s)
 
     def note_made(self, run: Run, sample: Sample) -> Sequence[Run]:
--- a/samphirecleat/trial/_deployments.py
+++ b/samphirecleat/trial/_deployments.py
@@ -47,8 +47,14 @@
 }
 
 
-def service_text(shape: DeploymentShape, *, max_swapping_share: float = 0.34) -> str:
+def service_text(
+    shape: DeploymentShape, *, max_swapping_share: float = 0.34, trainers: int = 1
+) -> str:
     """Return the service text of a deployment whose targets the host list shows."""
+    trainer_rows = ", ".join(
+        f'"trainer-{number}": {{"service": "{shape.engine_service}", "share": 1}}'
+        for number in range(1, trainers + 1)
+    )
     return f"""{{
   // Services of {shape.name}; their targets are found in the host list.
   "services": {{
@@ -70,6 +76,6 @@
     }},
     "scoring": {{"kind": "scoring", "refusal_is_not_run": true}}
   }},
-  "trainers": {{"trainer-1": {{"service": "{shape.engine_service}", "share": 1}}}}
+  "trainers": {{{trainer_rows}}}
 }}
 """
--- a/samphirecleat/trial/_fleet.py
+++ b/samphirecleat/trial/_fleet.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from ..config import NO_REVISION, Publication, publication_payload
+from ..controllers import Policies
 from ..node import Node
 from ..platform import HttpLog
 from ..settings import Settings, Timings
@@ -38,8 +39,16 @@
 class Fleet:
     """Stand-ins and nodes of one deployment; :meth:`start` and :meth:`stop` them."""
 
-    def __init__(self, shape: DeploymentShape, node_count: int, seed: int) -> None:
+    def __init__(
+        self,
+        shape: DeploymentShape,
+        node_count: int,
+        seed: int,
+        policies: Policies | None = None,
+    ) -> None:
         """Prepare a fleet of ``node_count`` nodes spread over the zones."""
+        self.policies = policies
+        self.first_text = service_text(shape)
         self.shape = shape
         self.node_count = node_count
         self.seed = seed
@@ -84,7 +93,7 @@
             seed=self.seed + len(self.nodes) + 1,
             timings=TRIAL_TIMINGS,
         )
-        node = Node(settings)
+        node = Node(settings, self.policies)
         await node.start()
         self.nodes.append(node)
         self.host_list.put(HostRow(settings.peer_address, "entry", zone))
@@ -118,7 +127,7 @@
             self.host_list.put(row, at_once=True)
 
     async def _publish(self) -> None:
-        publication = Publication("first", NO_REVISION, service_text(self.shape), "trial")
+        publication = Publication("first", NO_REVISION, self.first_text, "trial")
         async with aiohttp.ClientSession() as session:
             await HttpLog(session, self.log.url).append("config", publication_payload(publication))
 
--- a/samphirecleat/trial/_run.py
+++ b/samphirecleat/trial/_run.py
@@ -55,7 +55,7 @@
     fleet = Fleet(DEPLOYMENTS[options.deployment], options.nodes, options.seed)
     await fleet.start()
     try:
-        await _until_ready(fleet)
+        await until_ready(fleet)
         workload = Workload(fleet, options.seed)
         await workload.run(options.seconds)
         promises = check_promises(fleet, workload.receipts)
@@ -80,7 +80,7 @@
     Path(path).write_text(json.dumps(report.to_json(), indent=2) + "\n")
 
 
-async def _until_ready(fleet: Fleet) -> None:
+async def until_ready(fleet: Fleet) -> None:
     """Wait until every node holds the text and sees usable targets."""
     loop = asyncio.get_running_loop()
     give_up_at_s = loop.time() + READY_TIMEOUT_S
--- a/tests/steps/test_record.py
+++ b/tests/steps/test_record.py
@@ -47,3 +47,13 @@
     record = TrainerRecord("client", 1, 1)
     number = record.next_pull(0, 0.0, 9).number
     assert record.accept(PullReply(number, [make_sample(1)], 0), 0) == []
+
+
+def test_a_reply_with_a_position_twice_or_one_already_held_delivers_each_once(
+    make_sample: SampleBuilder,
+) -> None:
+    """A node answers with what the pull did not ask for, as one of another release might."""
+    record = TrainerRecord("client", 2, 1, frozenset({0}))
+    number = record.next_pull(0, 0.0, 9).number
+    reply = PullReply(number, [make_sample(0), make_sample(1), make_sample(1, 0, "other")], 0)
+    assert [sample.run_id for sample in record.accept(reply, 0)] == ["run"]
--- a/tests/steps/test_scheduling.py
+++ b/tests/steps/test_scheduling.py
@@ -85,18 +85,38 @@
     Without a copy the whole step waits; a copy of each that is merely long only costs tokens.
     """
     runs = [NORMAL, SILENT_AFTER_SOME, NO_TOKEN_YET, LONG_AND_ON_PACE]
-    view = CopyView(runs, PACE, step_tokens=1300, copied_tokens=0)
+    view = CopyView(runs, PACE, 0, step_tokens=1300, copied_tokens=0)
     assert {run.position for run in decide_copies(view, policy, 9, now_s)} == copied
 
 
+@pytest.mark.parametrize(
+    ("queued_tokens", "copied"), [(0, {1}), (90, {1}), (400, set()), (100_000, set())]
+)
+def test_a_copy_starts_once_the_rest_takes_no_longer_than_the_copy(
+    queued_tokens: int, copied: set[int]
+) -> None:
+    """A long sample sits on a slow engine from the start of the step.
+
+    Copied only once the queue is empty, its copy would end long after all others.
+    """
+    view = CopyView([SILENT_AFTER_SOME], PACE, queued_tokens, 1000, 0)
+    chosen = decide_copies(view, CopySlow(0.5), 9, 0.9)
+    assert {run.position for run in chosen} == copied
+
+
+def test_copying_all_waits_for_the_queue_to_be_empty() -> None:
+    view = CopyView([NORMAL], PACE, 1, 1000, 0)
+    assert decide_copies(view, CopyAllLate(), 9, 0.6) == ()
+
+
 def test_no_position_runs_three_times() -> None:
     runs = [SILENT_AFTER_SOME, run_at(1, 0, 0.5)]
-    view = CopyView(runs, PACE, step_tokens=1000, copied_tokens=0)
+    view = CopyView(runs, PACE, 0, step_tokens=1000, copied_tokens=0)
     assert decide_copies(view, CopyAllLate(), 9, 60.0) == []
 
 
 def test_without_a_known_pace_nothing_is_copied() -> None:
-    view = CopyView([SILENT_AFTER_SOME], None, 1000, 0)
+    view = CopyView([SILENT_AFTER_SOME], None, 0, 1000, 0)
     assert decide_copies(view, CopySlow(1.0), 9, 60.0) == ()
 
 
@@ -110,7 +130,7 @@
     tokens: list[int], ratio: float, spent: int, room: int
 ) -> None:
     runs = [run_at(position, count, 0.0, 0.1) for position, count in enumerate(tokens)]
-    view = CopyView(runs, PACE, 100 * len(runs), spent)
+    view = CopyView(runs, PACE, 0, 100 * len(runs), spent)
     chosen = decide_copies(view, CopySlow(ratio), room, 60.0)
     assert len(chosen) <= room
     expected = sum(run.expected_tokens for run in chosen)
