--- a/samphirecleat/blackboard.py
+++ b/samphirecleat/blackboard.py
@@ -119,6 +119,7 @@
     disproved: dict[str, DisprovedVersion] = field(default_factory=dict)  # controllers.step_runner
     leases: dict[str, LeaseView] = field(default_factory=dict)  # controllers.leases
     weights: dict[str, WeightsView] = field(default_factory=dict)  # controllers.weights
+    active_trainers: Mapping[str, frozenset[str]] = field(default_factory=dict)  # step_runner
     in_flight: Counter[str] = field(default_factory=Counter)  # requests.dispatcher, by target
     refusals: Counter[str] = field(default_factory=Counter)  # entry, by error kind
     key_epoch: int = 0  # requests.key_book
--- a/samphirecleat/controllers/step_runner.py
+++ b/samphirecleat/controllers/step_runner.py
@@ -172,6 +172,10 @@
         for step in self.steps.values():
             self._cancel_useless(step, now_s)
             by_service[step.spec.service].append(step)
+        self._board.active_trainers = {
+            service: frozenset(step.spec.trainer for step in steps if step.missing)
+            for service, steps in by_service.items()
+        }
         if self._board.leaving:
             return
         for service, steps in by_service.items():
--- a/tests/controllers/test_weights.py
+++ b/tests/controllers/test_weights.py
@@ -220,7 +220,7 @@
         text = ServiceText({"asesor": service()}, {})
         self.board.config = ConfigState()._replace(services=text)
         self.client = TargetClient(
-            session, progress_timeout_s=1.0, connect_timeout_s=1.0, probe_timeout_s=0.5
+            session, session, progress_timeout_s=1.0, connect_timeout_s=1.0, probe_timeout_s=0.5
         )
         self.watch = TargetWatch(self.board, self.client, 0.05)
         self.engines: list[StandInEngine] = []
@@ -300,6 +300,10 @@
     asyncio.get_running_loop().call_later(1.0, lambda: setattr(rig.store, "down", False))
 
 
+def _lose_the_answer(rig: Rig) -> None:
+    rig.engines[0].lose_next_order_answers = 1
+
+
 def _restart_with_old_weights(rig: Rig) -> None:
     restarted = rig.engines[0]
 
@@ -315,6 +319,7 @@
     "fault",
     [
         _fail_partway,
+        _lose_the_answer,
         _pretend,
         _limit_the_store,
         _take_the_store_down,
@@ -411,8 +416,10 @@
         assert isinstance(await rig.client.order_version(target, 1, 5), OrderTaken)
         assert isinstance(await rig.client.order_version(target, 1, 4), OrderFenced)
         assert isinstance(await rig.client.order_version(target, 1, 5), OrderRefused)
-        made.silence_open_connections()
-        assert isinstance(await rig.client.order_version(target, 1, 5), OrderUnknown)
+        await rig.until(lambda: made.version == 1)
+        made.lose_next_order_answers = 1
+        assert isinstance(await rig.client.order_version(target, 2, 5), OrderUnknown)
+        await rig.until(lambda: made.version == 2)
         await made.stop()
         assert isinstance(await rig.client.order_version(target, 1, 5), OrderRefused)
 
