--- a/samphirecleat/controllers/__init__.py
+++ b/samphirecleat/controllers/__init__.py
@@ -7,6 +7,7 @@
 from .limiter import Limiter
 from .membership import Membership
 from .policies import Policies
+from .step_desk import StepDesk
 from .step_runner import StepRunner
 from .target_watch import TargetWatch
 from .weights import WeightCoordinator
@@ -19,6 +20,7 @@
     "Limiter",
     "Membership",
     "Policies",
+    "StepDesk",
     "StepRunner",
     "TargetWatch",
     "WeightCoordinator",
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -20,6 +20,7 @@
     Limiter,
     Membership,
     Policies,
+    StepDesk,
     StepRunner,
     TargetWatch,
     WeightCoordinator,
@@ -94,7 +95,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.close()
-        await self.steps.close()
+        await self.step_runner.close()
         await self.dispatcher.close()
         self._udp.close()
         self._grpc.close()
@@ -163,8 +164,15 @@
         self.dispatcher = Dispatcher(
             board, self.limiter, client, self.observer, self._rng, self._policies
         )
-        self.steps = StepRunner(
-            board, self.dispatcher, self.limiter, self.observer, self._rng, self._policies.copies
+        self.steps = StepDesk(board, self.observer)
+        self.step_runner = StepRunner(
+            board,
+            self.steps,
+            self.dispatcher,
+            self.limiter,
+            self.observer,
+            self._rng,
+            self._policies.copies,
         )
         self.config_reader = ConfigReader(board, log, self.observer, self._rng, timings.log_wait_s)
         self.leases = LeaseKeeper(
@@ -245,7 +253,7 @@
             self.target_watch.drive,
             self.weights.drive,
             self.limiter.drive,
-            self.steps.drive,
+            self.step_runner.drive,
             self._follow_peers,
         ]
 
--- a/samphirecleat/steps/__init__.py
+++ b/samphirecleat/steps/__init__.py
@@ -10,9 +10,11 @@
     Pace,
     PaceBook,
     decide_copies,
+    expected_waste_tokens,
     remaining_s,
 )
 from ._freshness import TrainerPace, coming_version, stale_targets
+from ._placement import Placement, find_free_slots
 from ._positions import PositionQueue
 from ._record import TrainerRecord
 from ._run import Run
@@ -44,6 +46,7 @@
     "NoCopies",
     "Pace",
     "PaceBook",
+    "Placement",
     "PositionQueue",
     "Pull",
     "PullReply",
@@ -60,6 +63,8 @@
     "decide_copies",
     "decode_positions",
     "encode_positions",
+    "expected_waste_tokens",
+    "find_free_slots",
     "is_fresh",
     "remaining_s",
     "reply_from_json",
--- a/samphirecleat/steps/_copies.py
+++ b/samphirecleat/steps/_copies.py
@@ -73,8 +73,8 @@
 
     A copy starts as late as it may without holding the step up: once the rest of
     the queue takes no longer than the copy itself will.
-    ``budget_ratio`` bounds the expected tokens of all copies of a step by a
-    share of the step's own.
+    ``budget_ratio`` bounds the tokens that copies are expected to waste by a share
+    of the step's own.
     """
 
     budget_ratio: float
@@ -88,15 +88,15 @@
     """What the second copies of one step are decided from.
 
     ``runs`` are all that go on. ``queued_tokens``, ``step_tokens`` and
-    ``copied_tokens`` are the expected tokens of what still waits for a run, of the
-    whole step, and of the copies started so far.
+    ``wasted_tokens`` are the expected tokens of what still waits for a run, of the
+    whole step, and of what the copies started so far waste.
     """
 
     runs: Sequence[Run]
     pace: Pace | None
     queued_tokens: int
     step_tokens: int
-    copied_tokens: int
+    wasted_tokens: float
 
 
 def decide_copies(view: CopyView, policy: CopyPolicy, room: int, now_s: float) -> Sequence[Run]:
@@ -114,8 +114,9 @@
             queue_s = pace.token_s * view.queued_tokens / len(view.runs) if view.runs else 0.0
             slow = [run for run in alone if _is_worth_a_copy(run, pace, queue_s, now_s)]
             slow.sort(key=lambda run: -remaining_s(run, pace, now_s))
-            left_tokens = budget_ratio * view.step_tokens - view.copied_tokens
-            return _within(slow, left_tokens)[:room]
+            left_tokens = budget_ratio * view.step_tokens - view.wasted_tokens
+            wastes = [(run, expected_waste_tokens(run, pace, now_s)) for run in slow]
+            return _within(wastes, left_tokens)[:room]
 
 
 def remaining_s(run: Run, pace: Pace, now_s: float) -> float:
@@ -133,6 +134,14 @@
     return left * own_token_s
 
 
+def expected_waste_tokens(run: Run, pace: Pace, now_s: float) -> float:
+    """Return how many tokens a late run will have made once a copy overtakes it."""
+    if run.tokens == 0:
+        return 0.0
+    own_token_s = (now_s - run.first_token_at_s) / run.tokens
+    return run.tokens + pace.whole_s(run.expected_tokens) / max(own_token_s, pace.token_s)
+
+
 def _is_worth_a_copy(run: Run, pace: Pace, queue_s: float, now_s: float) -> bool:
     """Whether it would end late even if a copy began only after the queue."""
     copy_s = pace.whole_s(run.expected_tokens)
@@ -151,10 +160,10 @@
     ]
 
 
-def _within(runs: Sequence[Run], left_tokens: float) -> Sequence[Run]:
+def _within(wastes: Sequence[tuple[Run, float]], left_tokens: float) -> Sequence[Run]:
     taken = []
-    for run in runs:
-        if run.expected_tokens <= left_tokens:
-            left_tokens -= run.expected_tokens
+    for run, waste_tokens in wastes:
+        if waste_tokens <= left_tokens:
+            left_tokens -= waste_tokens
             taken.append(run)
     return taken
--- a/samphirecleat/steps/_step.py
+++ b/samphirecleat/steps/_step.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Mapping, Sequence
 
-from ._copies import CopyPolicy, CopyView, Pace, decide_copies
+from ._copies import CopyPolicy, CopyView, Pace, decide_copies, expected_waste_tokens
 from ._positions import PositionQueue
 from ._run import Run
 from ._types import NO_VERSION, Pull, PullReply, Sample, StepSpec, is_fresh
@@ -30,7 +30,7 @@
         self.coming_version = NO_VERSION
         self.discarded_stale = 0
         self.wasted_tokens = 0
-        self.copied_tokens = 0
+        self.copy_waste_tokens = 0.0
         self.copies = 0
         self.submitted_at_s = now_s
         self.touched_at_s = now_s
@@ -118,11 +118,15 @@
         tokens = self.spec.expected_tokens_of(position)
         run = Run(position, self._attempts[position], is_copy, now_s, tokens)
         self.runs.append(run)
-        if is_copy:
-            self.copies += 1
-            self.copied_tokens += tokens
         return run
 
+    def note_copied(self, late: Run, pace: Pace | None, now_s: float) -> Run:
+        """Record that a second copy of a late run was started, and return it."""
+        self.copies += 1
+        if pace is not None:
+            self.copy_waste_tokens += expected_waste_tokens(late, pace, now_s)
+        return self.note_started(late.position, now_s, is_copy=True)
+
     def copies_wanted(
         self, policy: CopyPolicy, pace: Pace | None, room: int, now_s: float
     ) -> Sequence[Run]:
@@ -134,7 +138,7 @@
             pace=pace,
             queued_tokens=self._queue.tokens,
             step_tokens=self._step_tokens,
-            copied_tokens=self.copied_tokens,
+            wasted_tokens=self.copy_waste_tokens,
         )
         return decide_copies(view, policy, room, now_s)
 
