--- a/samphirecleat/controllers/__init__.py
+++ b/samphirecleat/controllers/__init__.py
@@ -3,6 +3,7 @@
 from .config_reader import ConfigReader
 from .discovery import Discovery
 from .dispatcher import Dispatcher
+from .drain import Drain, longest_drain_s
 from .leases import LeaseKeeper
 from .limiter import Limiter
 from .membership import Membership
@@ -16,6 +17,7 @@
     "ConfigReader",
     "Discovery",
     "Dispatcher",
+    "Drain",
     "LeaseKeeper",
     "Limiter",
     "Membership",
@@ -24,4 +26,5 @@
     "StepRunner",
     "TargetWatch",
     "WeightCoordinator",
+    "longest_drain_s",
 ]
--- a/samphirecleat/controllers/step_runner.py
+++ b/samphirecleat/controllers/step_runner.py
@@ -85,7 +85,7 @@
             self._cancel_useless(step, now_s)
             by_service[step.spec.service].append(step)
         self._board.active_trainers = {
-            service: frozenset(step.spec.trainer for step in steps if step.missing)
+            service: frozenset(step.spec.trainer for step in steps if not step.done)
             for service, steps in by_service.items()
         }
         if self._board.leaving:
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 import time
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Collection, Mapping, Sequence
 from typing import Any, Final
 
 import aiohttp
@@ -16,6 +16,7 @@
     ConfigReader,
     Discovery,
     Dispatcher,
+    Drain,
     LeaseKeeper,
     Limiter,
     Membership,
@@ -33,10 +34,10 @@
 from .settings import Settings
 from .targets import TargetClient
 
-DRAIN_POLL_S: Final = 0.05
 PEER_CONFIG_PERIOD_S: Final = 0.25
 PEER_TIMEOUT_S: Final = 1.0
 RESTART_AFTER_S: Final = 1.0
+SMALL_FLEET: Final = 16
 Driver = Callable[[], Awaitable[None]]
 
 
@@ -62,7 +63,6 @@
             )
         )
         self._started_at_ms = time.time_ns() // 1_000_000
-        self._sequence = 0
         self._rng = random.Random(settings.seed or None)
         self._tasks: list[asyncio.Task[None]] = []
         self._runner: web.AppRunner | None = None
@@ -77,20 +77,23 @@
 
     async def drain(self) -> None:
         """Leave the entry list, serve what still comes, and return when all is done."""
-        self.board.leaving = True
-        self.membership.beat()
-        loop = asyncio.get_running_loop()
-        kept_until_s = loop.time() + self.settings.timings.entry_ttl_s
-        while (
-            loop.time() < kept_until_s
-            or self.callers.in_flight
-            or self.limiter.in_flight
-            or self.steps.undelivered(loop.time())
-        ):
-            await asyncio.sleep(DRAIN_POLL_S)
+        timings = self.settings.timings
+        drain = Drain(
+            self.board,
+            self.observer,
+            announce=self.membership.announce,
+            in_flight=lambda: self.callers.in_flight + self.limiter.in_flight,
+            undelivered=lambda: self.steps.undelivered(asyncio.get_running_loop().time()),
+            entry_ttl_s=timings.entry_ttl_s,
+            heartbeat_s=timings.heartbeat_s,
+            longest_s=timings.max_deadline_s,
+        )
+        await drain.run()
 
     async def stop(self) -> None:
         """Stop at once; call :meth:`drain` first to cut nothing off."""
+        self.membership.say_gone()
+        self._peer_server.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -115,7 +118,8 @@
             "leaving": board.leaving,
             "revision": board.config.revision,
             "members": sorted(member.node_id for member in board.live_members()),
-            "targets": {a: t._asdict() for a, t in board.targets.items()},
+            "targets": {a: board.targets[a]._asdict() for a in self._reported_targets()},
+            "metrics": self.observer.metrics()._asdict(),
             "refusals": dict(board.refusals),
             "steps": [
                 {
@@ -135,6 +139,16 @@
             "weights": self.weights.report(),
         }
 
+    def _reported_targets(self) -> Collection[str]:
+        """Return the targets in this node's part of the report.
+
+        A small fleet shows what every node knows of every target. In a large one
+        that would be hundreds of megabytes, so each node shows those it asks itself.
+        """
+        if len(self.board.live_members()) <= SMALL_FLEET:
+            return list(self.board.targets)
+        return [address for address in self.target_watch.owned() if address in self.board.targets]
+
     def _build(self) -> None:
         settings, timings, board = self.settings, self.settings.timings, self.board
         now_s = asyncio.get_running_loop().time()
@@ -184,6 +198,15 @@
             grace_s=timings.longest_order_s,
             log_wait_s=timings.log_wait_s,
         )
+        self.discovery = Discovery(
+            board,
+            HttpHostList(self._session, settings.host_list_url),
+            self.observer,
+            timings.host_list_s,
+            self._rng,
+        )
+        self.target_watch = TargetWatch(board, client, timings.watch_s, self._rng)
+        self.dispatcher.on_refused = self.target_watch.note_refused
         self.membership = Membership(
             board,
             HeartbeatCodec(settings.shared_key),
@@ -192,14 +215,9 @@
             seeds=settings.seeds,
             heartbeat_s=timings.heartbeat_s,
             suspect_after_s=timings.suspect_after_s,
+            rng=self._rng,
+            riders=[self.target_watch, self.discovery],
         )
-        self.discovery = Discovery(
-            board,
-            HttpHostList(self._session, settings.host_list_url),
-            self.observer,
-            timings.host_list_s,
-        )
-        self.target_watch = TargetWatch(board, client, timings.watch_s)
         self.weights = WeightCoordinator(
             board,
             self.leases,
@@ -229,14 +247,14 @@
         await self._runner.setup()
         host, port = _split_address(settings.http_address)
         await web.TCPSite(self._runner, host, port, reuse_address=True).start()
-        peer_server = PeerServer(
+        self._peer_server = PeerServer(
             settings.shared_key,
             self.callers.serve_forwarded,
             self.callers.status_of,
             lambda: self.board.config,
             self.own_report,
         )
-        self._grpc = Server([peer_server])
+        self._grpc = Server([self._peer_server])
         peer_host, peer_port = _split_address(settings.peer_address)
         await self._grpc.start(peer_host, peer_port, reuse_address=True)
         loop = asyncio.get_running_loop()
@@ -289,8 +307,8 @@
             self.config_reader.take_from_peer(state)
 
     def _own_row(self) -> Member:
-        self._sequence += 1
         identity = self.board.identity
+        now_s = asyncio.get_running_loop().time()
         return Member(
             node_id=identity.node_id,
             incarnation=identity.incarnation,
@@ -298,12 +316,13 @@
             zone=identity.zone,
             http_address=identity.http_address,
             peer_address=identity.peer_address,
-            sequence=self._sequence,
+            sequence=0,  # the gossip numbers the rows that it sends
             leaving=self.board.leaving,
             ready=self.board.ready,
             config_revision=self.board.config.revision,
-            key_epoch=self.key_book.epoch(asyncio.get_running_loop().time()),
+            key_epoch=self.key_book.epoch(now_s),
             in_flight=self.limiter.in_flight,
+            key_epoch_age_ms=int(self.key_book.epoch_age_s(now_s) * 1000.0),
         )
 
 
--- a/samphirecleat/requests/_key_book.py
+++ b/samphirecleat/requests/_key_book.py
@@ -96,6 +96,10 @@
         """Whether this incarnation is the one that may start the key."""
         return (key.node_id, key.incarnation) == (self._node_id, self._incarnation)
 
+    def epoch_age_s(self, now_s: float) -> float:
+        """Return how long ago the present epoch began."""
+        return (now_s - self._started_at_s) % self._epoch_s
+
     def bind(self, key: RequestKey, body: Mapping[str, Any], now_s: float) -> Binding:
         """Decide what this node may do with a key.
 
--- a/samphirecleat/standins/_engine.py
+++ b/samphirecleat/standins/_engine.py
@@ -95,6 +95,11 @@
         self._cache_events: list[dict[str, Any]] = []
         self._next_event = 0
 
+    @property
+    def loading(self) -> bool:
+        """Whether it loads weights now."""
+        return self._loading
+
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add generation, cancel, load report, orders and cache events."""
         self._instance = f"{self.service}-{id(self):x}-{next(self._boots)}"
--- a/samphirecleat/targets/_client.py
+++ b/samphirecleat/targets/_client.py
@@ -24,8 +24,6 @@
 from ._generation import GenerationReader, generate_body
 from ._orders import OrderFenced, OrderOutcome, OrderRefused, OrderTaken, OrderUnknown
 
-HTTP_OK: Final = 200
-HTTP_FENCED: Final = 409
 ANSWER_BYTES: Final = 4_000_000
 PATIENCE_PERIODS: Final = 2
 DEADLINE_SLACK_S: Final = 1.0
@@ -33,6 +31,9 @@
 REFUSAL_STATUSES: Final = (429, 503)
 RETRIED_CLIENT_ERRORS: Final = (408, 425)
 
+HTTP_OK: Final = 200
+HTTP_FENCED: Final = 409
+
 
 class TargetClient:
     """Calls targets; the sessions are shared with the rest of the process.
--- a/tests/controllers/test_step_runner.py
+++ b/tests/controllers/test_step_runner.py
@@ -293,6 +293,8 @@
                 break
         assert reply.leaving
         assert len(got) == 2
+        rig.runner.run_pass(asyncio.get_running_loop().time())
+        await asyncio.sleep(0.01)
         assert len(rig.targets.generations) == 2
 
     drive(body, room=2)
