--- a/samphirecleat/bench/_node_cost.py
+++ b/samphirecleat/bench/_node_cost.py
@@ -21,8 +21,8 @@
 from tabulate import tabulate
 
 from ..client import StepRequest, TrainerClient
+from ..trial import Fleet, free_port
 from ..trial._deployments import DEPLOYMENTS
-from ..trial._fleet import TRIAL_SHARED_KEY, Fleet, free_port
 
 TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
 IDLE_S: Final = 8.0
@@ -183,7 +183,7 @@
         "zone": fleet.shape.zones[0],
         "http_address": http_address,
         "peer_address": peer_address,
-        "shared_key": TRIAL_SHARED_KEY,
+        "shared_key": fleet.shared_key,
         "log_url": fleet.log.url,
         "weight_store_url": fleet.store.url,
         "host_list_url": fleet.host_list.url,
--- a/samphirecleat/controllers/config_reader.py
+++ b/samphirecleat/controllers/config_reader.py
@@ -4,6 +4,7 @@
 import random
 from typing import Final
 
+from .._waiting import wait_for_event
 from ..blackboard import Blackboard
 from ..config import (
     ConfigState,
@@ -128,10 +129,7 @@
     async def _listen(self) -> None:
         """Return when this node is to read, or has not looked for long."""
         pause_s = LISTEN_READ_S * (0.5 + self._rng.random())
-        try:
-            await asyncio.wait_for(self._chosen.wait(), pause_s)
-        except TimeoutError:
-            return
+        await wait_for_event(self._chosen, pause_s)
 
     async def _read_once(self) -> None:
         state = self._board.config
--- a/samphirecleat/controllers/swaps.py
+++ b/samphirecleat/controllers/swaps.py
@@ -98,7 +98,8 @@
 
     Loading takes an engine out of routing. A service that weighs staleness takes
     as many as ``max_swapping_share`` and the store allow; one that weighs its
-    trainers' idle time gives up one engine's capacity at a time.
+    trainers' idle time gives up one engine's capacity at a time. All engines load
+    at once only where the share is 1.0, or there is but one.
     """
     most = max(1, math.floor(engine_count * service.max_swapping_share + 1e-9))
     wanted = 1.0 + service.staleness_weight * (most - 1)
@@ -125,14 +126,10 @@
         case AllAtOnce():
             return len(engines)
         case OneByOne():
-            allowed = 1
+            return 1 - len(loading)
         case WeighedSwaps():
             allowed = swaps_at_once(view.service, len(engines), view.parallel_loads)
-    room = allowed - len(loading)
-    if view.service.max_swapping_share >= 1.0 or len(engines) == 1:
-        return room
-    serving = sum(1 for target in engines if target not in loading)
-    return min(room, serving - 1)
+            return allowed - len(loading)
 
 
 def _may_be_loading(target: TargetView, view: SwapView, now_s: float) -> bool:
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -22,6 +22,7 @@
     Limiter,
     Membership,
     Policies,
+    StepDesk,
     StepRunner,
     TargetWatch,
     WeightCoordinator,
@@ -96,7 +97,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.close()
-        await self.steps.close()
+        await self.step_runner.close()
         await self.dispatcher.close()
         self._udp.close()
         self._grpc.close()
@@ -176,8 +177,15 @@
         self.dispatcher = Dispatcher(
             board, self.limiter, client, self.observer, self._rng, self._policies
         )
-        self.steps = StepRunner(
-            board, self.dispatcher, self.limiter, self.observer, self._rng, self._policies.copies
+        self.steps = StepDesk(board, self.observer)
+        self.step_runner = StepRunner(
+            board,
+            self.steps,
+            self.dispatcher,
+            self.limiter,
+            self.observer,
+            self._rng,
+            self._policies.copies,
         )
         self.config_reader = ConfigReader(
             board,
@@ -272,7 +280,7 @@
             self.target_watch.drive,
             self.weights.drive,
             self.limiter.drive,
-            self.steps.drive,
+            self.step_runner.drive,
         ]
 
     async def _supervise(self, drive: Driver) -> None:
--- a/samphirecleat/standins/_engine.py
+++ b/samphirecleat/standins/_engine.py
@@ -78,6 +78,7 @@
         self.runs: list[EngineRun] = []
         self.orders: list[dict[str, Any]] = []
         self.refused_orders = 0
+        self.lose_next_order_answers = 0
         self.cached_prefixes: OrderedDict[str, None] = OrderedDict()
         self.cache_size = 64
         self.prefix_hits = 0
@@ -97,6 +98,11 @@
         self._cache_events: list[dict[str, Any]] = []
         self._next_event = 0
 
+    @property
+    def loading(self) -> bool:
+        """Whether it loads weights now."""
+        return self._loading
+
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add generation, cancel, load report, orders and cache events."""
         self._instance = f"{self.service}-{id(self):x}-{next(self._boots)}"
@@ -320,6 +326,9 @@
             return web.json_response({"error": "busy"}, status=429)
         self._loading = True
         asyncio.get_running_loop().create_task(self._load_version(int(body["version"])))
+        if self.lose_next_order_answers > 0 and request.transport is not None:
+            self.lose_next_order_answers -= 1
+            request.transport.abort()
         return web.json_response({"accepted": True, "instance": self._instance})
 
     async def _load_version(self, version: int) -> None:
--- a/samphirecleat/standins/_log.py
+++ b/samphirecleat/standins/_log.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from .._waiting import wait_for_event
 from ._server import StandInServer
 
 READ_LIMIT = 500
@@ -111,7 +112,7 @@
         stream = self._stream(request.match_info["stream"])
         from_offset = int(request.query["from"])
         if from_offset >= stream.next_offset:
-            await self._wait_for_growth(stream, float(request.query.get("wait_s", "0")))
+            await wait_for_event(stream.grew, float(request.query.get("wait_s", "0")))
         if self.down:
             return web.json_response({"error": "down"}, status=503)
         stream.trim(time.monotonic() - self.retention_s)
@@ -125,12 +126,6 @@
             }
         )
 
-    async def _wait_for_growth(self, stream: _Stream, wait_s: float) -> None:
-        try:
-            await asyncio.wait_for(stream.grew.wait(), wait_s)
-        except TimeoutError:
-            return
-
     def _stream(self, name: str) -> _Stream:
         return self._streams.setdefault(name, _Stream())
 
--- a/samphirecleat/steps/_step.py
+++ b/samphirecleat/steps/_step.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Mapping, Sequence
 
-from ._copies import CopyPolicy, CopyView, Pace, decide_copies
+from ._copies import CopyPolicy, CopyView, Pace, decide_copies, expected_waste_tokens
 from ._positions import PositionQueue
 from ._run import Run
 from ._types import NO_VERSION, Pull, PullReply, Sample, StepSpec, is_fresh
@@ -30,7 +30,7 @@
         self.coming_version = NO_VERSION
         self.discarded_stale = 0
         self.wasted_tokens = 0
-        self.copied_tokens = 0
+        self.copy_waste_tokens = 0.0
         self.copies = 0
         self.submitted_at_s = now_s
         self.touched_at_s = now_s
@@ -38,6 +38,7 @@
         self.changed = asyncio.Event()
         self._attempts: Counter[int] = Counter()
         self._queue = PositionQueue(spec)
+        self._step_tokens = sum(spec.expected_tokens_of(p) for p in range(spec.size))
         self._last_number = 0
         self._last_samples: dict[int, Sample] = {}
         self._queue_missing()
@@ -52,11 +53,6 @@
         """How many positions the trainer lacks that are not ready either."""
         return self.spec.size - len(self.held) - len(self.ready)
 
-    @property
-    def all_started(self) -> bool:
-        """Whether every position that is missing has a run."""
-        return not len(self._queue)
-
     def take_held(self, client_id: str, held: frozenset[int], now_s: float) -> None:
         """Learn what the trainer holds.
 
@@ -122,19 +118,28 @@
         tokens = self.spec.expected_tokens_of(position)
         run = Run(position, self._attempts[position], is_copy, now_s, tokens)
         self.runs.append(run)
-        if is_copy:
-            self.copies += 1
-            self.copied_tokens += tokens
         return run
 
+    def note_copied(self, late: Run, pace: Pace | None, now_s: float) -> Run:
+        """Record that a second copy of a late run was started, and return it."""
+        self.copies += 1
+        if pace is not None:
+            self.copy_waste_tokens += expected_waste_tokens(late, pace, now_s)
+        return self.note_started(late.position, now_s, is_copy=True)
+
     def copies_wanted(
         self, policy: CopyPolicy, pace: Pace | None, room: int, now_s: float
     ) -> Sequence[Run]:
         """Return the runs of which to start a second copy now."""
-        if not self.all_started or room < 1:
+        if room < 1 or not self.runs:
             return ()
-        step_tokens = sum(self.spec.expected_tokens_of(p) for p in range(self.spec.size))
-        view = CopyView(self.runs, pace, step_tokens, self.copied_tokens)
+        view = CopyView(
+            runs=self.runs,
+            pace=pace,
+            queued_tokens=self._queue.tokens,
+            step_tokens=self._step_tokens,
+            wasted_tokens=self.copy_waste_tokens,
+        )
         return decide_copies(view, policy, room, now_s)
 
     def note_made(self, run: Run, sample: Sample) -> Sequence[Run]:
