--- a/samphirecleat/trial/_faulty_node.py
+++ b/samphirecleat/trial/_faulty_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from typing import Any
 
 from ..node import Node
 
@@ -9,6 +10,8 @@
 class FaultyNode(Node):
     """Adds to a node what the operating system can do to a process."""
 
+    _frozen = False
+
     async def kill(self) -> None:
         """End as SIGKILL ends a process: nothing more is sent, drained or answered."""
         if self._runner is not None:
@@ -19,11 +22,12 @@
         await self.stop()
 
     def freeze(self) -> None:
-        """Stop every controller and stop reading from open connections.
+        """Stop every controller, and stop reading connections and datagrams.
 
         Unlike a process that was sent SIGSTOP, it still takes new connections;
         ``tests/test_processes.py`` covers the real signal.
         """
+        self._frozen = True
         for task in self._tasks:
             task.cancel()
         self._tasks.clear()
@@ -34,6 +38,7 @@
 
     def thaw(self) -> None:
         """Go on after :meth:`freeze`, with whatever view of the world it had."""
+        self._frozen = False
         for transport in self._open_transports():
             with contextlib.suppress(RuntimeError):
                 transport.resume_reading()
@@ -41,6 +46,17 @@
         for drive in self._drivers():
             self._tasks.append(loop.create_task(self._supervise(drive)))
 
+    async def _listen(self) -> None:
+        await super()._listen()
+        take_datagram = self.membership.datagram_received
+
+        def datagram_received(data: bytes, addr: tuple[str | Any, int]) -> None:
+            if not self._frozen:
+                take_datagram(data, addr)
+
+        # Set on the object, since the transport asks it for each datagram.
+        setattr(self.membership, "datagram_received", datagram_received)  # noqa: B010
+
     def _open_transports(self) -> list[asyncio.Transport]:
         if self._runner is None or self._runner.server is None:
             return []
