--- a/samphirecleat/requests/_answer_log.py
+++ b/samphirecleat/requests/_answer_log.py
@@ -36,6 +36,8 @@
         self._grew = asyncio.Event()
         self.readers = 0
         self.size_bytes = 0
+        self.target = ""
+        """The target that the run is at, or was last."""
 
     @property
     def closed(self) -> bool:
--- a/samphirecleat/targets/_client.py
+++ b/samphirecleat/targets/_client.py
@@ -1,6 +1,5 @@
 """The HTTP client of every kind of target."""
 
-import asyncio
 import json
 from collections.abc import AsyncGenerator, Mapping
 from contextlib import aclosing
@@ -23,6 +22,7 @@
 )
 from ._errors import Failed, Lost, NotSent, Refused, TargetError
 from ._generation import GenerationReader, generate_body
+from ._orders import OrderFenced, OrderOutcome, OrderRefused, OrderTaken, OrderUnknown
 
 ANSWER_BYTES: Final = 4_000_000
 PATIENCE_PERIODS: Final = 2
@@ -31,6 +31,9 @@
 REFUSAL_STATUSES: Final = (429, 503)
 RETRIED_CLIENT_ERRORS: Final = (408, 425)
 
+HTTP_OK: Final = 200
+HTTP_FENCED: Final = 409
+
 
 class TargetClient:
     """Calls targets; the sessions are shared with the rest of the process.
@@ -194,8 +197,8 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
             return target._replace(reachable=False)
 
-    async def order_version(self, target: TargetView, version: int, fencing: int) -> bool:
-        """Order an engine to load a version; False when it refused or said nothing.
+    async def order_version(self, target: TargetView, version: int, fencing: int) -> OrderOutcome:
+        """Order an engine to load a version.
 
         Only a later :meth:`report` tells whether the version is live.
         """
@@ -205,10 +208,16 @@
             async with self._session.post(
                 f"http://{target.address}/v1/orders", json=body, timeout=timeout
             ) as response:
+                if response.status == HTTP_FENCED:
+                    return OrderFenced()
+                if response.status != HTTP_OK:
+                    return OrderRefused(f"HTTP {response.status}")
                 await response.read()
-                return response.status == 200
-        except (aiohttp.ClientError, TimeoutError, OSError, asyncio.IncompleteReadError):
-            return False
+                return OrderTaken()
+        except aiohttp.ClientConnectorError as error:
+            return OrderRefused(str(error))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return OrderUnknown(str(error) or type(error).__name__)
 
 
 def _check_status(service: Service, status: int) -> None:
