--- a/samphirecleat/blackboard.py
+++ b/samphirecleat/blackboard.py
@@ -5,6 +5,7 @@
 are replaced whole.
 """
 
+import math
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
@@ -131,6 +132,7 @@
     listed_nodes: Sequence[str] = ()  # controllers.discovery
     listed_targets: Mapping[str, tuple[str, str, bool]] = field(default_factory=dict)  # discovery
     targets: dict[str, TargetView] = field(default_factory=dict)  # controllers.target_watch
+    targets_kept_at_s: float = math.inf  # target_watch: when its last whole round began
     disproved: dict[str, DisprovedVersion] = field(default_factory=dict)  # controllers.step_runner
     leases: dict[str, LeaseView] = field(default_factory=dict)  # controllers.leases
     weights: dict[str, WeightsView] = field(default_factory=dict)  # controllers.weights
--- a/samphirecleat/controllers/dispatcher.py
+++ b/samphirecleat/controllers/dispatcher.py
@@ -19,6 +19,7 @@
 from .policies import Policies
 from .retries import GiveUp, RetryBudget, TryElsewhere, decide_retry
 from .routing import RoutingView, choose_target
+from .target_watch import is_stale
 
 NO_TARGET_RETRY_S: Final = 1.0
 PRIORITIES_PER_CLASS: Final = 10
@@ -145,6 +146,8 @@
 
     def _choose(self, service: Service, call: Call, tried: Sequence[str]) -> TargetView | None:
         now_s = asyncio.get_running_loop().time()
+        if is_stale(self._board.targets_kept_at_s, now_s):
+            return None
         targets = self._board.targets_of(service.name)
         view = RoutingView(
             targets=targets,
--- a/samphirecleat/controllers/target_watch.py
+++ b/samphirecleat/controllers/target_watch.py
@@ -14,6 +14,7 @@
 SILENT_PER_TARGET_S: Final = 1.0 / 60.0
 FALLBACK_POLLS: Final = 20
 DOUBT_PERIOD_S: Final = 5.0
+STALE_AFTER_S: Final = 2.8
 
 
 class WatchView(NamedTuple):
@@ -54,6 +55,16 @@
     return [*due, *(address for _at, address in fallback[:FALLBACK_POLLS])]
 
 
+def is_stale(kept_at_s: float, now_s: float) -> bool:
+    """Whether the target section is too old to send new work by.
+
+    A process that stood still, or whose loop is stuck, goes on with a view from
+    before. It would send work to a target that has said meanwhile that it leaves,
+    and its operator would see that target get work for longer than a few seconds.
+    """
+    return now_s - kept_at_s > STALE_AFTER_S
+
+
 class TargetWatch:
     """Asks targets and rides on the members' datagrams with what they said."""
 
@@ -86,8 +97,14 @@
         """Ask what is to be asked now and write what was said."""
         self._refresh_wanted()
         now_s = asyncio.get_running_loop().time()
-        await asyncio.gather(*(self._ask(address) for address in decide_polls(self._view(), now_s)))
+        addresses = decide_polls(self._view(), now_s)
+        if is_stale(self._board.targets_kept_at_s, now_s):
+            # This process stood still and missed what the others told.
+            addresses = list(self._wanted)
+        await asyncio.gather(*(self._ask(address) for address in addresses))
         self._write(list(self._wanted))
+        # The round's beginning: the process may have stood still in the middle of it.
+        self._board.targets_kept_at_s = now_s
 
     def owned(self) -> frozenset[str]:
         """Return the targets that this node asks for all the others."""
--- a/samphirecleat/entry/_trainers.py
+++ b/samphirecleat/entry/_trainers.py
@@ -33,6 +33,11 @@
         """Take a step; submitting it again is safe."""
         if self._board.leaving:
             raise RequestError(ErrorKind.LEAVING, "submit the step to another node")
+        if not self._board.ready:
+            # A process that replaced one at its old address is asked by clients that
+            # still keep the old entry list. Without a text it knows no service, and
+            # "unknown service" would make the trainer give up a sound step.
+            raise RequestError(ErrorKind.NOT_READY, "this node holds no service text yet")
         body = await read_body(request)
         try:
             spec = self._read_spec(request, body)
--- /dev/null
+++ b/tests/trial/test_frozen_node.py
@@ -0,0 +1,64 @@
+"""What a node must not do with a view of the world from before it stood still."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+
+from samphirecleat.errors import ErrorKind, RequestError
+from samphirecleat.trial import DEPLOYMENTS, Fleet, until_ready
+
+WAIT_S = 15.0
+AFTER_LEAVING_S = 3.0
+
+
+def run_with_fleet(body: Callable[[Fleet, aiohttp.ClientSession], Awaitable[None]]) -> None:
+    async def run() -> None:
+        fleet = Fleet(DEPLOYMENTS["los-aromos"], node_count=3, seed=1)
+        await fleet.start()
+        try:
+            await until_ready(fleet)
+            async with aiohttp.ClientSession() as session:
+                await asyncio.wait_for(body(fleet, session), 3 * WAIT_S)
+        finally:
+            await fleet.stop()
+
+    asyncio.run(run())
+
+
+async def call(fleet: Fleet, session: aiohttp.ClientSession, address: str) -> ErrorKind | None:
+    """Make a call of the plain service and return how it failed, None if it did not."""
+    url = f"http://{address}/v1/services/{fleet.shape.plain_service}/{fleet.shape.plain_once}"
+    async with session.post(url, json={"prompt": "p"}) as response:
+        body = await response.json()
+    return None if response.status == 200 else RequestError.from_body(body["error"]).kind
+
+
+def test_a_node_that_stood_still_sends_nothing_to_a_target_that_left_meanwhile() -> None:
+    """A node stands still while a target says that it leaves, and goes on later.
+
+    The first requests after that meet a view of the targets from before. If one
+    of them went to the leaving target, its operator could not shut it down.
+    """
+
+    async def body(fleet: Fleet, session: aiohttp.ClientSession) -> None:
+        node = fleet.nodes[0]
+        node.freeze()
+        for server in fleet.plain[1:]:
+            server.leave()
+        left_at_s = time.monotonic()
+        while time.monotonic() < left_at_s + AFTER_LEAVING_S:
+            await asyncio.sleep(0.1)
+        # Before its controllers go on: what a process does first when it wakes up.
+        failed = await call(fleet, session, node.settings.http_address)
+        assert failed is ErrorKind.NO_TARGET
+        node.thaw()
+        give_up_at_s = time.monotonic() + WAIT_S
+        while await call(fleet, session, node.settings.http_address) is not None:
+            assert time.monotonic() < give_up_at_s
+            await asyncio.sleep(0.05)
+        late = [a for s in fleet.plain[1:] for a in s.arrivals if a.at_s > left_at_s + 3.0]
+        assert late == []
+
+    run_with_fleet(body)
