--- a/samphirecleat/standins/_server.py
+++ b/samphirecleat/standins/_server.py
@@ -53,11 +53,11 @@
 
     async def stop(self) -> None:
         """Stop listening and close every connection."""
+        runner, self._runner = self._runner, None
         for transport in list(self._open):
             transport.abort()
-        if self._runner is not None:
-            await self._runner.cleanup()
-            self._runner = None
+        if runner is not None:
+            await runner.cleanup()
 
     def silence_open_connections(self) -> None:
         """Make every connection that is open now silent for good; new ones work."""
