--- a/samphirecleat/bench/_registry.py
+++ b/samphirecleat/bench/_registry.py
@@ -14,6 +14,7 @@
     "weights": "_weights",
     "membership": "_membership",
     "config": "_config",
+    "config-readers": "_config_readers",
     "recovery": "_recovery",
     "overhead": "_overhead",
 }
--- a/samphirecleat/controllers/target_watch.py
+++ b/samphirecleat/controllers/target_watch.py
@@ -17,6 +17,7 @@
 DOUBTED_POLLS: Final = 60
 CLOCK_PERIOD_S: Final = 0.2
 PAUSE_S: Final = 1.5
+STALE_AFTER_S: Final = 2.8
 
 
 class WatchView(NamedTuple):
@@ -54,6 +55,16 @@
     return SILENT_AFTER_S + SILENT_PER_TARGET_S * target_count
 
 
+def is_stale(kept_at_s: float, now_s: float) -> bool:
+    """Whether the target section is too old to send new work by.
+
+    A process that stood still, or whose loop is stuck, goes on with a view from
+    before. It would send work to a target that has said meanwhile that it leaves,
+    and its operator would see that target get work for longer than a few seconds.
+    """
+    return now_s - kept_at_s > STALE_AFTER_S
+
+
 class TargetWatch:
     """Asks targets and rides on the members' datagrams with what they said."""
 
@@ -90,9 +101,14 @@
         """Ask what is to be asked now and write what was said."""
         self._refresh_wanted()
         now_s = asyncio.get_running_loop().time()
+        if is_stale(self._board.targets_kept_at_s, now_s):
+            # This process stood still and missed what the others told.
+            self.distrust_all()
         asked = decide_polls(self._view(now_s), now_s)
         await asyncio.gather(*(self._ask(address) for address in asked))
         self._write([a for a in {*asked, *self.news.changed} if a in self._wanted])
+        # The round's beginning: the process may have stood still in the middle of it.
+        self._board.targets_kept_at_s = now_s
 
     def distrust_all(self) -> None:
         """Take every target out of use until it answers this node.
