--- a/samphirecleat/config/_fold.py
+++ b/samphirecleat/config/_fold.py
@@ -25,7 +25,9 @@
 """A base that accepts whatever is in force: the operator's way out when the
 accepted state is lost for good (no node lives and the log has trimmed it)."""
 OUTCOMES_KEPT: Final = 500
+PENDING_KEPT: Final = 100
 TEXTS_KEPT: Final = 8
+REASON_CHARACTERS: Final = 2_000
 
 
 class LogRecord(NamedTuple):
@@ -191,6 +193,9 @@
     match read_record(record.payload):
         case Publication(base=base) as publication if state.certain or base == ANY_REVISION:
             return _decide(state, record.offset, publication)
+        case Publication() if len(state.pending) >= PENDING_KEPT:
+            # Memory is bounded: the waiting ones become part of the gap.
+            return state._replace(pending=(), unread_below=record.offset + 1)
         case Publication():
             return state._replace(pending=(*state.pending, record))
         case Restatement() as restatement if restatement.covers_to < record.offset:
@@ -294,4 +299,4 @@
     try:
         return read_service_text(text)
     except DocumentError as error:
-        return str(error)
+        return str(error)[:REASON_CHARACTERS]
--- a/samphirecleat/controllers/leases.py
+++ b/samphirecleat/controllers/leases.py
@@ -227,6 +227,15 @@
             self._log, CONTROL_STREAM, from_offset, self._log_wait_s if self._is_reading else 0.0
         )
         now_s = asyncio.get_running_loop().time()
+        if batch.next_offset < from_offset:
+            # The stream was set up anew. Its lower offsets would be lower fencing
+            # numbers, which targets refuse; and no claim on a later base counts.
+            self._observer.log("lease").error(
+                "The log ends at offset %d, before %d.", batch.next_offset, from_offset
+            )
+            self._is_reading = False
+            await asyncio.sleep(RETRY_S)
+            return
         before = self._table
         self._table = fold_claims(before, batch.records, batch.first_kept_offset)
         if self._table.unread_below != before.unread_below:
--- a/tests/config/test_fold.py
+++ b/tests/config/test_fold.py
@@ -21,6 +21,7 @@
     restatement_payload,
     state_to_tell,
 )
+from samphirecleat.config._fold import PENDING_KEPT
 
 from .texts import INVALID_TEXTS, VALID_TEXTS, FoldByRule, in_force, text_of
 
@@ -242,6 +243,17 @@
     assert forced.revision == 8
 
 
+def test_what_waits_behind_a_gap_is_bounded() -> None:
+    """Someone publishes without end while a node waits to be told what it missed."""
+    waiting = [publication(offset, 3, "asesor") for offset in range(7, 7 + 3 * PENDING_KEPT)]
+    state = fold_records(ConfigState(), waiting, 7)
+    assert len(state.pending) <= PENDING_KEPT
+    last = state.folded_to
+    inside = adopt_peer_state(state, Restatement(3, 6, text_of("asesor"), "op-3"))
+    assert not inside.certain
+    assert adopt_peer_state(inside, Restatement(3, last, text_of("asesor"), "op-3")).certain
+
+
 @pytest.mark.parametrize(
     "payload",
     [
