--- a/samphirecleat/config/__init__.py
+++ b/samphirecleat/config/__init__.py
@@ -3,19 +3,21 @@
 from .._jsonc import DocumentError, Fault
 from ._check import read_service_text
 from ._fold import (
+    ConfigState,
+    Outcome,
+    adopt_peer_state,
+    fold_records,
+    state_to_tell,
+)
+from ._records import (
     ANY_REVISION,
     NO_REVISION,
-    ConfigState,
     LogRecord,
-    Outcome,
     Publication,
     Restatement,
-    adopt_peer_state,
-    fold_records,
     publication_payload,
     read_record,
     restatement_payload,
-    state_to_tell,
 )
 from ._service_text import (
     EMPTY_SERVICE_TEXT,
--- a/samphirecleat/config/_fold.py
+++ b/samphirecleat/config/_fold.py
@@ -14,59 +14,19 @@
 
 from collections.abc import Mapping, Sequence
 from functools import lru_cache
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
 
 from .._jsonc import DocumentError
 from ._check import read_service_text
+from ._records import ANY_REVISION, NO_REVISION, LogRecord, Publication, Restatement, read_record
 from ._service_text import EMPTY_SERVICE_TEXT, ServiceText
 
-NO_REVISION: Final = -1
-ANY_REVISION: Final = -2
-"""A base that accepts whatever is in force: the operator's way out when the
-accepted state is lost for good (no node lives and the log has trimmed it)."""
 OUTCOMES_KEPT: Final = 500
 PENDING_KEPT: Final = 100
 TEXTS_KEPT: Final = 8
 REASON_CHARACTERS: Final = 2_000
 
 
-class LogRecord(NamedTuple):
-    """One record of a stream of the log."""
-
-    offset: int
-    payload: Mapping[str, Any]
-
-
-class Publication(NamedTuple):
-    """An operator's wish to put a text in force in place of revision ``base``."""
-
-    publication_id: str
-    base: int
-    text: str
-    operator: str
-
-
-class Restatement(NamedTuple):
-    """The accepted state, stated again before the log trims it away, or by a peer.
-
-    Every record up to and including ``folded_to`` is taken into account in it.
-    """
-
-    revision: int
-    folded_to: int
-    text: str
-    operator: str
-
-    @property
-    def covers_to(self) -> int:
-        """The last offset that it speaks for.
-
-        At the offset that is its revision's own, that revision was in force for
-        certain, also when its writer has missed records since.
-        """
-        return max(self.revision, self.folded_to)
-
-
 class Outcome(NamedTuple):
     """What became of one publication."""
 
@@ -131,53 +91,6 @@
     return Restatement(state.revision, covers_to, state.text, state.operator)
 
 
-def read_record(payload: Mapping[str, Any]) -> Publication | Restatement | None:
-    """Return the typed record, or None for one that is unknown or malformed."""
-    try:
-        match payload.get("type"):
-            case "publication":
-                return Publication(
-                    _as_text(payload["id"]),
-                    int(payload["base"]),
-                    _as_text(payload["text"]),
-                    _as_text(payload["operator"]),
-                )
-            case "restatement":
-                return Restatement(
-                    int(payload["revision"]),
-                    int(payload["folded_to"]),
-                    _as_text(payload["text"]),
-                    _as_text(payload["operator"]),
-                )
-    except (AttributeError, KeyError, TypeError, ValueError, OverflowError):
-        return None
-    return None
-
-
-def _as_text(value: object) -> str:
-    """Return a text that can be passed on; half a surrogate pair raises ValueError."""
-    if not isinstance(value, str):
-        raise ValueError("a text is expected")
-    value.encode()
-    return value
-
-
-def publication_payload(publication: Publication) -> Mapping[str, Any]:
-    """Return the log payload of a publication; the inverse of :func:`read_record`."""
-    return {
-        "type": "publication",
-        "id": publication.publication_id,
-        "base": publication.base,
-        "text": publication.text,
-        "operator": publication.operator,
-    }
-
-
-def restatement_payload(restatement: Restatement) -> Mapping[str, Any]:
-    """Return the log payload of a restatement; the inverse of :func:`read_record`."""
-    return {"type": "restatement", **restatement._asdict()}
-
-
 def _skip_to(state: ConfigState, next_offset: int) -> ConfigState:
     """Return the state when the next record to fold is the one at ``next_offset``."""
     if next_offset <= state.folded_to + 1:
--- a/samphirecleat/controllers/discovery.py
+++ b/samphirecleat/controllers/discovery.py
@@ -10,6 +10,7 @@
 from ..observe import Observer
 from ..peers import ListedChange, Message
 from ..platform import HostListUnavailableError, HttpHostList, ListedHost
+from ._list_doubt import believe_rows
 
 ENTRY_SERVICE: Final = "entry"
 READERS_AT_ONCE: Final = 16
@@ -105,6 +106,7 @@
         self._observer = observer
         self._period_s = period_s
         self._rng = rng or random.Random()
+        self._doubted_since_s: float | None = None
         self.news = ListedNews()
 
     async def drive(self) -> None:
@@ -115,8 +117,7 @@
             except HostListUnavailableError as error:
                 self._observer.log("hosts").warning("Host list not readable: %s.", error)
             else:
-                self.news.read(rows, asyncio.get_running_loop().time())
-                self._write()
+                self._take(rows, asyncio.get_running_loop().time())
             period_s = reading_period_s(self._period_s, len(self._board.live_members()))
             # Jitter: nodes that read together would find the same change together.
             await asyncio.sleep(period_s * (0.75 + 0.5 * self._rng.random()))
@@ -133,6 +134,16 @@
             self.news.hear(change, now_s)
         self._write()
 
+    def _take(self, told: Sequence[ListedHost], now_s: float) -> None:
+        believed = believe_rows(self.news.present(), told, self._doubted_since_s, now_s)
+        if believed.doubted_since_s is not None and self._doubted_since_s is None:
+            self._observer.log("hosts").warning(
+                "The list fell to %d rows; the old ones are kept for now.", len(told)
+            )
+        self._doubted_since_s = believed.doubted_since_s
+        self.news.read(believed.rows, now_s)
+        self._write()
+
     def _write(self) -> None:
         rows = self.news.present()
         listed_targets = _targets(rows)
