--- a/tests/test_config_in_force.py
+++ b/tests/test_config_in_force.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import aiohttp
+
+from samphirecleat._report_tables import report_tables
 from samphirecleat.bench._config import NO_LOG, ConfigFleet
 from samphirecleat.config import NO_REVISION
 from samphirecleat.settings import Timings
@@ -77,6 +80,21 @@
     asyncio.run(work())
 
 
+def test_the_report_of_real_nodes_is_shown_whole() -> None:
+    async def work() -> str:
+        async with ConfigFleet(4, TIMINGS) as fleet:
+            nodes = [await fleet.start_node("bilbao-a") for _ in range(2)]
+            await fleet.until_in_force(await fleet.publish(NO_REVISION))
+            await _until(lambda: all(len(node.board.live_members()) == 2 for node in nodes))
+            url = f"http://{nodes[0].settings.http_address}/v1/report"
+            async with aiohttp.ClientSession() as session, session.get(url) as response:
+                return report_tables(await response.json())
+
+    rows = [line.split() for line in asyncio.run(work()).splitlines()]
+    assert ["n1", "bilbao-a", "0", "2"] in rows
+    assert ["n2", "bilbao-a", "0", "2"] in rows
+
+
 async def _until(condition) -> None:
     async with asyncio.timeout(30.0):
         while not condition():
