--- a/samphirecleat/controllers/limiter.py
+++ b/samphirecleat/controllers/limiter.py
@@ -148,6 +148,8 @@
         here = self._board.active_trainers.get(service, frozenset())
         if not shares:
             return 1.0
+        if not here:
+            return 1.0 / len(shares)
         return sum(shares.get(name, 0.0) for name in here) / sum(shares.values())
 
     def _admission_view(self, gate: _Gate, call: Call) -> AdmissionView:
--- a/samphirecleat/controllers/limits.py
+++ b/samphirecleat/controllers/limits.py
@@ -25,7 +25,8 @@
     ``slots`` are those of the usable targets, ``in_use`` what runs and waits
     there by their reports, ``node_count`` the live nodes that share them.
     ``trainer_share`` is the part of all trainers' shares in the service that
-    belongs to trainers with steps at this node, 0.0 to 1.0.
+    belongs to trainers with steps at this node (to one trainer while none has), 0.0
+    to 1.0.
     """
 
     slots: int
@@ -59,7 +60,9 @@
         case AdaptiveWindow():
             if windows is None:
                 share = max(SMALLEST_WINDOW, view.node_share)
-                return Windows(share * policy.caller_slack, share)
+                return Windows(
+                    share * policy.caller_slack, _next_trainer_window(policy, share, view, 0.0)
+                )
             return Windows(
                 _next_caller_window(policy, windows.callers, view, in_flight.callers),
                 _next_trainer_window(policy, windows.trainers, view, in_flight.trainers),
@@ -76,7 +79,8 @@
         return max(floor, window * policy.decrease)
     if in_flight < 0.8 * window:
         return max(floor, window)
-    return min(max(floor, window + room / max(1, view.node_count)), view.slots * 2.0)
+    grown = window + room / max(1, view.node_count)
+    return max(floor, min(grown, view.slots * 2.0))
 
 
 def _next_trainer_window(
@@ -85,9 +89,13 @@
     """Grow into what is free, since all of a step may be worked on by one node.
 
     The room is divided by the trainers' shares, for each of them may have its
-    step at another node, which sees the same room at the same time.
+    step at another node, which sees the same room at the same time. A node that
+    has no trainer's work keeps its window at that part of the room, so that a
+    step which comes to it need not wait for the window to grow.
     """
     room = policy.trainer_occupancy * view.slots - view.in_use
+    if not in_flight:
+        return min(max(SMALLEST_WINDOW, room * view.trainer_share), float(max(1, view.slots)))
     if room < 0.0:
         return max(SMALLEST_WINDOW, window * policy.decrease)
     if in_flight < 0.8 * window:
