--- a/samphirecleat/controllers/step_desk.py
+++ b/samphirecleat/controllers/step_desk.py
@@ -156,8 +156,14 @@
 
 
 async def wait_for_event(event: asyncio.Event, timeout_s: float) -> None:
-    """Return once the event is set, or ``timeout_s`` has passed."""
+    """Return once the event is set, or ``timeout_s`` has passed.
+
+    Not by ``asyncio.wait_for``: on Python 3.11 that loses a cancel which comes
+    in the same moment as the event, and a node that stops would wait for ever
+    for a driver that goes on.
+    """
     try:
-        await asyncio.wait_for(event.wait(), timeout_s)
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
     except TimeoutError:
         return
--- a/samphirecleat/controllers/weights.py
+++ b/samphirecleat/controllers/weights.py
@@ -11,8 +11,10 @@
 from ..observe import Observer
 from ..peers import rank_members
 from ..platform import HttpWeightStore, StoreInfo, WeightStoreUnavailableError
-from ..targets import OrderFenced, OrderOutcome, TargetClient
+from ..targets import OrderFenced, OrderOutcome, OrderTaken, TargetClient
 from .leases import LeaseKeeper
+from .read_back import ReadBack
+from .step_desk import wait_for_event
 from .streamed_versions import true_version
 from .swaps import (
     DEFAULT_SWAP_POLICY,
@@ -51,6 +53,7 @@
         self._observer = observer
         self._rng = rng
         self._policy = policy
+        self._read_back = ReadBack(client)
         self._orders: dict[str, OrderRecord] = {}
         self._fenced_epochs: dict[str, int] = {}
         self._read_at_s: dict[str, float] = {}
@@ -62,10 +65,13 @@
         Leases, the store and the orders go on each by themselves, so that a slow
         log or store holds up no order that is already decided.
         """
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._keep_leases())
-            group.create_task(self._follow_store())
-            group.create_task(self._swap())
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._keep_leases())
+                group.create_task(self._follow_store())
+                group.create_task(self._swap())
+        finally:
+            await self._read_back.close()
 
     def report(self) -> Mapping[str, Mapping[str, float]]:
         """Return the weights of the services that this node coordinates."""
@@ -90,7 +96,8 @@
 
     async def _swap(self) -> None:
         while True:
-            await asyncio.sleep(PERIOD_S)
+            await wait_for_event(self._read_back.settled, PERIOD_S)
+            self._read_back.settled.clear()
             self._forget_gone()
             services = [s for s in self._own_services() if s.name in self._board.weights]
             await asyncio.gather(*(self._coordinate(service) for service in services))
@@ -166,8 +173,11 @@
         record = self._begin_order(order, loop.time())
         outcome = await self._client.order_version(order.target, order.version, fencing)
         self._end_order(order.target.address, record, outcome, loop.time())
-        if isinstance(outcome, OrderFenced):
-            self._fenced_epochs[service.name] = fencing
+        match outcome:
+            case OrderTaken():
+                self._read_back.follow(order.target)
+            case OrderFenced():
+                self._fenced_epochs[service.name] = fencing
         self._observer.counters[f"orders_{type(outcome).__name__}"] += 1
         self._observer.log("weights").info(
             "Ordered %s to load version %d, attempt %d: %s.",
@@ -225,10 +235,8 @@
             self._observer.record_s("weights_everywhere", now_s - known.first_seen_at_s)
 
     def _true_targets(self, service: str, now_s: float) -> Sequence[TargetView]:
-        return [
-            target._replace(version=true_version(self._board, target, now_s))
-            for target in self._board.targets_of(service)
-        ]
+        targets = [self._read_back.newest(t) for t in self._board.targets_of(service)]
+        return [t._replace(version=true_version(self._board, t, now_s)) for t in targets]
 
     def _report_one(self, service: str, view: WeightsView) -> Mapping[str, float]:
         now_s = asyncio.get_running_loop().time()
--- a/tests/controllers/test_step_runner.py
+++ b/tests/controllers/test_step_runner.py
@@ -366,3 +366,29 @@
         assert report["a"]["samples_sent"] == 4
 
     drive(body)
+
+
+def test_a_cancel_in_the_same_moment_as_an_event_is_not_lost() -> None:
+    """A node stops just as a sample ends.
+
+    Were the cancel lost, the node would never end, and its host could not be replaced.
+    """
+
+    async def body() -> None:
+        event = asyncio.Event()
+
+        async def loop_for_ever() -> None:
+            while True:
+                await step_desk.wait_for_event(event, 5.0)
+                event.clear()
+
+        task = asyncio.ensure_future(loop_for_ever())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        event.set()
+        await asyncio.sleep(0)
+        task.cancel()
+        done, _pending = await asyncio.wait({task}, timeout=2.0)
+        assert done == {task}
+
+    asyncio.run(body())
