One guard task per request in place of a task per line; a cancel that was lost

Cause: ProgressWatch made a task for each line that passes, 15.3 us a line; and Node.stop() hung when asyncio.wait_for (3.11) swallowed a cancel in StepRunner.drive, seen as test_trainer owner_of_a_step_is_killed[0] failing about 1 run in 6. Change: a guard task per request cancels a wait that the probe calls silent; asyncio.timeout in place of wait_for.

--- a/samphirecleat/client/_node_call.py
+++ b/samphirecleat/client/_node_call.py
@@ -75,7 +75,7 @@
         ),
     )
     try:
-        async with await watch.wait(sending) as response:
+        async with watch, await watch.wait(sending) as response:
             if response.status != 200 or not request.streamed:
                 yield _read_whole(response.status, await watch.wait(response.read()))
                 return
--- a/samphirecleat/controllers/step_runner.py
+++ b/samphirecleat/controllers/step_runner.py
@@ -359,7 +359,10 @@
 
 
 async def _wait(event: asyncio.Event, timeout_s: float) -> None:
+    # asyncio.wait_for of Python 3.11 loses a cancel that comes in the moment in which
+    # the event is set: the controller would go on for ever and its node never stop.
     try:
-        await asyncio.wait_for(event.wait(), timeout_s)
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
     except TimeoutError:
         return
--- a/samphirecleat/peers/_client.py
+++ b/samphirecleat/peers/_client.py
@@ -99,16 +99,17 @@
             period_s=self._progress_timeout_s,
             counts_progress=bool(call.body.get("stream", False)),
         )
-        while True:
-            chunk = await watch.wait(stream.recv_message())
-            if chunk is None:
-                raise _lost(member, "its answer ended early")
-            if chunk.error:
-                raise RequestError.from_body(json.loads(chunk.error))
-            if chunk.last:
-                return
-            watch.note_progress(1)
-            yield decode_line(chunk.line)
+        async with watch:
+            while True:
+                chunk = await watch.wait(stream.recv_message())
+                if chunk is None:
+                    raise _lost(member, "its answer ended early")
+                if chunk.error:
+                    raise RequestError.from_body(json.loads(chunk.error))
+                if chunk.last:
+                    return
+                watch.note_progress(1)
+                yield decode_line(chunk.line)
 
     async def probe(self, member: Member, key: str) -> Probe:
         """Ask a node on a new connection how far a key of its own is."""
--- a/samphirecleat/requests/_progress.py
+++ b/samphirecleat/requests/_progress.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Final, TypeVar
+from typing import Any, Final, TypeVar
 
 T = TypeVar("T")
 GRACE_S: Final = 0.5
@@ -99,7 +99,12 @@
 
 
 class ProgressWatch:
-    """Waits on one request's connection and gives up when it has gone silent."""
+    """Waits on one request's connection and gives up when it has gone silent.
+
+    Used as an asynchronous context manager around all waits of one request. One
+    guard task a request looks after it, so that a wait costs next to nothing:
+    there is one for every token that passes.
+    """
 
     def __init__(
         self,
@@ -114,6 +119,20 @@
         self._period_s = period_s
         self._received: int | None = 0 if counts_progress else None
         self._patience = patience
+        self._waiter: asyncio.Task[Any] | None = None
+        self._waits = 0
+        self._silence = ""
+        self._guard: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> "ProgressWatch":
+        """Start the guard."""
+        self._guard = asyncio.get_running_loop().create_task(self._watch())
+        return self
+
+    async def __aexit__(self, *_exception: object) -> None:
+        """End the guard."""
+        assert self._guard is not None
+        self._guard.cancel()
 
     def note_progress(self, amount: int) -> None:
         """Count what came in, in the unit in which the other side counts."""
@@ -125,26 +144,37 @@
 
         :raises SilentConnectionError: when the connection is taken for dead.
         """
-        task = asyncio.ensure_future(step)
-        quiet_periods = 0
+        self._waits += 1
+        self._waiter = asyncio.current_task()
         try:
-            while not await _is_done(task, self._period_s):
-                quiet_periods += 1
-                await self._check(task, quiet_periods)
-            return task.result()
+            return await step
+        except asyncio.CancelledError:
+            if not self._silence:
+                raise
+            # The guard cancelled this wait, and nobody else did.
+            if self._waiter is not None and self._waiter.uncancel() > 0:
+                raise
+            raise SilentConnectionError(self._silence) from None
         finally:
-            task.cancel()
-
-    async def _check(self, task: "asyncio.Future[T]", quiet_periods: int) -> None:
-        probe = await self._probe()
-        match decide_silence(probe, self._received, quiet_periods, self._patience):
-            case Silent(detail=detail):
-                # What the probe tells of may have been sent just before it was
-                # asked; a working connection brings it within the grace.
-                if not await _is_done(task, min(GRACE_S, self._period_s)):
-                    raise SilentConnectionError(detail)
+            self._waiter = None
 
-
-async def _is_done(task: "asyncio.Future[T]", timeout_s: float) -> bool:
-    await asyncio.wait({task}, timeout=timeout_s)
-    return task.done()
+    async def _watch(self) -> None:
+        """Probe whenever one wait has lasted a period, and end it when that says so."""
+        quiet_periods = 0
+        while True:
+            wait = self._waits
+            await asyncio.sleep(self._period_s)
+            if self._waiter is None or self._waits != wait:
+                quiet_periods = 0
+                continue
+            quiet_periods += 1
+            probe = await self._probe()
+            match decide_silence(probe, self._received, quiet_periods, self._patience):
+                case Silent(detail=detail):
+                    # What the probe tells of may have been sent just before it was
+                    # asked; a working connection brings it within the grace.
+                    await asyncio.sleep(min(GRACE_S, self._period_s))
+                    if self._waiter is not None and self._waits == wait:
+                        self._silence = detail
+                        self._waiter.cancel()
+                        return
--- a/samphirecleat/standins/_log.py
+++ b/samphirecleat/standins/_log.py
@@ -113,7 +113,8 @@
 
     async def _wait_for_growth(self, stream: _Stream, wait_s: float) -> None:
         try:
-            await asyncio.wait_for(stream.grew.wait(), wait_s)
+            async with asyncio.timeout(wait_s):
+                await stream.grew.wait()
         except TimeoutError:
             return
 
--- a/samphirecleat/targets/_client.py
+++ b/samphirecleat/targets/_client.py
@@ -99,7 +99,7 @@
             timeout=timeout,
             headers=_trace_headers(call),
         )
-        async with await watch.wait(sending) as response:
+        async with watch, await watch.wait(sending) as response:
             _check_status(service, response.status)
             reader = GenerationReader(target.address)
             while not reader.ended:
@@ -124,7 +124,7 @@
             timeout=timeout,
             headers={"x-request-id": call.request_id, **_trace_headers(call)},
         )
-        async with await watch.wait(sending) as response:
+        async with watch, await watch.wait(sending) as response:
             _check_status(service, response.status)
             result = await watch.wait(_read_result(response))
             yield {"result": result, "end": "stop", "target": target.address}
--- a/tests/requests/test_progress.py
+++ b/tests/requests/test_progress.py
@@ -61,10 +61,46 @@
 
     async def scenario() -> None:
         watch = ProgressWatch(answer_probe, period_s=0.01, counts_progress=True)
-        await watch.wait(ready.wait())
+        async with watch:
+            await watch.wait(ready.wait())
+            with pytest.raises(SilentConnectionError):
+                await watch.wait(asyncio.Event().wait())
         assert not probes
-        with pytest.raises(SilentConnectionError):
-            await watch.wait(asyncio.Event().wait())
 
     ready = asyncio.Event()
     asyncio.run(scenario())
+
+
+def test_a_wait_that_is_cancelled_by_another_ends_as_cancelled() -> None:
+    """The deadline passes, or the caller goes away, while a connection is quiet."""
+
+    async def answer_probe() -> Probe:
+        return NoAnswer()
+
+    async def scenario() -> None:
+        watch = ProgressWatch(answer_probe, period_s=5.0, counts_progress=True)
+        async with watch:
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.02):
+                    await watch.wait(asyncio.Event().wait())
+
+    asyncio.run(scenario())
+
+
+def test_time_that_the_reader_takes_is_not_the_connections() -> None:
+    """A caller reads slowly between two lines that have come in time."""
+    probes: list[Probe] = []
+
+    async def answer_probe() -> Probe:
+        probes.append(NoAnswer())
+        return NoAnswer()
+
+    async def scenario() -> None:
+        watch = ProgressWatch(answer_probe, period_s=0.01, counts_progress=True)
+        async with watch:
+            for _ in range(3):
+                await watch.wait(asyncio.sleep(0))
+                await asyncio.sleep(0.05)
+
+    asyncio.run(scenario())
+    assert not probes
