Targets: the kernel ends connections whose path is dead

Cause: a plain service cannot be asked how far a call is, so a non-idempotent call on a connection that a switch forgot was waited for to its deadline.

--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -31,7 +31,7 @@
 from .platform import HttpHostList, HttpLog, HttpWeightStore
 from .requests import AnswerStore, KeyBook
 from .settings import Settings
-from .targets import TargetClient
+from .targets import TargetClient, make_connector
 
 PEER_CONFIG_PERIOD_S: Final = 0.25
 PEER_TIMEOUT_S: Final = 1.0
@@ -151,9 +151,9 @@
     def _build(self) -> None:
         settings, timings, board = self.settings, self.settings.timings, self.board
         now_s = asyncio.get_running_loop().time()
-        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self._session = aiohttp.ClientSession(connector=make_connector(timings.progress_timeout_s))
         self._fresh_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+            connector=make_connector(timings.progress_timeout_s, force_close=True)
         )
         log = HttpLog(self._session, settings.log_url)
         store = AnswerStore(settings.bounds.answer_store_bytes)
--- a/samphirecleat/targets/__init__.py
+++ b/samphirecleat/targets/__init__.py
@@ -1,6 +1,7 @@
 """Clients of the targets: engines, plain services and scoring services."""
 
 from ._client import TargetClient
+from ._connector import make_connector
 from ._errors import Failed, Lost, NotSent, Refused, TargetError, TargetFailure
 from ._orders import OrderFenced, OrderOutcome, OrderRefused, OrderTaken, OrderUnknown
 
@@ -17,4 +18,5 @@
     "TargetClient",
     "TargetError",
     "TargetFailure",
+    "make_connector",
 ]
