--- a/samphirecleat/controllers/_target_news.py
+++ b/samphirecleat/controllers/_target_news.py
@@ -187,13 +187,9 @@
 
 def _make_load(heard: Heard, now_s: float) -> TargetLoad:
     view = heard.view
-    return TargetLoad(
-        key=heard.key,
-        running=view.running,
-        waiting=view.waiting,
-        poll_age_ms=_ms(now_s - heard.polled_at_s),
-        report_age_ms=_ms(now_s - view.reported_at_s),
-    )
+    polled_ago_ms = int((now_s - heard.polled_at_s) * 1000.0)
+    reported_ago_ms = int((now_s - view.reported_at_s) * 1000.0)
+    return TargetLoad(heard.key, view.running, view.waiting, polled_ago_ms, reported_ago_ms)
 
 
 def _identity(view: TargetView) -> tuple[object, ...]:
