--- a/samphirecleat/controllers/config_reader.py
+++ b/samphirecleat/controllers/config_reader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from contextlib import suppress
 from typing import Final
 
 from ..blackboard import Blackboard
@@ -128,10 +129,10 @@
     async def _listen(self) -> None:
         """Return when this node is to read, or has not looked for long."""
         pause_s = LISTEN_READ_S * (0.5 + self._rng.random())
-        try:
-            await asyncio.wait_for(self._chosen.wait(), pause_s)
-        except TimeoutError:
-            return
+        # Not asyncio.wait_for: up to Python 3.11 it can drop a cancellation.
+        with suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._chosen.wait()
 
     async def _read_once(self) -> None:
         state = self._board.config
--- /dev/null
+++ b/tests/entry/test_draining.py
@@ -0,0 +1,55 @@
+"""What callers get from a node that is near the end of its drain."""
+
+import asyncio
+
+import aiohttp
+
+from samphirecleat.trial._deployments import DEPLOYMENTS
+from samphirecleat.trial._fleet import Fleet
+
+
+def test_a_drained_node_starts_nothing_new_and_answers_for_its_keys() -> None:
+    """A caller's answer is lost as its node drains, and it asks again with the same key.
+
+    It must get the answer that was made, and a new request must be refused as not
+    run: if the node took it, its drain would never end or would cut it off.
+    """
+
+    async def scenario() -> None:
+        fleet = Fleet(DEPLOYMENTS["los-aromos"], 2, 3)
+        await fleet.start()
+        try:
+            async with aiohttp.ClientSession() as session:
+                owner, other = fleet.nodes
+                await until_known(owner, other)
+                first = await call(session, owner, owner, "aa" * 8)
+                owner.board.accepting = False
+                again = await call(session, other, owner, "aa" * 8)
+                new = await call(session, other, owner, "bb" * 8)
+                assert first == again
+                assert first[0] == 200
+                assert (new[1]["error"]["kind"], new[1]["error"]["ran"]) == ("leaving", "no")
+        finally:
+            await fleet.stop()
+
+    asyncio.run(scenario())
+
+
+async def until_known(owner, other) -> None:
+    give_up_at_s = asyncio.get_running_loop().time() + 20.0
+    while not (
+        sum(1 for target in owner.board.targets.values() if target.usable) >= 8
+        and len(other.board.live_members()) == 2
+        and other.board.ready
+    ):
+        assert asyncio.get_running_loop().time() < give_up_at_s
+        await asyncio.sleep(0.05)
+
+
+async def call(session, entry, owner, secret: str):
+    identity = owner.board.identity
+    key = f"{identity.node_id}.{identity.incarnation}.0.{secret}"
+    url = f"http://{entry.settings.http_address}/v1/services/asesor/generate"
+    body = {"prompt": secret, "max_tokens": 3}
+    async with session.post(url, json=body, headers={"x-request-key": key}) as response:
+        return response.status, await response.json()
