--- a/samphirecleat/bench/_node_cost.py
+++ b/samphirecleat/bench/_node_cost.py
@@ -23,6 +23,7 @@
 from ..client import StepRequest, TrainerClient
 from ..trial._deployments import DEPLOYMENTS
 from ..trial._fleet import TRIAL_SHARED_KEY, Fleet, free_port
+from ._fit import fit_line
 
 TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
 IDLE_S: Final = 8.0
@@ -32,6 +33,8 @@
 STREAM_TOKENS: Final = 200
 STREAMS: Final = 40
 READY_LIMIT_S: Final = 20.0
+SETTLE_S: Final = 3.0
+WATCH_PERIODS_S: Final = (0.5, 0.2, 0.1)
 
 
 class Daemon(NamedTuple):
@@ -98,10 +101,33 @@
                 for daemon in daemons:
                     daemon.process.kill()
                     await daemon.process.wait()
+    rows.extend(await _measure_polls(fleet))
     await fleet.stop()
     print(tabulate(rows, headers=["one node process", "value", ""], floatfmt=".3g"))
 
 
+async def _measure_polls(fleet: Fleet) -> list[Any]:
+    """Return what one question to a target costs: the slope over two rates."""
+    points = []
+    for watch_s in WATCH_PERIODS_S:
+        with tempfile.TemporaryDirectory() as directory:
+            daemon = await _start_daemon(fleet, directory, "n9", watch_s)
+            async with aiohttp.ClientSession() as session:
+                await _until_ready(session, [daemon])
+            await asyncio.sleep(SETTLE_S)
+            meter = Meter(daemon)
+            await meter.idle()
+            points.append((len(fleet.targets) / watch_s, meter.idle_share * 1000.0))
+            daemon.process.kill()
+            await daemon.process.wait()
+    line = fit_line(points)
+    at = ", ".join(f"{cpu_ms:.1f} ms/s at {rate:.0f} polls/s" for rate, cpu_ms in points)
+    return [
+        ("ms per poll of a target", line.per_unit, at),
+        ("alone, no polls, ms/s", line.fixed, ""),
+    ]
+
+
 async def _measure(session: aiohttp.ClientSession, daemons: list[Daemon]) -> list[Any]:
     entry, owner = daemons
     meter = Meter(entry)
@@ -175,7 +201,7 @@
     raise TimeoutError("the nodes did not become ready")
 
 
-async def _start_daemon(fleet: Fleet, directory: str, node_id: str) -> Daemon:
+async def _start_daemon(fleet: Fleet, directory: str, node_id: str, watch_s: float = 0.5) -> Daemon:
     http_address = f"127.0.0.1:{free_port()}"
     peer_address = f"127.0.0.1:{free_port()}"
     settings = {
@@ -189,6 +215,7 @@
         "host_list_url": fleet.host_list.url,
         "seeds": _seeds(directory),
         "log_level": "warning",
+        "timings": {"watch_s": watch_s},
     }
     path = _write_settings(directory, settings)
     process = await asyncio.create_subprocess_exec(
