--- a/samphirecleat/bench/_log_reads.py
+++ b/samphirecleat/bench/_log_reads.py
@@ -1,4 +1,6 @@
-"""How soon a revision is in force at every node, and what the log has to serve.
+"""What the log has to serve as the fleet grows, and how soon a revision is in force.
+
+Run it as ``python -m samphirecleat.bench._log_reads``.
 
 Real nodes over loopback, all in one process, with the stand-in log, host list and
 weight store, and the targets of one deployment. The baseline is that every node
@@ -13,6 +15,7 @@
 from typing import Final
 
 import aiohttp
+import uvloop
 from aiohttp import web
 
 from ..config import Publication, publication_payload
@@ -22,7 +25,7 @@
 from ..trial._deployments import DEPLOYMENTS
 from ..trial._fleet import Fleet
 from ._fit import fit_line
-from ._harness import BenchResult, BenchRow
+from ._harness import BenchResult, BenchRow, print_result
 
 DEFAULT_SEED: Final = 1
 SIZES: Final = (9, 13, 26)
@@ -57,7 +60,7 @@
             BenchRow(f"all read, {size} nodes", PUBLICATIONS, await _measure(size, seed))
             for size in SIZES
         ]
-    return BenchResult("config", seed, [*policy, *baseline], _note(policy, baseline))
+    return BenchResult("log reads", seed, [*policy, *baseline], _note(policy, baseline))
 
 
 @contextmanager
@@ -130,3 +133,7 @@
 
 def _size(row: BenchRow) -> float:
     return float(row.variant.split(", ")[1].split(" ")[0])
+
+
+if __name__ == "__main__":
+    print_result(uvloop.run(run(DEFAULT_SEED)))
--- a/samphirecleat/controllers/step_runner.py
+++ b/samphirecleat/controllers/step_runner.py
@@ -33,6 +33,7 @@
 from .streamed_versions import StreamedVersions, true_version
 
 TICK_S: Final = 0.05
+IDLE_TICK_S: Final = 1.0
 PULL_RECHECK_S: Final = 0.5
 FORGET_AFTER_S: Final = 600.0
 FORGET_DONE_AFTER_S: Final = 5.0
@@ -162,7 +163,7 @@
         """
         loop = asyncio.get_running_loop()
         while True:
-            await _wait(self._work, TICK_S)
+            await _wait(self._work, TICK_S if self.steps else IDLE_TICK_S)
             self._work.clear()
             self._forget_old(loop.time())
             self.run_pass(loop.time())
--- a/samphirecleat/controllers/weights.py
+++ b/samphirecleat/controllers/weights.py
@@ -25,6 +25,7 @@
 )
 
 PERIOD_S: Final = 0.2
+IDLE_PERIOD_S: Final = 0.5
 STORE_PERIOD_S: Final = 0.5
 LONGEST_STORE_WAIT_S: Final = 10.0
 MAX_STORE_DOUBLINGS: Final = 6
@@ -73,13 +74,13 @@
 
     async def _keep_leases(self) -> None:
         while True:
-            await asyncio.sleep(PERIOD_S)
+            await asyncio.sleep(PERIOD_S if self._board.weights else IDLE_PERIOD_S)
             for service in self._own_services():
                 await self._leases.keep(lease_name(service.name))
 
     async def _follow_store(self) -> None:
         while True:
-            await asyncio.sleep(PERIOD_S)
+            await asyncio.sleep(PERIOD_S if self._board.weights else IDLE_PERIOD_S)
             own = {service.name for service in self._own_services()}
             for name in [name for name in self._board.weights if name not in own]:
                 # Another node coordinates it; what this one knew gets old.
@@ -90,7 +91,7 @@
 
     async def _swap(self) -> None:
         while True:
-            await asyncio.sleep(PERIOD_S)
+            await asyncio.sleep(PERIOD_S if self._board.weights else IDLE_PERIOD_S)
             self._forget_gone()
             services = [s for s in self._own_services() if s.name in self._board.weights]
             await asyncio.gather(*(self._coordinate(service) for service in services))
