--- a/samphirecleat/controllers/step_runner.py
+++ b/samphirecleat/controllers/step_runner.py
@@ -28,6 +28,7 @@
 from .streamed_versions import StreamedVersions
 
 TICK_S: Final = 0.05
+IDLE_TICK_S: Final = 1.0
 ABANDONED_AFTER_S: Final = 15.0
 
 
@@ -71,7 +72,8 @@
         """
         loop = asyncio.get_running_loop()
         while True:
-            await wait_for_event(self._desk.work, TICK_S)
+            tick_s = TICK_S if self._desk.steps else IDLE_TICK_S
+            await wait_for_event(self._desk.work, tick_s)
             self._desk.work.clear()
             self.run_pass(loop.time())
 
--- a/samphirecleat/controllers/weights.py
+++ b/samphirecleat/controllers/weights.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
+from .._waiting import wait_for_event
 from ..blackboard import Blackboard, TargetView, WeightsView
 from ..config import Service, ServiceKind
 from ..observe import Observer
@@ -14,7 +15,6 @@
 from ..targets import OrderFenced, OrderOutcome, OrderTaken, TargetClient
 from .leases import LeaseKeeper
 from .read_back import ReadBack
-from .step_desk import wait_for_event
 from .streamed_versions import true_version
 from .swaps import (
     DEFAULT_SWAP_POLICY,
@@ -27,6 +27,7 @@
 )
 
 PERIOD_S: Final = 0.2
+IDLE_PERIOD_S: Final = 0.5
 STORE_PERIOD_S: Final = 0.5
 LONGEST_STORE_WAIT_S: Final = 10.0
 MAX_STORE_DOUBLINGS: Final = 6
@@ -79,13 +80,13 @@
 
     async def _keep_leases(self) -> None:
         while True:
-            await asyncio.sleep(PERIOD_S)
+            await asyncio.sleep(PERIOD_S if self._board.weights else IDLE_PERIOD_S)
             for service in self._own_services():
                 await self._leases.keep(lease_name(service.name))
 
     async def _follow_store(self) -> None:
         while True:
-            await asyncio.sleep(PERIOD_S)
+            await asyncio.sleep(PERIOD_S if self._board.weights else IDLE_PERIOD_S)
             own = {service.name for service in self._own_services()}
             for name in [name for name in self._board.weights if name not in own]:
                 # Another node coordinates it; what this one knew gets old.
@@ -96,7 +97,8 @@
 
     async def _swap(self) -> None:
         while True:
-            await wait_for_event(self._read_back.settled, PERIOD_S)
+            period_s = PERIOD_S if self._board.weights else IDLE_PERIOD_S
+            await wait_for_event(self._read_back.settled, period_s)
             self._read_back.settled.clear()
             self._forget_gone()
             services = [s for s in self._own_services() if s.name in self._board.weights]
