--- a/tests/peers/test_forward.py
+++ b/tests/peers/test_forward.py
@@ -15,7 +15,7 @@
 from samphirecleat.peers import PeerClient, PeerServer
 from samphirecleat.peers.peers_pb2 import ForwardRequest
 from samphirecleat.requests import AnswerLine, Call, RequestStatus, RunState, WorkClass
-from samphirecleat.trial._fleet import free_port
+from samphirecleat.trial import free_port
 from tests.fleets import Relay, until
 
 SHARED_KEY = "a-shared-key-of-two-nodes"
