A key whose owner was replaced: told apart from an outcome that is unknown

Change: kind key_owner_gone; the client makes a new key when that was the only send of the key, and asks elsewhere otherwise, also after a refusal by such a process. The state machine tells doubled keys from those sent once. Mutation by hand: a new key after every key_owner_gone is caught by test_at_most_once.

--- a/samphirecleat/client/_caller.py
+++ b/samphirecleat/client/_caller.py
@@ -15,6 +15,7 @@
 from ._entries import Entry, EntryList
 from ._node_call import AnswerLostError, NeverLeftError, NodeRequest, Resumption, call_node
 from ._resend import (
+    ONLY_COPY_ENDED_KINDS,
     Answered,
     AnswerLost,
     AskElsewhere,
@@ -229,7 +230,7 @@
             self._entries.note_failed(node)
             raise _SendFailedError(AnswerLost()) from error
         except RequestError as error:
-            if error.kind is ErrorKind.KEY_EXPIRED:
+            if error.kind in ONLY_COPY_ENDED_KINDS:
                 self._entries.expire()
             raise _SendFailedError(Answered(error, by_owner=False)) from error
 
@@ -273,7 +274,7 @@
     """Return what a key's failed send says of its run, should no later one say more."""
     match outcome:
         case Answered(error=error):
-            if error.kind is ErrorKind.KEY_EXPIRED and not sent:
+            if error.kind in ONLY_COPY_ENDED_KINDS and not sent:
                 return RequestError(error.kind, error.detail, ran=Ran.NO)
             return error
         case NeverLeft() if not sent:
--- a/samphirecleat/client/_resend.py
+++ b/samphirecleat/client/_resend.py
@@ -58,10 +58,14 @@
         ErrorKind.LEAVING,
         ErrorKind.UNKNOWN_SERVICE,
         ErrorKind.UNKNOWN_METHOD,
+        ErrorKind.KEY_OWNER_GONE,
     }
 )
 """Kinds by which a node that does not own the key may speak for itself alone."""
 
+ONLY_COPY_ENDED_KINDS: Final = frozenset({ErrorKind.KEY_EXPIRED, ErrorKind.KEY_OWNER_GONE})
+"""Kinds by which a node says that the copy it was sent will start nowhere."""
+
 
 def decide_resend(
     outcome: SendOutcome, *, sent_before: bool, idempotent: bool, answer_started: bool
@@ -97,10 +101,13 @@
     if error.ran is Ran.NO:
         elsewhere = ANSWERS[error.kind].retry_at is RetryAt.ANY_NODE
         return NewKey() if elsewhere else Stop(error)
-    if error.kind is ErrorKind.KEY_EXPIRED and not sent_before:
-        # The only copy of it was refused, and an expired key never starts.
+    if error.kind in ONLY_COPY_ENDED_KINDS and not sent_before:
+        # The only copy of the key was refused: its process was replaced at its old
+        # address, or the key had expired. It can start nowhere any more.
         return NewKey()
-    if not by_owner and error.kind in PASSED_ON_KINDS:
+    # A process that replaced the owner at its address speaks for itself too.
+    replaced = error.kind is not ErrorKind.OUTCOME_UNKNOWN
+    if error.kind in PASSED_ON_KINDS and (replaced or not by_owner):
         return AskElsewhere()
     if error.kind in (ErrorKind.KEY_EXPIRED, ErrorKind.ANSWER_DISCARDED) and may_run_again:
         return NewKey()
--- a/samphirecleat/entry/_callers.py
+++ b/samphirecleat/entry/_callers.py
@@ -283,8 +283,9 @@
 
 
 def _owner_gone(key: RequestKey) -> RequestError:
+    """Say that this copy of the request was passed on to nobody and starts nowhere."""
     return RequestError(
-        ErrorKind.OUTCOME_UNKNOWN,
+        ErrorKind.KEY_OWNER_GONE,
         f"the process {key.node_id}.{key.incarnation} that the key names is gone",
     )
 
--- a/samphirecleat/errors.py
+++ b/samphirecleat/errors.py
@@ -25,6 +25,7 @@
     KEY_CONFLICT = "key_conflict"
     KEY_EXPIRED = "key_expired"
     KEY_TABLE_FULL = "key_table_full"
+    KEY_OWNER_GONE = "key_owner_gone"
     DEADLINE_PASSED = "deadline_passed"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     OVERLOADED = "overloaded"
@@ -75,6 +76,7 @@
     ErrorKind.KEY_CONFLICT: Answer(409, Ran.UNKNOWN, RetryAt.NEVER),
     ErrorKind.KEY_EXPIRED: Answer(410, Ran.UNKNOWN, RetryAt.NEVER),
     ErrorKind.KEY_TABLE_FULL: Answer(503, Ran.NO, RetryAt.LATER),
+    ErrorKind.KEY_OWNER_GONE: Answer(502, Ran.UNKNOWN, RetryAt.NEVER),
     ErrorKind.DEADLINE_PASSED: Answer(400, Ran.NO, RetryAt.NEVER),
     ErrorKind.DEADLINE_EXCEEDED: Answer(504, Ran.UNKNOWN, RetryAt.NEVER),
     ErrorKind.OVERLOADED: Answer(429, Ran.NO, RetryAt.LATER),
--- a/tests/client/test_resend.py
+++ b/tests/client/test_resend.py
@@ -35,6 +35,15 @@
         (answered(ErrorKind.KEY_EXPIRED), False, NewKey, NewKey, NewKey),
         (answered(ErrorKind.KEY_EXPIRED), True, Stop, NewKey, Stop),
         (answered(ErrorKind.ANSWER_DISCARDED), True, Stop, NewKey, Stop),
+        (answered(ErrorKind.KEY_OWNER_GONE), False, NewKey, NewKey, NewKey),
+        (answered(ErrorKind.KEY_OWNER_GONE), True, AskElsewhere, AskElsewhere, AskElsewhere),
+        (
+            answered(ErrorKind.NOT_READY, Ran.UNKNOWN),
+            False,
+            AskElsewhere,
+            AskElsewhere,
+            AskElsewhere,
+        ),
         (
             answered(ErrorKind.NOT_READY, Ran.UNKNOWN, by_owner=False),
             True,
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -60,14 +60,14 @@
         CALL,
         {"x-request-key": "n9.abc.0.k"},
         GOOD,
-        ErrorKind.OUTCOME_UNKNOWN,
+        ErrorKind.KEY_OWNER_GONE,
         "unknown",
     ),
     "key_of_an_earlier_incarnation": (
         CALL,
         {"x-request-key": "n1.abc.0.k"},
         GOOD,
-        ErrorKind.OUTCOME_UNKNOWN,
+        ErrorKind.KEY_OWNER_GONE,
         "unknown",
     ),
     "foreign_key_bad_body": (
--- a/tests/requests/test_at_most_once.py
+++ b/tests/requests/test_at_most_once.py
@@ -48,7 +48,7 @@
 
     keys: list[RequestKey] = field(default_factory=list)
     asked: list[str] = field(default_factory=list)
-    sent: bool = True
+    doubled: bool = False
     over: bool = False
 
 
@@ -116,6 +116,7 @@
         key = RequestKey(node, f"{incarnation:x}", epoch, unique)
         call.keys.append(key)
         call.asked = [node]
+        call.doubled = False
         self.network.append(Message(call, key, node))
 
     @rule(node=st.sampled_from(NODES))
@@ -141,13 +142,16 @@
     @rule(pick=PICK)
     def deliver_a_copy(self, pick: int) -> None:
         """A message arrives that will arrive again."""
-        self._handle(self.network[pick % len(self.network)])
+        message = self.network[pick % len(self.network)]
+        message.call.doubled = True
+        self._handle(message)
 
     @precondition(lambda self: self.network)
     @rule(pick=PICK)
     def take_a_message_for_lost(self, pick: int) -> None:
         """The caller gives up on it, and it may still arrive."""
         message = self.network[pick % len(self.network)]
+        message.call.doubled = True
         self._react(message.call, message.key, AnswerLost())
 
     @precondition(lambda self: self.network)
@@ -155,6 +159,7 @@
     def refuse_a_message(self, pick: int) -> None:
         """As for a malformed header, a passed deadline, or a node without a text."""
         message = self.network[pick % len(self.network)]
+        message.call.doubled = True
         ran = self.books[message.node].refuse(message.key, self.now_s)
         self._answer(message, RequestError(ErrorKind.NOT_READY, "", ran=ran))
 
@@ -227,7 +232,7 @@
                 if incarnation == f"{self.incarnations[owner]:x}" and not message.forwarded:
                     self.network.append(Message(message.call, message.key, owner, forwarded=True))
                 else:
-                    self._answer(message, RequestError(ErrorKind.OUTCOME_UNKNOWN, "gone"))
+                    self._answer(message, RequestError(ErrorKind.KEY_OWNER_GONE, ""))
 
     def _answer(self, message: Message, error: RequestError) -> None:
         if error.ran is Ran.NO:
@@ -239,7 +244,12 @@
         """Do what the client library does; a late answer to an earlier key is dropped."""
         if call.over or key != call.keys[-1]:
             return
-        resend = decide_resend(outcome, sent_before=True, idempotent=False, answer_started=False)
+        resend = decide_resend(
+            outcome,
+            sent_before=call.doubled or len(call.asked) > 1,
+            idempotent=False,
+            answer_started=False,
+        )
         left = [node for node in NODES if node not in call.asked]
         if isinstance(resend, AskElsewhere) and not left:
             resend = decide_without_nodes(idempotent=False, answer_started=False)
