--- a/samphirecleat/steps/__init__.py
+++ b/samphirecleat/steps/__init__.py
@@ -20,7 +20,7 @@
 from ._run import Run
 from ._shares import ShareBook
 from ._stats import TrainerStats
-from ._step import Step, StepTable
+from ._step import Step
 from ._types import (
     NO_VERSION,
     Pull,
@@ -55,7 +55,6 @@
     "ShareBook",
     "Step",
     "StepSpec",
-    "StepTable",
     "TrainerPace",
     "TrainerRecord",
     "TrainerStats",
--- a/samphirecleat/steps/_step.py
+++ b/samphirecleat/steps/_step.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 from ._copies import CopyPolicy, CopyView, Pace, decide_copies, expected_waste_tokens
 from ._positions import PositionQueue
@@ -246,6 +246,3 @@
     def _wake(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
-
-
-StepTable = Mapping[tuple[str, str], Step]
