--- a/tests/controllers/test_target_watch.py
+++ b/tests/controllers/test_target_watch.py
@@ -197,7 +197,12 @@
         await watch.poll_once()
         watch.distrust_all()
         assert not board.targets[ADDRESS].usable
-        watch.unload(ping(make_row(watch.news.heard[ADDRESS], 0.0)), 1e6)
+        heard = watch.news.heard[ADDRESS]
+        teller = news_with(heard.view._replace(running=3), heard.polled_at_s)
+        told_at_s = heard.polled_at_s + 1.0
+        teller.note(heard.view._replace(running=4), told_at_s, told_at_s)
+        watch.unload(teller.load(ping(), told_at_s)._replace(targets=[]), told_at_s)
+        assert board.targets[ADDRESS].running == 4
         assert not board.targets[ADDRESS].usable
         await watch.poll_once()
         assert board.targets[ADDRESS].usable
