--- a/samphirecleat/controllers/weights.py
+++ b/samphirecleat/controllers/weights.py
@@ -11,7 +11,7 @@
 from ..observe import Observer
 from ..peers import rank_members
 from ..platform import HttpWeightStore, StoreInfo, WeightStoreUnavailableError
-from ..targets import OrderFenced, OrderOutcome, TargetClient
+from ..targets import OrderFenced, OrderOutcome, OrderUnknown, TargetClient
 from .leases import LeaseKeeper
 from .streamed_versions import true_version
 from .swaps import (
@@ -164,8 +164,14 @@
         if fencing is None:
             return
         record = self._begin_order(order, loop.time())
-        outcome = await self._client.order_version(order.target, order.version, fencing)
-        self._end_order(order.target.address, record, outcome, loop.time())
+        # Kept when this task is cancelled in mid-order, as when a controller starts
+        # again: an order without an end would count as under way for ever, and no
+        # further engine would get new weights while this node lives.
+        outcome: OrderOutcome = OrderUnknown("stopped before the answer")
+        try:
+            outcome = await self._client.order_version(order.target, order.version, fencing)
+        finally:
+            self._end_order(order.target.address, record, outcome, loop.time())
         if isinstance(outcome, OrderFenced):
             self._fenced_epochs[service.name] = fencing
         self._observer.counters[f"orders_{type(outcome).__name__}"] += 1
--- a/tests/controllers/test_weights.py
+++ b/tests/controllers/test_weights.py
@@ -438,3 +438,31 @@
         assert rig.board.weights["asesor"].latest_version == 3
 
     asyncio.run(with_rig(body))
+
+
+def test_a_coordinator_that_starts_again_in_mid_order_goes_on_with_the_weights() -> None:
+    """A controller fails and starts again while an order of it is on its way.
+
+    If that order counted as under way for ever, the service would keep its old
+    weights and its trainers would wait for samples that are fresh enough.
+    """
+
+    async def body(rig: Rig) -> None:
+        made = await rig.add_engine()
+        # Its first load fails, so that only a second order brings the version.
+        made.fail_next_loads = 1
+        made.order_delay_s = 0.3
+        rig.store.versions["asesor"] = 1
+        coordinator = rig.coordinator(FakeLeases())
+        first = asyncio.ensure_future(coordinator.drive())
+        await rig.until(lambda: bool(coordinator._orders))
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+        second = asyncio.ensure_future(coordinator.drive())
+        try:
+            await rig.until(lambda: made.version == 1)
+        finally:
+            second.cancel()
+            await asyncio.gather(second, return_exceptions=True)
+
+    asyncio.run(with_rig(body))
