--- a/tests/trial/test_frozen_node.py
+++ b/tests/trial/test_frozen_node.py
@@ -5,12 +5,15 @@
 from collections.abc import Awaitable, Callable
 
 import aiohttp
+import pytest
 
 from samphirecleat.errors import ErrorKind, RequestError
+from samphirecleat.standins import HostRow
 from samphirecleat.trial import DEPLOYMENTS, Fleet, until_ready
 
 WAIT_S = 15.0
 AFTER_LEAVING_S = 3.0
+CALLS_AFTER = 40
 
 
 def run_with_fleet(body: Callable[[Fleet, aiohttp.ClientSession], Awaitable[None]]) -> None:
@@ -62,3 +65,36 @@
         assert late == []
 
     run_with_fleet(body)
+
+
+@pytest.mark.known_red
+def test_a_node_that_stood_still_learns_from_others_what_the_host_list_said() -> None:
+    """The host list says that an engine leaves while a node stands still, and then fails.
+
+    The other nodes know, and the one that wakes up can not read the list. Its
+    operator sees it send work to the leaving engine until the list is back.
+    """
+
+    async def body(fleet: Fleet, session: aiohttp.ClientSession) -> None:
+        node, engine = fleet.nodes[0], fleet.engines[0]
+        node.freeze()
+        row = HostRow(engine.address, engine.service, engine.zone, state="leaving")
+        fleet.host_list.put(row, at_once=True)
+        left_at_s = time.monotonic()
+        while not all(n.board.targets[engine.address].leaving for n in fleet.nodes[1:]):
+            assert time.monotonic() < left_at_s + WAIT_S
+            await asyncio.sleep(0.05)
+        fleet.host_list.down = True
+        while time.monotonic() < left_at_s + AFTER_LEAVING_S:
+            await asyncio.sleep(0.05)
+        node.thaw()
+        url = f"http://{node.settings.http_address}/v1/services/{engine.service}/generate"
+        answered = 0
+        while answered < CALLS_AFTER:
+            prompt = {"prompt": f"p{answered}", "max_tokens": 1}
+            async with session.post(url, json=prompt) as response:
+                answered += response.status == 200
+            await asyncio.sleep(0.01)
+        assert [a for a in engine.arrivals if a.at_s > left_at_s + AFTER_LEAVING_S] == []
+
+    run_with_fleet(body)
