--- a/samphirecleat/controllers/weights.py
+++ b/samphirecleat/controllers/weights.py
@@ -12,7 +12,7 @@
 from ..observe import Observer
 from ..peers import rank_members
 from ..platform import HttpWeightStore, StoreInfo, WeightStoreUnavailableError
-from ..targets import OrderFenced, OrderOutcome, OrderTaken, TargetClient
+from ..targets import OrderFenced, OrderOutcome, OrderTaken, OrderUnknown, TargetClient
 from .leases import LeaseKeeper
 from .read_back import ReadBack
 from .streamed_versions import true_version
@@ -173,8 +173,14 @@
         if fencing is None:
             return
         record = self._begin_order(order, loop.time())
-        outcome = await self._client.order_version(order.target, order.version, fencing)
-        self._end_order(order.target.address, record, outcome, loop.time())
+        # Kept when this task is cancelled in mid-order, as when a controller starts
+        # again: an order without an end would count as under way for ever, and no
+        # further engine would get new weights while this node lives.
+        outcome: OrderOutcome = OrderUnknown("stopped before the answer")
+        try:
+            outcome = await self._client.order_version(order.target, order.version, fencing)
+        finally:
+            self._end_order(order.target.address, record, outcome, loop.time())
         match outcome:
             case OrderTaken():
                 self._read_back.follow(order.target)
