--- a/samphirecleat/trial/_run.py
+++ b/samphirecleat/trial/_run.py
@@ -7,6 +7,7 @@
 from typing import Final, NamedTuple
 
 from ._checks import check_promises
+from ._config_checks import IN_FORCE_WITHIN_S
 from ._deployments import DEPLOYMENTS
 from ._fleet import Fleet
 from ._journal import Journal
@@ -61,8 +62,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(workload.run(seconds))
             group.create_task(_within(SCHEDULE_TIMEOUT_S + seconds, schedule, options.faults))
-        # What was changed last gets the time that it is allowed to take.
-        await asyncio.sleep(2 * PROGRESS_PERIOD_S)
+        await asyncio.sleep(_settle_s(fleet))
     finally:
         for task in background:
             task.cancel()
@@ -72,6 +72,14 @@
     return TrialReport(promises, measures, journal.events)
 
 
+def _settle_s(fleet: Fleet) -> float:
+    """Return how long to go on looking, so that the last text's lateness can be told."""
+    changes_s = [append.at_s for append in fleet.log.appends if append.stream == "config"]
+    changes_s += [outage.end_s for outage in fleet.log_outages]
+    settled_at_s = max(changes_s) + IN_FORCE_WITHIN_S + PROGRESS_PERIOD_S
+    return max(0.0, settled_at_s - time.monotonic())
+
+
 async def _within(timeout_s: float, schedule: Schedule, faults: Sequence[str]) -> None:
     async with asyncio.timeout(timeout_s):
         await schedule.run(faults)
