--- a/samphirecleat/trial/_run.py
+++ b/samphirecleat/trial/_run.py
@@ -7,6 +7,7 @@
 from typing import Final, NamedTuple
 
 from ._checks import check_promises
+from ._config_checks import IN_FORCE_WITHIN_S
 from ._deployments import DEPLOYMENTS
 from ._fleet import Fleet
 from ._journal import Journal
@@ -20,7 +21,6 @@
 SCHEDULE_TIMEOUT_S: Final = 60.0
 SHORTEST_LOAD_S: Final = 6.0
 PROGRESS_PERIOD_S: Final = 0.5
-LONGEST_TAIL_S: Final = 8.0
 
 
 class TrialOptions(NamedTuple):
@@ -62,9 +62,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(workload.run(seconds))
             group.create_task(_within(SCHEDULE_TIMEOUT_S + seconds, schedule, options.faults))
-        # What was changed last gets the time that it is allowed to take.
-        await asyncio.sleep(2 * PROGRESS_PERIOD_S)
-        await _until_config_checked(fleet, workload, onlooker)
+        await asyncio.sleep(_settle_s(fleet))
     finally:
         for task in background:
             task.cancel()
@@ -74,17 +72,12 @@
     return TrialReport(promises, measures, journal.events)
 
 
-async def _until_config_checked(fleet: Fleet, workload: Workload, onlooker: Onlooker) -> None:
-    """Wait until at least one publication has been due at a node.
-
-    Where the log is out for most of a short trial, every publication is due only
-    after the load; a trial that ended before would have checked nothing.
-    """
-    give_up_at_s = time.monotonic() + LONGEST_TAIL_S
-    while time.monotonic() < give_up_at_s:
-        if check_promises(fleet, workload.receipts, onlooker)["config_late"].checked:
-            return
-        await asyncio.sleep(PROGRESS_PERIOD_S)
+def _settle_s(fleet: Fleet) -> float:
+    """Return how long to go on looking, so that the last text's lateness can be told."""
+    changes_s = [append.at_s for append in fleet.log.appends if append.stream == "config"]
+    changes_s += [outage.end_s for outage in fleet.log_outages]
+    settled_at_s = max(changes_s) + IN_FORCE_WITHIN_S + PROGRESS_PERIOD_S
+    return max(0.0, settled_at_s - time.monotonic())
 
 
 async def _within(timeout_s: float, schedule: Schedule, faults: Sequence[str]) -> None:
