--- a/samphirecleat/controllers/target_watch.py
+++ b/samphirecleat/controllers/target_watch.py
@@ -94,6 +94,10 @@
 
     async def drive(self) -> None:
         """Ask for as long as the node lives."""
+        loop = asyncio.get_running_loop()
+        if loop.time() - self._board.targets_kept_at_s >= PAUSE_S:
+            # Started again after a failure: what the others told meanwhile was missed.
+            self.distrust_all()
         async with asyncio.TaskGroup() as group:
             group.create_task(self._watch_clock())
             while True:
--- a/tests/controllers/test_target_watch.py
+++ b/tests/controllers/test_target_watch.py
@@ -189,6 +189,30 @@
     asyncio.run(scenario())
 
 
+def test_a_watch_that_starts_again_trusts_no_target_at_once() -> None:
+    """The watch fails and starts again two seconds later; a target left meanwhile.
+
+    It left by the host list alone, so that its own answer does not tell.
+    """
+
+    async def scenario() -> None:
+        board, watch, _answers = make_watch()
+        await watch.poll_once()
+        assert board.targets[ADDRESS].usable
+        board.targets_kept_at_s -= 2.0
+        task = asyncio.create_task(watch.drive())
+        async with asyncio.timeout(10.0):
+            while watch.polls < 3:
+                await asyncio.sleep(0.01)
+                assert not board.targets[ADDRESS].usable
+            board.listed_at_s = asyncio.get_running_loop().time()
+            while not board.targets[ADDRESS].usable:
+                await asyncio.sleep(0.01)
+        task.cancel()
+
+    asyncio.run(scenario())
+
+
 def test_after_a_pause_no_target_is_used_before_it_answers() -> None:
     """A node's process freezes, a target begins to leave, and the node wakes.
 
--- a/tests/trial/test_kept_seeds.py
+++ b/tests/trial/test_kept_seeds.py
@@ -29,6 +29,12 @@
 
 
 KEPT = (
+    KeptSeed(
+        "los-aromos",
+        49,
+        "host_list_late,host_list_wrong,node_freeze,target_leaving",
+        "work sent to a target that left by a late host list while a node stood still",
+    ),
     KeptSeed(
         "los-aromos",
         3,
