Benches: retries counts arrivals at targets; limits shows calls in time a second

Cause: the stand-in's counter of refusals was no longer counted, so that the load at failing targets read 0; and a ratio hid two noisy figures.

--- a/samphirecleat/bench/_limits.py
+++ b/samphirecleat/bench/_limits.py
@@ -59,7 +59,12 @@
     peak = await _run_peak(policy, seed)
     at_capacity = await _run_overload(policy, seed, CAPACITY_PER_S)
     overloaded = await _run_overload(policy, seed, 2.0 * CAPACITY_PER_S)
-    figures = {**peak, "goodput_2x": overloaded / max(1.0, at_capacity)}
+    figures = {
+        **peak,
+        "in_time_per_s_1x": at_capacity,
+        "in_time_per_s_2x": overloaded,
+        "goodput_2x": overloaded / max(1.0, at_capacity),
+    }
     return average_runs(name, [figures])
 
 
--- a/samphirecleat/bench/_retries.py
+++ b/samphirecleat/bench/_retries.py
@@ -75,7 +75,7 @@
         fault = _FailingShare(fleet.plain, share, seed)
         calls = _draw_calls(shape.plain_service, shape.plain_idempotent, seed)
         outcomes = await send_load(fleet.bootstrap, calls, random.Random(seed), fault.at_time)
-        reached = sum(target.refused + len(target.runs) for target in fleet.plain)
+        reached = sum(len(target.arrivals) for target in fleet.plain)
     finally:
         await fleet.stop()
     return _figures(outcomes, reached)
--- a/samphirecleat/standins/_plain.py
+++ b/samphirecleat/standins/_plain.py
@@ -36,7 +36,6 @@
         self.call_s = call_s
         self.fail_next = 0
         self.lose_next_answers = 0
-        self.refused = 0
         self.runs: list[PlainRun] = []
         self.runs_by_request: Counter[str] = Counter()
         self.tells_status = False
