--- a/samphirecleat/bench/__init__.py
+++ b/samphirecleat/bench/__init__.py
@@ -1,6 +1,6 @@
 """Benches: each measures a decision against its simplest baselines in one run."""
 
-from ._harness import BenchResult, BenchRow, average_runs, print_result
+from ._harness import BenchResult, BenchRow, average_runs, print_result, run_repeats
 from ._registry import BENCH_MODULES, UnknownBenchError, run_bench
 
 __all__ = [
@@ -11,4 +11,5 @@
     "average_runs",
     "print_result",
     "run_bench",
+    "run_repeats",
 ]
--- a/samphirecleat/bench/_harness.py
+++ b/samphirecleat/bench/_harness.py
@@ -1,6 +1,6 @@
 """What every bench returns, and how it is printed: policy against baselines."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from statistics import fmean
 from typing import Any, NamedTuple
 
@@ -44,6 +44,13 @@
     return BenchRow(variant, len(runs), figures)
 
 
+async def run_repeats(
+    variant: str, run_once: Callable[[int], Awaitable[Mapping[str, float]]], seed: int, repeats: int
+) -> BenchRow:
+    """Return a variant's row over ``repeats`` runs with seeds that follow each other."""
+    return average_runs(variant, [await run_once(seed + repeat) for repeat in range(repeats)])
+
+
 def print_result(result: BenchResult) -> None:
     """Print every figure of each variant, and below it the ratio to the policy's."""
     policy = result.rows[0]
--- a/samphirecleat/bench/_recovery.py
+++ b/samphirecleat/bench/_recovery.py
@@ -7,13 +7,14 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Mapping
+from functools import partial
 from typing import Final
 
 import aiohttp
 
 from ..client import StepRequest, TrainerClient
 from ..trial import DEPLOYMENTS, Fleet, until_ready
-from ._harness import BenchResult, BenchRow, average_runs
+from ._harness import BenchResult, run_repeats
 
 DEFAULT_SEED: Final = 14
 NODES: Final = 9
@@ -28,7 +29,10 @@
 
 async def run(seed: int) -> BenchResult:
     """Run every failure."""
-    rows = [await _run_failure(name, failure, seed) for name, failure in FAILURES.items()]
+    rows = [
+        await run_repeats(name, partial(_run_once, failure), seed, REPEATS)
+        for name, failure in FAILURES.items()
+    ]
     note = (
         f"{NODES} nodes, steps of {GROUPS * SAMPLES_PER_GROUP} samples, the failure after "
         f"{FAIL_AT_SAMPLES}; gap_s: longest time without a sample after it; twice: runs "
@@ -37,11 +41,6 @@
     return BenchResult("recovery", seed, rows, note)
 
 
-async def _run_failure(name: str, failure: Failure, seed: int) -> BenchRow:
-    runs = [await _run_once(failure, seed + repeat) for repeat in range(REPEATS)]
-    return average_runs(name, runs)
-
-
 async def _run_once(failure: Failure, seed: int) -> Mapping[str, float]:
     fleet = Fleet(DEPLOYMENTS["los-aromos"], NODES, seed)
     await fleet.start()
--- a/samphirecleat/bench/_routing.py
+++ b/samphirecleat/bench/_routing.py
@@ -7,6 +7,7 @@
 
 import random
 from collections.abc import Mapping, Sequence
+from functools import partial
 from typing import Final
 
 from ..controllers import Policies
@@ -20,7 +21,7 @@
 )
 from ..standins import StandInEngine
 from ..trial import DEPLOYMENTS, Fleet, until_ready
-from ._harness import BenchResult, BenchRow, average_runs
+from ._harness import BenchResult, run_repeats
 from ._open_load import LoadCall, LoadOutcome, milliseconds, poisson_times, send_load
 
 DEFAULT_SEED: Final = 11
@@ -43,16 +44,14 @@
 
 async def run(seed: int) -> BenchResult:
     """Run every variant on the same arrivals."""
-    rows = [await _run_variant(name, policy, seed) for name, policy in VARIANTS.items()]
+    rows = [
+        await run_repeats(name, partial(_run_once, policy), seed, REPEATS)
+        for name, policy in VARIANTS.items()
+    ]
     note = f"{NODES} nodes, 5 engines, {RATE_PER_S:g} calls/s for {LOAD_S:g} s; milliseconds"
     return BenchResult("routing", seed, rows, note)
 
 
-async def _run_variant(name: str, policy: RoutingPolicy, seed: int) -> BenchRow:
-    runs = [await _run_once(policy, seed + repeat) for repeat in range(REPEATS)]
-    return average_runs(name, runs)
-
-
 async def _run_once(policy: RoutingPolicy, seed: int) -> Mapping[str, float]:
     fleet = Fleet(DEPLOYMENTS["los-aromos"], NODES, seed, Policies(routing=policy))
     await fleet.start()
--- a/samphirecleat/bench/_stragglers.py
+++ b/samphirecleat/bench/_stragglers.py
@@ -8,6 +8,7 @@
 import random
 import time
 from collections.abc import Mapping, Sequence
+from functools import partial
 from typing import Final, NamedTuple
 
 import aiohttp
@@ -17,7 +18,7 @@
 from ..standins import StandInEngine
 from ..steps import CopyAllLate, CopyPolicy, CopySlow, NoCopies
 from ..trial import DEPLOYMENTS, Fleet, until_ready
-from ._harness import BenchResult, average_runs
+from ._harness import BenchResult, run_repeats
 
 DEFAULT_SEED: Final = 11
 REPEATS: Final = 2
@@ -50,10 +51,10 @@
 
 async def run(seed: int) -> BenchResult:
     """Run every variant over the same steps and faults."""
-    rows = []
-    for variant in VARIANTS:
-        runs = [await _run_once(variant, seed + repeat) for repeat in range(REPEATS)]
-        rows.append(average_runs(variant.name, runs))
+    rows = [
+        await run_repeats(variant.name, partial(_run_once, variant), seed, REPEATS)
+        for variant in VARIANTS
+    ]
     note = (
         f"{GROUPS * SAMPLES_PER_GROUP} samples a step on {NODES} nodes; one engine at 1/"
         f"{SLOW_FACTOR:.0f} of its pace, another crashes at {CRASH_AT_SHARE:.0%} of the step and is"
--- a/samphirecleat/bench/_weights.py
+++ b/samphirecleat/bench/_weights.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from statistics import fmean
 from typing import Final, NamedTuple
 
@@ -18,7 +19,7 @@
 from ..controllers import Policies
 from ..controllers.swaps import AllAtOnce, OneByOne, SwapPolicy, WeighedSwaps
 from ..trial import DEPLOYMENTS, Fleet, service_text, until_ready
-from ._harness import BenchResult, average_runs
+from ._harness import BenchResult, run_repeats
 
 DEFAULT_SEED: Final = 21
 REPEATS: Final = 1
@@ -69,10 +70,10 @@
 
 async def run(seed: int) -> BenchResult:
     """Run every variant over the same steps."""
-    rows = []
-    for variant in VARIANTS:
-        runs = [await _run_once(variant, seed + repeat) for repeat in range(REPEATS)]
-        rows.append(average_runs(variant.name, runs))
+    rows = [
+        await run_repeats(variant.name, partial(_run_once, variant), seed, REPEATS)
+        for variant in VARIANTS
+    ]
     note = (
         f"{STEPS} versions, 6 engines, {LOAD_S} s a load, {PARALLEL_LOADS} loads at once at the"
         f" store, at most {MAX_SWAPPING_SHARE:.0%} of the engines; one load of version"
--- /dev/null
+++ b/samphirecleat/entry/_node_report.py
@@ -0,0 +1,62 @@
+"""One node's part of the fleet report."""
+
+from collections.abc import Collection, Mapping, Sequence
+from typing import Any, Final
+
+from ..blackboard import Blackboard
+from ..controllers import StepDesk, TargetWatch, WeightCoordinator
+from ..observe import Observer
+
+SMALL_FLEET: Final = 16
+
+
+def build_node_report(
+    board: Blackboard,
+    observer: Observer,
+    desk: StepDesk,
+    weights: WeightCoordinator,
+    watch: TargetWatch,
+    now_s: float,
+) -> Mapping[str, Any]:
+    """Return what a node tells operators of itself, ready to be sent as JSON."""
+    return {
+        "incarnation": board.identity.incarnation,
+        "zone": board.identity.zone,
+        "leaving": board.leaving,
+        "revision": board.config.revision,
+        "members": sorted(member.node_id for member in board.live_members()),
+        "targets": {a: board.targets[a]._asdict() for a in _reported_targets(board, watch)},
+        "metrics": observer.metrics()._asdict(),
+        "refusals": dict(board.refusals),
+        "steps": _steps(desk),
+        "trainers": desk.trainers_report(now_s),
+        "weights": weights.report(),
+    }
+
+
+def _reported_targets(board: Blackboard, watch: TargetWatch) -> Collection[str]:
+    """Return the targets in this node's part of the report.
+
+    A small fleet shows what every node knows of every target. In a large one
+    that would be hundreds of megabytes, so each node shows those it asks itself.
+    """
+    if len(board.live_members()) <= SMALL_FLEET:
+        return list(board.targets)
+    return [address for address in watch.owned() if address in board.targets]
+
+
+def _steps(desk: StepDesk) -> Sequence[Mapping[str, Any]]:
+    return [
+        {
+            "trainer": trainer,
+            "step": step_id,
+            "size": step.spec.size,
+            "held": len(step.held),
+            "ready": len(step.ready),
+            "running": len(step.runs),
+            "copies": step.copies,
+            "wasted_tokens": step.wasted_tokens,
+            "discarded_stale": step.discarded_stale,
+        }
+        for (trainer, step_id), step in desk.steps.items()
+    ]
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 import time
-from collections.abc import Awaitable, Callable, Collection, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any, Final
 
 import aiohttp
@@ -27,7 +27,7 @@
     TargetWatch,
     WeightCoordinator,
 )
-from .entry import CallerEntry, OperatorEntry, TrainerEntry, build_app
+from .entry import CallerEntry, OperatorEntry, TrainerEntry, build_app, build_node_report
 from .observe import Observer
 from .peers import HeartbeatCodec, PeerClient, PeerServer
 from .platform import HttpHostList, HttpLog, HttpWeightStore
@@ -36,7 +36,6 @@
 from .targets import TargetClient, make_connector
 
 RESTART_AFTER_S: Final = 1.0
-SMALL_FLEET: Final = 16
 Driver = Callable[[], Awaitable[None]]
 
 
@@ -110,43 +109,14 @@
 
     def own_report(self) -> Mapping[str, Any]:
         """Return this node's part of the fleet report."""
-        board = self.board
-        return {
-            "incarnation": board.identity.incarnation,
-            "zone": board.identity.zone,
-            "leaving": board.leaving,
-            "revision": board.config.revision,
-            "members": sorted(member.node_id for member in board.live_members()),
-            "targets": {a: board.targets[a]._asdict() for a in self._reported_targets()},
-            "metrics": self.observer.metrics()._asdict(),
-            "refusals": dict(board.refusals),
-            "steps": [
-                {
-                    "trainer": trainer,
-                    "step": step_id,
-                    "size": step.spec.size,
-                    "held": len(step.held),
-                    "ready": len(step.ready),
-                    "running": len(step.runs),
-                    "copies": step.copies,
-                    "wasted_tokens": step.wasted_tokens,
-                    "discarded_stale": step.discarded_stale,
-                }
-                for (trainer, step_id), step in self.steps.steps.items()
-            ],
-            "trainers": self.steps.trainers_report(asyncio.get_running_loop().time()),
-            "weights": self.weights.report(),
-        }
-
-    def _reported_targets(self) -> Collection[str]:
-        """Return the targets in this node's part of the report.
-
-        A small fleet shows what every node knows of every target. In a large one
-        that would be hundreds of megabytes, so each node shows those it asks itself.
-        """
-        if len(self.board.live_members()) <= SMALL_FLEET:
-            return list(self.board.targets)
-        return [address for address in self.target_watch.owned() if address in self.board.targets]
+        return build_node_report(
+            self.board,
+            self.observer,
+            self.steps,
+            self.weights,
+            self.target_watch,
+            asyncio.get_running_loop().time(),
+        )
 
     def _build(self) -> None:
         settings, timings, board = self.settings, self.settings.timings, self.board
