No new work to a target that nobody has asked for longer than its watch allows

Change: TargetView.heard_at_s, and the dispatcher passes over a target that was not heard of for silent_after_s + 0.8 s (2.8 s at 14 targets, 22 s at 600).

--- a/samphirecleat/blackboard.py
+++ b/samphirecleat/blackboard.py
@@ -74,7 +74,8 @@
 
     ``version`` is what the target itself reported, -1 for a plain service.
     ``reported_at_s`` is this node's clock at the report, less the report's own
-    age. ``reachable`` turns false when the target gives no answer.
+    age. ``reachable`` turns false when the target gives no answer. ``heard_at_s`` is
+    this node's clock when some node last asked it.
     """
 
     address: str
@@ -89,6 +90,7 @@
     slots: int = 1
     reported_at_s: float = 0.0
     reachable: bool = False
+    heard_at_s: float = math.inf
 
     @property
     def usable(self) -> bool:
--- a/samphirecleat/controllers/dispatcher.py
+++ b/samphirecleat/controllers/dispatcher.py
@@ -19,7 +19,7 @@
 from .policies import Policies
 from .retries import GiveUp, RetryBudget, TryElsewhere, decide_retry
 from .routing import RoutingView, choose_target
-from .target_watch import is_stale
+from .target_watch import is_stale, is_unheard
 
 NO_TARGET_RETRY_S: Final = 1.0
 PRIORITIES_PER_CLASS: Final = 10
@@ -150,7 +150,12 @@
         now_s = asyncio.get_running_loop().time()
         if is_stale(self._board.targets_kept_at_s, now_s):
             return None
-        targets = self._board.targets_of(service.name)
+        known = len(self._board.targets)
+        targets = [
+            target
+            for target in self._board.targets_of(service.name)
+            if not is_unheard(target, known, now_s)
+        ]
         view = RoutingView(
             targets=targets,
             own_in_flight=self._board.in_flight,
--- a/samphirecleat/controllers/target_watch.py
+++ b/samphirecleat/controllers/target_watch.py
@@ -18,6 +18,7 @@
 CLOCK_PERIOD_S: Final = 0.2
 PAUSE_S: Final = 1.5
 PAUSE_HELD_S: Final = 5.0
+UNHEARD_SLACK_S: Final = 0.8
 STALE_AFTER_S: Final = 2.8
 
 
@@ -66,6 +67,16 @@
     return now_s - kept_at_s > STALE_AFTER_S
 
 
+def is_unheard(target: TargetView, target_count: int, now_s: float) -> bool:
+    """Whether a target was heard of too long ago to be sent new work.
+
+    Its watcher and then this node's own questions come sooner than that while this
+    process goes on. One that stood still may have missed, before it did, that the
+    target's watcher had fallen silent too.
+    """
+    return now_s - target.heard_at_s > silent_after_s(target_count) + UNHEARD_SLACK_S
+
+
 class TargetWatch:
     """Asks targets and rides on the members' datagrams with what they said."""
 
@@ -235,6 +246,7 @@
         """Write rows of the section: what was heard, and who leaves by the host list."""
         board = self._board
         usable = self._paused_at_s is None
+        now_s = asyncio.get_running_loop().time()
         for address in addresses:
             wanted = self._wanted[address]
             heard = self.news.heard.get(address)
@@ -245,6 +257,7 @@
                 zone=wanted.zone,
                 leaving=view.leaving or (listed is not None and listed[2]),
                 reachable=view.reachable and usable and address not in self._refused,
+                heard_at_s=heard.polled_at_s if heard is not None else now_s,
             )
         self.news.changed.clear()
 
--- a/tests/controllers/test_target_watch.py
+++ b/tests/controllers/test_target_watch.py
@@ -14,6 +14,7 @@
     TargetWatch,
     WatchView,
     decide_polls,
+    is_unheard,
     silent_after_s,
 )
 from samphirecleat.peers import MemberRow, Message, MessageKind, TargetRow
@@ -189,6 +190,22 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("heard_ago_s", "target_count", "unheard"),
+    [(0.5, 14, False), (2.7, 14, False), (2.8, 14, True), (14.0, 600, False), (23.0, 600, True)],
+)
+def test_a_target_nobody_asked_for_long_gets_nothing_new(
+    heard_ago_s, target_count, unheard
+) -> None:
+    """A target's watcher freezes, the target says that it leaves, and then this node freezes.
+
+    This node served by a view of it from before the watcher froze; its operator saw
+    the leaving target get a request after three seconds.
+    """
+    target = TargetView("10.0.0.1:8000", "asesor", "z", heard_at_s=100.0 - heard_ago_s)
+    assert is_unheard(target, target_count, 100.0) is unheard
+
+
 def test_a_watch_that_starts_again_trusts_no_target_at_once() -> None:
     """The watch fails and starts again two seconds later; a target left meanwhile.
 
