StepDesk becomes StepRegistry

Cause: a name of our own where the field has one. Change: the class, its module and its uses; behaviour as it was. Seen: lint, types, and the tests of the step runner, clients, entry, observe, the whole path and real processes pass; the whole suite passed on the commit before.

--- a/samphirecleat/controllers/__init__.py
+++ b/samphirecleat/controllers/__init__.py
@@ -9,7 +9,7 @@
 from .limiter import Limiter
 from .membership import Membership
 from .policies import Policies
-from .step_desk import StepDesk
+from .step_registry import StepRegistry
 from .step_runner import StepRunner
 from .target_watch import TargetWatch
 from .weights import WeightCoordinator
@@ -24,7 +24,7 @@
     "Limiter",
     "Membership",
     "Policies",
-    "StepDesk",
+    "StepRegistry",
     "StepRunner",
     "TargetWatch",
     "WeightCoordinator",
--- a/samphirecleat/controllers/step_desk.py
+++ b/samphirecleat/controllers/step_registry.py
@@ -20,7 +20,7 @@
 FULL_RETRY_S: Final = 5.0
 
 
-class StepDesk:
+class StepRegistry:
     """Holds the steps of this node.
 
     ``work`` is set whenever there may be something to start or to cancel.
--- a/samphirecleat/controllers/step_runner.py
+++ b/samphirecleat/controllers/step_runner.py
@@ -24,7 +24,7 @@
 from .dispatcher import Dispatcher
 from .limiter import Limiter
 from .sample_maker import SampleMaker
-from .step_desk import StepDesk
+from .step_registry import StepRegistry
 from .streamed_versions import StreamedVersions
 
 TICK_S: Final = 0.05
@@ -33,12 +33,12 @@
 
 
 class StepRunner:
-    """Makes the samples of the steps at a :class:`StepDesk`."""
+    """Makes the samples of the steps at a :class:`StepRegistry`."""
 
     def __init__(
         self,
         board: Blackboard,
-        desk: StepDesk,
+        registry: StepRegistry,
         dispatcher: Dispatcher,
         limiter: Limiter,
         observer: Observer,
@@ -47,7 +47,7 @@
     ) -> None:
         """Wire the parts that make samples."""
         self._board = board
-        self._desk = desk
+        self._registry = registry
         self._limiter = limiter
         self._observer = observer
         self._rng = rng
@@ -72,19 +72,19 @@
         """
         loop = asyncio.get_running_loop()
         while True:
-            tick_s = TICK_S if self._desk.steps else IDLE_TICK_S
-            await wait_for_event(self._desk.work, tick_s)
-            self._desk.work.clear()
+            tick_s = TICK_S if self._registry.steps else IDLE_TICK_S
+            await wait_for_event(self._registry.work, tick_s)
+            self._registry.work.clear()
             self.run_pass(loop.time())
 
     def run_pass(self, now_s: float) -> None:
         """Cancel what is of no use any more and start what there is room for."""
-        for step in self._desk.forget_old(now_s):
+        for step in self._registry.forget_old(now_s):
             for run in list(step.runs):
                 self._cancel(step, run)
         self._streamed.forget_gone()
         by_service: dict[str, list[Step]] = defaultdict(list)
-        for step in self._desk.steps.values():
+        for step in self._registry.steps.values():
             self._cancel_useless(step, now_s)
             by_service[step.spec.service].append(step)
         self._board.active_trainers = {
@@ -164,7 +164,7 @@
         book.rest({step.spec.trainer for step in steps})
 
     def _excluded(self, step: Step, placement: Placement, now_s: float) -> frozenset[str]:
-        return self._desk.outlook.stale_targets(step, now_s) | placement.full
+        return self._registry.outlook.stale_targets(step, now_s) | placement.full
 
     def _start(self, step: Step, run: Run, excluded: frozenset[str]) -> None:
         spec = step.spec
@@ -188,7 +188,7 @@
             for other in step.note_made(run, sample):
                 self._cancel(step, other)
         finally:
-            self._desk.work.set()
+            self._registry.work.set()
 
     def _note_span(self, run: Run, span: Span) -> None:
         self._streamed.note(run.target, span.version, asyncio.get_running_loop().time())
@@ -200,7 +200,7 @@
             self._resume_at_s[service] = max(self._resume_at_s[service], now_s + wait_s)
 
     def _cancel_useless(self, step: Step, now_s: float) -> None:
-        coming = self._desk.outlook.coming_version(step, now_s)
+        coming = self._registry.outlook.coming_version(step, now_s)
         for run in step.expect_version(coming):
             self._observer.counters["runs_cancelled_stale"] += 1
             self._cancel(step, run)
--- a/samphirecleat/entry/_node_report.py
+++ b/samphirecleat/entry/_node_report.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 
 from ..blackboard import Blackboard
-from ..controllers import StepDesk, TargetWatch, WeightCoordinator
+from ..controllers import StepRegistry, TargetWatch, WeightCoordinator
 from ..observe import Observer
 
 SMALL_FLEET: Final = 16
@@ -13,7 +13,7 @@
 def build_node_report(
     board: Blackboard,
     observer: Observer,
-    desk: StepDesk,
+    registry: StepRegistry,
     weights: WeightCoordinator,
     watch: TargetWatch,
     now_s: float,
@@ -28,8 +28,8 @@
         "targets": {a: board.targets[a]._asdict() for a in _reported_targets(board, watch)},
         "metrics": observer.metrics()._asdict(),
         "refusals": dict(board.refusals),
-        "steps": _steps(desk),
-        "trainers": desk.trainers_report(now_s),
+        "steps": _steps(registry),
+        "trainers": registry.trainers_report(now_s),
         "weights": weights.report(),
     }
 
@@ -45,7 +45,7 @@
     return [address for address in watch.owned() if address in board.targets]
 
 
-def _steps(desk: StepDesk) -> Sequence[Mapping[str, Any]]:
+def _steps(registry: StepRegistry) -> Sequence[Mapping[str, Any]]:
     return [
         {
             "trainer": trainer,
@@ -58,5 +58,5 @@
             "wasted_tokens": step.wasted_tokens,
             "discarded_stale": step.discarded_stale,
         }
-        for (trainer, step_id), step in desk.steps.items()
+        for (trainer, step_id), step in registry.steps.items()
     ]
--- a/samphirecleat/entry/_trainers.py
+++ b/samphirecleat/entry/_trainers.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from ..blackboard import Blackboard
-from ..controllers import StepDesk
+from ..controllers import StepRegistry
 from ..errors import ErrorKind, RequestError
 from ..steps import NO_VERSION, Pull, StepSpec, decode_positions, reply_to_json
 from ._call_headers import read_body
@@ -19,10 +19,10 @@
 class TrainerEntry:
     """Takes trainers' steps and answers their pulls."""
 
-    def __init__(self, board: Blackboard, desk: StepDesk) -> None:
-        """Hand steps to ``desk``."""
+    def __init__(self, board: Blackboard, registry: StepRegistry) -> None:
+        """Hand steps to ``registry``."""
         self._board = board
-        self._desk = desk
+        self._registry = registry
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add the trainers' routes."""
@@ -48,21 +48,21 @@
             raise RequestError(
                 ErrorKind.MALFORMED, f"the step is not understood: {error!r}"
             ) from error
-        self._desk.submit(spec, held, client_id, version)
+        self._registry.submit(spec, held, client_id, version)
         return web.json_response({"node": self._board.identity.node_id, "size": spec.size})
 
     async def pull(self, request: web.Request) -> web.Response:
         """Return samples that the trainer lacks."""
         body = await read_body(request)
         trainer, step_id = request.match_info["trainer"], request.match_info["step"]
-        spec = self._desk.find(trainer, step_id).spec
+        spec = self._registry.find(trainer, step_id).spec
         try:
             pull = _read_pull(body, spec)
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise RequestError(
                 ErrorKind.MALFORMED, f"the pull is not understood: {error!r}"
             ) from error
-        reply = await self._desk.pull(trainer, step_id, pull)
+        reply = await self._registry.pull(trainer, step_id, pull)
         return web.json_response(reply_to_json(reply, spec))
 
     def _read_spec(self, request: web.Request, body: Mapping[str, Any]) -> StepSpec:
@@ -71,7 +71,7 @@
         if service is None:
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, f'no service "{service_name}"')
         trainer, step_id = request.match_info["trainer"], request.match_info["step"]
-        known = self._desk.steps.get((trainer, step_id))
+        known = self._registry.steps.get((trainer, step_id))
         # A step that names no bound keeps the one that it was first taken with,
         # so that a changed service text does not make it another step.
         default_bound = known.spec.staleness_bound if known else service.staleness_bound
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -22,7 +22,7 @@
     Limiter,
     Membership,
     Policies,
-    StepDesk,
+    StepRegistry,
     StepRunner,
     TargetWatch,
     WeightCoordinator,
@@ -147,7 +147,7 @@
         self.dispatcher = Dispatcher(
             board, self.limiter, client, self.observer, self._rng, self._policies
         )
-        self.steps = StepDesk(board, self.observer)
+        self.steps = StepRegistry(board, self.observer)
         self.step_runner = StepRunner(
             board,
             self.steps,
--- a/tests/controllers/test_step_runner.py
+++ b/tests/controllers/test_step_runner.py
@@ -9,8 +9,8 @@
 
 from samphirecleat.blackboard import Blackboard, Identity, TargetView
 from samphirecleat.config import ConfigState, Service, ServiceKind, ServiceText, Trainer
-from samphirecleat.controllers import step_desk
-from samphirecleat.controllers.step_desk import StepDesk
+from samphirecleat.controllers import step_registry
+from samphirecleat.controllers.step_registry import StepRegistry
 from samphirecleat.controllers.step_runner import StepRunner
 from samphirecleat.errors import ErrorKind, RequestError
 from samphirecleat.observe import Observer
@@ -84,10 +84,10 @@
         self.targets = ScriptedTargets(self.board)
         for name in ("engine-1", "engine-2"):
             self.set_version(name, 0)
-        self.desk = StepDesk(self.board, Observer("n"))
+        self.registry = StepRegistry(self.board, Observer("n"))
         self.runner = StepRunner(
             self.board,
-            self.desk,
+            self.registry,
             self.targets,
             FixedRoom(lambda: self.runner.running, room),
             Observer("n"),
@@ -109,7 +109,7 @@
         self, spec: StepSpec, number: int, version: int = 0, held: frozenset[int] = frozenset()
     ) -> PullReply:
         pull = Pull(number, version, held, 5.0, 512, "client")
-        return await self.desk.pull(spec.trainer, spec.step_id, pull)
+        return await self.registry.pull(spec.trainer, spec.step_id, pull)
 
     async def whole_step(self, spec: StepSpec, version: int = 0) -> dict[int, str]:
         """Pull until everything is held; each position must come once."""
@@ -152,7 +152,7 @@
 
     async def body(rig: Rig) -> None:
         spec = rig.spec(16)
-        rig.desk.submit(spec, frozenset())
+        rig.registry.submit(spec, frozenset())
 
         async def hang_once(call: Call, answer: AnswerLog) -> None:
             if "/7/" in call.request_id and len(seen) < 1:
@@ -168,7 +168,7 @@
         await rig.until(lambda: rig.targets.cancelled == seen)
         copies = [call for call in rig.targets.generations if "/7/" in call.request_id]
         assert [sorted(call.excluded_targets) for call in copies] == [[], ["engine-1"]]
-        assert rig.desk.steps["a", "s"].wasted_tokens == 1
+        assert rig.registry.steps["a", "s"].wasted_tokens == 1
 
     drive(body)
 
@@ -181,7 +181,7 @@
 
     async def body(rig: Rig) -> None:
         spec = rig.spec(1)
-        rig.desk.submit(spec, frozenset(), version=0)
+        rig.registry.submit(spec, frozenset(), version=0)
 
         async def slow_under_old_weights(call: Call, answer: AnswerLog) -> None:
             if rig.board.targets[answer.target].version == 0:
@@ -193,7 +193,7 @@
         await rig.until(lambda: len(rig.targets.generations) == 1)
         for name in rig.board.targets:
             rig.set_version(name, 2)
-        rig.desk.submit(spec, frozenset(), version=2)
+        rig.registry.submit(spec, frozenset(), version=2)
         await rig.whole_step(spec, version=2)
         assert len(rig.targets.cancelled) == 1
 
@@ -206,7 +206,7 @@
     async def body(rig: Rig) -> None:
         rig.set_version("engine-2", 4)
         spec = rig.spec(8)
-        rig.desk.submit(spec, frozenset(), version=4)
+        rig.registry.submit(spec, frozenset(), version=4)
         await rig.whole_step(spec, version=4)
         assert all(call.excluded_targets == {"engine-1"} for call in rig.targets.generations)
 
@@ -230,7 +230,7 @@
             await rig.targets.generate(call, answer)
 
         rig.targets.behaviour = refuse_first
-        rig.desk.submit(spec, frozenset())
+        rig.registry.submit(spec, frozenset())
         await rig.whole_step(spec)
         assert started[4] - started[3] >= 0.2
 
@@ -254,7 +254,7 @@
             await score(call, answer)
 
         rig.targets.score = fail_first
-        rig.desk.submit(spec, frozenset())
+        rig.registry.submit(spec, frozenset())
         await rig.whole_step(spec)
         assert Counter(call.method for call in rig.targets.calls) == {"generate": 1, "score": 3}
 
@@ -266,7 +266,7 @@
 
     async def body(rig: Rig) -> None:
         for trainer in ("a", "b"):
-            rig.desk.submit(rig.spec(60, trainer), frozenset())
+            rig.registry.submit(rig.spec(60, trainer), frozenset())
         await rig.until(lambda: len(rig.targets.generations) >= 48)
         counts = Counter(call.request_id[0] for call in rig.targets.generations[:48])
         assert 2.0 <= counts["a"] / counts["b"] <= 4.0
@@ -282,7 +282,7 @@
 
     async def body(rig: Rig) -> None:
         spec = rig.spec(6)
-        rig.desk.submit(spec, frozenset())
+        rig.registry.submit(spec, frozenset())
         await rig.until(lambda: len(rig.targets.generations) == 2)
         rig.board.leaving = True
         got: set[int] = set()
@@ -305,13 +305,13 @@
 
     Without a bound the node's memory would grow until it dies with all its steps.
     """
-    monkeypatch.setattr(step_desk, "MAX_SAMPLES", 20)
+    monkeypatch.setattr(step_registry, "MAX_SAMPLES", 20)
 
     async def body(rig: Rig) -> None:
-        rig.desk.submit(rig.spec(15), frozenset())
-        rig.desk.submit(rig.spec(15), frozenset())
+        rig.registry.submit(rig.spec(15), frozenset())
+        rig.registry.submit(rig.spec(15), frozenset())
         with pytest.raises(RequestError) as refused:
-            rig.desk.submit(rig.spec(6, step_id="s2"), frozenset())
+            rig.registry.submit(rig.spec(6, step_id="s2"), frozenset())
         assert refused.value.kind is ErrorKind.OVERLOADED
         assert refused.value.retry_after_s > 0
 
@@ -329,9 +329,9 @@
     changes: dict[str, object], kind: ErrorKind
 ) -> None:
     async def body(rig: Rig) -> None:
-        rig.desk.submit(rig.spec(2), frozenset())
+        rig.registry.submit(rig.spec(2), frozenset())
         with pytest.raises(RequestError) as refused:
-            rig.desk.submit(rig.spec(2, **changes), frozenset())
+            rig.registry.submit(rig.spec(2, **changes), frozenset())
         assert refused.value.kind is kind
 
     drive(body)
@@ -340,14 +340,14 @@
 def test_a_step_that_is_held_whole_is_forgotten_and_the_next_pull_says_so(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(step_desk, "FORGET_DONE_AFTER_S", 0.05)
+    monkeypatch.setattr(step_registry, "FORGET_DONE_AFTER_S", 0.05)
 
     async def body(rig: Rig) -> None:
         spec = rig.spec(2)
-        rig.desk.submit(spec, frozenset())
+        rig.registry.submit(spec, frozenset())
         await rig.whole_step(spec)
         await rig.pull(spec, 100, held=frozenset({0, 1}))
-        await rig.until(lambda: not rig.desk.steps)
+        await rig.until(lambda: not rig.registry.steps)
         with pytest.raises(RequestError) as unknown:
             await rig.pull(spec, 101)
         assert unknown.value.kind is ErrorKind.UNKNOWN_STEP
@@ -358,9 +358,9 @@
 def test_a_trainers_idle_time_and_staleness_are_on_the_report() -> None:
     async def body(rig: Rig) -> None:
         spec = rig.spec(4)
-        rig.desk.submit(spec, frozenset(), version=1)
+        rig.registry.submit(spec, frozenset(), version=1)
         await rig.whole_step(spec, version=1)
-        report = rig.desk.trainers_report(asyncio.get_running_loop().time())
+        report = rig.registry.trainers_report(asyncio.get_running_loop().time())
         assert report["a"]["staleness_versions"] == {"1": 4}
         assert report["a"]["idle_s"] > 0
         assert report["a"]["samples_sent"] == 4
@@ -379,7 +379,7 @@
 
         async def loop_for_ever() -> None:
             while True:
-                await step_desk.wait_for_event(event, 5.0)
+                await step_registry.wait_for_event(event, 5.0)
                 event.clear()
 
         task = asyncio.ensure_future(loop_for_ever())
