Two dead names go; the benches read a row's fleet size in one place

Cause: a read of the whole change. _Gate.in_flight and LoadOutcome.attempts_said had no user, and _log_reads and _membership held the same _size. Change: fleet_size in bench/_harness.py; behaviour as it was. Seen: lint and types clean; the note of log-reads made anew from the committed JSON is the same; 91 tests of limits, dispatcher and command line pass. The whole suite was not run again.

--- a/samphirecleat/bench/_harness.py
+++ b/samphirecleat/bench/_harness.py
@@ -44,6 +44,11 @@
     return BenchRow(variant, len(runs), figures)
 
 
+def fleet_size(row: BenchRow) -> float:
+    """Return the number of nodes in a variant's name, which reads ``way, N nodes``."""
+    return float(row.variant.split(", ")[1].split(" ")[0])
+
+
 async def run_repeats(
     variant: str, run_once: Callable[[int], Awaitable[Mapping[str, float]]], seed: int, repeats: int
 ) -> BenchRow:
--- a/samphirecleat/bench/_log_reads.py
+++ b/samphirecleat/bench/_log_reads.py
@@ -25,7 +25,7 @@
 from ..trial._deployments import DEPLOYMENTS
 from ..trial._fleet import Fleet
 from ._fit import fit_line
-from ._harness import BenchResult, BenchRow, print_result
+from ._harness import BenchResult, BenchRow, fleet_size, print_result
 
 DEFAULT_SEED: Final = 1
 SIZES: Final = (9, 13, 26)
@@ -122,7 +122,7 @@
 def _note(policy: Sequence[BenchRow], baseline: Sequence[BenchRow]) -> str:
     lines = ["least squares over nodes:"]
     for label, rows in (("few readers", policy), ("all read", baseline)):
-        points = [(_size(row), row.figures["reads/s"]) for row in rows]
+        points = [(fleet_size(row), row.figures["reads/s"]) for row in rows]
         line = fit_line(points)
         lines.append(
             f"  {label} reads/s: {line.fixed:.4g} + {line.per_unit:.4g} x nodes,"
@@ -131,9 +131,5 @@
     return "\n".join(lines)
 
 
-def _size(row: BenchRow) -> float:
-    return float(row.variant.split(", ")[1].split(" ")[0])
-
-
 if __name__ == "__main__":
     print_result(uvloop.run(run(DEFAULT_SEED)))
--- a/samphirecleat/bench/_membership.py
+++ b/samphirecleat/bench/_membership.py
@@ -15,7 +15,7 @@
 from ..peers import HeartbeatCodec, MemberRow, Message, MessageKind
 from ..settings import Timings
 from ._fit import fit_line
-from ._harness import BenchResult, BenchRow
+from ._harness import BenchResult, BenchRow, fleet_size
 from ._member_fleet import POLL_S, SHARED_KEY, MemberFleet, MemberNode
 
 DEFAULT_SEED: Final = 1
@@ -213,7 +213,7 @@
     lines = [f"least squares over nodes, and the value at {FULL_SIZE} nodes:"]
     for label, chosen in (("probes", rows), ("everyone", baseline)):
         for name in ("sent_B/s", "received_B/s", "datagrams/s", "cpu_ms/s", "table_kb"):
-            points = [(_size(row), row.figures[name]) for row in chosen]
+            points = [(fleet_size(row), row.figures[name]) for row in chosen]
             if any(value != value for _size_, value in points):
                 continue
             line = fit_line(points)
@@ -222,7 +222,3 @@
                 f" = {line.at(FULL_SIZE):.4g}"
             )
     return "\n".join(lines)
-
-
-def _size(row: BenchRow) -> float:
-    return float(row.variant.split(", ")[1].split(" ")[0])
--- a/samphirecleat/bench/_open_load.py
+++ b/samphirecleat/bench/_open_load.py
@@ -33,7 +33,6 @@
     first_line_s: float
     whole_s: float
     ran: str
-    attempts_said: int = 0
 
     @property
     def whole(self) -> bool:
--- a/samphirecleat/controllers/limiter.py
+++ b/samphirecleat/controllers/limiter.py
@@ -47,9 +47,6 @@
     service_time: ServiceTime = field(default_factory=ServiceTime)
     waiters: list[_Waiter] = field(default_factory=list)
 
-    def in_flight(self, work_class: WorkClass) -> int:
-        return self.callers if work_class is WorkClass.CALLER else self.trainers
-
     def change(self, work_class: WorkClass, by: int) -> None:
         if work_class is WorkClass.CALLER:
             self.callers += by
