--- /dev/null
+++ b/samphirecleat/durable/__init__.py
@@ -0,0 +1,63 @@
+"""Steps that are kept through the loss of every node: log, fold, runner, weights."""
+
+from ._access import StepAccess, StepPage
+from ._duty import ServiceDuty
+from ._fold import Claim, StepFold, StepState
+from ._follower import TopicFollower
+from ._journal import ProgressJournal
+from ._orderer import EngineReport, Order, OrderChannel, OrderOutcome
+from ._ports import (
+    UNCONDITIONAL,
+    AppendOutcome,
+    AppendResult,
+    GenerationCall,
+    GenerationChannel,
+    GenerationEnd,
+    GenerationError,
+    HistoryGoneError,
+    KeyedLog,
+    LogEntry,
+    LogSlice,
+    LogUnavailableError,
+    Piece,
+    PlainLog,
+)
+from ._records import ItemListed, ItemSpec, RewardSpec, RunnerClaimed, StepAccepted, StepEnded
+from ._step_log import StepLog, Written
+
+__all__ = [
+    "UNCONDITIONAL",
+    "AppendOutcome",
+    "AppendResult",
+    "Claim",
+    "EngineReport",
+    "GenerationCall",
+    "GenerationChannel",
+    "GenerationEnd",
+    "GenerationError",
+    "HistoryGoneError",
+    "ItemListed",
+    "ItemSpec",
+    "KeyedLog",
+    "LogEntry",
+    "LogSlice",
+    "LogUnavailableError",
+    "Order",
+    "OrderChannel",
+    "OrderOutcome",
+    "Piece",
+    "PlainLog",
+    "ProgressJournal",
+    "RewardSpec",
+    "RunnerClaimed",
+    "ServiceDuty",
+    "StepAccepted",
+    "StepAccess",
+    "StepEnded",
+    "StepFold",
+    "StepLog",
+    "StepPage",
+    "StepState",
+    "TopicFollower",
+    "Written",
+]
--- /dev/null
+++ b/samphirecleat/durable/_access.py
@@ -0,0 +1,153 @@
+"""What trainers ask about steps, answered by any node from its fold of the step log.
+
+A node says only what it is sure of: that a step is kept once the log has it, that one does
+not exist once it has folded the log to an end that is younger than the question.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from ..errors import ErrorKind, Ran, RequestError
+from ._fold import StepState
+from ._ports import AppendOutcome
+from ._records import ItemListed, StepAccepted
+from ._step_log import StepLog
+
+# How long a question may wait for the log to confirm an answer.
+CONFIRM_WITHIN_S: Final = 1.0
+# After an append without an answer, how long to look for it in the log before saying so.
+SETTLE_WITHIN_S: Final = 1.5
+RETRY_AFTER_S: Final = 0.3
+# One answer holds results of about this size, and at least one.
+ANSWER_BYTES: Final = 800_000
+
+
+class StepPage(NamedTuple):
+    """Some results of a step, from a position on."""
+
+    total: int
+    results: Sequence[ItemListed]
+    next_position: int
+
+
+class StepAccess:
+    """Accepts, reads and ends steps at one node."""
+
+    def __init__(self, step_log: StepLog) -> None:
+        """Answer from ``step_log``."""
+        self._step_log = step_log
+
+    async def submit(self, spec: StepAccepted) -> None:
+        """Return once the step is kept, however often it is submitted.
+
+        :raises RequestError: when it is not; ``ran`` is NO only if this submission will
+            never be kept.
+        """
+        if spec.step_id in self._step_log.fold.steps:
+            return
+        written = await self._step_log.accept(spec)
+        match written.outcome:
+            case AppendOutcome.APPENDED:
+                return
+            case AppendOutcome.UNKNOWN:
+                if await self._appears(spec.step_id):
+                    return
+                raise RequestError(ErrorKind.OUTCOME_UNKNOWN, written.detail, ran=Ran.UNKNOWN)
+            case AppendOutcome.NOT_APPENDED | AppendOutcome.CONDITION_FAILED:
+                if spec.step_id in self._step_log.fold.steps:
+                    return
+                raise RequestError(
+                    ErrorKind.NOT_READY,
+                    f"the log takes nothing: {written.detail}",
+                    ran=Ran.NO,
+                    retry_after_s=RETRY_AFTER_S,
+                )
+
+    async def read(self, step_id: str, after: int, wait_s: float) -> StepPage:
+        """Return the results from position ``after`` on, waiting for a first one.
+
+        :raises RequestError: when the step does not exist, or this node can't be sure.
+        """
+        loop = asyncio.get_running_loop()
+        step = await self._find(step_id)
+        if len(step.results) <= after and not self._step_log.is_fresh():
+            await self._step_log.confirm(CONFIRM_WITHIN_S)
+        until_s = loop.time() + wait_s
+        while len(step.results) <= after:
+            left_s = until_s - loop.time()
+            if left_s <= 0.0 or len(step.results) == len(step.items):
+                break
+            await self._step_log.wait_change(left_s)
+        if len(step.results) < after:
+            # The reader saw more elsewhere than this node knows.
+            raise _unsure("this node is behind")
+        return _page(step, after)
+
+    async def body(self, step_id: str, item_id: str) -> bytes | None:
+        """Return the body of an item, or None if there is none to give.
+
+        :raises RequestError: when the step does not exist, or this node can't be sure.
+        """
+        step = await self._find(step_id)
+        item = step.items.get(item_id)
+        return item.body if item is not None else None
+
+    async def end(self, step_id: str) -> None:
+        """Return once the step's end is kept, however often it is ended.
+
+        :raises RequestError: when the step does not exist, or the end may not be kept.
+        """
+        step = await self._find(step_id)
+        if step.ended:
+            return
+        written = await self._step_log.end(step_id)
+        if written.outcome is AppendOutcome.APPENDED:
+            return
+        if written.outcome is AppendOutcome.UNKNOWN and await self._is_ended(step_id):
+            return
+        raise _unsure(f"the end is not written: {written.detail}")
+
+    async def _find(self, step_id: str) -> StepState:
+        step = self._step_log.fold.steps.get(step_id)
+        if step is not None:
+            return step
+        if not await self._step_log.confirm(CONFIRM_WITHIN_S):
+            raise _unsure("the log can't be asked")
+        step = self._step_log.fold.steps.get(step_id)
+        if step is None:
+            raise RequestError(ErrorKind.UNKNOWN_STEP, f"no step {step_id}")
+        return step
+
+    async def _appears(self, step_id: str) -> bool:
+        """Whether a step turns up in the log after its append got no answer."""
+        until_s = asyncio.get_running_loop().time() + SETTLE_WITHIN_S
+        while asyncio.get_running_loop().time() < until_s:
+            if step_id in self._step_log.fold.steps:
+                return True
+            await self._step_log.wait_change(0.1)
+        return step_id in self._step_log.fold.steps
+
+    async def _is_ended(self, step_id: str) -> bool:
+        until_s = asyncio.get_running_loop().time() + SETTLE_WITHIN_S
+        step = self._step_log.fold.steps.get(step_id)
+        while asyncio.get_running_loop().time() < until_s:
+            if step is not None and step.ended:
+                return True
+            await self._step_log.wait_change(0.1)
+        return step is not None and step.ended
+
+
+def _page(step: StepState, after: int) -> StepPage:
+    results: list[ItemListed] = []
+    size_bytes = 0
+    for result in step.results[after:]:
+        size_bytes += len(result.text)
+        if results and size_bytes > ANSWER_BYTES:
+            break
+        results.append(result)
+    return StepPage(len(step.items), results, after + len(results))
+
+
+def _unsure(detail: str) -> RequestError:
+    return RequestError(ErrorKind.NOT_READY, detail, ran=Ran.NO, retry_after_s=RETRY_AFTER_S)
--- /dev/null
+++ b/samphirecleat/durable/_duty.py
@@ -0,0 +1,230 @@
+"""Keeps one node's share of the services' work: claims them, runs them, hands them over."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from ..blackboard import Blackboard
+from ..observe import Observer
+from ..serving import Forwarder, RouteTable, TargetTable
+from ._drafts import DraftShelf
+from ._election import Candidate, ElectionView, should_claim, successor
+from ._fold import Claim
+from ._journal import ProgressJournal
+from ._orderer import OrderChannel, Orderer
+from ._ports import AppendOutcome, GenerationChannel
+from ._records import RunnerClaimed
+from ._runner import StepRunner
+from ._step_log import StepLog
+
+LOOK_EVERY_S: Final = 0.1
+LOOK_JITTER: Final = 0.2
+# A leaving runner waits this long for the log to take its hand-over.
+HAND_OVER_S: Final = 1.0
+
+
+@dataclass
+class _Post:
+    """A service that this node runs, under the claim at ``offset``."""
+
+    offset: int
+    runner: StepRunner
+    orderer: Orderer
+    tasks: list[asyncio.Task[None]]
+
+
+class ServiceDuty:
+    """Claims services of engines and runs them for as long as the claim stands."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        step_log: StepLog,
+        routes: RouteTable,
+        targets: TargetTable,
+        engines: GenerationChannel,
+        orders: OrderChannel,
+        forwarder: Forwarder,
+        journal: ProgressJournal,
+        observer: Observer,
+        rng: random.Random,
+        *,
+        started_at_ms: int,
+        lease_s: float,
+        named: Callable[[str], int],
+    ) -> None:
+        """Act for the node of ``board``; ``named`` gives a model's newest version."""
+        self._board = board
+        self._step_log = step_log
+        self._routes = routes
+        self._targets = targets
+        self._engines = engines
+        self._orders = orders
+        self._forwarder = forwarder
+        self._journal = journal
+        self._observer = observer
+        self._rng = rng
+        self._words = observer.log("duty")
+        self._started_at_ms = started_at_ms
+        self._lease_s = lease_s
+        self._named = named
+        self._drafts = DraftShelf()
+        self._posts: dict[str, _Post] = {}
+        self._claimed_at_s: dict[str, float] = {}
+        self._began_s = 0.0
+        self._leaving = False
+
+    async def run(self) -> None:
+        """Look after the services for as long as the node lives."""
+        self._began_s = asyncio.get_running_loop().time()
+        try:
+            while True:
+                await self._look()
+                await asyncio.sleep(LOOK_EVERY_S * (1.0 + LOOK_JITTER * self._rng.random()))
+        finally:
+            for service in list(self._posts):
+                self._leave_post(service)
+
+    async def hand_over(self) -> None:
+        """Save every text and name the next runner of each service that this node runs."""
+        self._leaving = True
+        for service, post in list(self._posts.items()):
+            heir = successor(self._candidates(), self._board.identity.incarnation)
+            if heir is None:
+                continue
+            try:
+                async with asyncio.timeout(HAND_OVER_S):
+                    await self._journal.save(post.runner.open_drafts())
+                    record = RunnerClaimed(service, heir.node_id, heir.incarnation)
+                    await self._step_log.claim(record)
+            except TimeoutError:
+                self._words.warning("service=%s not handed over in time", service)
+
+    def _candidates(self) -> list[Candidate]:
+        return [
+            Candidate(m.node_id, m.incarnation, m.started_at_ms)
+            for m in self._board.live_members()
+            if m.ready and not m.leaving
+        ]
+
+    async def _look(self) -> None:
+        if not self._step_log.caught_up:
+            return
+        own = self._board.identity.incarnation
+        services = [n for n, s in self._routes.config.services.items() if s.engine is not None]
+        for service in list(self._posts):
+            claim = self._step_log.fold.claims.get(service)
+            lost = claim is None or claim.offset != self._posts[service].offset
+            if lost or service not in services:
+                self._leave_post(service)
+        for service in services:
+            claim = self._step_log.fold.claims.get(service)
+            if claim is not None and claim.incarnation == own:
+                if service not in self._posts and not self._leaving:
+                    await self._take_post(service, claim)
+            elif not self._leaving:
+                await self._claim_if_due(service, claim)
+
+    async def _claim_if_due(self, service: str, claim: Claim | None) -> None:
+        now_s = asyncio.get_running_loop().time()
+        identity = self._board.identity
+        members = list(self._board.members.values())
+        alive = {m.incarnation for m in self._board.live_members() if not m.leaving}
+        heard_s = self._step_log.last_write_by
+        claim_age_s = now_s - self._step_log.claimed_at_s.get(service, -1e9)
+        silent_s = now_s - heard_s.get(claim.incarnation[:8], -1e9) if claim else 1e9
+        view = ElectionView(
+            identity.incarnation,
+            self._candidates(),
+            len(members),
+            claim,
+            alive,
+            silent_s,
+            claim_age_s,
+            now_s - self._claimed_at_s.get(service, -1e9),
+            now_s - self._began_s,
+        )
+        if not should_claim(view) or not self._step_log.is_fresh():
+            return
+        self._claimed_at_s[service] = now_s
+        record = RunnerClaimed(service, identity.node_id, identity.incarnation)
+        written = await self._step_log.claim(record)
+        self._words.info(
+            "service=%s claimed after=%s/%s candidates=%d known=%d outcome=%s",
+            service,
+            claim.node_id if claim else "",
+            claim.incarnation if claim else "",
+            len(view.candidates),
+            view.known_members,
+            written.outcome.value,
+        )
+        if written.outcome is AppendOutcome.CONDITION_FAILED:
+            # Something else was appended in between; look again with it folded.
+            self._claimed_at_s[service] = -1e9
+
+    async def _take_post(self, service: str, claim: Claim) -> None:
+        first = self._step_log.claims_seen.get(service, 0) <= 1
+        await self._journal.restore(self._drafts)
+        runner = StepRunner(
+            service,
+            self._step_log,
+            self._drafts,
+            self._routes,
+            self._targets,
+            self._engines,
+            self._forwarder,
+            self._observer,
+        )
+        orderer = Orderer(
+            service,
+            claim.offset,
+            self._board.identity.node_id,
+            self._lease_s,
+            self._routes,
+            self._targets,
+            self._orders,
+            self._observer,
+            named=self._named,
+            may_order=self._may_order(service, claim),
+            runs=lambda: runner.busy_by_engine,
+            streamed=runner.version_of,
+            loading=runner.loading,
+            first=first,
+        )
+        tasks = [
+            asyncio.ensure_future(runner.run()),
+            asyncio.ensure_future(orderer.run()),
+            asyncio.ensure_future(self._journal.keep(runner.open_drafts)),
+        ]
+        for task in tasks:
+            task.add_done_callback(self._note_end)
+        self._posts[service] = _Post(claim.offset, runner, orderer, tasks)
+        self._words.info("service=%s taken fencing=%d first=%s", service, claim.offset, first)
+
+    def _may_order(self, service: str, claim: Claim) -> Callable[[float], bool]:
+        def may_order(within_s: float) -> bool:
+            held = self._step_log.fold.claims.get(service)
+            if held is None or held.offset != claim.offset or self._leaving:
+                return False
+            return self._step_log.is_fresh(within_s)
+
+        return may_order
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self._words.error("a task of a service failed", exc_info=error)
+
+    def _leave_post(self, service: str) -> None:
+        post = self._posts.pop(service)
+        for task in post.tasks:
+            task.cancel()
+        self._words.info("service=%s left fencing=%d", service, post.offset)
+
+    def posts(self) -> Mapping[str, int]:
+        """Return the services that this node runs, with their fencing numbers."""
+        return {service: post.offset for service, post in self._posts.items()}
--- /dev/null
+++ b/samphirecleat/durable/_election.py
@@ -0,0 +1,86 @@
+"""Who runs a service's steps and gives its orders: decided by claims in the step log.
+
+A claim only saves work. Two nodes that both run a step double nothing (the fold takes the
+first result), and orders carry the claim's offset as fencing number. So a claim needs no
+lease, and a wrong view of the members costs a little work.
+"""
+
+from collections.abc import Collection, Mapping, Sequence
+from typing import Final, NamedTuple
+
+from ._fold import Claim
+
+# A node that hears of less than half of those it knew may itself be the one that is cut
+# off; it claims only after this long, in which the others would have shown themselves.
+MINORITY_DELAY_S: Final = 4.0
+# After a claim of its own a node waits this long before it claims the service again, so
+# that two nodes that can't hear each other do not take turns in a hurry.
+CLAIM_PAUSE_S: Final = 2.5
+# A claim that was just made may be by a node that this one has not heard of yet.
+SETTLE_S: Final = 1.5
+
+
+class Candidate(NamedTuple):
+    """A live node that could run a service."""
+
+    node_id: str
+    incarnation: str
+    started_at_ms: int
+
+
+class ElectionView(NamedTuple):
+    """What one node knows when it decides; times are seconds ago.
+
+    ``candidates`` are ready and stay, this node among them if it does.
+    ``runner_silent_s`` is how long the present runner was not heard of, in any way.
+    """
+
+    own_incarnation: str
+    candidates: Sequence[Candidate]
+    known_members: int
+    claim: Claim | None
+    alive_incarnations: Collection[str]
+    runner_silent_s: float
+    claim_age_s: float
+    own_claim_age_s: float
+    uptime_s: float
+
+
+def ranked(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+    """Return the candidates, the one that should claim first in front.
+
+    The newest process comes first: when nodes are restarted in turn, it is the one that
+    is not restarted next. Names break the tie of those that started together.
+    """
+    return sorted(candidates, key=lambda c: (-(c.started_at_ms // 1000), c.node_id))
+
+
+def should_claim(view: ElectionView) -> bool:
+    """Return whether this node should claim the service now."""
+    if view.uptime_s < SETTLE_S or view.own_claim_age_s < CLAIM_PAUSE_S:
+        return False
+    claim = view.claim
+    if claim is not None:
+        if claim.incarnation in view.alive_incarnations:
+            return False
+        if view.claim_age_s < SETTLE_S:
+            return False
+    heard = len(view.candidates)
+    if 2 * heard < view.known_members and view.runner_silent_s < MINORITY_DELAY_S:
+        return False
+    order = ranked(view.candidates)
+    return bool(order) and order[0].incarnation == view.own_incarnation
+
+
+def successor(candidates: Sequence[Candidate], own_incarnation: str) -> Candidate | None:
+    """Return who takes over from a runner that leaves, or None if nobody is there."""
+    for candidate in ranked(candidates):
+        if candidate.incarnation != own_incarnation:
+            return candidate
+    return None
+
+
+def runner_of(claims: Mapping[str, Claim], service: str) -> str:
+    """Return the incarnation that runs a service, or an empty text."""
+    claim = claims.get(service)
+    return claim.incarnation if claim is not None else ""
--- /dev/null
+++ b/samphirecleat/durable/_fold.py
@@ -0,0 +1,99 @@
+"""The only truth about steps: the fold of the step log in offset order.
+
+The first acceptance of a step counts, the first result of an item counts and takes the
+next position, and the last claim of a service names its runner. Two writers at once, a
+record that takes effect late, or one that is sent twice can so neither double an item nor
+move a position, and every node that folded the same records knows the same.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from ._records import ItemListed, ItemSpec, Record, RunnerClaimed, StepAccepted, StepEnded
+
+
+class Claim(NamedTuple):
+    """Who runs a service's work; ``offset`` is the fencing number."""
+
+    node_id: str
+    incarnation: str
+    offset: int
+
+
+@dataclass
+class StepState:
+    """One step as folded so far."""
+
+    spec: StepAccepted
+    accepted_offset: int
+    folded_at_s: float
+    items: Mapping[str, ItemSpec]
+    results: list[ItemListed] = field(default_factory=list)
+    listed: set[str] = field(default_factory=set)
+    ended: bool = False
+    ended_at_s: float = 0.0
+
+    @property
+    def open(self) -> bool:
+        """Whether the step still wants results."""
+        return not self.ended and len(self.results) < len(self.items)
+
+
+class StepFold:
+    """All steps and claims, from the records in offset order."""
+
+    def __init__(self) -> None:
+        """Start from an empty log."""
+        self.steps: dict[str, StepState] = {}
+        self.claims: dict[str, Claim] = {}
+
+    def apply(self, record: Record, offset: int, now_s: float) -> bool:
+        """Take the next record; False when it changes nothing."""
+        match record:
+            case StepAccepted():
+                return self._accept(record, offset, now_s)
+            case ItemListed():
+                return self._list(record)
+            case StepEnded():
+                return self._end(record, now_s)
+            case RunnerClaimed():
+                claim = Claim(record.node_id, record.incarnation, offset)
+                self.claims[record.service] = claim
+                return True
+
+    def forget_before(self, now_s: float, keep_s: float) -> Sequence[str]:
+        """Drop steps that ended ``keep_s`` ago and return their ids."""
+        old = [
+            step_id
+            for step_id, step in self.steps.items()
+            if step.ended and now_s - step.ended_at_s > keep_s
+        ]
+        for step_id in old:
+            del self.steps[step_id]
+        return old
+
+    def _accept(self, record: StepAccepted, offset: int, now_s: float) -> bool:
+        if record.step_id in self.steps:
+            return False
+        items = {item.item_id: item for item in record.items}
+        self.steps[record.step_id] = StepState(record, offset, now_s, items)
+        return True
+
+    def _list(self, record: ItemListed) -> bool:
+        step = self.steps.get(record.step_id)
+        if step is None or record.item_id in step.listed or record.item_id not in step.items:
+            return False
+        if step.ended:
+            return False
+        step.listed.add(record.item_id)
+        step.results.append(record)
+        return True
+
+    def _end(self, record: StepEnded, now_s: float) -> bool:
+        step = self.steps.get(record.step_id)
+        if step is None or step.ended:
+            return False
+        step.ended = True
+        step.ended_at_s = now_s
+        return True
--- /dev/null
+++ b/samphirecleat/durable/_follower.py
@@ -0,0 +1,115 @@
+"""Follows one keyed topic: the newest of each key first, then every entry in order."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from .._boot_clock import boot_time_s
+from ..observe import Observer
+from ._ports import HistoryGoneError, KeyedLog, LogEntry, LogUnavailableError
+
+# One read waits this long for news. It bounds how long a reader takes to see that a
+# connection went silent, and how old a confirmed end can be.
+READ_WAIT_S: Final = 0.5
+# Between failed reads, so that a store that is down is not called in a tight loop.
+RETRY_S: Final = (0.05, 0.15)
+
+Sink = Callable[[Sequence[LogEntry], bool], None]
+"""Takes entries in offset order; the flag says that they are the newest of every key."""
+
+
+class TopicFollower:
+    """Hands a topic's entries to a sink, once each, and knows how fresh that is."""
+
+    def __init__(
+        self,
+        log: KeyedLog,
+        topic: str,
+        sink: Sink,
+        observer: Observer,
+        rng: random.Random,
+        *,
+        ordered: bool = False,
+    ) -> None:
+        """Follow ``topic`` for ``sink``.
+
+        An ``ordered`` sink gets each entry once and in offset order; any other gets
+        the newest entries whole, of which some may come again.
+        """
+        self._log = log
+        self._topic = topic
+        self._ordered = ordered
+        self._sink = sink
+        self._observer = observer
+        self._rng = rng
+        self._words = observer.log("follow")
+        self.end = -1
+        self.confirmed_at_s = -1e9
+        self.unavailable_at_s = -1e9
+
+    @property
+    def caught_up(self) -> bool:
+        """Whether the topic was read to an end at least once."""
+        return self.end >= 0
+
+    def age_s(self) -> float:
+        """How long ago the log confirmed that nothing more was there."""
+        return boot_time_s() - self.confirmed_at_s
+
+    async def run(self) -> None:
+        """Follow for as long as the node lives."""
+        failed = False
+        while True:
+            try:
+                await self.advance(READ_WAIT_S)
+            except LogUnavailableError as error:
+                self.unavailable_at_s = boot_time_s()
+                if not failed:
+                    self._words.warning("topic=%s lost: %s", self._topic, error)
+                failed = True
+                await asyncio.sleep(self._rng.uniform(*RETRY_S))
+                continue
+            if failed:
+                self._words.info("topic=%s regained end=%d", self._topic, self.end)
+            failed = False
+
+    async def advance(self, wait_s: float) -> None:
+        """Read once and hand on what is new.
+
+        :raises LogUnavailableError: when the log gives no answer.
+        """
+        if self.end < 0:
+            await self._snapshot()
+            return
+        try:
+            chunk = await self._log.read(self._topic, self.end, wait_s)
+        except HistoryGoneError:
+            self._words.warning("topic=%s history gone before %d", self._topic, self.end)
+            await self._snapshot()
+            return
+        self._take(chunk.entries, chunk.end)
+
+    async def _snapshot(self) -> None:
+        snapshot = await self._log.newest(self._topic)
+        entries = sorted(snapshot.entries)
+        if self._ordered:
+            # What was appended while the pages were read may lack an entry in between;
+            # it is read again from the end on.
+            entries = [entry for entry in entries if self.end <= entry.offset < snapshot.end]
+        self._words.info("topic=%s newest=%d end=%d", self._topic, len(entries), snapshot.end)
+        self._sink(entries, True)
+        self.end = max(self.end, snapshot.end)
+        self._confirm()
+
+    def _take(self, entries: Sequence[LogEntry], end: int) -> None:
+        # Two reads may be under way at once; what the other brought is not taken twice.
+        fresh = [entry for entry in entries if entry.offset >= self.end]
+        if fresh:
+            self._sink(fresh, False)
+            self.end = fresh[-1].offset + 1
+        if self.end >= end:
+            self._confirm()
+
+    def _confirm(self) -> None:
+        self.confirmed_at_s = boot_time_s()
--- /dev/null
+++ b/samphirecleat/durable/_orderer.py
@@ -0,0 +1,278 @@
+"""Brings named versions to a service's engines, at the node that runs the service.
+
+Safety rests on the engines' own checks: each order carries the offset of the runner's claim
+as fencing number, the count of orders that the engine had accepted, and the instance it is
+meant for. An order that is carried out late finds its condition false. Beyond that, the
+holder orders only while the log confirmed its claim a moment ago, and a new one waits until
+no earlier holder can still be doing so; both count time that the host stood still.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final, NamedTuple, Protocol
+
+from .._boot_clock import boot_time_s
+from ..observe import Observer
+from ..serving import RouteTable, Target, TargetTable
+from ._weight_orders import OrderableEngine, decide_loads
+
+# A holder orders only within this long of the log's last word that its claim stands.
+CONFIRMED_WITHIN_S: Final = 0.8
+# Added to the lease before a new holder's first order: the confirmation above, and slack.
+TAKEOVER_SLACK_S: Final = 1.0
+LOOK_EVERY_S: Final = 0.1
+# A load takes about a second; asked any earlier, the engine is still busy.
+FIRST_LOOK_S: Final = 0.7
+NEXT_LOOK_S: Final = 0.3
+# After an order without an answer, and after an order that the engine refused.
+UNKNOWN_REST_S: Final = 1.0
+REFUSED_REST_S: Final = 0.4
+ORDER_TIMEOUT_S: Final = 0.8
+
+
+class EngineReport(NamedTuple):
+    """What an engine says of its weights, a few hundred milliseconds old."""
+
+    versions: Mapping[str, int]
+    busy: bool
+    orders_accepted: int
+    started_at_ms: int
+
+
+class Order(NamedTuple):
+    """An order to load a version; ``expected_orders`` must be what the engine accepted."""
+
+    model: str
+    version: int
+    holder: str
+    fencing_number: int
+    expected_orders: int
+    keep_runs: bool
+
+
+class OrderOutcome(Enum):
+    """What an engine answered to an order."""
+
+    ACCEPTED = "accepted"
+    HOLDS = "holds"
+    CONFLICT = "conflict"
+    FENCED = "fenced"
+    REJECTED = "rejected"
+    UNKNOWN = "unknown"
+
+
+class OrderChannel(Protocol):
+    """Orders and reports of engines."""
+
+    async def report(self, target: Target) -> EngineReport | None:
+        """Return the engine's report, None if it gives none."""
+        ...
+
+    async def order(self, target: Target, order: Order, timeout_s: float) -> OrderOutcome:
+        """Send an order once."""
+        ...
+
+
+@dataclass
+class _Known:
+    """What the holder knows of one start of an engine."""
+
+    started_at_ms: int
+    version: int = 0
+    orders_accepted: int = -1
+    loading_since_s: float = 0.0
+    loading_version: int = 0
+    look_at_s: float = 0.0
+    rests_until_s: float = 0.0
+
+
+class Orderer:
+    """Gives the orders of one service under one claim."""
+
+    def __init__(
+        self,
+        service: str,
+        fencing_number: int,
+        node_id: str,
+        lease_s: float,
+        routes: RouteTable,
+        targets: TargetTable,
+        channel: OrderChannel,
+        observer: Observer,
+        *,
+        named: Callable[[str], int],
+        may_order: Callable[[float], bool],
+        runs: Callable[[], Mapping[str, int]],
+        streamed: Callable[[Target], int],
+        loading: set[str],
+        first: bool,
+    ) -> None:
+        """Order under ``fencing_number``; ``loading`` is kept for the planner of runs.
+
+        ``may_order`` says whether the claim was confirmed within some seconds. The
+        ``first`` claim of a service ever follows nobody and waits for nobody.
+        """
+        self._service = service
+        self._fencing_number = fencing_number
+        self._node_id = node_id
+        self._wait_s = 0.0 if first else lease_s + TAKEOVER_SLACK_S
+        self._routes = routes
+        self._targets = targets
+        self._channel = channel
+        self._observer = observer
+        self._words = observer.log("orders")
+        self._named = named
+        self._may_order = may_order
+        self._runs = runs
+        self._streamed = streamed
+        self._loading = loading
+        self._known: dict[str, _Known] = {}
+        self._orders: set[asyncio.Task[None]] = set()
+        self._fenced = False
+
+    async def run(self) -> None:
+        """Order for as long as the claim stands."""
+        began_s = boot_time_s()
+        try:
+            while not self._fenced:
+                now_s = boot_time_s()
+                if now_s - began_s >= self._wait_s and self._may_order(CONFIRMED_WITHIN_S):
+                    self._step()
+                await asyncio.sleep(LOOK_EVERY_S)
+            self._words.warning("service=%s fenced; a newer holder orders", self._service)
+        finally:
+            for task in list(self._orders):
+                task.cancel()
+
+    def _step(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        spec = self._routes.config.services.get(self._service)
+        if spec is None or spec.engine is None:
+            return
+        for model in spec.engine.models:
+            named = self._named(model)
+            if named > 1:
+                self._step_model(model, named, now_s)
+
+    def _step_model(self, model: str, named: int, now_s: float) -> None:
+        serving = {target.instance: target for target in self._targets.serving(self._service)}
+        self._loading.intersection_update(serving)
+        for instance in [name for name in self._known if name not in serving]:
+            del self._known[instance]
+        runs = self._runs()
+        views = []
+        for target in serving.values():
+            known = self._refresh(target, model)
+            if known.loading_version and known.look_at_s <= now_s:
+                known.look_at_s = now_s + NEXT_LOOK_S
+                self._spawn(self._look(target, model, known))
+            views.append(
+                OrderableEngine(
+                    target.instance,
+                    known.version,
+                    runs.get(target.instance, 0),
+                    bool(known.loading_version),
+                    known.rests_until_s > now_s,
+                )
+            )
+        for instance in decide_loads(views, named):
+            known = self._known[instance]
+            known.loading_version = named
+            known.look_at_s = now_s + ORDER_TIMEOUT_S + FIRST_LOOK_S
+            self._loading.add(instance)
+            self._spawn(self._give(serving[instance], model, named, known))
+
+    def _refresh(self, target: Target, model: str) -> _Known:
+        known = self._known.get(target.instance)
+        if known is None or known.started_at_ms != target.started_at_ms:
+            known = self._known[target.instance] = _Known(target.started_at_ms)
+            self._loading.discard(target.instance)
+        registered = target.versions.get(model, 1)
+        known.version = max(known.version, registered, self._streamed(target))
+        if known.loading_version and known.version >= known.loading_version:
+            self._loaded(target, known)
+        return known
+
+    def _loaded(self, target: Target, known: _Known) -> None:
+        known.loading_version = 0
+        self._loading.discard(target.instance)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    async def _look(self, target: Target, model: str, known: _Known) -> None:
+        """Ask an engine how far its load is."""
+        report = await self._channel.report(target)
+        now_s = asyncio.get_running_loop().time()
+        if report is None or not known.loading_version:
+            return
+        known.version = max(known.version, report.versions.get(model, 0))
+        known.orders_accepted = report.orders_accepted
+        if known.version >= known.loading_version:
+            self._loaded(target, known)
+        elif not report.busy:
+            # Nothing is being loaded: the order was not taken, or is still to come; in
+            # that case its condition fails once the next one was taken.
+            known.loading_version = 0
+            self._loading.discard(target.instance)
+            known.rests_until_s = now_s + REFUSED_REST_S
+
+    async def _give(self, target: Target, model: str, version: int, known: _Known) -> None:
+        if known.orders_accepted < 0:
+            report = await self._channel.report(target)
+            if report is None:
+                self._failed(target, known, REFUSED_REST_S)
+                return
+            known.orders_accepted = report.orders_accepted
+            known.version = max(known.version, report.versions.get(model, 0))
+            if known.version >= version:
+                self._loaded(target, known)
+                return
+        if not self._may_order(CONFIRMED_WITHIN_S):
+            self._failed(target, known, 0.0)
+            return
+        keep = not any(
+            route.single_version
+            for route in self._routes.config.routes
+            if any(part.service == self._service for part in route.services)
+        )
+        order = Order(
+            model, version, self._node_id, self._fencing_number, known.orders_accepted, keep
+        )
+        outcome = await self._channel.order(target, order, ORDER_TIMEOUT_S)
+        now_s = asyncio.get_running_loop().time()
+        self._words.info(
+            "target=%s model=%s version=%d fencing=%d expected=%d outcome=%s",
+            target.instance,
+            model,
+            version,
+            order.fencing_number,
+            order.expected_orders,
+            outcome.value,
+        )
+        self._observer.counters[f"orders_{outcome.value}"] += 1
+        match outcome:
+            case OrderOutcome.ACCEPTED:
+                known.orders_accepted += 1
+                known.look_at_s = now_s + FIRST_LOOK_S
+            case OrderOutcome.HOLDS:
+                known.version = max(known.version, version)
+                self._loaded(target, known)
+            case OrderOutcome.FENCED:
+                self._failed(target, known, REFUSED_REST_S)
+                self._fenced = True
+            case OrderOutcome.UNKNOWN:
+                known.orders_accepted = -1
+                known.look_at_s = now_s + UNKNOWN_REST_S
+            case OrderOutcome.CONFLICT | OrderOutcome.REJECTED:
+                known.orders_accepted = -1
+                self._failed(target, known, REFUSED_REST_S)
+
+    def _failed(self, target: Target, known: _Known, rest_s: float) -> None:
+        known.loading_version = 0
+        known.rests_until_s = asyncio.get_running_loop().time() + rest_s
+        self._loading.discard(target.instance)
--- /dev/null
+++ b/samphirecleat/durable/_planner.py
@@ -0,0 +1,147 @@
+"""Which item starts next, and on which engine: pure decisions of a service's runner.
+
+Load pattern answered: a step of some hundred items comes at once; lengths vary by a factor
+of ten and are known by a rough hint; engines produce tokens almost as fast with all places
+taken as with one, so a step takes as long as its longest text. Hence the longest start
+first, except the groups that the trainer can do without; items of a group go where their
+shared prompt was read; an engine that turned slow gets what is short.
+"""
+
+from collections.abc import Mapping, Sequence
+from typing import Final, NamedTuple
+
+# Of the memory of an engine this share is planned for; hints are off by half either way,
+# and an engine that runs out preempts its newest run.
+MEMORY_SHARE: Final = 0.9
+
+
+class PendingItem(NamedTuple):
+    """An item that wants a place.
+
+    ``expected_tokens`` is what is still to be made, ``context_tokens`` what its engine
+    reads before that.
+    """
+
+    step_id: str
+    item_id: str
+    group: str
+    step_order: int
+    carried: bool
+    expected_tokens: int
+    context_tokens: int
+    min_version: int
+
+
+class EngineView(NamedTuple):
+    """An engine as the runner sees it; ``slowness`` is 1.0 at the typical pace."""
+
+    instance: str
+    zone: str
+    version: int
+    places: int
+    memory_tokens: int
+    running: int
+    planned_tokens: int
+    slowness: float
+    accepts: bool
+    groups: frozenset[str]
+
+
+class Placement(NamedTuple):
+    """An item and the engine it goes to."""
+
+    item: PendingItem
+    instance: str
+
+
+def order_items(
+    items: Sequence[PendingItem], wanted_share: Mapping[str, float]
+) -> Sequence[PendingItem]:
+    """Return the items in the order in which they start.
+
+    Steps in turn; in a step the groups that were carried over first, then by the length of
+    a group's longest text, longest first. ``wanted_share`` is the share of its groups that
+    a step's trainer waits for: the longest of the others start last.
+    """
+    longest: dict[tuple[str, str], int] = {}
+    carried: set[tuple[str, str]] = set()
+    for item in items:
+        name = (item.step_id, item.group)
+        longest[name] = max(longest.get(name, 0), item.expected_tokens)
+        if item.carried:
+            carried.add(name)
+    spare = _spare_groups(longest, carried, wanted_share)
+
+    def rank(item: PendingItem) -> tuple[int, bool, bool, int, str, int]:
+        name = (item.step_id, item.group)
+        return (
+            item.step_order,
+            name in spare,
+            name not in carried,
+            -longest[name],
+            item.group,
+            -item.expected_tokens,
+        )
+
+    return sorted(items, key=rank)
+
+
+def _spare_groups(
+    longest: Mapping[tuple[str, str], int],
+    carried: set[tuple[str, str]],
+    wanted_share: Mapping[str, float],
+) -> set[tuple[str, str]]:
+    spare: set[tuple[str, str]] = set()
+    for step_id, share in wanted_share.items():
+        groups = sorted(
+            (name for name in longest if name[0] == step_id and name not in carried),
+            key=lambda name: longest[name],
+            reverse=True,
+        )
+        spare.update(groups[: int(len(groups) * (1.0 - share))])
+    return spare
+
+
+def place_items(
+    ordered: Sequence[PendingItem], engines: Sequence[EngineView]
+) -> Sequence[Placement]:
+    """Return what starts now, in order; an item without a place waits."""
+    placements: list[Placement] = []
+    views = {engine.instance: engine for engine in engines if engine.accepts}
+    for item in ordered:
+        best = _best_engine(item, list(views.values()))
+        if best is None:
+            if not any(engine.running < engine.places for engine in views.values()):
+                break
+            continue
+        placements.append(Placement(item, best.instance))
+        views[best.instance] = best._replace(
+            running=best.running + 1,
+            planned_tokens=best.planned_tokens + item.context_tokens + item.expected_tokens,
+            groups=best.groups | {item.group},
+        )
+    return placements
+
+
+def _best_engine(item: PendingItem, engines: Sequence[EngineView]) -> EngineView | None:
+    fitting = [engine for engine in engines if _fits(item, engine)]
+    if not fitting:
+        return None
+
+    def cost(engine: EngineView) -> tuple[float, bool, float]:
+        # Pace first, in coarse steps; then a prompt that was read there; then room.
+        return (
+            round(engine.slowness * 2.0),
+            item.group not in engine.groups,
+            engine.running / engine.places,
+        )
+
+    return min(fitting, key=cost)
+
+
+def _fits(item: PendingItem, engine: EngineView) -> bool:
+    if engine.version < item.min_version or engine.running >= engine.places:
+        return False
+    need = item.context_tokens + item.expected_tokens
+    room = engine.memory_tokens * MEMORY_SHARE - engine.planned_tokens
+    return need <= room or engine.running == 0
--- /dev/null
+++ b/samphirecleat/durable/_records.py
@@ -0,0 +1,171 @@
+"""What is written to the step log, and how one record becomes entries of bounded size.
+
+Every entry has a key of its own that is never written twice: a record that is sent again
+because its answer was lost gets a new key. So "the newest entry of each key" is the whole
+history, and sorting it by offset gives the order in which it was appended.
+"""
+
+import hashlib
+from collections.abc import Sequence
+from typing import Any, Final, NamedTuple
+
+import msgspec
+
+# The log takes records of up to 262,143 bytes; half of that leaves room for the key and
+# keeps one large text from filling an append.
+PART_BYTES: Final = 131_072
+_HEADER: Final = 4
+
+
+class RewardSpec(NamedTuple):
+    """The call that scores an item's text."""
+
+    request_id: str
+    host: str
+    raw_path: str
+    body: bytes
+
+
+class ItemSpec(NamedTuple):
+    """One item of a step: a generation, and the call that scores it.
+
+    Lengths are in tokens: of the prompt, the most that may be made, and the trainer's
+    estimate of what will be, 0 for none.
+    """
+
+    item_id: str
+    raw_path: str
+    headers: Sequence[tuple[str, str]]
+    body: bytes
+    prompt_tokens: int
+    most_tokens: int
+    hinted_tokens: int
+    group: str
+    reward: RewardSpec | None = None
+
+
+class StepAccepted(NamedTuple):
+    """A step that the system must keep from now on.
+
+    ``accepted_at_ms`` is the accepting node's time of day and only bounds how long
+    the step is kept.
+    """
+
+    step_id: str
+    host: str
+    raw_path: str
+    number: int
+    model: str
+    min_version: int
+    target_groups: int
+    accepted_at_ms: int
+    items: Sequence[ItemSpec]
+
+
+class ItemListed(NamedTuple):
+    """The result of an item; its position is the order of such records in the log."""
+
+    step_id: str
+    item_id: str
+    completed: bool
+    text: str
+    versions: Sequence[int]
+    score: str
+
+
+class StepEnded(NamedTuple):
+    """The trainer wants nothing more of a step."""
+
+    step_id: str
+
+
+class RunnerClaimed(NamedTuple):
+    """An incarnation takes over the work of a service.
+
+    The offset of this record is the fencing number of the orders that it gives.
+    """
+
+    service: str
+    node_id: str
+    incarnation: str
+
+
+Record = StepAccepted | ItemListed | StepEnded | RunnerClaimed
+_TAGS: Final[dict[int, type[Any]]] = {
+    1: StepAccepted,
+    2: ItemListed,
+    3: StepEnded,
+    4: RunnerClaimed,
+}
+_TAG_OF: Final = {kind: tag for tag, kind in _TAGS.items()}
+_DECODERS: Final = {tag: msgspec.msgpack.Decoder(kind) for tag, kind in _TAGS.items()}
+
+
+class RecordFormatError(Exception):
+    """An entry of the step log that this version does not understand."""
+
+
+def encode_record(record: Record) -> bytes:
+    """Return the bytes of a record."""
+    return bytes([_TAG_OF[type(record)]]) + msgspec.msgpack.encode(record)
+
+
+def decode_record(blob: bytes) -> Record:
+    """Return the record of some bytes.
+
+    :raises RecordFormatError: when they hold none.
+    """
+    decoder = _DECODERS.get(blob[0]) if blob else None
+    if decoder is None:
+        raise RecordFormatError(f"tag {blob[:1]!r}")
+    try:
+        record: Record = decoder.decode(memoryview(blob)[1:])
+    except msgspec.MsgspecError as error:
+        raise RecordFormatError(str(error)) from error
+    return record
+
+
+def split_record(record: Record, key: str) -> Sequence[tuple[str, bytes]]:
+    """Return the entries that carry a record under ``key``, which must be new."""
+    blob = encode_record(record)
+    chunks = [blob[at : at + PART_BYTES] for at in range(0, len(blob), PART_BYTES)]
+    count = len(chunks)
+    return [
+        (f"{key}.{part}", part.to_bytes(2) + count.to_bytes(2) + chunk)
+        for part, chunk in enumerate(chunks)
+    ]
+
+
+class RecordAssembler:
+    """Puts records together again from entries in offset order.
+
+    A record counts at the offset of its last part. Parts whose record was never
+    finished wait in vain; they are few, and small beside what is kept anyway.
+    """
+
+    def __init__(self) -> None:
+        """Start without any part."""
+        self._parts: dict[str, dict[int, bytes]] = {}
+
+    def add(self, key: str, value: bytes) -> Record | None:
+        """Take an entry; return the record that it completes, if any.
+
+        :raises RecordFormatError: for an entry that is not understood.
+        """
+        if len(value) <= _HEADER:
+            return None
+        part, count = int.from_bytes(value[:2]), int.from_bytes(value[2:_HEADER])
+        if count <= 1:
+            return decode_record(value[_HEADER:])
+        name = key.rpartition(".")[0]
+        parts = self._parts.setdefault(name, {})
+        parts[part] = value[_HEADER:]
+        if len(parts) < count:
+            return None
+        del self._parts[name]
+        return decode_record(b"".join(parts[at] for at in range(count)))
+
+
+def key_prefix(subject: str) -> str:
+    """Return a short, fixed-length part of a key for an id of any length."""
+    return hashlib.blake2b(subject.encode(), digest_size=10).hexdigest()
--- a/samphirecleat/observe/_observer.py
+++ b/samphirecleat/observe/_observer.py
@@ -12,7 +12,7 @@
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 from ._logs import PrefixedLog
-from ._metrics import Histograms, Metrics
+from ._metrics import Histograms, Metrics, summarize
 from ._spans import RecentSpans
 
 _PROPAGATOR: Final = TraceContextTextMapPropagator()
@@ -59,6 +59,13 @@
         """Return this node's counters and encoded histograms."""
         return Metrics(dict(self.counters), self.histograms())
 
+    def metric_lines(self) -> Sequence[str]:
+        """Return ``name value`` lines of all counters and of the histograms' percentiles."""
+        lines = [f"{name} {count}" for name, count in sorted(self.counters.items())]
+        for name, row in sorted(summarize(self.metrics()).items()):
+            lines.extend(f"{name}_{part} {value:g}" for part, value in row.items())
+        return lines
+
     def spans(self, trace: str = "") -> Sequence[Mapping[str, Any]]:
         """Return the newest spans, oldest first, of one trace or of all."""
         return [row._asdict() for row in self._spans.rows(trace)]
--- /dev/null
+++ b/samphirecleat/platform/__main__.py
@@ -0,0 +1,44 @@
+"""The thin daemon on the users' platform: settings in, signals handled, drained on SIGTERM."""
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+from typing import Final
+
+import uvloop
+
+from ..observe import make_formatter
+from ._boot_settings import SETTINGS_VARIABLE, BootSettingsError, read_boot_settings
+from ._platform_node import PlatformNode
+
+EXIT_BAD_SETTINGS: Final = 2
+
+
+def main() -> None:
+    """Run a node until SIGTERM; exit 2 at once for settings that can't be used."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = read_boot_settings(path)
+    except BootSettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    handler = logging.StreamHandler(sys.stdout)
+    handler.setFormatter(make_formatter("json"))
+    logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
+    uvloop.run(_run(PlatformNode(settings)))
+
+
+async def _run(node: PlatformNode) -> None:
+    loop = asyncio.get_running_loop()
+    leaving = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, leaving.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    await node.start()
+    await leaving.wait()
+    await node.drain()
+    await node.stop()
+
+
+main()
--- /dev/null
+++ b/samphirecleat/platform/_boot_settings.py
@@ -0,0 +1,118 @@
+"""The settings that the platform lays down for a process, read into our own names."""
+
+import tomllib
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+SETTINGS_VARIABLE: Final = "SAMPHIRECLEAT_BOOT"
+
+
+class BootSettings(NamedTuple):
+    """Who this process is on the platform, where it listens, and what bounds it.
+
+    Addresses are ``IP:PORT``; ``""`` is one that the platform did not give.
+    ``peer_ports`` are the first and last port for traffic between nodes.
+    """
+
+    node_id: str
+    zone: str
+    region: str
+    ip_address: str
+    front_address: str
+    ready_address: str
+    control_address: str
+    directory_address: str
+    peer_ports: tuple[int, int]
+    seed_addresses: Sequence[str]
+    store_address: str
+    grace_s: float
+    lease_s: float
+    entry_ttl_s: float
+    kept_after_s: float
+
+
+class BootSettingsError(Exception):
+    """Settings that cannot be used; the text names the file, the key and what is wrong."""
+
+
+def read_boot_settings(path: str) -> BootSettings:
+    """Return the settings of a file.
+
+    :raises BootSettingsError: when the file can't be read, or a needed key is missing or
+        of another type.
+    """
+    try:
+        document = tomllib.loads(Path(path).read_text())
+    except (OSError, UnicodeError, tomllib.TOMLDecodeError) as error:
+        raise BootSettingsError(f"{path}: {error}") from error
+    return decode_boot_settings(document, path)
+
+
+def decode_boot_settings(document: Mapping[str, Any], source: str) -> BootSettings:
+    """Return the settings of a parsed document; keys that are not known are ignored.
+
+    :raises BootSettingsError: when a needed key is missing or of another type.
+    """
+    reader = _Reader(document, source)
+    ports = reader.numbers("internalPortRange", 2)
+    return BootSettings(
+        node_id=reader.text("nodeName"),
+        zone=reader.text("zone"),
+        region=reader.text("region"),
+        ip_address=reader.text("ipAddress"),
+        front_address=reader.text("listenAddresses.front"),
+        ready_address=reader.text("listenAddresses.ready"),
+        control_address=reader.text("listenAddresses.control"),
+        directory_address=reader.text("listenAddresses.directory"),
+        peer_ports=(int(ports[0]), int(ports[1])),
+        seed_addresses=reader.texts("seedNodes"),
+        store_address=reader.text("platform.address"),
+        grace_s=reader.number("bounds.gracePeriodS"),
+        lease_s=reader.number("bounds.leaseDurationMs") / 1000.0,
+        entry_ttl_s=reader.number("bounds.ttl_max_s"),
+        # The platform calls it a status; it is how long results stay readable.
+        kept_after_s=reader.number("bounds.statusS"),
+    )
+
+
+class _Reader:
+    """Looks up dotted keys and says where one is wrong."""
+
+    def __init__(self, document: Mapping[str, Any], source: str) -> None:
+        self._document = document
+        self._source = source
+
+    def text(self, key: str) -> str:
+        value = self._find(key)
+        if not isinstance(value, str) or not value:
+            raise self._error(key, "a text", value)
+        return value
+
+    def texts(self, key: str) -> Sequence[str]:
+        value = self._find(key)
+        if not isinstance(value, list) or not all(isinstance(v, str) for v in value):
+            raise self._error(key, "a list of texts", value)
+        return value
+
+    def number(self, key: str) -> float:
+        value = self._find(key)
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            raise self._error(key, "a number", value)
+        return float(value)
+
+    def numbers(self, key: str, count: int) -> Sequence[float]:
+        value = self._find(key)
+        fits = isinstance(value, list) and len(value) == count
+        if not fits or not all(isinstance(v, (int, float)) for v in value):
+            raise self._error(key, f"a list of {count} numbers", value)
+        return [float(v) for v in value]
+
+    def _find(self, key: str) -> Any:
+        value: Any = self._document
+        for part in key.split("."):
+            value = value.get(part) if isinstance(value, Mapping) else None
+        return value
+
+    def _error(self, key: str, wanted: str, value: Any) -> BootSettingsError:
+        return BootSettingsError(f"{self._source}: {key}: wants {wanted}, not {value!r}")
--- /dev/null
+++ b/samphirecleat/platform/_documents.py
@@ -0,0 +1,144 @@
+"""What operators and targets write to the store, read into the product's types.
+
+A document that can't be read names no configuration and no target; its reader says so and
+keeps what it had. Nothing is guessed: a field of another type makes the document unusable.
+"""
+
+from collections.abc import Mapping
+from typing import Any, Final
+
+import msgspec
+
+from ..serving import (
+    CallerLimits,
+    CallKind,
+    EngineSpec,
+    Route,
+    RoutingConfig,
+    ServiceSpec,
+    Target,
+    WeightedService,
+)
+
+_KINDS: Final[Mapping[str, CallKind]] = {kind.value: kind for kind in CallKind}
+_DECODER: Final = msgspec.json.Decoder()
+_STATES: Final = ("ready", "draining")
+
+
+class DocumentFormatError(Exception):
+    """A document that is not what it should be; the text says where."""
+
+
+def decode_config(value: bytes) -> RoutingConfig:
+    """Return the configuration of a document.
+
+    :raises DocumentFormatError: when it holds none.
+    """
+    try:
+        body = _DECODER.decode(value)
+        limits = body["limits"]
+        return RoutingConfig(
+            int(body["version"]),
+            [_route(row) for row in body["routes"]],
+            {row["name"]: _service(row) for row in body["services"]},
+            CallerLimits(
+                int(limits["maxHeaderBytes"]),
+                int(limits["maxBodyBytes"]),
+                limits["headerTimeoutMs"] / 1000.0,
+                limits["idleTimeoutMs"] / 1000.0,
+            ),
+        )
+    except (msgspec.MsgspecError, KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DocumentFormatError(f"configuration: {error!r}") from error
+
+
+def decode_named_version(value: bytes) -> tuple[str, int]:
+    """Return the model and the version that a trainer named.
+
+    :raises DocumentFormatError: when the document names none.
+    """
+    try:
+        body = _DECODER.decode(value)
+        model, version = body["model"], body["version"]
+    except (msgspec.MsgspecError, KeyError, TypeError) as error:
+        raise DocumentFormatError(f"version: {error!r}") from error
+    if not isinstance(model, str) or type(version) is not int:
+        raise DocumentFormatError(f"version: {model!r} {version!r}")
+    return model, version
+
+
+def decode_target(instance: str, value: bytes) -> Target:
+    """Return the target of a registration.
+
+    :raises DocumentFormatError: when the entry names no target to use.
+    """
+    try:
+        body = _DECODER.decode(value)
+        address, state = body["address"], body["state"]
+        host, _, port = address.rpartition(":")
+        target = Target(
+            instance=instance,
+            service=body["service"],
+            address=address,
+            zone=body["zone"],
+            slots=body["slots"],
+            draining=state == "draining",
+            versions={row["name"]: row["version"] for row in body.get("models", ())},
+            started_at_ms=body.get("born", 0),
+        )
+    except (msgspec.MsgspecError, KeyError, TypeError, AttributeError) as error:
+        raise DocumentFormatError(f"target {instance}: {error!r}") from error
+    texts = (target.service, target.address, target.zone)
+    numbers = (target.slots, target.started_at_ms, *target.versions.values())
+    if state not in _STATES or not host or not port.isdigit():
+        raise DocumentFormatError(f"target {instance}: {state!r} at {address!r}")
+    if not all(isinstance(text, str) and text for text in texts):
+        raise DocumentFormatError(f"target {instance}: {texts!r}")
+    if not all(type(number) is int for number in numbers) or target.slots < 1:
+        raise DocumentFormatError(f"target {instance}: {numbers!r}")
+    return target
+
+
+def _route(row: Mapping[str, Any]) -> Route:
+    split = row.get("weightedSplit")
+    services = (
+        [WeightedService(part["service"], float(part["weight"])) for part in split]
+        if split
+        else [WeightedService(row["service"], 1.0)]
+    )
+    return Route(
+        name=row["name"],
+        host=row["host"].lower(),
+        path_prefix=row["pathPrefix"],
+        kind=_KINDS[row["kind"]],
+        services=services,
+        timeout_s=row.get("timeoutMs", 0) / 1000.0,
+        objective_s=row.get("targetLatencyMs", 1000) / 1000.0,
+        max_attempts=int(row.get("maxAttempts", 1)),
+        priority=int(row.get("priority", 5)),
+        resumable=bool(row.get("resumable", False)),
+        # Due this long after the step was first submitted, although named a deadline.
+        result_deadline_s=row.get("resultDeadlineMs", 0) / 1000.0,
+        retention_s=row.get("retentionS", 0.0),
+        single_version=bool(row.get("singleVersion", False)),
+    )
+
+
+def _service(row: Mapping[str, Any]) -> ServiceSpec:
+    engine = row.get("engine")
+    return ServiceSpec(
+        row["name"],
+        row.get("healthPath", ""),
+        int(row.get("connectionCap", 0)),
+        _engine(engine) if engine else None,
+    )
+
+
+def _engine(row: Mapping[str, Any]) -> EngineSpec:
+    return EngineSpec(
+        slots=int(row["slots"]),
+        memory_tokens=int(row.get("kvCacheTokens", 1 << 30)),
+        models=[model["name"] for model in row.get("models", ())],
+        # Named a stride; it is how many tokens one event holds.
+        tokens_per_event=int(row.get("stride", 1)),
+    )
--- /dev/null
+++ b/samphirecleat/platform/_engine_orders.py
@@ -0,0 +1,79 @@
+"""Orders to engines and their reports; fills the product's channel for orders."""
+
+from typing import Final
+
+import aiohttp
+import msgspec
+
+from ..durable import EngineReport, Order, OrderOutcome
+from ..serving import Target
+from ._answers import ANSWER_FAULTS
+from ._call_exchange import target_url
+from ._target_sessions import TargetSessions
+from ._wire_names import EXPECT_INSTANCE, PATH_ORDER, PATH_REPORT
+
+REPORT_TIMEOUT_S: Final = 0.8
+_OUTCOMES: Final = {
+    200: OrderOutcome.HOLDS,
+    202: OrderOutcome.ACCEPTED,
+    400: OrderOutcome.REJECTED,
+    409: OrderOutcome.CONFLICT,
+    412: OrderOutcome.FENCED,
+    421: OrderOutcome.REJECTED,
+}
+
+
+class EngineOrders:
+    """Sends orders and asks for reports over kept connections."""
+
+    def __init__(self, sessions: TargetSessions) -> None:
+        """Use ``sessions`` for connections."""
+        self._sessions = sessions
+
+    async def report(self, target: Target) -> EngineReport | None:
+        """Return an engine's report, None if it gives none; see :class:`OrderChannel`."""
+        timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
+        headers = {EXPECT_INSTANCE: target.instance}
+        try:
+            async with self._sessions.get(target).get(
+                target_url(target, PATH_REPORT), headers=headers, timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    return None
+                body = msgspec.json.decode(await response.read())
+                return EngineReport(
+                    {row["name"]: int(row["version"]) for row in body["models"]},
+                    bool(body["busy"]),
+                    # Named a sequence; it counts the orders that were accepted.
+                    int(body["sequence"]),
+                    int(body.get("born", 0)),
+                )
+        except ANSWER_FAULTS:
+            return None
+
+    async def order(self, target: Target, order: Order, timeout_s: float) -> OrderOutcome:
+        """Send an order once; see :class:`OrderChannel`."""
+        body = {
+            "operation": "version",
+            "model": order.model,
+            "version": order.version,
+            "strategy": "keep" if order.keep_runs else "wait",
+            "holder": order.holder,
+            "fencingToken": order.fencing_number,
+            "expect": order.expected_orders,
+        }
+        headers = {EXPECT_INSTANCE: target.instance, "Content-Type": "application/json"}
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self._sessions.get(target).post(
+                target_url(target, PATH_ORDER),
+                headers=headers,
+                data=msgspec.json.encode(body),
+                timeout=timeout,
+            ) as response:
+                await response.read()
+                return _OUTCOMES.get(response.status, OrderOutcome.UNKNOWN)
+        except aiohttp.ClientConnectorError:
+            return OrderOutcome.REJECTED
+        except ANSWER_FAULTS:
+            return OrderOutcome.UNKNOWN
--- /dev/null
+++ b/samphirecleat/platform/_front.py
@@ -0,0 +1,203 @@
+"""What callers and trainers meet: calls by routes, and batch jobs, over HTTP."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Final
+from urllib.parse import parse_qs
+
+from aiohttp import web
+
+from ..durable import StepAccess
+from ..errors import ErrorKind, Ran, RequestError
+from ..observe import Observer
+from ..serving import Call, CallKind, Forwarder, Route, RouteTable, TargetAnswer
+from ._job_documents import decode_step, encode_page
+from ._wire_names import DEADLINE_MS, PATH_ITEM, PATH_STEP, REQUEST_ID, WAIT_MS
+
+# A caller that names no deadline is given this much.
+DEFAULT_DEADLINE_S: Final = 30.0
+LONGEST_WAIT_S: Final = 1.0
+# Statuses that promise that a call has not run and never will.
+_PROMISES: Final = frozenset({408, 421, 429, 503})
+
+
+class Front:
+    """Answers every request that comes to the callers' address."""
+
+    def __init__(
+        self,
+        routes: RouteTable,
+        forwarder: Forwarder,
+        steps: StepAccess,
+        observer: Observer,
+    ) -> None:
+        """Serve by ``routes``; ``leaving`` may be set to ask callers to go elsewhere."""
+        self._routes = routes
+        self._forwarder = forwarder
+        self._steps = steps
+        self._observer = observer
+        self._words = observer.log("front")
+        self.leaving = False
+        self.in_flight = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self.in_flight += 1
+        began_s = asyncio.get_running_loop().time()
+        try:
+            response = await self._answer(request, began_s)
+        except RequestError as error:
+            response = self._refuse(request, error, began_s)
+        except asyncio.CancelledError:
+            self._words.info(
+                "request=%s caller left after %.3f s",
+                request.headers.get(REQUEST_ID, ""),
+                asyncio.get_running_loop().time() - began_s,
+            )
+            raise
+        finally:
+            self.in_flight -= 1
+        if self.leaving:
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.BaseRequest, began_s: float) -> web.StreamResponse:
+        raw_path = request.raw_path
+        if raw_path.startswith(PATH_STEP):
+            return await self._step_call(request, raw_path)
+        if raw_path.startswith(PATH_ITEM) and request.method == "GET":
+            return await self._item_call(raw_path)
+        host = request.headers.get("Host", "").partition(":")[0]
+        route = self._route(host, raw_path)
+        body = await self._read_body(request)
+        request_id = request.headers.get(REQUEST_ID, "")
+        if route.kind in (CallKind.ROLLOUT, CallKind.BATCH):
+            return await self._submit(request_id, host, raw_path, body)
+        call = Call(
+            request_id,
+            request.method,
+            raw_path,
+            request.headers.get("Host", ""),
+            [(k.decode("latin-1"), v.decode("latin-1")) for k, v in request.raw_headers],
+            body,
+            began_s,
+            began_s + _deadline_s(request.headers.get(DEADLINE_MS, "")),
+        )
+        answer = await self._forwarder.forward(call, route)
+        self._observer.record_s("call", asyncio.get_running_loop().time() - began_s)
+        return _pass_on(answer)
+
+    def _route(self, host: str, raw_path: str) -> Route:
+        if not self._routes.known:
+            raise RequestError(ErrorKind.NOT_READY, "no configuration yet", retry_after_s=0.2)
+        route = self._routes.find(host, raw_path)
+        if route is None:
+            raise RequestError(ErrorKind.UNKNOWN_SERVICE, f"no route for {host}{raw_path}")
+        return route
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        try:
+            return await request.read()
+        except web.HTTPRequestEntityTooLarge as error:
+            raise RequestError(ErrorKind.BODY_TOO_LARGE, str(error)) from error
+
+    async def _submit(
+        self, step_id: str, host: str, raw_path: str, body: bytes
+    ) -> web.StreamResponse:
+        if not step_id:
+            raise RequestError(ErrorKind.MALFORMED, f"{REQUEST_ID} is missing")
+        began_s = asyncio.get_running_loop().time()
+        await self._steps.submit(decode_step(step_id, host, raw_path, body))
+        took_s = asyncio.get_running_loop().time() - began_s
+        self._observer.record_s("step_accept", took_s)
+        self._words.info("step=%s kept after %.3f s", step_id, took_s)
+        return web.Response(status=202, headers={REQUEST_ID: step_id})
+
+    async def _step_call(self, request: web.BaseRequest, raw_path: str) -> web.StreamResponse:
+        step_id, query = _split(raw_path, PATH_STEP)
+        match request.method:
+            case "GET":
+                wait_s = _number(request.headers.get(WAIT_MS, "0"), WAIT_MS) / 1000.0
+                after = _number(query.get("after", "0"), "after")
+                page = await self._steps.read(step_id, after, min(LONGEST_WAIT_S, wait_s))
+                return _json(encode_page(page))
+            case "DELETE":
+                await self._steps.end(step_id)
+                return _json(b"{}")
+        raise RequestError(ErrorKind.UNKNOWN_METHOD, f"{request.method} {raw_path}")
+
+    async def _item_call(self, raw_path: str) -> web.StreamResponse:
+        step_id, query = _split(raw_path, PATH_ITEM)
+        body = await self._steps.body(step_id, query.get("id", ""))
+        if body is None:
+            raise RequestError(ErrorKind.UNKNOWN_STEP, f"no such item in {step_id}")
+        return web.Response(body=body, content_type="application/octet-stream")
+
+    def _refuse(
+        self, request: web.BaseRequest, error: RequestError, began_s: float
+    ) -> web.StreamResponse:
+        status = status_of(error)
+        self._observer.counters[f"refused_{error.kind.value}"] += 1
+        self._words.warning(
+            "request=%s %s %s status=%d kind=%s ran=%s after=%.3f s detail=%s",
+            request.headers.get(REQUEST_ID, ""),
+            request.method,
+            request.raw_path[:120],
+            status,
+            error.kind.value,
+            error.ran.value,
+            asyncio.get_running_loop().time() - began_s,
+            error.detail,
+        )
+        headers = {}
+        if request_id := request.headers.get(REQUEST_ID, ""):
+            headers[REQUEST_ID] = request_id
+        if status in _PROMISES and error.retry_after_s > 0.0:
+            headers["Retry-After"] = f"{error.retry_after_s:g}"
+        return web.json_response(error.body(), status=status, headers=headers)
+
+
+def status_of(error: RequestError) -> int:
+    """Return the status of an error, which promises "not run" exactly when that is so."""
+    status = error.status
+    if error.ran is Ran.NO and status >= 500:
+        return 503
+    if error.ran is not Ran.NO and status in _PROMISES:
+        return 502
+    return status
+
+
+def _pass_on(answer: TargetAnswer) -> web.StreamResponse:
+    response = web.Response(status=answer.status, body=answer.body)
+    response.headers.popall("Content-Type", None)
+    for name, value in answer.headers:
+        response.headers.add(name, value)
+    return response
+
+
+def _json(body: bytes) -> web.Response:
+    return web.Response(body=body, content_type="application/json")
+
+
+def _split(raw_path: str, prefix: str) -> tuple[str, Mapping[str, str]]:
+    path, _, query = raw_path.partition("?")
+    values = parse_qs(query)
+    return path.removeprefix(prefix), {name: rows[-1] for name, rows in values.items()}
+
+
+def _number(text: str, name: str) -> int:
+    """Return a whole number that is not negative.
+
+    :raises RequestError: when the text is none.
+    """
+    if not text.isdigit():
+        raise RequestError(ErrorKind.MALFORMED, f"{name}: wants a whole number, not {text!r}")
+    return int(text)
+
+
+def _deadline_s(text: str) -> float:
+    try:
+        return max(0.0, float(text) / 1000.0) if text else DEFAULT_DEADLINE_S
+    except ValueError as error:
+        detail = f"{DEADLINE_MS}: wants milliseconds, not {text!r}"
+        raise RequestError(ErrorKind.MALFORMED, detail) from error
--- /dev/null
+++ b/samphirecleat/platform/_platform_node.py
@@ -0,0 +1,256 @@
+"""The composition root of a node on the users' platform."""
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Sequence
+from typing import Final
+
+import aiohttp
+from aiohttp import web
+
+from ..blackboard import Blackboard, Identity, Member
+from ..controllers import Membership
+from ..durable import ProgressJournal, ServiceDuty, StepAccess, StepLog, TopicFollower
+from ..observe import Observer
+from ..peers import HeartbeatCodec
+from ..serving import Forwarder, RouteTable, TargetRegistry, TargetTable
+from ..targets import make_connector
+from ._boot_settings import BootSettings
+from ._call_exchange import CallExchange
+from ._engine_orders import EngineOrders
+from ._front import Front
+from ._generation_stream import GenerationStream
+from ._metadata_store import MetadataStore
+from ._side_doors import SideDoors
+from ._target_sessions import TargetSessions
+from ._watches import OperatorWatch, TargetWatch
+from ._wire_names import TOPIC_OPERATOR, TOPIC_TARGETS
+
+# Between nodes: probes of members, and how long a member may leave them unanswered.
+HEARTBEAT_S: Final = 0.3
+SUSPECT_AFTER_S: Final = 1.0
+HOUSEKEEPING_S: Final = 0.25
+# The store's connection is given up by the kernel after this long without a sign.
+STORE_SILENT_S: Final = 1.0
+LARGEST_BODY_BYTES: Final = 64 * 1024 * 1024
+LARGEST_HEADER_BYTES: Final = 65536
+IDLE_MARGIN_S: Final = 1.0
+FALLBACK_IDLE_S: Final = 16.0
+# A leaving node serves this long on, for callers that kept its address: three times the
+# time to live of a directory answer, and the second that it takes to be heard of.
+SERVE_ON_S: Final = 4.2
+END_MARGIN_S: Final = 0.6
+
+
+class PlatformNode:
+    """One node: wired here, started, and stopped without cutting anything off."""
+
+    def __init__(self, settings: BootSettings) -> None:
+        """Wire the parts; nothing is sent yet."""
+        self.settings = settings
+        self._rng = random.Random(secrets.randbits(64))
+        self._started_at_ms = int(time.time() * 1000)
+        self._sequence = 0
+        peer_address = f"{settings.ip_address}:{settings.peer_ports[0]}"
+        identity = Identity(
+            settings.node_id,
+            secrets.token_hex(4),
+            settings.zone,
+            settings.front_address,
+            peer_address,
+        )
+        self.board = Blackboard(identity)
+        self.observer = Observer(settings.node_id)
+        self._words = self.observer.log("node")
+        self.routes = RouteTable()
+        self.targets = TargetTable(settings.zone)
+        self._runners: list[web.ServerRunner] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen and start following the platform."""
+        settings = self.settings
+        self._session = aiohttp.ClientSession(connector=make_connector(STORE_SILENT_S))
+        self._sessions = TargetSessions()
+        self._store = MetadataStore(
+            self._session, settings.store_address, self._peer_controls, self.observer, self._rng
+        )
+        self._wire_watches()
+        self._wire_steps()
+        self._membership = Membership(
+            self.board,
+            HeartbeatCodec(settings.store_address),
+            self.observer,
+            self._own_row,
+            seeds=self._seeds(),
+            heartbeat_s=HEARTBEAT_S,
+            suspect_after_s=SUSPECT_AFTER_S,
+            rng=self._rng,
+        )
+        await self._listen()
+        for work in (
+            self._membership.drive(),
+            self._operator_follower.run(),
+            self._target_follower.run(),
+            self.step_log.run(),
+            self._duty.run(),
+            self._keep_house(),
+        ):
+            task = asyncio.ensure_future(work)
+            task.add_done_callback(self._note_end)
+            self._tasks.append(task)
+        self._words.info(
+            "started node=%s incarnation=%s zone=%s front=%s",
+            settings.node_id,
+            self.board.identity.incarnation,
+            settings.zone,
+            settings.front_address,
+        )
+
+    async def drain(self) -> None:
+        """Hand over the work, serve on while callers may still come, and end what is open."""
+        began_s = asyncio.get_running_loop().time()
+        self._words.info("leaving in_flight=%d posts=%s", self.front.in_flight, self._duty.posts())
+        self.board.leaving = True
+        self.front.leaving = True
+        self._membership.announce()
+        await self._duty.hand_over()
+        serve_until_s = began_s + min(SERVE_ON_S, self.settings.grace_s * 0.6)
+        end_by_s = began_s + self.settings.grace_s - END_MARGIN_S
+        loop = asyncio.get_running_loop()
+        while loop.time() < end_by_s:
+            if loop.time() >= serve_until_s and not self._busy():
+                break
+            await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        """End every task and connection."""
+        self._membership.say_gone()
+        for task in self._tasks:
+            task.cancel()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._sessions.close()
+        await self._session.close()
+        self._words.info("stopped")
+
+    def _busy(self) -> bool:
+        return self.front.in_flight > 0 or self.step_log.unlisted > 0
+
+    def _wire_watches(self) -> None:
+        self.operator = OperatorWatch(self.routes, self.observer)
+        self._operator_follower = TopicFollower(
+            self._store, TOPIC_OPERATOR, self.operator.take, self.observer, self._rng
+        )
+        registry = TargetRegistry(lambda: self._target_follower.unavailable_at_s)
+        self.target_watch = TargetWatch(registry, self.targets, self.observer)
+        self._target_follower = TopicFollower(
+            self._store, TOPIC_TARGETS, self.target_watch.take, self.observer, self._rng
+        )
+
+    def _wire_steps(self) -> None:
+        exchange = CallExchange(self._sessions)
+        forwarder = Forwarder(self.routes, self.targets, exchange, self._rng)
+        self.step_log = StepLog(
+            self._store, self.board.identity.incarnation, self.observer, self._rng
+        )
+        self.front = Front(self.routes, forwarder, StepAccess(self.step_log), self.observer)
+        self._duty = ServiceDuty(
+            self.board,
+            self.step_log,
+            self.routes,
+            self.targets,
+            GenerationStream(self._sessions),
+            EngineOrders(self._sessions),
+            forwarder,
+            ProgressJournal(self._store, self.observer),
+            self.observer,
+            self._rng,
+            started_at_ms=self._started_at_ms,
+            lease_s=self.settings.lease_s,
+            named=self.operator.named,
+        )
+
+    async def _listen(self) -> None:
+        settings = self.settings
+        doors = SideDoors(
+            self._store, self.observer, self._ready_members, self._is_ready, settings.entry_ttl_s
+        )
+        await self._serve(
+            settings.front_address,
+            web.Server(
+                self.front.handle,
+                handler_cancellation=True,
+                keepalive_timeout=FALLBACK_IDLE_S,
+                access_log=None,
+                max_line_size=LARGEST_HEADER_BYTES,
+                max_field_size=LARGEST_HEADER_BYTES,
+            ),
+        )
+        await self._serve(settings.ready_address, web.Server(doors.ready, access_log=None))
+        await self._serve(settings.directory_address, web.Server(doors.directory, access_log=None))
+        await self._serve(settings.control_address, web.Server(doors.control, access_log=None))
+        peer_host, _, peer_port = self.board.identity.peer_address.rpartition(":")
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self._membership, local_addr=(peer_host, int(peer_port))
+        )
+
+    async def _serve(self, address: str, server: web.Server) -> None:
+        host, _, port = address.rpartition(":")
+        runner = web.ServerRunner(server, shutdown_timeout=0.2)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port), backlog=1024).start()
+        self._runners.append(runner)
+
+    async def _keep_house(self) -> None:
+        """Bring slow-moving state up to date."""
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            self.target_watch.refresh()
+            await self._sessions.keep(self.targets.targets)
+
+    def _is_ready(self) -> bool:
+        return self.routes.known and self._target_follower.caught_up and not self.board.leaving
+
+    def _own_row(self) -> Member:
+        identity = self.board.identity
+        self._sequence += 1
+        return Member(
+            node_id=identity.node_id,
+            incarnation=identity.incarnation,
+            started_at_ms=self._started_at_ms,
+            zone=identity.zone,
+            http_address=identity.http_address,
+            peer_address=identity.peer_address,
+            sequence=self._sequence,
+            leaving=self.board.leaving,
+            ready=self._is_ready(),
+            config_revision=self.routes.config.revision,
+            key_epoch=0,
+            in_flight=self.front.in_flight,
+        )
+
+    def _ready_members(self) -> Sequence[Member]:
+        return [m for m in self.board.live_members() if m.ready and not m.leaving]
+
+    def _peer_controls(self) -> Sequence[str]:
+        """Return the control addresses of the other live nodes; ports are the same for all."""
+        port = self.settings.control_address.rpartition(":")[2]
+        own = self.board.identity.incarnation
+        return [
+            f"{member.peer_address.rpartition(':')[0]}:{port}"
+            for member in self.board.live_members()
+            if member.incarnation != own and not member.leaving
+        ]
+
+    def _seeds(self) -> Sequence[str]:
+        """Return peer addresses on the seeds' hosts."""
+        port = self.settings.peer_ports[0]
+        hosts = {seed.rpartition(":")[0] for seed in self.settings.seed_addresses}
+        return [f"{host}:{port}" for host in sorted(hosts - {self.settings.ip_address})]
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._words.error("a part of the node failed", exc_info=task.exception())
--- /dev/null
+++ b/samphirecleat/platform/_side_doors.py
@@ -0,0 +1,86 @@
+"""The addresses beside the callers': directory, readiness, and the one between nodes."""
+
+from collections.abc import Callable, Sequence
+from typing import Final
+
+import msgspec
+from aiohttp import web
+
+from ..blackboard import Member
+from ..observe import Observer
+from ._metadata_store import RELAY_PREFIX, MetadataStore
+from ._wire_names import PATH_READY, PATH_RESOLVE
+
+# How long callers keep an answer. Some keep it three times as long, and a node that leaves
+# serves on for that time; a short one keeps both short at one small call a second.
+ENTRY_TTL_S: Final = 1.0
+MOST_ADDRESSES: Final = 64
+
+
+class SideDoors:
+    """Small interfaces of a node."""
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        observer: Observer,
+        ready_members: Callable[[], Sequence[Member]],
+        is_ready: Callable[[], bool],
+        entry_ttl_s: float,
+    ) -> None:
+        """Offer ``ready_members`` to callers; an empty list is answered with 503."""
+        self._store = store
+        self._observer = observer
+        self._ready_members = ready_members
+        self._is_ready = is_ready
+        self._entry_ttl_s = min(ENTRY_TTL_S, entry_ttl_s)
+
+    async def directory(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer which addresses to use."""
+        if not request.raw_path.startswith(PATH_RESOLVE):
+            return web.Response(status=404)
+        zone = request.query.get("zone", "")
+        members = sorted(self._ready_members(), key=lambda m: (m.zone != zone, m.node_id))
+        if not members:
+            return web.Response(status=503)
+        addresses = [member.http_address for member in members[:MOST_ADDRESSES]]
+        body = msgspec.json.encode({"addresses": addresses, "ttlS": self._entry_ttl_s})
+        return web.Response(body=body, content_type="application/json")
+
+    async def ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer whether this node takes callers."""
+        if not request.raw_path.startswith(PATH_READY):
+            return web.Response(status=404)
+        return web.Response(status=200 if self._is_ready() else 503)
+
+    async def control(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Pass a peer's call on to the store, or tell this node's metrics."""
+        if request.raw_path.startswith(RELAY_PREFIX):
+            return await self._relay(request)
+        if request.raw_path == "/metrics":
+            return web.Response(text=self.metrics_text())
+        return web.Response(status=404)
+
+    async def metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer with counters and percentiles as text."""
+        del request
+        return web.Response(text=self.metrics_text())
+
+    def metrics_text(self) -> str:
+        """Return one ``name value`` line for each counter and percentile."""
+        return "\n".join(self._observer.metric_lines()) + "\n"
+
+    async def _relay(self, request: web.BaseRequest) -> web.StreamResponse:
+        if not self._store.reachable:
+            return web.Response(status=503)
+        body = await request.read()
+        path = request.raw_path.removeprefix(RELAY_PREFIX)
+        wait_ms = request.query.get("waitMs", "0")
+        wait_s = int(wait_ms) / 1000.0 if wait_ms.isdigit() else 0.0
+        try:
+            reply = await self._store.relay(request.method, path, body, wait_s)
+        except ConnectionRefusedError:
+            return web.Response(status=503)
+        if reply is None:
+            return web.Response(status=504)
+        return web.Response(status=reply.status, body=reply.body)
--- /dev/null
+++ b/samphirecleat/platform/_watches.py
@@ -0,0 +1,120 @@
+"""Entries of the operator's and the targets' topics, read into what the product keeps."""
+
+from collections.abc import Mapping, Sequence
+
+from ..durable import LogEntry
+from ..observe import Observer
+from ..serving import RouteTable, Target, TargetRegistry, TargetTable
+from ._documents import (
+    DocumentFormatError,
+    decode_config,
+    decode_named_version,
+    decode_target,
+)
+from ._wire_names import KEY_CONFIG, KEY_VERSION
+
+
+class OperatorWatch:
+    """Takes the operator's newest configuration and the trainers' newest versions."""
+
+    def __init__(self, routes: RouteTable, observer: Observer) -> None:
+        """Put configurations into ``routes``."""
+        self._routes = routes
+        self._words = observer.log("config")
+        self._named: dict[str, int] = {}
+
+    def take(self, entries: Sequence[LogEntry], newest: bool) -> None:
+        """Take entries of the operator's topic; dropped keys change nothing."""
+        del newest
+        for entry in entries:
+            if not entry.value:
+                continue
+            try:
+                if entry.key == KEY_CONFIG:
+                    self._take_config(entry)
+                elif entry.key.startswith(KEY_VERSION):
+                    self._take_version(entry)
+            except DocumentFormatError as error:
+                self._words.error("offset=%d not understood: %s", entry.offset, error)
+
+    def named(self, model: str) -> int:
+        """Return the newest version of a model that was named, 1 before any."""
+        return self._named.get(model, 1)
+
+    def _take_config(self, entry: LogEntry) -> None:
+        config = decode_config(entry.value)
+        if self._routes.put(config):
+            self._words.info(
+                "revision=%d in force routes=%d offset=%d",
+                config.revision,
+                len(config.routes),
+                entry.offset,
+            )
+
+    def _take_version(self, entry: LogEntry) -> None:
+        model, version = decode_named_version(entry.value)
+        if version > self._named.get(model, 1):
+            self._named[model] = version
+            self._words.info("model=%s version=%d named", model, version)
+
+
+class TargetWatch:
+    """Takes the targets' registrations."""
+
+    def __init__(
+        self,
+        registry: TargetRegistry,
+        table: TargetTable,
+        observer: Observer,
+    ) -> None:
+        """Keep ``registry``, and ``table`` as it says."""
+        self._registry = registry
+        self._table = table
+        self._words = observer.log("targets")
+
+    def take(self, entries: Sequence[LogEntry], newest: bool) -> None:
+        """Take entries of the targets' topic."""
+        read: dict[str, Target | None] = {entry.key: self._read(entry) for entry in entries}
+        if newest:
+            self._registry.replace({name: t for name, t in read.items() if t is not None})
+        else:
+            for name, target in read.items():
+                self._take_one(name, target)
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Bring the table up to what the registry says now."""
+        present = self._registry.present()
+        if present != self._table.targets:
+            self._log_changes(present)
+            self._table.replace(present)
+
+    def _take_one(self, name: str, target: Target | None) -> None:
+        if target is None:
+            self._registry.remove(name)
+        else:
+            self._registry.put(target)
+
+    def _read(self, entry: LogEntry) -> Target | None:
+        if not entry.value:
+            return None
+        try:
+            return decode_target(entry.key, entry.value)
+        except DocumentFormatError as error:
+            self._words.warning("offset=%d names no target: %s", entry.offset, error)
+            return None
+
+    def _log_changes(self, now: Mapping[str, Target]) -> None:
+        for name in self._table.targets.keys() - now.keys():
+            self._words.info("target=%s gone", name)
+        for name, target in now.items():
+            before = self._table.targets.get(name)
+            if before is None or before.draining != target.draining:
+                self._words.info(
+                    "target=%s service=%s address=%s draining=%s versions=%s",
+                    name,
+                    target.service,
+                    target.address,
+                    target.draining,
+                    dict(target.versions),
+                )
--- /dev/null
+++ b/samphirecleat/platform/_wire_names.py
@@ -0,0 +1,45 @@
+"""The platform's names of headers and calls, spelled once."""
+
+from typing import Final
+
+REQUEST_ID: Final = "X-Request-Id"
+DEADLINE_MS: Final = "X-Deadline-Ms"
+SIGNATURE: Final = "X-Server-Stamp"
+EXPECT_INSTANCE: Final = "X-Expect-Instance"
+INSTANCE: Final = "X-Instance-Id"
+NOT_RUN: Final = "X-Not-Executed"
+LAST_EVENT_ID: Final = "Last-Event-Id"
+VERSION: Final = "X-Weight-Versions"
+RUN_PRIORITY: Final = "X-Request-Priority"
+TOKEN_COUNTS: Final = "X-Token-Counts"
+LENGTH_HINT: Final = "X-Length-Hint"
+WAIT_MS: Final = "X-Wait-Ms"
+
+# Headers that concern one connection only (RFC 9110, 7.6.1) and are never passed on.
+CONNECTION_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+
+PATH_REPORT: Final = "/v1/report"
+PATH_ORDER: Final = "/v1/order"
+PATH_READY: Final = "/v1/readiness"
+PATH_RESOLVE: Final = "/v1/resolve"
+PATH_STEP: Final = "/v1/lots/"
+PATH_ITEM: Final = "/v1/items/"
+PATH_APPEND: Final = "/v1/log-append"
+PATH_READ: Final = "/v1/log-read"
+PATH_NEWEST: Final = "/v1/log-newest"
+TOPIC_OPERATOR: Final = "keyed.op"
+TOPIC_TARGETS: Final = "keyed.servers"
+KEY_CONFIG: Final = "config"
+KEY_VERSION: Final = "version/"
--- /dev/null
+++ b/samphirecleat/serving/__init__.py
@@ -0,0 +1,44 @@
+"""Serving callers' calls by routes: types, the tables that a node keeps, the forwarder."""
+
+from ._forwarder import Forwarder
+from ._registry import TargetRegistry
+from ._route_table import RouteTable
+from ._target_table import TargetTable, services_in_turn
+from ._types import (
+    EMPTY_CONFIG,
+    NO_REVISION,
+    Call,
+    CallChannel,
+    CallerLimits,
+    CallKind,
+    EngineSpec,
+    Route,
+    RoutingConfig,
+    ServiceSpec,
+    Target,
+    TargetAnswer,
+    TargetFault,
+    WeightedService,
+)
+
+__all__ = [
+    "EMPTY_CONFIG",
+    "NO_REVISION",
+    "Call",
+    "CallChannel",
+    "CallKind",
+    "CallerLimits",
+    "EngineSpec",
+    "Forwarder",
+    "Route",
+    "RouteTable",
+    "RoutingConfig",
+    "ServiceSpec",
+    "Target",
+    "TargetAnswer",
+    "TargetFault",
+    "TargetRegistry",
+    "TargetTable",
+    "WeightedService",
+    "services_in_turn",
+]
--- /dev/null
+++ b/samphirecleat/serving/_forwarder.py
@@ -0,0 +1,200 @@
+"""Brings one call to a target and a whole answer back, within its deadline and attempts.
+
+Load pattern answered: a target that is slow, silent, full, spoils answers or was replaced
+under the same address, for calls of a few tens of milliseconds. A call that may be repeated
+gets a second attempt beside the first when the first is late; one that may not is sent once,
+and again only after a proof that it has not run.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from ..errors import ErrorKind, Ran, RequestError
+from ._route_table import RouteTable
+from ._target_table import TargetTable, services_in_turn
+from ._types import Call, CallChannel, CallKind, Route, Target, TargetAnswer, TargetFault
+
+# A second attempt starts when the first has used this part of the objective. Calls take a
+# sixth of it on average, so a call that is this late has met a slow or silent target, and
+# the rest of the objective still suffices for another.
+HEDGE_SHARE: Final = 0.45
+# Time kept back so that the last answer still reaches the caller before its deadline.
+RETURN_MARGIN_S: Final = 0.02
+# What a caller is told to wait when every target refused for lack of room: the time in
+# which a call or two ends at each.
+RETRY_AFTER_S: Final = 0.1
+# Targets refuse at once, so a few more rounds cost little; each may be sent a call again.
+REFUSALS_LIMIT: Final = 8
+
+
+class _Attempt(NamedTuple):
+    target: Target
+    task: asyncio.Task[TargetAnswer]
+
+
+class Forwarder:
+    """Forwards calls by routes over a channel; one for the whole process."""
+
+    def __init__(
+        self, routes: RouteTable, targets: TargetTable, channel: CallChannel, rng: random.Random
+    ) -> None:
+        """Choose among ``targets`` and send through ``channel``."""
+        self._routes = routes
+        self._targets = targets
+        self._channel = channel
+        self._rng = rng
+
+    async def forward(self, call: Call, route: Route) -> TargetAnswer:
+        """Return the target's answer, whatever its status.
+
+        :raises RequestError: when there is none to pass on; ``ran`` is NO only if no
+            target can have run the call.
+        """
+        now_s = asyncio.get_running_loop().time()
+        end_s = call.deadline_s
+        if route.timeout_s > 0.0:
+            end_s = min(end_s, call.received_at_s + route.timeout_s)
+        if end_s - RETURN_MARGIN_S <= now_s:
+            raise RequestError(ErrorKind.DEADLINE_EXCEEDED, "no time is left", ran=Ran.NO)
+        run = _Forwarding(self, call, route, end_s)
+        return await run.result()
+
+    def pick(
+        self, route: Route, services: Sequence[str], tried: Sequence[str], now_s: float
+    ) -> Target | None:
+        """Return the next target of a route, None if there is none."""
+        del route
+        return self._targets.choose(services, tried, now_s)
+
+    def services_for(self, route: Route) -> Sequence[str]:
+        """Draw one of the route's services by their shares."""
+        return services_in_turn(route, self._rng.random())
+
+    async def attempt(self, call: Call, target: Target, end_s: float) -> TargetAnswer:
+        """Send the call once and note what was seen of the target.
+
+        :raises TargetFault: when the target gave no answer.
+        """
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        self._targets.started(target)
+        try:
+            answer = await self._channel.exchange(call, target, end_s - started_s)
+        except TargetFault as fault:
+            self._targets.failed(target, loop.time(), refused=fault.refused)
+            raise
+        finally:
+            self._targets.ended(target)
+        self._targets.answered(target, loop.time() - started_s)
+        return answer
+
+
+class _Forwarding:
+    """The attempts of one call."""
+
+    def __init__(self, forwarder: Forwarder, call: Call, route: Route, end_s: float) -> None:
+        self._forwarder = forwarder
+        self._call = call
+        self._route = route
+        self._end_s = end_s
+        self._services = forwarder.services_for(route)
+        self._tried: list[str] = []
+        self._ran = Ran.NO
+        self._refusals = 0
+        self._runs_used = 0
+        self._last_detail = "no target serves this route"
+        self._spoilt: TargetAnswer | None = None
+        self._repeatable = route.kind is CallKind.IDEMPOTENT
+
+    async def result(self) -> TargetAnswer:
+        """Return the first usable answer of the attempts; cancels the others."""
+        attempts: list[_Attempt] = []
+        try:
+            return await self._race(attempts)
+        finally:
+            for attempt in attempts:
+                attempt.task.cancel()
+
+    async def _race(self, attempts: list[_Attempt]) -> TargetAnswer:
+        loop = asyncio.get_running_loop()
+        hedge_s = self._route.objective_s * HEDGE_SHARE
+        next_hedge_s = loop.time() + hedge_s
+        while True:
+            if not attempts and not self._start(attempts, loop.time()):
+                return self._give_up()
+            left_s = self._end_s - RETURN_MARGIN_S - loop.time()
+            if left_s <= 0.0:
+                raise RequestError(
+                    ErrorKind.DEADLINE_EXCEEDED,
+                    f"no answer in time; last: {self._last_detail}",
+                    ran=Ran.UNKNOWN,
+                )
+            may_hedge = self._repeatable and self._runs_used < self._route.max_attempts
+            wait_s = min(left_s, max(0.0, next_hedge_s - loop.time())) if may_hedge else left_s
+            done, _ = await asyncio.wait(
+                [a.task for a in attempts], timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            for attempt in [a for a in attempts if a.task in done]:
+                attempts.remove(attempt)
+                answer = self._take(attempt)
+                if answer is not None:
+                    return answer
+            if not done and may_hedge and loop.time() >= next_hedge_s:
+                self._start(attempts, loop.time())
+                next_hedge_s = loop.time() + 2.0 * hedge_s
+
+    def _start(self, attempts: list[_Attempt], now_s: float) -> bool:
+        """Start one more attempt; False when attempts or targets are used up."""
+        if self._runs_used >= self._route.max_attempts or self._refusals >= REFUSALS_LIMIT:
+            return False
+        if self._ran is not Ran.NO and not self._repeatable:
+            return False
+        target = self._forwarder.pick(self._route, self._services, self._tried, now_s)
+        if target is None:
+            return False
+        if attempts and target.instance in self._tried:
+            return False
+        self._tried.append(target.instance)
+        self._runs_used += 1
+        task = asyncio.ensure_future(self._forwarder.attempt(self._call, target, self._end_s))
+        attempts.append(_Attempt(target, task))
+        return True
+
+    def _take(self, attempt: _Attempt) -> TargetAnswer | None:
+        """Return the attempt's answer if it settles the call, else remember why not."""
+        try:
+            answer = attempt.task.result()
+        except TargetFault as fault:
+            self._last_detail = fault.detail
+            if fault.ran is Ran.NO:
+                # It ran nowhere, so it counts against no limit on runs.
+                self._runs_used -= 1
+                self._refusals += 1
+            else:
+                self._ran = Ran.UNKNOWN
+            return None
+        if answer.status >= 500 and self._repeatable:
+            self._spoilt = answer
+            self._ran = Ran.UNKNOWN
+            if self._runs_used < self._route.max_attempts:
+                self._last_detail = f"the target answered {answer.status}"
+                return None
+        return answer
+
+    def _give_up(self) -> TargetAnswer:
+        """Return the failure that a target gave, or raise our own.
+
+        :raises RequestError: always, unless a target answered with a failure.
+        """
+        if self._spoilt is not None:
+            return self._spoilt
+        if self._ran is Ran.NO:
+            raise RequestError(
+                ErrorKind.NO_TARGET,
+                f"no target took the call: {self._last_detail}",
+                ran=Ran.NO,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        raise RequestError(ErrorKind.OUTCOME_UNKNOWN, self._last_detail, ran=Ran.UNKNOWN)
--- /dev/null
+++ b/samphirecleat/serving/_route_table.py
@@ -0,0 +1,41 @@
+"""Which route a call takes: its host, then the longest prefix of its path."""
+
+from collections import defaultdict
+from collections.abc import Sequence
+
+from ._types import EMPTY_CONFIG, Route, RoutingConfig
+
+
+class RouteTable:
+    """The configuration in force, arranged for looking up; it never goes back."""
+
+    def __init__(self) -> None:
+        """Start without a configuration."""
+        self.config: RoutingConfig = EMPTY_CONFIG
+        self._by_host: dict[str, Sequence[Route]] = {}
+
+    @property
+    def known(self) -> bool:
+        """Whether any configuration has come; until then no route can be denied."""
+        return self.config.revision >= 0
+
+    def put(self, config: RoutingConfig) -> bool:
+        """Take a configuration into force; False for one that is not newer."""
+        if config.revision <= self.config.revision:
+            return False
+        by_host: dict[str, list[Route]] = defaultdict(list)
+        for route in config.routes:
+            by_host[route.host].append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        self.config = config
+        self._by_host = dict(by_host)
+        return True
+
+    def find(self, host: str, raw_path: str) -> Route | None:
+        """Return the route with the longest prefix of the path, or None."""
+        path = raw_path.partition("?")[0]
+        for route in self._by_host.get(host.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- /dev/null
+++ b/samphirecleat/serving/_target_table.py
@@ -0,0 +1,131 @@
+"""The targets that may get work now, and which of them a call goes to.
+
+Load pattern answered: few calls per node over many nodes, where one target turns slow,
+refuses, or falls silent while its entry still says that it is ready.
+"""
+
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from typing import Final
+
+from ._types import Route, Target
+
+# A target that failed is passed over this long unless no other is left: long enough to
+# outlast a burst of failures, short enough to find a restarted target within a second.
+FAULT_REST_S: Final = 1.0
+# After a refusal for lack of room the next try may succeed as soon as one call has ended.
+REFUSAL_REST_S: Final = 0.05
+# Weight of the newest duration in a target's running mean.
+DURATION_GAIN: Final = 0.3
+# What a hop to another availability zone counts against a target, as calls in flight.
+OTHER_ZONE_COST: Final = 0.25
+
+
+class TargetTable:
+    """Targets by instance, with what this node has seen of each."""
+
+    def __init__(self, zone: str) -> None:
+        """Prefer targets of ``zone``."""
+        self._zone = zone
+        self.targets: Mapping[str, Target] = {}
+        self._by_service: dict[str, list[Target]] = {}
+        self.in_flight: Counter[str] = Counter()
+        self._rests_until_s: dict[str, float] = {}
+        self._mean_s: dict[str, float] = {}
+
+    def replace(self, targets: Mapping[str, Target]) -> None:
+        """Take the present targets; what was seen of those that are gone is forgotten."""
+        self.targets = targets
+        self._by_service = {}
+        for target in targets.values():
+            self._by_service.setdefault(target.service, []).append(target)
+        for seen in (self._rests_until_s, self._mean_s):
+            for instance in [name for name in seen if name not in targets]:
+                del seen[instance]
+
+    def is_current(self, target: Target) -> bool:
+        """Whether the target still registers as the same start, and stays."""
+        now = self.targets.get(target.instance)
+        return (
+            now is not None
+            and not now.draining
+            and now.address == target.address
+            and now.started_at_ms == target.started_at_ms
+        )
+
+    def serving(self, service: str) -> Sequence[Target]:
+        """Return the targets of a service that take new work."""
+        return [t for t in self._by_service.get(service, ()) if not t.draining]
+
+    def of(self, service: str) -> Sequence[Target]:
+        """Return all targets of a service."""
+        return self._by_service.get(service, ())
+
+    def started(self, target: Target) -> None:
+        """Count a call that goes to a target."""
+        self.in_flight[target.instance] += 1
+
+    def ended(self, target: Target) -> None:
+        """Count a call that is over."""
+        self.in_flight[target.instance] -= 1
+
+    def answered(self, target: Target, duration_s: float) -> None:
+        """Note how long a whole answer took."""
+        mean_s = self._mean_s.get(target.instance, duration_s)
+        self._mean_s[target.instance] = mean_s + DURATION_GAIN * (duration_s - mean_s)
+        self._rests_until_s.pop(target.instance, None)
+
+    def failed(self, target: Target, now_s: float, *, refused: bool) -> None:
+        """Pass a target over for a while after a failure or a refusal."""
+        rest_s = REFUSAL_REST_S if refused else FAULT_REST_S
+        self._rests_until_s[target.instance] = now_s + rest_s
+
+    def resting(self, target: Target, now_s: float) -> bool:
+        """Whether the target is passed over for now."""
+        return self._rests_until_s.get(target.instance, 0.0) > now_s
+
+    def choose(
+        self, services: Iterable[str], tried: Collection[str], now_s: float
+    ) -> Target | None:
+        """Return the target for the next attempt, or None if there is none left.
+
+        A target that was tried already comes back only if no other is left, and one
+        that rests only if all do.
+        """
+        candidates = [target for service in services for target in self.serving(service)]
+        if not candidates:
+            return None
+        typical_s = self._typical_s(candidates)
+
+        def cost(target: Target) -> tuple[bool, bool, float]:
+            load = self.in_flight[target.instance] / max(1, target.slots)
+            slowness = self._mean_s.get(target.instance, typical_s) / typical_s
+            away = 0.0 if target.zone == self._zone else OTHER_ZONE_COST
+            return (
+                target.instance in tried,
+                self.resting(target, now_s),
+                (1.0 + load + away) * max(1.0, slowness),
+            )
+
+        return min(candidates, key=cost)
+
+    def _typical_s(self, candidates: Sequence[Target]) -> float:
+        known = sorted(self._mean_s[t.instance] for t in candidates if t.instance in self._mean_s)
+        return max(0.001, known[len(known) // 2]) if known else 1.0
+
+
+def services_in_turn(route: Route, draw: float) -> Sequence[str]:
+    """Return a route's services, the one that ``draw`` (0 to 1) falls on first.
+
+    Only that one is used: a route's shares are the operator's, and another of its
+    services is no replica of the first.
+    """
+    total = sum(max(0.0, part.weight) for part in route.services)
+    if total <= 0.0:
+        return [part.service for part in route.services][:1]
+    mark = draw * total
+    for part in route.services:
+        mark -= max(0.0, part.weight)
+        if mark < 0.0:
+            return [part.service]
+    return [route.services[-1].service]
--- a/samphirecleat/targets/_connector.py
+++ b/samphirecleat/targets/_connector.py
@@ -9,9 +9,13 @@
 KEEPALIVE_PROBES: Final = 2
 
 
-def make_connector(silent_after_s: float, *, force_close: bool = False) -> aiohttp.TCPConnector:
+def make_connector(
+    silent_after_s: float, *, force_close: bool = False, keepalive_timeout_s: float = 15.0
+) -> aiohttp.TCPConnector:
     """Return a connector whose connections end some seconds after their path died.
 
+    An idle connection is kept ``keepalive_timeout_s``, unless ``force_close`` is set.
+
     Something between the two ends can lose track of a connection: nothing comes
     any more, and nothing says so. A plain service cannot be asked how far a call
     is, so without this a call that may not be repeated would be waited for to its
@@ -23,7 +27,11 @@
         family, kind, protocol, _name, _address = address
         return set_keepalive(socket.socket(family, kind, protocol), silent_after_s)
 
-    return aiohttp.TCPConnector(limit=0, force_close=force_close, socket_factory=make_socket)
+    if force_close:
+        return aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=make_socket)
+    return aiohttp.TCPConnector(
+        limit=0, keepalive_timeout=keepalive_timeout_s, socket_factory=make_socket
+    )
 
 
 def set_keepalive(connection: socket.socket, silent_after_s: float) -> socket.socket:
