A runner's claim settles in 0.6 s; a host takes its own service back at once

Cause: after all processes were killed the claims read from the log counted as just made, so nobody claimed for 1.5 s, and the new holder waited out the lease of its own host.

--- a/samphirecleat/durable/_duty.py
+++ b/samphirecleat/durable/_duty.py
@@ -165,7 +165,8 @@
             self._claimed_at_s[service] = -1e9
 
     async def _take_post(self, service: str, claim: Claim) -> None:
-        first = self._step_log.claims_seen.get(service, 0) <= 1
+        # One host is one holder, whichever of its processes orders.
+        follows_other = claim.previous_node_id not in ("", claim.node_id)
         await self._journal.restore(self._drafts)
         runner = StepRunner(
             service,
@@ -191,7 +192,7 @@
             runs=lambda: runner.busy_by_engine,
             streamed=runner.version_of,
             loading=runner.loading,
-            first=first,
+            follows_other=follows_other,
         )
         tasks = [
             asyncio.ensure_future(runner.run()),
@@ -201,7 +202,9 @@
         for task in tasks:
             task.add_done_callback(self._note_end)
         self._posts[service] = _Post(claim.offset, runner, orderer, tasks)
-        self._words.info("service=%s taken fencing=%d first=%s", service, claim.offset, first)
+        self._words.info(
+            "service=%s taken fencing=%d follows=%s", service, claim.offset, claim.previous_node_id
+        )
 
     def _may_order(self, service: str, claim: Claim) -> Callable[[float], bool]:
         def may_order(within_s: float) -> bool:
--- a/samphirecleat/durable/_election.py
+++ b/samphirecleat/durable/_election.py
@@ -16,8 +16,11 @@
 # After a claim of its own a node waits this long before it claims the service again, so
 # that two nodes that can't hear each other do not take turns in a hurry.
 CLAIM_PAUSE_S: Final = 2.5
-# A claim that was just made may be by a node that this one has not heard of yet.
-SETTLE_S: Final = 1.5
+# A claim that was just made may be by a node that this one has not heard of yet, and a
+# node that has just started hears of the others within two heartbeats.
+SETTLE_S: Final = 0.6
+# Processes that started within this long of each other count as equally new.
+SAME_AGE_MS: Final = 1500
 
 
 class Candidate(NamedTuple):
@@ -46,13 +49,20 @@
     uptime_s: float
 
 
-def ranked(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+def ranked(candidates: Sequence[Candidate], last_node_id: str = "") -> Sequence[Candidate]:
     """Return the candidates, the one that should claim first in front.
 
-    The newest process comes first: when nodes are restarted in turn, it is the one that
-    is not restarted next. Names break the tie of those that started together.
+    A new process of the node that ran the service last comes first: its host needs no
+    wait before it gives orders again. Then the newest processes: when nodes are restarted
+    in turn, they are not restarted next. Names break the tie.
     """
-    return sorted(candidates, key=lambda c: (-(c.started_at_ms // 1000), c.node_id))
+    newest_ms = max((candidate.started_at_ms for candidate in candidates), default=0)
+
+    def rank(candidate: Candidate) -> tuple[bool, bool, str]:
+        older = newest_ms - candidate.started_at_ms > SAME_AGE_MS
+        return (candidate.node_id != last_node_id, older, candidate.node_id)
+
+    return sorted(candidates, key=rank)
 
 
 def should_claim(view: ElectionView) -> bool:
@@ -68,7 +78,7 @@
     heard = len(view.candidates)
     if 2 * heard < view.known_members and view.runner_silent_s < MINORITY_DELAY_S:
         return False
-    order = ranked(view.candidates)
+    order = ranked(view.candidates, claim.node_id if claim is not None else "")
     return bool(order) and order[0].incarnation == view.own_incarnation
 
 
--- a/samphirecleat/durable/_fold.py
+++ b/samphirecleat/durable/_fold.py
@@ -14,11 +14,15 @@
 
 
 class Claim(NamedTuple):
-    """Who runs a service's work; ``offset`` is the fencing number."""
+    """Who runs a service's work; ``offset`` is the fencing number.
+
+    ``previous_node_id`` is the node that held it before, an empty text for the first claim.
+    """
 
     node_id: str
     incarnation: str
     offset: int
+    previous_node_id: str = ""
 
 
 @dataclass
@@ -58,7 +62,9 @@
             case StepEnded():
                 return self._end(record, now_s)
             case RunnerClaimed():
-                claim = Claim(record.node_id, record.incarnation, offset)
+                before = self.claims.get(record.service)
+                previous = before.node_id if before is not None else ""
+                claim = Claim(record.node_id, record.incarnation, offset, previous)
                 self.claims[record.service] = claim
                 return True
 
--- a/samphirecleat/durable/_orderer.py
+++ b/samphirecleat/durable/_orderer.py
@@ -107,17 +107,17 @@
         runs: Callable[[], Mapping[str, int]],
         streamed: Callable[[Target], int],
         loading: set[str],
-        first: bool,
+        follows_other: bool,
     ) -> None:
         """Order under ``fencing_number``; ``loading`` is kept for the planner of runs.
 
-        ``may_order`` says whether the claim was confirmed within some seconds. The
-        ``first`` claim of a service ever follows nobody and waits for nobody.
+        ``may_order`` says whether the claim was confirmed within some seconds. A claim
+        that ``follows_other`` node waits until that one can't be ordering any more.
         """
         self._service = service
         self._fencing_number = fencing_number
         self._node_id = node_id
-        self._wait_s = 0.0 if first else lease_s + TAKEOVER_SLACK_S
+        self._wait_s = lease_s + TAKEOVER_SLACK_S if follows_other else 0.0
         self._routes = routes
         self._targets = targets
         self._channel = channel
--- a/samphirecleat/durable/_step_log.py
+++ b/samphirecleat/durable/_step_log.py
@@ -62,7 +62,6 @@
         self._results_ready = asyncio.Event()
         self.last_write_by: dict[str, float] = {}
         self.claimed_at_s: dict[str, float] = {}
-        self.claims_seen: dict[str, int] = {}
 
     @property
     def caught_up(self) -> bool:
@@ -194,7 +193,6 @@
         return f"{key_prefix(subject)}/{self._writer_id}/{self._next_key}"
 
     def _take(self, entries: Sequence[LogEntry], newest: bool) -> None:
-        del newest  # Either way every entry comes once, in offset order.
         now_s = asyncio.get_running_loop().time()
         for entry in entries:
             if not entry.value:
@@ -207,13 +205,13 @@
                 continue
             if record is not None:
                 changed = self.fold.apply(record, entry.offset, now_s)
-                self._log_record(record, entry.offset, changed=changed)
+                self._log_record(record, entry.offset, changed=changed, past=newest)
         for step_id in self.fold.forget_before(now_s, KEEP_ENDED_S):
             self._words.info("step=%s forgotten", step_id)
         changed_event, self._changed = self._changed, asyncio.Event()
         changed_event.set()
 
-    def _log_record(self, record: Record, offset: int, *, changed: bool) -> None:
+    def _log_record(self, record: Record, offset: int, *, changed: bool, past: bool) -> None:
         match record:
             case StepAccepted():
                 self._words.info(
@@ -228,9 +226,8 @@
             case StepEnded():
                 self._words.info("step=%s ended offset=%d new=%s", record.step_id, offset, changed)
             case RunnerClaimed():
-                now_s = asyncio.get_running_loop().time()
-                self.claimed_at_s[record.service] = now_s
-                self.claims_seen[record.service] = self.claims_seen.get(record.service, 0) + 1
+                if not past:
+                    self.claimed_at_s[record.service] = asyncio.get_running_loop().time()
                 self._words.info(
                     "service=%s runner=%s/%s offset=%d",
                     record.service,
