--- a/samphirecleat/durable/_follower.py
+++ b/samphirecleat/durable/_follower.py
@@ -16,7 +16,10 @@
 RETRY_S: Final = (0.05, 0.15)
 
 Sink = Callable[[Sequence[LogEntry], bool], None]
-"""Takes entries in offset order; the flag says that they are the newest of every key."""
+"""Takes entries in offset order; the flag says that they were there before the follower was.
+
+For a sink that is not ordered they are then the newest of every key, and all of them.
+"""
 
 
 class TopicFollower:
@@ -51,7 +54,7 @@
     @property
     def caught_up(self) -> bool:
         """Whether the topic was read to an end at least once."""
-        return self.end >= 0
+        return self.confirmed_at_s >= 0.0
 
     def age_s(self) -> float:
         """How long ago the log confirmed that nothing more was there."""
@@ -79,7 +82,11 @@
 
         :raises LogUnavailableError: when the log gives no answer.
         """
-        if self.end < 0:
+        if self.end < 0 and self._ordered:
+            # As long as the history is whole it is the shortest way: no key is repeated
+            # and nothing is encoded as text.
+            self.end = 0
+        elif self.end < 0:
             await self._snapshot()
             return
         try:
@@ -106,7 +113,7 @@
         # Two reads may be under way at once; what the other brought is not taken twice.
         fresh = [entry for entry in entries if entry.offset >= self.end]
         if fresh:
-            self._sink(fresh, False)
+            self._sink(fresh, not self.caught_up)
             self.end = fresh[-1].offset + 1
         if self.end >= end:
             self._confirm()
--- a/samphirecleat/durable/_records.py
+++ b/samphirecleat/durable/_records.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import zlib
 from collections.abc import Sequence
 from typing import Any, Final, NamedTuple
 
@@ -15,6 +16,9 @@
 # keeps one large text from filling an append.
 PART_BYTES: Final = 131_072
 _HEADER: Final = 4
+# Texts shrink by a third at the fastest level, which takes 20 ms a megabyte. After a loss of
+# power every node reads all of it at once, and the store's reading rate is what they wait for.
+_ZLIB_LEVEL: Final = 1
 
 
 class RewardSpec(NamedTuple):
@@ -107,7 +111,23 @@
 
 def encode_record(record: Record) -> bytes:
     """Return the bytes of a record."""
-    return bytes([_TAG_OF[type(record)]]) + msgspec.msgpack.encode(record)
+    return bytes([_TAG_OF[type(record)]]) + pack(msgspec.msgpack.encode(record))
+
+
+def pack(content: bytes) -> bytes:
+    """Return content in the compressed form in which it is written to the log."""
+    return zlib.compress(content, _ZLIB_LEVEL)
+
+
+def unpack(blob: bytes) -> bytes:
+    """Return the content of a compressed form.
+
+    :raises RecordFormatError: when it is none.
+    """
+    try:
+        return zlib.decompress(blob)
+    except zlib.error as error:
+        raise RecordFormatError(str(error)) from error
 
 
 def decode_record(blob: bytes) -> Record:
@@ -119,7 +139,7 @@
     if decoder is None:
         raise RecordFormatError(f"tag {blob[:1]!r}")
     try:
-        record: Record = decoder.decode(memoryview(blob)[1:])
+        record: Record = decoder.decode(unpack(blob[1:]))
     except msgspec.MsgspecError as error:
         raise RecordFormatError(str(error)) from error
     return record
