--- a/samphirecleat/durable/_follower.py
+++ b/samphirecleat/durable/_follower.py
@@ -119,4 +119,6 @@
             self._confirm()
 
     def _confirm(self) -> None:
+        if not self.caught_up:
+            self._words.info("topic=%s caught up end=%d", self._topic, self.end)
         self.confirmed_at_s = boot_time_s()
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -29,8 +29,8 @@
 from ._wire_names import TOPIC_OPERATOR, TOPIC_TARGETS
 
 # Between nodes: probes of members, and how long a member may leave them unanswered.
-HEARTBEAT_S: Final = 0.3
-SUSPECT_AFTER_S: Final = 1.0
+HEARTBEAT_S: Final = 0.15
+SUSPECT_AFTER_S: Final = 0.5
 HOUSEKEEPING_S: Final = 0.25
 # The store's connection is given up by the kernel after this long without a sign.
 STORE_SILENT_S: Final = 1.0
