--- a/samphirecleat/durable/_journal.py
+++ b/samphirecleat/durable/_journal.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Final
 
@@ -13,6 +14,7 @@
 from ..observe import Observer
 from ._drafts import Draft, DraftPart, DraftShelf
 from ._ports import AppendOutcome, LogUnavailableError, PlainLog
+from ._records import RecordFormatError, pack, unpack
 
 PROGRESS_TOPIC: Final = "progress"
 # A lost runner costs at most this much of each text, about a dozen events.
@@ -21,6 +23,10 @@
 RECORD_BYTES: Final = 100_000
 # A new runner does not wait longer than this for what the last one saved.
 RESTORE_WITHIN_S: Final = 1.0
+# Older records are dropped: an item that was begun longer ago is late whatever is kept of
+# it, and a new runner waits for the reading of all that is kept.
+KEEP_S: Final = 9.0
+TRIM_EVERY_S: Final = 3.0
 
 _DECODER: Final = msgspec.msgpack.Decoder(list[DraftPart])
 
@@ -33,12 +39,15 @@
         self._log = log
         self._observer = observer
         self._words = observer.log("journal")
+        self._saved: deque[tuple[float, int]] = deque()
+        self._trimmed_at_s = 0.0
 
     async def keep(self, drafts: Callable[[], Sequence[Draft]]) -> None:
         """Save what grew, for as long as the node runs the service."""
         while True:
             await asyncio.sleep(SAVE_EVERY_S)
             await self.save(drafts())
+            await self._trim()
 
     async def save(self, drafts: Sequence[Draft]) -> None:
         """Append what was made since the last save; a failure loses only that."""
@@ -48,9 +57,22 @@
         result = await self._log.append_plain(PROGRESS_TOPIC, _pack(parts))
         if result.outcome is AppendOutcome.APPENDED:
             self._observer.counters["progress_parts"] += len(parts)
+            self._saved.append((asyncio.get_running_loop().time(), result.offset))
         else:
             self._words.warning("parts=%d not saved: %s", len(parts), result.detail)
 
+    async def _trim(self) -> None:
+        """Drop what is too old to be of use, up to the newest of it that this node wrote."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._trimmed_at_s < TRIM_EVERY_S:
+            return
+        before = -1
+        while self._saved and now_s - self._saved[0][0] > KEEP_S:
+            before = self._saved.popleft()[1]
+        if before > 0:
+            self._trimmed_at_s = now_s
+            await self._log.trim_plain(PROGRESS_TOPIC, before)
+
     async def restore(self, drafts: DraftShelf) -> None:
         """Take what earlier runners saved into the drafts."""
         try:
@@ -62,8 +84,8 @@
         taken = 0
         for record in records:
             try:
-                parts = _DECODER.decode(record)
-            except msgspec.MsgspecError as error:
+                parts = _DECODER.decode(unpack(record))
+            except (msgspec.MsgspecError, RecordFormatError) as error:
                 self._words.error("a record is not understood: %s", error)
                 continue
             taken += drafts.restore(parts)
@@ -78,9 +100,9 @@
     for part in parts:
         part_bytes = sum(len(piece) for piece in part.pieces)
         if batch and size_bytes + part_bytes > RECORD_BYTES:
-            records.append(msgspec.msgpack.encode(batch))
+            records.append(pack(msgspec.msgpack.encode(batch)))
             batch, size_bytes = [], 0
         batch.append(part)
         size_bytes += part_bytes
-    records.append(msgspec.msgpack.encode(batch))
+    records.append(pack(msgspec.msgpack.encode(batch)))
     return records
--- a/samphirecleat/durable/_ports.py
+++ b/samphirecleat/durable/_ports.py
@@ -87,6 +87,10 @@
         """Append records; never raises for a failure of the log."""
         ...
 
+    async def trim_plain(self, topic: str, before: int) -> None:
+        """Drop the records before an offset; a failure leaves them for the next time."""
+        ...
+
     async def read_plain(self, topic: str) -> Sequence[bytes]:
         """Return all records that are still kept.
 
--- a/samphirecleat/platform/_metadata_store.py
+++ b/samphirecleat/platform/_metadata_store.py
@@ -26,7 +26,7 @@
 )
 from ..observe import Observer
 from ._answers import ANSWER_FAULTS
-from ._wire_names import PATH_APPEND, PATH_NEWEST, PATH_READ
+from ._wire_names import PATH_APPEND, PATH_NEWEST, PATH_READ, PATH_TRIM
 
 # Where a peer passes a call on to the store, and the header that keeps it from doing so twice.
 RELAY_PREFIX: Final = "/relay"
@@ -126,6 +126,14 @@
         """Append records without keys; see :class:`PlainLog`."""
         return await self._append(topic, records, UNCONDITIONAL)
 
+    async def trim_plain(self, topic: str, before: int) -> None:
+        """Drop the records before an offset; see :class:`PlainLog`."""
+        path = f"{PATH_TRIM}?topic={quote(topic)}&part=0&before={before}"
+        try:
+            await self._call(self._base, "POST", path, b"", 0.0)
+        except _Unanswered as error:
+            self._words.info("topic=%s not trimmed: %s", topic, error)
+
     async def read_plain(self, topic: str) -> Sequence[bytes]:
         """Return all records that are kept; see :class:`PlainLog`."""
         records: list[bytes] = []
