Engines load a version only when no coming step may use what they have

Cause: all engines took every version, in three waves of 0.9 s, just when a step's longest texts should start.

--- a/samphirecleat/durable/_duty.py
+++ b/samphirecleat/durable/_duty.py
@@ -188,6 +188,7 @@
             self._orders,
             self._observer,
             named=self._named,
+            needed=lambda model: runner.needed_version(self._named(model)),
             may_order=self._may_order(service, claim),
             runs=lambda: runner.busy_by_engine,
             streamed=runner.version_of,
--- a/samphirecleat/durable/_orderer.py
+++ b/samphirecleat/durable/_orderer.py
@@ -103,6 +103,7 @@
         observer: Observer,
         *,
         named: Callable[[str], int],
+        needed: Callable[[str], int],
         may_order: Callable[[float], bool],
         runs: Callable[[], Mapping[str, int]],
         streamed: Callable[[Target], int],
@@ -111,6 +112,7 @@
     ) -> None:
         """Order under ``fencing_number``; ``loading`` is kept for the planner of runs.
 
+        ``named`` gives a model's newest version, ``needed`` the lowest that steps accept.
         ``may_order`` says whether the claim was confirmed within some seconds. A claim
         that ``follows_other`` node waits until that one can't be ordering any more.
         """
@@ -124,6 +126,7 @@
         self._observer = observer
         self._words = observer.log("orders")
         self._named = named
+        self._needed = needed
         self._may_order = may_order
         self._runs = runs
         self._streamed = streamed
@@ -177,7 +180,7 @@
                     known.rests_until_s > now_s,
                 )
             )
-        for instance in decide_loads(views, named):
+        for instance in decide_loads(views, named, self._needed(model)):
             known = self._known[instance]
             known.loading_version = named
             known.look_at_s = now_s + ORDER_TIMEOUT_S + FIRST_LOOK_S
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -205,6 +205,16 @@
             step.spec.min_version,
         )
 
+    def needed_version(self, named: int) -> int:
+        """Return the lowest version that the open steps and the next one accept."""
+        steps = [step.spec for step, _route in self._my_steps()]
+        if not steps:
+            return named
+        newest = max(steps, key=lambda spec: spec.number)
+        # Step k is asked for at version k, or at 1 for the first ones.
+        allowed_lag = max(0, max(1, newest.number) - newest.min_version)
+        return max(named - allowed_lag, *(spec.min_version for spec in steps))
+
     def _tokens_per_event(self) -> int:
         spec = self._routes.config.services.get(self.service)
         return spec.engine.tokens_per_event if spec is not None and spec.engine else 1
--- a/samphirecleat/durable/_weight_orders.py
+++ b/samphirecleat/durable/_weight_orders.py
@@ -1,9 +1,11 @@
 """Which engines are ordered to load a version now: a pure decision.
 
 Load pattern answered: a version is named every few seconds, just before the step that may
-use it; an engine that loads starts nothing for about a second, and loads slow each other
-down beyond a number at once. So a few load at a time, those with the least work first, and
-none loads what it does not need.
+use it; steps allow a version or two less than the newest. An engine that loads starts
+nothing for about a second and holds up what it runs, and loads slow each other down beyond
+a number at once. So only engines that no coming step may use load at once, a few at a time.
+Of the others half are kept at the newest version: when the next one is named, that half
+goes on while the other half loads.
 """
 
 from collections.abc import Sequence
@@ -23,8 +25,13 @@
     rests: bool
 
 
-def decide_loads(engines: Sequence[OrderableEngine], named_version: int) -> Sequence[str]:
-    """Return the instances to order to ``named_version`` now, the first first."""
+def decide_loads(
+    engines: Sequence[OrderableEngine], named_version: int, needed_version: int
+) -> Sequence[str]:
+    """Return the instances to order to ``named_version`` now, the first first.
+
+    Open and coming steps accept ``needed_version`` and newer.
+    """
     at_once = max(1, int(len(engines) * SHARE_AT_ONCE))
     free = at_once - sum(engine.loading for engine in engines)
     if free <= 0:
@@ -35,4 +42,9 @@
         if engine.version < named_version and not engine.loading and not engine.rests
     ]
     behind.sort(key=lambda engine: (engine.version, engine.running, engine.instance))
-    return [engine.instance for engine in behind[:free]]
+    useless = [engine for engine in behind if engine.version < needed_version]
+    newest = sum(engine.loading or engine.version >= named_version for engine in engines)
+    early = max(0, (len(engines) + 1) // 2 - newest - len(useless))
+    usable = [engine for engine in behind if engine.version >= needed_version]
+    usable.sort(key=lambda engine: (engine.running, engine.instance))
+    return [engine.instance for engine in [*useless, *usable[:early]][:free]]
