--- a/samphirecleat/durable/_duty.py
+++ b/samphirecleat/durable/_duty.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 from ..blackboard import Blackboard
@@ -201,7 +202,7 @@
             asyncio.ensure_future(self._journal.keep(runner.open_drafts)),
         ]
         for task in tasks:
-            task.add_done_callback(self._note_end)
+            task.add_done_callback(partial(self._note_end, service, claim.offset))
         self._posts[service] = _Post(claim.offset, runner, orderer, tasks)
         self._words.info(
             "service=%s taken fencing=%d follows=%s", service, claim.offset, claim.previous_node_id
@@ -216,12 +217,15 @@
 
         return may_order
 
-    def _note_end(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled():
+    def _note_end(self, service: str, offset: int, task: asyncio.Task[None]) -> None:
+        """Start a service's work anew when a part of it failed: its steps wait for it."""
+        error = None if task.cancelled() else task.exception()
+        if error is None:
             return
-        error = task.exception()
-        if error is not None:
-            self._words.error("a task of a service failed", exc_info=error)
+        self._words.error("a task of a service failed", exc_info=error)
+        post = self._posts.get(service)
+        if post is not None and post.offset == offset:
+            self._leave_post(service)
 
     def _leave_post(self, service: str) -> None:
         post = self._posts.pop(service)
--- a/samphirecleat/durable/_planner.py
+++ b/samphirecleat/durable/_planner.py
@@ -2,21 +2,23 @@
 
 Load pattern answered: a step of some hundred items comes at once; lengths vary by a factor
 of ten and are known by a rough hint; engines produce tokens almost as fast with all places
-taken as with one, so a step takes as long as its longest text. Hence the longest start
-first, except the groups that the trainer can do without; items of a group go where their
-shared prompt was read; an engine that turned slow gets what is short.
+taken as with one, so a step takes as long as its longest text; the next step comes while
+the longest texts of this one are still being made. Hence what has the least time to spare
+starts first, except the groups that the trainer can do without; items of a group go where
+their shared prompt was read; an engine that turned slow gets what is left.
 """
 
 from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
-# Of the memory of an engine this share is planned for; hints are off by half either way,
-# and an engine that runs out preempts its newest run.
-MEMORY_SHARE: Final = 0.9
+# Of what a text is expected to need, this share is planned for: texts grow at the same pace,
+# so the short ones have left before the long ones need their room. An engine that runs out
+# of memory after all holds up its newest run, which costs a few milliseconds of reading.
+GROWTH_SHARE: Final = 0.5
 
 
 class PendingItem(NamedTuple):
-    """An item that wants a place.
+    """An item that wants a place, to be listed within ``due_in_s``.
 
     ``expected_tokens`` is what is still to be made, ``context_tokens`` what its engine
     reads before that.
@@ -25,7 +27,7 @@
     step_id: str
     item_id: str
     group: str
-    step_order: int
+    due_in_s: float
     carried: bool
     expected_tokens: int
     context_tokens: int
@@ -55,13 +57,13 @@
 
 
 def order_items(
-    items: Sequence[PendingItem], wanted_share: Mapping[str, float]
+    items: Sequence[PendingItem], wanted_share: Mapping[str, float], token_s: float
 ) -> Sequence[PendingItem]:
-    """Return the items in the order in which they start.
+    """Return the items in the order in which they start, least time to spare first.
 
-    Steps in turn; in a step the groups that were carried over first, then by the length of
-    a group's longest text, longest first. ``wanted_share`` is the share of its groups that
-    a step's trainer waits for: the longest of the others start last.
+    A text takes ``token_s`` a token. ``wanted_share`` is the share of its groups that a
+    step's trainer waits for: the longest of the others start last. Groups that were
+    carried over are among those it waits for.
     """
     longest: dict[tuple[str, str], int] = {}
     carried: set[tuple[str, str]] = set()
@@ -72,16 +74,9 @@
             carried.add(name)
     spare = _spare_groups(longest, carried, wanted_share)
 
-    def rank(item: PendingItem) -> tuple[int, bool, bool, int, str, int]:
-        name = (item.step_id, item.group)
-        return (
-            item.step_order,
-            name in spare,
-            name not in carried,
-            -longest[name],
-            item.group,
-            -item.expected_tokens,
-        )
+    def rank(item: PendingItem) -> tuple[bool, float]:
+        spare_s = item.due_in_s - item.expected_tokens * token_s
+        return ((item.step_id, item.group) in spare, spare_s)
 
     return sorted(items, key=rank)
 
@@ -117,7 +112,7 @@
         placements.append(Placement(item, best.instance))
         views[best.instance] = best._replace(
             running=best.running + 1,
-            planned_tokens=best.planned_tokens + item.context_tokens + item.expected_tokens,
+            planned_tokens=best.planned_tokens + planned_tokens(item),
             groups=best.groups | {item.group},
         )
     return placements
@@ -142,6 +137,10 @@
 def _fits(item: PendingItem, engine: EngineView) -> bool:
     if engine.version < item.min_version or engine.running >= engine.places:
         return False
-    need = item.context_tokens + item.expected_tokens
-    room = engine.memory_tokens * MEMORY_SHARE - engine.planned_tokens
-    return need <= room or engine.running == 0
+    room = engine.memory_tokens - engine.planned_tokens
+    return planned_tokens(item) <= room or engine.running == 0
+
+
+def planned_tokens(item: PendingItem) -> int:
+    """Return how much of an engine's memory an item is planned to take."""
+    return item.context_tokens + int(item.expected_tokens * GROWTH_SHARE)
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -11,7 +11,7 @@
 from ..serving import Call, Forwarder, Route, RouteTable, Target, TargetTable
 from ._drafts import Draft, DraftShelf
 from ._fold import StepState
-from ._planner import EngineView, PendingItem, order_items, place_items
+from ._planner import EngineView, PendingItem, order_items, place_items, planned_tokens
 from ._ports import GenerationCall, GenerationChannel, GenerationEnd, GenerationError
 from ._records import ItemListed, ItemSpec
 from ._step_log import StepLog
@@ -159,7 +159,8 @@
         pending: list[PendingItem] = []
         specs: dict[tuple[str, str], tuple[ItemSpec, StepState, Route]] = {}
         shares: dict[str, float] = {}
-        for order, (step, route) in enumerate(steps):
+        for step, route in steps:
+            due_in_s = step.folded_at_s + route.result_deadline_s - now_s
             groups = {item.group for item in step.spec.items}
             shares[step.spec.step_id] = min(
                 1.0, step.spec.target_groups / max(1, len(groups)) if groups else 1.0
@@ -181,24 +182,27 @@
                     self._start_scoring(step, item, route, draft)
                     continue
                 specs[name] = (item, step, route)
-                pending.append(self._pending(step, item, order, draft))
+                pending.append(self._pending(step, item, due_in_s, draft))
         if pending:
             engines = self._engine_views(now_s)
-            for placement in place_items(order_items(pending, shares), engines):
+            token_s = self._typical_event_s() / self._tokens_per_event()
+            for placement in place_items(order_items(pending, shares, token_s), engines):
                 name = (placement.item.step_id, placement.item.item_id)
                 item, step, route = specs[name]
                 self._start_run(step, item, route, placement.instance, placement.item)
         else:
             self._move_slow_runs(now_s)
 
-    def _pending(self, step: StepState, item: ItemSpec, order: int, draft: Draft) -> PendingItem:
+    def _pending(
+        self, step: StepState, item: ItemSpec, due_in_s: float, draft: Draft
+    ) -> PendingItem:
         made = draft.last_event_id * self._tokens_per_event()
         expected = max(LEAST_EXPECTED_TOKENS, _expected_tokens(item) - made)
         return PendingItem(
             step.spec.step_id,
             item.item_id,
             item.group,
-            order,
+            due_in_s,
             self._is_carried(step, item),
             expected,
             item.prompt_tokens + made,
@@ -288,7 +292,7 @@
         target = self._targets.targets[instance]
         draft = self._drafts.get(item.item_id)
         name = (step.spec.step_id, item.item_id)
-        run = _Run(name[0], item, target, plan.context_tokens + plan.expected_tokens, draft)
+        run = _Run(name[0], item, target, planned_tokens(plan), draft)
         pace = self._paces.setdefault(instance, _Pace())
         pace.groups.add(item.group)
         self._runs[name] = run
