--- a/samphirecleat/platform/_metadata_store.py
+++ b/samphirecleat/platform/_metadata_store.py
@@ -128,9 +128,9 @@
 
     async def trim_plain(self, topic: str, before: int) -> None:
         """Drop the records before an offset; see :class:`PlainLog`."""
-        path = f"{PATH_TRIM}?topic={quote(topic)}&part=0&before={before}"
+        body = msgspec.json.encode({"topic": topic, "part": 0, "before": before})
         try:
-            await self._call(self._base, "POST", path, b"", 0.0)
+            await self._call(self._base, "POST", PATH_TRIM, body, 0.0)
         except _Unanswered as error:
             self._words.info("topic=%s not trimmed: %s", topic, error)
 
