--- a/samphirecleat/durable/_duty.py
+++ b/samphirecleat/durable/_duty.py
@@ -190,6 +190,7 @@
             self._observer,
             named=self._named,
             needed=lambda model: runner.needed_version(self._named(model)),
+            pressed=lambda: runner.pressed,
             may_order=self._may_order(service, claim),
             runs=lambda: runner.busy_by_engine,
             streamed=runner.version_of,
--- a/samphirecleat/durable/_orderer.py
+++ b/samphirecleat/durable/_orderer.py
@@ -104,6 +104,7 @@
         *,
         named: Callable[[str], int],
         needed: Callable[[str], int],
+        pressed: Callable[[], bool],
         may_order: Callable[[float], bool],
         runs: Callable[[], Mapping[str, int]],
         streamed: Callable[[Target], int],
@@ -112,7 +113,8 @@
     ) -> None:
         """Order under ``fencing_number``; ``loading`` is kept for the planner of runs.
 
-        ``named`` gives a model's newest version, ``needed`` the lowest that steps accept.
+        ``named`` gives a model's newest version, ``needed`` the lowest that steps accept;
+        ``pressed`` says that work is short of a place.
         ``may_order`` says whether the claim was confirmed within some seconds. A claim
         that ``follows_other`` node waits until that one can't be ordering any more.
         """
@@ -127,6 +129,7 @@
         self._words = observer.log("orders")
         self._named = named
         self._needed = needed
+        self._pressed = pressed
         self._may_order = may_order
         self._runs = runs
         self._streamed = streamed
@@ -180,7 +183,7 @@
                     known.rests_until_s > now_s,
                 )
             )
-        for instance in decide_loads(views, named, self._needed(model)):
+        for instance in decide_loads(views, named, self._needed(model), pressed=self._pressed()):
             known = self._known[instance]
             known.loading_version = named
             known.look_at_s = now_s + ORDER_TIMEOUT_S + FIRST_LOOK_S
--- a/samphirecleat/durable/_planner.py
+++ b/samphirecleat/durable/_planner.py
@@ -15,6 +15,8 @@
 # so the short ones have left before the long ones need their room. An engine that runs out
 # of memory after all holds up its newest run, which costs a few milliseconds of reading.
 GROWTH_SHARE: Final = 0.5
+# Engines whose runs differ by less than this count as equally busy.
+NEIGHBOUR_STEP: Final = 2
 
 
 class PendingItem(NamedTuple):
@@ -123,12 +125,14 @@
     if not fitting:
         return None
 
-    def cost(engine: EngineView) -> tuple[float, bool, float]:
-        # Pace first, in coarse steps; then a prompt that was read there; then room.
+    def cost(engine: EngineView) -> tuple[int, int, bool]:
+        # Pace first, in coarse steps; then few neighbours, since each slows the others down
+        # a little for as long as the longest text takes; then a prompt that was read there,
+        # which saves a millisecond.
         return (
             round(engine.slowness * 2.0),
+            engine.running // NEIGHBOUR_STEP,
             item.group not in engine.groups,
-            engine.running / engine.places,
         )
 
     return min(fitting, key=cost)
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -30,6 +30,9 @@
 PACE_GAIN: Final = 0.25
 # After this many events, at most, the text's expected rest is not below it.
 LEAST_EXPECTED_TOKENS: Final = 64
+# With less time than this to spare an item without a place presses for one: a load takes
+# about a second, and its score a few tenths.
+PRESSED_SPARE_S: Final = 2.5
 # An engine that failed gets nothing for this long.
 ENGINE_REST_S: Final = 0.5
 REFUSAL_REST_S: Final = 0.1
@@ -102,6 +105,7 @@
         self._reward_places: dict[str, asyncio.Semaphore] = {}
         self._wake = asyncio.Event()
         self.loading: set[str] = set()
+        self.pressed = False
 
     async def run(self) -> None:
         """Plan for as long as the node runs the service; cancels its runs at the end."""
@@ -186,11 +190,15 @@
         if pending:
             engines = self._engine_views(now_s)
             token_s = self._typical_event_s() / self._tokens_per_event()
-            for placement in place_items(order_items(pending, shares, token_s), engines):
+            ordered = order_items(pending, shares, token_s)
+            placements = place_items(ordered, engines)
+            self.pressed = _is_pressed(ordered, len(placements), token_s)
+            for placement in placements:
                 name = (placement.item.step_id, placement.item.item_id)
                 item, step, route = specs[name]
                 self._start_run(step, item, route, placement.instance, placement.item)
         else:
+            self.pressed = False
             self._move_slow_runs(now_s)
 
     def _pending(
@@ -539,6 +547,14 @@
         self._step_log.list_result(result)
 
 
+def _is_pressed(ordered: Sequence[PendingItem], placed: int, token_s: float) -> bool:
+    """Whether an item that found no place has little time left to spare."""
+    return any(
+        item.due_in_s - item.expected_tokens * token_s < PRESSED_SPARE_S
+        for item in ordered[placed:]
+    )
+
+
 def _expected_tokens(item: ItemSpec) -> int:
     """Return the trainer's estimate of an item's length, bounded by its maximum."""
     if item.hinted_tokens <= 0:
--- a/samphirecleat/durable/_weight_orders.py
+++ b/samphirecleat/durable/_weight_orders.py
@@ -3,9 +3,9 @@
 Load pattern answered: a version is named every few seconds, just before the step that may
 use it; steps allow a version or two less than the newest. An engine that loads starts
 nothing for about a second and holds up what it runs, and loads slow each other down beyond
-a number at once. So only engines that no coming step may use load at once, a few at a time.
-Of the others half are kept at the newest version: when the next one is named, that half
-goes on while the other half loads.
+a number at once. So engines that no coming step may use load as soon as they are idle, a few
+at a time. Of the others half are kept at the newest version: when the next one is named, that
+half goes on while the other half loads.
 """
 
 from collections.abc import Sequence
@@ -26,11 +26,13 @@
 
 
 def decide_loads(
-    engines: Sequence[OrderableEngine], named_version: int, needed_version: int
+    engines: Sequence[OrderableEngine], named_version: int, needed_version: int, *, pressed: bool
 ) -> Sequence[str]:
     """Return the instances to order to ``named_version`` now, the first first.
 
-    Open and coming steps accept ``needed_version`` and newer.
+    Open and coming steps accept ``needed_version`` and newer. An engine that still runs
+    something is only ordered when work is ``pressed`` for a place, or none is left that
+    new work could use: a load would hold up its runs.
     """
     at_once = max(1, int(len(engines) * SHARE_AT_ONCE))
     free = at_once - sum(engine.loading for engine in engines)
@@ -41,10 +43,12 @@
         for engine in engines
         if engine.version < named_version and not engine.loading and not engine.rests
     ]
-    behind.sort(key=lambda engine: (engine.version, engine.running, engine.instance))
+    behind.sort(key=lambda engine: (engine.running, engine.version, engine.instance))
     useless = [engine for engine in behind if engine.version < needed_version]
+    usable = [engine for engine in behind if engine.version >= needed_version]
     newest = sum(engine.loading or engine.version >= named_version for engine in engines)
     early = max(0, (len(engines) + 1) // 2 - newest - len(useless))
-    usable = [engine for engine in behind if engine.version >= needed_version]
-    usable.sort(key=lambda engine: (engine.running, engine.instance))
+    if not pressed and newest + len(usable) > 0:
+        useless = [engine for engine in useless if engine.running == 0]
+        usable = [engine for engine in usable if engine.running == 0]
     return [engine.instance for engine in [*useless, *usable[:early]][:free]]
