--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -391,6 +391,8 @@
                 wait_s = STALL_S
                 if run.move:
                     raise GenerationError("a faster engine is free", GenerationEnd.REFUSED)
+            if not draft.pieces:
+                raise GenerationError("ended without an event", GenerationEnd.BROKEN)
             draft.whole = True
         finally:
             with suppress(GenerationError, asyncio.CancelledError):
--- a/samphirecleat/platform/_generation_stream.py
+++ b/samphirecleat/platform/_generation_stream.py
@@ -24,6 +24,7 @@
 LARGEST_EVENT_BYTES: Final = 4 * 1024 * 1024
 IMPOSSIBLE: Final = 422
 FAILED: Final = 500
+NO_VERSION: Final = -1
 
 
 class GenerationStream:
@@ -53,7 +54,9 @@
             ) as response:
                 self._sessions.learn_idle(target, response.headers.get("Keep-Alive", ""))
                 await _check_start(response, call)
-                version = int(response.headers[VERSION])
+                # An engine that is asked to go on behind the last event makes nothing and
+                # names no version; its stream ends at once, which is the end of the text.
+                version = int(response.headers.get(VERSION, NO_VERSION))
                 async for block in _blocks(response.content):
                     piece = _read_event(block, version)
                     version = piece.version
@@ -119,6 +122,6 @@
                 data = value if data is None else f"{data}\n{value}"
             case key if key == VERSION.lower() and value.strip().isdigit():
                 version = int(value)
-    if event_id < 0 or data is None:
+    if event_id < 0 or data is None or version == NO_VERSION:
         raise GenerationError(f"not an event: {block[:80]!r}", GenerationEnd.BROKEN)
     return Piece(event_id, data, version)
