--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -106,6 +106,7 @@
         self._wake = asyncio.Event()
         self.loading: set[str] = set()
         self.pressed = False
+        self._allowed_lag = 0
 
     async def run(self) -> None:
         """Plan for as long as the node runs the service; cancels its runs at the end."""
@@ -220,12 +221,11 @@
     def needed_version(self, named: int) -> int:
         """Return the lowest version that the open steps and the next one accept."""
         steps = [step.spec for step, _route in self._my_steps()]
-        if not steps:
-            return named
-        newest = max(steps, key=lambda spec: spec.number)
-        # Step k is asked for at version k, or at 1 for the first ones.
-        allowed_lag = max(0, max(1, newest.number) - newest.min_version)
-        return max(named - allowed_lag, *(spec.min_version for spec in steps))
+        if steps:
+            newest = max(steps, key=lambda spec: spec.number)
+            # Step k is asked for at version k, or at 1 for the first ones.
+            self._allowed_lag = max(0, max(1, newest.number) - newest.min_version)
+        return max([named - self._allowed_lag, *(spec.min_version for spec in steps)])
 
     def _tokens_per_event(self) -> int:
         spec = self._routes.config.services.get(self.service)
@@ -342,6 +342,12 @@
             self._wake.set()
         if run.draft.whole and name not in self._scoring:
             self._observer.record_s("item_run", loop.time() - began_s)
+            self._words.info(
+                "item=%s whole events=%d target=%s",
+                run.item.item_id,
+                run.draft.last_event_id,
+                run.target.instance,
+            )
             self._start_scoring(step, run.item, route, run.draft)
 
     async def _stream(self, run: _Run, step: StepState, route: Route, pace: _Pace) -> None:
