--- a/samphirecleat/durable/_planner.py
+++ b/samphirecleat/durable/_planner.py
@@ -17,6 +17,10 @@
 GROWTH_SHARE: Final = 0.5
 # Engines whose runs differ by less than this count as equally busy.
 NEIGHBOUR_STEP: Final = 2
+# A text that takes longer than this keeps its engine from loading the next version.
+LONG_S: Final = 2.0
+# Long texts stay to the end, so most of their growth is planned for.
+LONG_GROWTH_SHARE: Final = 0.8
 
 
 class PendingItem(NamedTuple):
@@ -49,6 +53,7 @@
     slowness: float
     accepts: bool
     groups: frozenset[str]
+    long_runs: int = 0
 
 
 class Placement(NamedTuple):
@@ -100,13 +105,15 @@
 
 
 def place_items(
-    ordered: Sequence[PendingItem], engines: Sequence[EngineView]
+    ordered: Sequence[PendingItem], engines: Sequence[EngineView], token_s: float
 ) -> Sequence[Placement]:
     """Return what starts now, in order; an item without a place waits."""
+    long_tokens = int(LONG_S / token_s)
     placements: list[Placement] = []
     views = {engine.instance: engine for engine in engines if engine.accepts}
     for item in ordered:
-        best = _best_engine(item, list(views.values()))
+        is_long = item.expected_tokens > long_tokens
+        best = _best_engine(item, list(views.values()), is_long=is_long)
         if best is None:
             if not any(engine.running < engine.places for engine in views.values()):
                 break
@@ -114,23 +121,28 @@
         placements.append(Placement(item, best.instance))
         views[best.instance] = best._replace(
             running=best.running + 1,
-            planned_tokens=best.planned_tokens + planned_tokens(item),
+            planned_tokens=best.planned_tokens + planned_tokens(item, is_long=is_long),
+            long_runs=best.long_runs + is_long,
             groups=best.groups | {item.group},
         )
     return placements
 
 
-def _best_engine(item: PendingItem, engines: Sequence[EngineView]) -> EngineView | None:
-    fitting = [engine for engine in engines if _fits(item, engine)]
+def _best_engine(
+    item: PendingItem, engines: Sequence[EngineView], *, is_long: bool
+) -> EngineView | None:
+    fitting = [engine for engine in engines if _fits(item, engine, is_long=is_long)]
     if not fitting:
         return None
 
-    def cost(engine: EngineView) -> tuple[int, int, bool]:
-        # Pace first, in coarse steps; then few neighbours, since each slows the others down
-        # a little for as long as the longest text takes; then a prompt that was read there,
-        # which saves a millisecond.
+    def cost(engine: EngineView) -> tuple[int, int, bool, int, bool]:
+        # Pace first, in coarse steps. Long texts then stay together on the engines that load
+        # last. Then few neighbours, since each slows the others down a little; then a prompt
+        # that was read there, which saves a millisecond.
         return (
             round(engine.slowness * 2.0),
+            -engine.version if is_long else 0,
+            is_long and engine.long_runs == 0,
             engine.running // NEIGHBOUR_STEP,
             item.group not in engine.groups,
         )
@@ -138,13 +150,14 @@
     return min(fitting, key=cost)
 
 
-def _fits(item: PendingItem, engine: EngineView) -> bool:
+def _fits(item: PendingItem, engine: EngineView, *, is_long: bool) -> bool:
     if engine.version < item.min_version or engine.running >= engine.places:
         return False
     room = engine.memory_tokens - engine.planned_tokens
-    return planned_tokens(item) <= room or engine.running == 0
+    return planned_tokens(item, is_long=is_long) <= room or engine.running == 0
 
 
-def planned_tokens(item: PendingItem) -> int:
+def planned_tokens(item: PendingItem, *, is_long: bool) -> int:
     """Return how much of an engine's memory an item is planned to take."""
-    return item.context_tokens + int(item.expected_tokens * GROWTH_SHARE)
+    share = LONG_GROWTH_SHARE if is_long else GROWTH_SHARE
+    return item.context_tokens + int(item.expected_tokens * share)
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -11,7 +11,14 @@
 from ..serving import Call, Forwarder, Route, RouteTable, Target, TargetTable
 from ._drafts import Draft, DraftShelf
 from ._fold import StepState
-from ._planner import EngineView, PendingItem, order_items, place_items, planned_tokens
+from ._planner import (
+    LONG_S,
+    EngineView,
+    PendingItem,
+    order_items,
+    place_items,
+    planned_tokens,
+)
 from ._ports import GenerationCall, GenerationChannel, GenerationEnd, GenerationError
 from ._records import ItemListed, ItemSpec
 from ._step_log import StepLog
@@ -58,6 +65,7 @@
     target: Target
     planned_tokens: int
     draft: Draft
+    is_long: bool
     task: asyncio.Task[None] | None = None
     events: int = 0
     move: bool = False
@@ -190,9 +198,9 @@
                 pending.append(self._pending(step, item, due_in_s, draft))
         if pending:
             engines = self._engine_views(now_s)
-            token_s = self._typical_event_s() / self._tokens_per_event()
+            token_s = self._token_s()
             ordered = order_items(pending, shares, token_s)
-            placements = place_items(ordered, engines)
+            placements = place_items(ordered, engines, token_s)
             self.pressed = _is_pressed(ordered, len(placements), token_s)
             for placement in placements:
                 name = (placement.item.step_id, placement.item.item_id)
@@ -269,6 +277,7 @@
                     max(1.0, pace.event_s / typical_s) if pace.event_s else 1.0,
                     pace.rests_until_s <= now_s and target.instance not in self.loading,
                     frozenset(pace.groups),
+                    sum(run.is_long for run in mine),
                 )
             )
         return views
@@ -283,6 +292,9 @@
         known = sorted(pace.event_s for pace in self._paces.values() if pace.event_s > 0.0)
         return known[(len(known) - 1) // 2] if known else 0.04
 
+    def _token_s(self) -> float:
+        return self._typical_event_s() / self._tokens_per_event()
+
     def _cancel_unwanted(self, wanted: set[str]) -> None:
         for (step_id, item_id), run in list(self._runs.items()):
             step = self._step_log.fold.steps.get(step_id)
@@ -300,7 +312,9 @@
         target = self._targets.targets[instance]
         draft = self._drafts.get(item.item_id)
         name = (step.spec.step_id, item.item_id)
-        run = _Run(name[0], item, target, planned_tokens(plan), draft)
+        is_long = plan.expected_tokens * self._token_s() > LONG_S
+        planned = planned_tokens(plan, is_long=is_long)
+        run = _Run(name[0], item, target, planned, draft, is_long)
         pace = self._paces.setdefault(instance, _Pace())
         pace.groups.add(item.group)
         self._runs[name] = run
--- a/samphirecleat/durable/_weight_orders.py
+++ b/samphirecleat/durable/_weight_orders.py
@@ -3,9 +3,8 @@
 Load pattern answered: a version is named every few seconds, just before the step that may
 use it; steps allow a version or two less than the newest. An engine that loads starts
 nothing for about a second and holds up what it runs, and loads slow each other down beyond
-a number at once. So engines that no coming step may use load as soon as they are idle, a few
-at a time. Of the others half are kept at the newest version: when the next one is named, that
-half goes on while the other half loads.
+a number at once. So engines load when they are idle, a few at a time; the planner keeps long
+texts together on the engines with the newest version, so that the others soon are.
 """
 
 from collections.abc import Sequence
@@ -44,11 +43,10 @@
         if engine.version < named_version and not engine.loading and not engine.rests
     ]
     behind.sort(key=lambda engine: (engine.running, engine.version, engine.instance))
-    useless = [engine for engine in behind if engine.version < needed_version]
-    usable = [engine for engine in behind if engine.version >= needed_version]
-    newest = sum(engine.loading or engine.version >= named_version for engine in engines)
-    early = max(0, (len(engines) + 1) // 2 - newest - len(useless))
-    if not pressed and newest + len(usable) > 0:
-        useless = [engine for engine in useless if engine.running == 0]
-        usable = [engine for engine in usable if engine.running == 0]
-    return [engine.instance for engine in [*useless, *usable[:early]][:free]]
+    idle = [engine for engine in behind if engine.running == 0]
+    busy = [engine for engine in behind if engine.running > 0 and engine.version < needed_version]
+    nothing_usable = all(
+        engine.loading or engine.rests or engine.version < needed_version for engine in engines
+    )
+    ordered = [*idle, *busy] if pressed or nothing_usable else idle
+    return [engine.instance for engine in ordered[:free]]
