--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -23,6 +23,7 @@
     PlainLog,
 )
 from ._records import ItemListed, ItemSpec, RewardSpec, RunnerClaimed, StepAccepted, StepEnded
+from ._scorer import Scorer
 from ._step_log import StepLog, Written
 
 __all__ = [
@@ -50,6 +51,7 @@
     "ProgressJournal",
     "RewardSpec",
     "RunnerClaimed",
+    "Scorer",
     "ServiceDuty",
     "StepAccepted",
     "StepAccess",
--- a/samphirecleat/durable/_drafts.py
+++ b/samphirecleat/durable/_drafts.py
@@ -31,7 +31,6 @@
     pieces: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
     whole: bool = False
-    failures: int = 0
     saved: int = 0
     saved_whole: bool = False
 
--- a/samphirecleat/durable/_duty.py
+++ b/samphirecleat/durable/_duty.py
@@ -9,7 +9,7 @@
 
 from ..blackboard import Blackboard
 from ..observe import Observer
-from ..serving import Forwarder, RouteTable, TargetTable
+from ..serving import RouteTable, TargetTable
 from ._drafts import DraftShelf
 from ._election import Candidate, ElectionView, should_claim, successor
 from ._fold import Claim
@@ -18,6 +18,7 @@
 from ._ports import AppendOutcome, GenerationChannel
 from ._records import RunnerClaimed
 from ._runner import StepRunner
+from ._scorer import Scorer
 from ._step_log import StepLog
 
 LOOK_EVERY_S: Final = 0.1
@@ -47,7 +48,7 @@
         targets: TargetTable,
         engines: GenerationChannel,
         orders: OrderChannel,
-        forwarder: Forwarder,
+        scorer: Scorer,
         journal: ProgressJournal,
         observer: Observer,
         rng: random.Random,
@@ -63,7 +64,7 @@
         self._targets = targets
         self._engines = engines
         self._orders = orders
-        self._forwarder = forwarder
+        self._scorer = scorer
         self._journal = journal
         self._observer = observer
         self._rng = rng
@@ -176,7 +177,7 @@
             self._routes,
             self._targets,
             self._engines,
-            self._forwarder,
+            self._scorer,
             self._observer,
         )
         orderer = Orderer(
--- /dev/null
+++ b/samphirecleat/durable/_item_run.py
@@ -0,0 +1,109 @@
+"""One item on one engine: its stream is taken into the item's draft, event by event."""
+
+import asyncio
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Final
+
+from ..serving import Route, Target
+from ._drafts import Draft
+from ._fold import StepState
+from ._paces import Pace
+from ._ports import GenerationCall, GenerationChannel, GenerationEnd, GenerationError, Piece
+from ._records import ItemSpec
+
+# A run is given up after so long without an event. Engines make one in about 40 ms; one
+# that takes new weights pauses for a second.
+STALL_S: Final = 1.5
+FIRST_EVENT_S: Final = 2.0
+# The engines' priority of an item's run; callers' calls have the middle one by default.
+ITEM_PRIORITY: Final = 5
+# What an engine is told of the time left where the route names no end.
+UNBOUNDED_RUN_S: Final = 60.0
+
+
+@dataclass
+class ItemRun:
+    """One run; ``move`` may be set to have it end at its next event."""
+
+    step: StepState
+    item: ItemSpec
+    route: Route
+    target: Target
+    draft: Draft
+    planned_tokens: int
+    is_long: bool
+    task: asyncio.Task[None] | None = None
+    events: int = 0
+    move: bool = False
+
+    @property
+    def name(self) -> tuple[str, str]:
+        """The step's and the item's id."""
+        return self.step.spec.step_id, self.item.item_id
+
+
+async def stream_item(run: ItemRun, engines: GenerationChannel, pace: Pace) -> None:
+    """Take the events of one run into its draft, until the text is whole.
+
+    :raises GenerationError: when the run ends before that.
+    :raises TimeoutError: when the engine falls silent.
+    """
+    loop = asyncio.get_running_loop()
+    stream = engines.generate(_call_of(run, loop.time()), run.target)
+    last_s = loop.time()
+    wait_s = FIRST_EVENT_S
+    try:
+        while True:
+            async with asyncio.timeout(wait_s):
+                piece = await anext(stream, None)
+            if piece is None:
+                break
+            _take_piece(run, piece)
+            pace.version = max(pace.version, piece.version)
+            now_s = loop.time()
+            run.events += 1
+            if run.events > 1:
+                pace.note_pause(now_s - last_s)
+            last_s = now_s
+            wait_s = STALL_S
+            if run.move:
+                raise GenerationError("a faster engine is free", GenerationEnd.REFUSED)
+        if not run.draft.pieces:
+            raise GenerationError("ended without an event", GenerationEnd.BROKEN)
+        run.draft.whole = True
+    finally:
+        # The connection must be closed before the item goes on elsewhere.
+        with suppress(GenerationError, asyncio.CancelledError):
+            await stream.aclose()
+
+
+def _call_of(run: ItemRun, now_s: float) -> GenerationCall:
+    left_s = run.route.retention_s - (now_s - run.step.folded_at_s)
+    return GenerationCall(
+        run.item.item_id,
+        run.step.spec.host,
+        run.item.raw_path,
+        run.item.headers,
+        run.item.body,
+        run.draft.last_event_id,
+        max(1.0, left_s) if run.route.retention_s > 0.0 else UNBOUNDED_RUN_S,
+        ITEM_PRIORITY,
+    )
+
+
+def _take_piece(run: ItemRun, piece: Piece) -> None:
+    """Add an event to the draft.
+
+    :raises GenerationError: when it does not belong there: made by weights that the step
+        does not allow, or not the next event of the text.
+    """
+    spec, draft = run.step.spec, run.draft
+    if piece.version < spec.min_version:
+        raise GenerationError(f"made by version {piece.version}", GenerationEnd.BROKEN)
+    if not draft.add(piece.event_id, piece.data, piece.version):
+        detail = f"event {piece.event_id} after {draft.last_event_id}"
+        raise GenerationError(detail, GenerationEnd.BROKEN)
+    if not draft.fits(spec.min_version, single_version=run.route.single_version):
+        draft.clear()
+        raise GenerationError("a second version", GenerationEnd.BROKEN)
--- a/samphirecleat/durable/_planner.py
+++ b/samphirecleat/durable/_planner.py
@@ -19,6 +19,9 @@
 NEIGHBOUR_STEP: Final = 2
 # A text that takes longer than this keeps its engine from loading the next version.
 LONG_S: Final = 2.0
+# With less time than this to spare an item without a place presses for one: a load takes
+# about a second, and its score a few tenths.
+PRESSED_SPARE_S: Final = 2.5
 # Long texts stay to the end, so most of their growth is planned for.
 LONG_GROWTH_SHARE: Final = 0.8
 
@@ -44,7 +47,6 @@
     """An engine as the runner sees it; ``slowness`` is 1.0 at the typical pace."""
 
     instance: str
-    zone: str
     version: int
     places: int
     memory_tokens: int
@@ -161,3 +163,15 @@
     """Return how much of an engine's memory an item is planned to take."""
     share = LONG_GROWTH_SHARE if is_long else GROWTH_SHARE
     return item.context_tokens + int(item.expected_tokens * share)
+
+
+def is_pressed(
+    ordered: Sequence[PendingItem], placements: Sequence[Placement], token_s: float
+) -> bool:
+    """Whether an item that found no place has little time left to spare."""
+    placed = {(place.item.step_id, place.item.item_id) for place in placements}
+    return any(
+        item.due_in_s - item.expected_tokens * token_s < PRESSED_SPARE_S
+        for item in ordered
+        if (item.step_id, item.item_id) not in placed
+    )
--- a/samphirecleat/durable/_ports.py
+++ b/samphirecleat/durable/_ports.py
@@ -1,6 +1,6 @@
 """What durable steps need from outside: a keyed log, and engines that stream tokens."""
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncGenerator, Sequence
 from enum import Enum
 from typing import Final, NamedTuple, Protocol
 
@@ -143,7 +143,7 @@
 class GenerationChannel(Protocol):
     """Streams the tokens of one item from one engine."""
 
-    def generate(self, call: GenerationCall, target: Target) -> AsyncIterator[Piece]:
+    def generate(self, call: GenerationCall, target: Target) -> AsyncGenerator[Piece, None]:
         """Yield pieces until the engine said that the text is whole.
 
         :raises GenerationError: when the run ends before that.
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -2,83 +2,45 @@
 
 import asyncio
 from collections.abc import Mapping, Sequence
-from contextlib import suppress
-from dataclasses import dataclass, field
 from typing import Final
 
-from ..errors import RequestError
 from ..observe import Observer
-from ..serving import Call, Forwarder, Route, RouteTable, Target, TargetTable
+from ..serving import Route, RouteTable, Target, TargetTable
 from ._drafts import Draft, DraftShelf
 from ._fold import StepState
+from ._item_run import ItemRun, stream_item
+from ._paces import PaceTable
 from ._planner import (
     LONG_S,
     EngineView,
     PendingItem,
+    Placement,
+    is_pressed,
     order_items,
     place_items,
     planned_tokens,
 )
-from ._ports import GenerationCall, GenerationChannel, GenerationEnd, GenerationError
+from ._ports import GenerationChannel, GenerationEnd, GenerationError
 from ._records import ItemListed, ItemSpec
+from ._scorer import Scorer
 from ._step_log import StepLog
 
 # Without news the plan is made anew this often: targets and versions change on their own.
 PLAN_EVERY_S: Final = 0.05
-# A run is given up after so long without an event. Engines make one in about 40 ms; one
-# that takes new weights pauses for a second.
-STALL_S: Final = 1.5
-FIRST_EVENT_S: Final = 2.0
 # A run that is this much slower than the typical engine moves to one with a free place:
 # going on elsewhere costs a few milliseconds of reading.
 MOVE_SLOWNESS: Final = 2.0
+MOVE_TO_SLOWNESS: Final = 1.4
 MOVE_AFTER_EVENTS: Final = 3
-# Weight of the newest pause between events in an engine's running mean.
-PACE_GAIN: Final = 0.25
-# After this many events, at most, the text's expected rest is not below it.
+# A text's expected rest is never taken for less than one event of today's engines.
 LEAST_EXPECTED_TOKENS: Final = 64
-# With less time than this to spare an item without a place presses for one: a load takes
-# about a second, and its score a few tenths.
-PRESSED_SPARE_S: Final = 2.5
-# An engine that failed gets nothing for this long.
+# An engine that failed gets nothing for this long; one that refused, until a run may have ended.
 ENGINE_REST_S: Final = 0.5
 REFUSAL_REST_S: Final = 0.1
 # The same item waits this long after a failed run.
 ITEM_REST_S: Final = 0.05
-# A reward call: its own deadline, and the pause between tries.
-REWARD_BUDGET_S: Final = 2.5
-REWARD_RETRY_S: Final = 0.1
-# Of a service's places, what rewards may take; the rest is for callers.
-REWARD_SHARE: Final = 0.7
-# The engines' priority of an item's run; callers' calls have the middle one by default.
-ITEM_PRIORITY: Final = 5
-# Failures that end an item are counted on both its own route and its reward's.
-REWARD_FAILURE_STATUS: Final = 500
-
-
-@dataclass
-class _Run:
-    """One item on one engine."""
-
-    step_id: str
-    item: ItemSpec
-    target: Target
-    planned_tokens: int
-    draft: Draft
-    is_long: bool
-    task: asyncio.Task[None] | None = None
-    events: int = 0
-    move: bool = False
-
-
-@dataclass
-class _Pace:
-    """What the runner has seen of one engine."""
-
-    event_s: float = 0.0
-    rests_until_s: float = 0.0
-    groups: set[str] = field(default_factory=set)
-    version: int = 0
+# The memory of an engine whose configuration names none.
+UNBOUNDED_TOKENS: Final = 1 << 40
 
 
 class StepRunner:
@@ -92,7 +54,7 @@
         routes: RouteTable,
         targets: TargetTable,
         engines: GenerationChannel,
-        forwarder: Forwarder,
+        scorer: Scorer,
         observer: Observer,
     ) -> None:
         """Run ``service``; ``drafts`` outlives the runner."""
@@ -102,15 +64,15 @@
         self._routes = routes
         self._targets = targets
         self._engines = engines
-        self._forwarder = forwarder
+        self._scorer = scorer
         self._observer = observer
         self._words = observer.log("runner")
-        self._runs: dict[tuple[str, str], _Run] = {}
+        self._runs: dict[tuple[str, str], ItemRun] = {}
         self._scoring: dict[tuple[str, str], asyncio.Task[None]] = {}
         self._handed_in: set[tuple[str, str]] = set()
         self._item_rests_s: dict[tuple[str, str], float] = {}
-        self._paces: dict[str, _Pace] = {}
-        self._reward_places: dict[str, asyncio.Semaphore] = {}
+        self._failures: dict[tuple[str, str], int] = {}
+        self._paces = PaceTable()
         self._wake = asyncio.Event()
         self.loading: set[str] = set()
         self.pressed = False
@@ -201,11 +163,11 @@
             token_s = self._token_s()
             ordered = order_items(pending, shares, token_s)
             placements = place_items(ordered, engines, token_s)
-            self.pressed = _is_pressed(ordered, len(placements), token_s)
+            self.pressed = is_pressed(ordered, placements, token_s)
             for placement in placements:
                 name = (placement.item.step_id, placement.item.item_id)
                 item, step, route = specs[name]
-                self._start_run(step, item, route, placement.instance, placement.item)
+                self._start_run(step, item, route, placement)
         else:
             self.pressed = False
             self._move_slow_runs(now_s)
@@ -252,30 +214,27 @@
         """List an item as dead that may be given up by its age; True if it was."""
         if route.retention_s <= 0.0 or now_s - step.folded_at_s < route.retention_s:
             return False
-        self._list(step, item, ItemListed(step.spec.step_id, item.item_id, False, "", (), ""))
+        self._list_dead(step, item)
         return True
 
     def _engine_views(self, now_s: float) -> Sequence[EngineView]:
         spec = self._routes.config.services.get(self.service)
         engine = spec.engine if spec is not None else None
-        targets = self._targets.serving(self.service)
-        paces = {t.instance: self._paces.setdefault(t.instance, _Pace()) for t in targets}
-        typical_s = self._typical_event_s()
         views = []
-        for target in targets:
-            pace = paces[target.instance]
-            mine = [r for r in self._runs.values() if r.target.instance == target.instance]
+        for target in self._targets.serving(self.service):
+            pace = self._paces.of(target.instance)
+            mine = [run for run in self._runs.values() if run.target.instance == target.instance]
+            rests = pace.rests_until_s > now_s or target.instance in self.loading
             views.append(
                 EngineView(
                     target.instance,
-                    target.zone,
                     self.version_of(target),
                     engine.slots if engine is not None else max(1, target.slots),
-                    engine.memory_tokens if engine is not None else 1 << 40,
+                    engine.memory_tokens if engine is not None else UNBOUNDED_TOKENS,
                     len(mine),
                     sum(run.planned_tokens for run in mine),
-                    max(1.0, pace.event_s / typical_s) if pace.event_s else 1.0,
-                    pace.rests_until_s <= now_s and target.instance not in self.loading,
+                    self._paces.slowness(target.instance),
+                    not rests,
                     frozenset(pace.groups),
                     sum(run.is_long for run in mine),
                 )
@@ -284,61 +243,61 @@
 
     def version_of(self, target: Target) -> int:
         """Return the highest version that the engine registered or streamed."""
-        pace = self._paces.get(target.instance)
         registered = max(target.versions.values(), default=1)
-        return max(registered, pace.version if pace is not None else 0)
-
-    def _typical_event_s(self) -> float:
-        known = sorted(pace.event_s for pace in self._paces.values() if pace.event_s > 0.0)
-        return known[(len(known) - 1) // 2] if known else 0.04
+        return max(registered, self._paces.of(target.instance).version)
 
     def _token_s(self) -> float:
-        return self._typical_event_s() / self._tokens_per_event()
+        return self._paces.typical_event_s() / self._tokens_per_event()
 
     def _cancel_unwanted(self, wanted: set[str]) -> None:
         for (step_id, item_id), run in list(self._runs.items()):
             step = self._step_log.fold.steps.get(step_id)
-            if step_id not in wanted or (step is not None and item_id in step.listed):
-                if run.task is not None:
-                    run.task.cancel()
+            unwanted = step_id not in wanted or (step is not None and item_id in step.listed)
+            if unwanted and run.task is not None:
+                run.task.cancel()
         for (step_id, _item_id), task in list(self._scoring.items()):
             if step_id not in wanted:
                 task.cancel()
         self._handed_in = {name for name in self._handed_in if name[0] in wanted}
+        for seen in (self._failures, self._item_rests_s):
+            for name in [name for name in seen if name[0] not in wanted]:
+                del seen[name]
 
-    def _start_run(
-        self, step: StepState, item: ItemSpec, route: Route, instance: str, plan: PendingItem
-    ) -> None:
-        target = self._targets.targets[instance]
-        draft = self._drafts.get(item.item_id)
-        name = (step.spec.step_id, item.item_id)
+    def _start_run(self, step: StepState, item: ItemSpec, route: Route, place: Placement) -> None:
+        target = self._targets.targets[place.instance]
+        plan = place.item
         is_long = plan.expected_tokens * self._token_s() > LONG_S
-        planned = planned_tokens(plan, is_long=is_long)
-        run = _Run(name[0], item, target, planned, draft, is_long)
-        pace = self._paces.setdefault(instance, _Pace())
-        pace.groups.add(item.group)
-        self._runs[name] = run
+        run = ItemRun(
+            step,
+            item,
+            route,
+            target,
+            self._drafts.get(item.item_id),
+            planned_tokens(plan, is_long=is_long),
+            is_long,
+        )
+        self._paces.of(target.instance).groups.add(item.group)
+        self._runs[run.name] = run
         self._words.info(
             "item=%s step=%s target=%s from_event=%d expected_tokens=%d version=%d",
             item.item_id,
-            name[0],
-            instance,
-            draft.last_event_id,
+            step.spec.step_id,
+            target.instance,
+            run.draft.last_event_id,
             plan.expected_tokens,
             self.version_of(target),
         )
-        run.task = asyncio.ensure_future(self._run_item(run, step, route))
+        run.task = asyncio.ensure_future(self._run_item(run))
 
-    async def _run_item(self, run: _Run, step: StepState, route: Route) -> None:
-        name = (run.step_id, run.item.item_id)
+    async def _run_item(self, run: ItemRun) -> None:
         loop = asyncio.get_running_loop()
-        pace = self._paces.setdefault(run.target.instance, _Pace())
+        pace = self._paces.of(run.target.instance)
         self._targets.started(run.target)
         began_s = loop.time()
         try:
-            await self._stream(run, step, route, pace)
+            await stream_item(run, self._engines, pace)
         except GenerationError as error:
-            self._note_fault(run, step, route, error)
+            self._note_fault(run, error)
         except TimeoutError:
             pace.rests_until_s = loop.time() + ENGINE_REST_S
             self._words.warning(
@@ -352,9 +311,9 @@
             raise
         finally:
             self._targets.ended(run.target)
-            self._runs.pop(name, None)
+            self._runs.pop(run.name, None)
             self._wake.set()
-        if run.draft.whole and name not in self._scoring:
+        if run.draft.whole and run.name not in self._scoring:
             self._observer.record_s("item_run", loop.time() - began_s)
             self._words.info(
                 "item=%s whole events=%d target=%s",
@@ -362,71 +321,11 @@
                 run.draft.last_event_id,
                 run.target.instance,
             )
-            self._start_scoring(step, run.item, route, run.draft)
+            self._start_scoring(run.step, run.item, run.route, run.draft)
 
-    async def _stream(self, run: _Run, step: StepState, route: Route, pace: _Pace) -> None:
-        """Take the events of one run into the draft.
-
-        :raises GenerationError: when the run ends before the text is whole.
-        :raises TimeoutError: when the engine falls silent.
-        """
-        loop = asyncio.get_running_loop()
-        draft = run.draft
-        left_s = route.retention_s - (loop.time() - step.folded_at_s)
-        call = GenerationCall(
-            run.item.item_id,
-            step.spec.host,
-            run.item.raw_path,
-            run.item.headers,
-            run.item.body,
-            draft.last_event_id,
-            max(1.0, left_s) if route.retention_s > 0.0 else 60.0,
-            ITEM_PRIORITY,
-        )
-        stream = self._engines.generate(call, run.target)
-        last_s = loop.time()
-        wait_s = FIRST_EVENT_S
-        try:
-            while True:
-                async with asyncio.timeout(wait_s):
-                    piece = await anext(stream, None)
-                if piece is None:
-                    break
-                now_s = loop.time()
-                if piece.version < step.spec.min_version:
-                    raise GenerationError(f"made by version {piece.version}", GenerationEnd.BROKEN)
-                if not draft.add(piece.event_id, piece.data, piece.version):
-                    raise GenerationError(
-                        f"event {piece.event_id} after {draft.last_event_id}",
-                        GenerationEnd.BROKEN,
-                    )
-                if not draft.fits(step.spec.min_version, single_version=route.single_version):
-                    draft.clear()
-                    raise GenerationError("a second version", GenerationEnd.BROKEN)
-                pace.version = max(pace.version, piece.version)
-                run.events += 1
-                if run.events > 1:
-                    self._note_pace(pace, now_s - last_s)
-                last_s = now_s
-                wait_s = STALL_S
-                if run.move:
-                    raise GenerationError("a faster engine is free", GenerationEnd.REFUSED)
-            if not draft.pieces:
-                raise GenerationError("ended without an event", GenerationEnd.BROKEN)
-            draft.whole = True
-        finally:
-            with suppress(GenerationError, asyncio.CancelledError):
-                await stream.aclose()  # type: ignore[attr-defined]
-
-    def _note_pace(self, pace: _Pace, pause_s: float) -> None:
-        if pace.event_s == 0.0:
-            pace.event_s = pause_s
-        pace.event_s += PACE_GAIN * (pause_s - pace.event_s)
-
-    def _note_fault(self, run: _Run, step: StepState, route: Route, error: GenerationError) -> None:
+    def _note_fault(self, run: ItemRun, error: GenerationError) -> None:
         now_s = asyncio.get_running_loop().time()
-        name = (run.step_id, run.item.item_id)
-        pace = self._paces.setdefault(run.target.instance, _Pace())
+        pace = self._paces.of(run.target.instance)
         self._words.warning(
             "item=%s target=%s ended=%s at_event=%d detail=%s",
             run.item.item_id,
@@ -435,20 +334,14 @@
             run.draft.last_event_id,
             error.detail,
         )
-        self._item_rests_s[name] = now_s + ITEM_REST_S
+        self._item_rests_s[run.name] = now_s + ITEM_REST_S
         match error.reason:
             case GenerationEnd.IMPOSSIBLE:
-                self._list(
-                    step, run.item, ItemListed(run.step_id, run.item.item_id, False, "", (), "")
-                )
+                self._list_dead(run.step, run.item)
             case GenerationEnd.FAILED:
-                run.draft.failures += 1
-                if run.draft.failures >= route.max_attempts:
-                    self._list(
-                        step,
-                        run.item,
-                        ItemListed(run.step_id, run.item.item_id, False, "", (), ""),
-                    )
+                failures = self._failures[run.name] = self._failures.get(run.name, 0) + 1
+                if failures >= run.route.max_attempts:
+                    self._list_dead(run.step, run.item)
             case GenerationEnd.REFUSED:
                 pace.rests_until_s = now_s + REFUSAL_REST_S
             case GenerationEnd.BROKEN | GenerationEnd.WRONG_INSTANCE:
@@ -456,19 +349,17 @@
 
     def _move_slow_runs(self, now_s: float) -> None:
         """Ask runs on slow engines to go on at a faster one that has room."""
-        typical_s = self._typical_event_s()
         free = sum(
             engine.places - engine.running
             for engine in self._engine_views(now_s)
-            if engine.accepts and engine.slowness < MOVE_SLOWNESS / 1.4
+            if engine.accepts and engine.slowness < MOVE_TO_SLOWNESS
         )
         for run in self._runs.values():
-            pace = self._paces.get(run.target.instance)
-            if free <= 0 or pace is None:
+            if free <= 0:
                 return
             if run.move or run.events < MOVE_AFTER_EVENTS:
                 continue
-            if pace.event_s > MOVE_SLOWNESS * typical_s:
+            if self._paces.slowness(run.target.instance) > MOVE_SLOWNESS:
                 run.move = True
                 free -= 1
 
@@ -477,106 +368,33 @@
         self._scoring[name] = asyncio.ensure_future(self._score(step, item, route, draft))
 
     async def _score(self, step: StepState, item: ItemSpec, route: Route, draft: Draft) -> None:
-        name = (step.spec.step_id, item.item_id)
+        step_id = step.spec.step_id
         try:
-            score = ""
-            if item.reward is not None:
-                score = await self._reward(step, item, route)
-            completed = item.reward is None or bool(score)
-            result = ItemListed(
-                step.spec.step_id,
-                item.item_id,
-                completed,
-                draft.text() if completed else "",
-                draft.version_set() if completed else (),
-                score,
-            )
-            self._list(step, item, result)
+            score = await self._scorer.score(item, route)
+            if item.reward is not None and not score:
+                self._list_dead(step, item)
+                return
+            versions = draft.version_set()
+            self._list(ItemListed(step_id, item.item_id, True, draft.text(), versions, score))
         finally:
-            self._scoring.pop(name, None)
+            self._scoring.pop((step_id, item.item_id), None)
             self._wake.set()
 
-    async def _reward(self, step: StepState, item: ItemSpec, route: Route) -> str:
-        """Return the signature of the reward call, or an empty text if it fails for good."""
-        loop = asyncio.get_running_loop()
-        failures = 0
-        assert item.reward is not None
-        reward = item.reward
-        while True:
-            reward_route = self._routes.find(reward.host, reward.raw_path)
-            if reward_route is None:
-                await asyncio.sleep(REWARD_RETRY_S)
-                continue
-            if failures >= max(route.max_attempts, reward_route.max_attempts):
-                self._words.warning("item=%s reward failed %d times", item.item_id, failures)
-                return ""
-            places = self._places(reward_route)
-            async with places:
-                began_s = loop.time()
-                call = Call(
-                    reward.request_id,
-                    "POST",
-                    reward.raw_path,
-                    reward.host,
-                    (),
-                    reward.body,
-                    began_s,
-                    began_s + REWARD_BUDGET_S,
-                )
-                try:
-                    answer = await self._forwarder.forward(
-                        call, reward_route._replace(max_attempts=2)
-                    )
-                except RequestError as error:
-                    self._words.warning(
-                        "item=%s reward=%s got no answer: %s",
-                        item.item_id,
-                        reward.request_id,
-                        error.detail,
-                    )
-                    await asyncio.sleep(REWARD_RETRY_S)
-                    continue
-            if 200 <= answer.status < 300 and answer.signature:
-                self._observer.record_s("reward_call", loop.time() - began_s)
-                return answer.signature
-            if answer.status == REWARD_FAILURE_STATUS:
-                failures += 1
-            else:
-                await asyncio.sleep(REWARD_RETRY_S)
+    def _list_dead(self, step: StepState, item: ItemSpec) -> None:
+        self._list(ItemListed(step.spec.step_id, item.item_id, False, "", (), ""))
 
-    def _places(self, route: Route) -> asyncio.Semaphore:
-        """Return the bound on this runner's calls to a reward's service."""
-        service = route.services[0].service
-        places = self._reward_places.get(service)
-        if places is None:
-            slots = sum(target.slots for target in self._targets.serving(service))
-            if slots == 0:
-                return asyncio.Semaphore(1)
-            places = asyncio.Semaphore(max(1, int(slots * REWARD_SHARE)))
-            self._reward_places[service] = places
-        return places
-
-    def _list(self, step: StepState, item: ItemSpec, result: ItemListed) -> None:
-        name = (step.spec.step_id, item.item_id)
-        self._handed_in.add(name)
+    def _list(self, result: ItemListed) -> None:
+        self._handed_in.add((result.step_id, result.item_id))
         self._words.info(
             "item=%s step=%s completed=%s versions=%s",
-            item.item_id,
-            name[0],
+            result.item_id,
+            result.step_id,
             result.completed,
             list(result.versions),
         )
         self._step_log.list_result(result)
 
 
-def _is_pressed(ordered: Sequence[PendingItem], placed: int, token_s: float) -> bool:
-    """Whether an item that found no place has little time left to spare."""
-    return any(
-        item.due_in_s - item.expected_tokens * token_s < PRESSED_SPARE_S
-        for item in ordered[placed:]
-    )
-
-
 def _expected_tokens(item: ItemSpec) -> int:
     """Return the trainer's estimate of an item's length, bounded by its maximum."""
     if item.hinted_tokens <= 0:
--- a/samphirecleat/platform/_generation_stream.py
+++ b/samphirecleat/platform/_generation_stream.py
@@ -1,6 +1,6 @@
 """One run of an item at an engine: an event stream read into pieces."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Final
 
 import aiohttp
@@ -34,7 +34,7 @@
         """Use ``sessions`` for connections."""
         self._sessions = sessions
 
-    async def generate(self, call: GenerationCall, target: Target) -> AsyncIterator[Piece]:
+    async def generate(self, call: GenerationCall, target: Target) -> AsyncGenerator[Piece, None]:
         """Yield the pieces of a run; see :class:`GenerationChannel`."""
         headers = [
             *call.headers,
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -12,7 +12,7 @@
 
 from ..blackboard import Blackboard, Identity, Member
 from ..controllers import Membership
-from ..durable import ProgressJournal, ServiceDuty, StepAccess, StepLog, TopicFollower
+from ..durable import ProgressJournal, Scorer, ServiceDuty, StepAccess, StepLog, TopicFollower
 from ..observe import Observer
 from ..peers import HeartbeatCodec
 from ..serving import Forwarder, RouteTable, TargetRegistry, TargetTable
@@ -164,7 +164,7 @@
             self.targets,
             GenerationStream(self._sessions),
             EngineOrders(self._sessions),
-            forwarder,
+            Scorer(self.routes, self.targets, forwarder, self.observer),
             ProgressJournal(self._store, self.observer),
             self.observer,
             self._rng,
