--- a/samphirecleat/durable/_item_run.py
+++ b/samphirecleat/durable/_item_run.py
@@ -60,7 +60,7 @@
             if piece is None:
                 break
             _take_piece(run, piece)
-            pace.version = max(pace.version, piece.version)
+            pace.note_version(run.step.spec.model, piece.version)
             now_s = loop.time()
             run.events += 1
             if run.events > 1:
--- a/samphirecleat/durable/_orderer.py
+++ b/samphirecleat/durable/_orderer.py
@@ -77,9 +77,10 @@
 
 @dataclass
 class _Known:
-    """What the holder knows of one start of an engine."""
+    """What the holder knows of one model at one start of an engine."""
 
     started_at_ms: int
+    name: tuple[str, str]
     version: int = 0
     orders_accepted: int = -1
     loading_since_s: float = 0.0
@@ -106,9 +107,9 @@
         needed: Callable[[str], int],
         pressed: Callable[[], bool],
         may_order: Callable[[float], bool],
-        runs: Callable[[], Mapping[str, int]],
-        streamed: Callable[[Target], int],
-        loading: set[str],
+        runs: Callable[[str], Mapping[str, int]],
+        version_of: Callable[[Target, str], int],
+        loading: set[tuple[str, str]],
         follows_other: bool,
     ) -> None:
         """Order under ``fencing_number``; ``loading`` is kept for the planner of runs.
@@ -132,9 +133,9 @@
         self._pressed = pressed
         self._may_order = may_order
         self._runs = runs
-        self._streamed = streamed
+        self._version_of = version_of
         self._loading = loading
-        self._known: dict[str, _Known] = {}
+        self._known: dict[tuple[str, str], _Known] = {}
         self._orders: set[asyncio.Task[None]] = set()
         self._fenced = False
 
@@ -164,10 +165,10 @@
 
     def _step_model(self, model: str, named: int, now_s: float) -> None:
         serving = {target.instance: target for target in self._targets.serving(self._service)}
-        self._loading.intersection_update(serving)
-        for instance in [name for name in self._known if name not in serving]:
-            del self._known[instance]
-        runs = self._runs()
+        for name in [name for name in self._known if name[0] not in serving]:
+            del self._known[name]
+            self._loading.discard(name)
+        runs = self._runs(model)
         views = []
         for target in serving.values():
             known = self._refresh(target, model)
@@ -183,27 +184,31 @@
                     known.rests_until_s > now_s,
                 )
             )
-        for instance in decide_loads(views, named, self._needed(model), pressed=self._pressed()):
-            known = self._known[instance]
+        elsewhere = sum(name[1] != model for name in self._loading)
+        needed = self._needed(model)
+        for instance in decide_loads(
+            views, named, needed, pressed=self._pressed(), loading_elsewhere=elsewhere
+        ):
+            known = self._known[instance, model]
             known.loading_version = named
             known.look_at_s = now_s + ORDER_TIMEOUT_S + FIRST_LOOK_S
-            self._loading.add(instance)
+            self._loading.add((instance, model))
             self._spawn(self._give(serving[instance], model, named, known))
 
     def _refresh(self, target: Target, model: str) -> _Known:
-        known = self._known.get(target.instance)
+        name = (target.instance, model)
+        known = self._known.get(name)
         if known is None or known.started_at_ms != target.started_at_ms:
-            known = self._known[target.instance] = _Known(target.started_at_ms)
-            self._loading.discard(target.instance)
-        registered = target.versions.get(model, 1)
-        known.version = max(known.version, registered, self._streamed(target))
+            known = self._known[name] = _Known(target.started_at_ms, name)
+            self._loading.discard(name)
+        known.version = max(known.version, self._version_of(target, model))
         if known.loading_version and known.version >= known.loading_version:
-            self._loaded(target, known)
+            self._loaded(known)
         return known
 
-    def _loaded(self, target: Target, known: _Known) -> None:
+    def _loaded(self, known: _Known) -> None:
         known.loading_version = 0
-        self._loading.discard(target.instance)
+        self._loading.discard(known.name)
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -219,27 +224,27 @@
         known.version = max(known.version, report.versions.get(model, 0))
         known.orders_accepted = report.orders_accepted
         if known.version >= known.loading_version:
-            self._loaded(target, known)
+            self._loaded(known)
         elif not report.busy:
             # Nothing is being loaded: the order was not taken, or is still to come; in
             # that case its condition fails once the next one was taken.
             known.loading_version = 0
-            self._loading.discard(target.instance)
+            self._loading.discard(known.name)
             known.rests_until_s = now_s + REFUSED_REST_S
 
     async def _give(self, target: Target, model: str, version: int, known: _Known) -> None:
         if known.orders_accepted < 0:
             report = await self._channel.report(target)
             if report is None:
-                self._failed(target, known, REFUSED_REST_S)
+                self._failed(known, REFUSED_REST_S)
                 return
             known.orders_accepted = report.orders_accepted
             known.version = max(known.version, report.versions.get(model, 0))
             if known.version >= version:
-                self._loaded(target, known)
+                self._loaded(known)
                 return
         if not self._may_order(CONFIRMED_WITHIN_S):
-            self._failed(target, known, 0.0)
+            self._failed(known, 0.0)
             return
         keep = not any(
             route.single_version
@@ -267,18 +272,18 @@
                 known.look_at_s = now_s + FIRST_LOOK_S
             case OrderOutcome.HOLDS:
                 known.version = max(known.version, version)
-                self._loaded(target, known)
+                self._loaded(known)
             case OrderOutcome.FENCED:
-                self._failed(target, known, REFUSED_REST_S)
+                self._failed(known, REFUSED_REST_S)
                 self._fenced = True
             case OrderOutcome.UNKNOWN:
                 known.orders_accepted = -1
                 known.look_at_s = now_s + UNKNOWN_REST_S
             case OrderOutcome.CONFLICT | OrderOutcome.REJECTED:
                 known.orders_accepted = -1
-                self._failed(target, known, REFUSED_REST_S)
+                self._failed(known, REFUSED_REST_S)
 
-    def _failed(self, target: Target, known: _Known, rest_s: float) -> None:
+    def _failed(self, known: _Known, rest_s: float) -> None:
         known.loading_version = 0
         known.rests_until_s = asyncio.get_running_loop().time() + rest_s
-        self._loading.discard(target.instance)
+        self._loading.discard(known.name)
--- a/samphirecleat/durable/_paces.py
+++ b/samphirecleat/durable/_paces.py
@@ -11,13 +11,20 @@
 
 @dataclass
 class Pace:
-    """One engine. ``event_s`` is the mean pause between its events, 0.0 before any."""
+    """One engine. ``event_s`` is the mean pause between its events, 0.0 before any.
+
+    ``versions`` are the highest that its streams named, by model.
+    """
 
     event_s: float = 0.0
     rests_until_s: float = 0.0
-    version: int = 0
+    versions: dict[str, int] = field(default_factory=dict)
     groups: set[str] = field(default_factory=set)
 
+    def note_version(self, model: str, version: int) -> None:
+        """Take the version that made an event."""
+        self.versions[model] = max(version, self.versions.get(model, 0))
+
     def note_pause(self, pause_s: float) -> None:
         """Take the time between two events of one run."""
         if self.event_s == 0.0:
--- a/samphirecleat/durable/_planner.py
+++ b/samphirecleat/durable/_planner.py
@@ -41,13 +41,17 @@
     expected_tokens: int
     context_tokens: int
     min_version: int
+    model: str
 
 
 class EngineView(NamedTuple):
-    """An engine as the runner sees it; ``slowness`` is 1.0 at the typical pace."""
+    """An engine as the runner sees it; ``slowness`` is 1.0 at the typical pace.
+
+    ``versions`` holds each of its models that is not being loaded now.
+    """
 
     instance: str
-    version: int
+    versions: Mapping[str, int]
     places: int
     memory_tokens: int
     running: int
@@ -143,7 +147,7 @@
         # that was read there, which saves a millisecond.
         return (
             round(engine.slowness * 2.0),
-            -engine.version if is_long else 0,
+            -engine.versions.get(item.model, 0) if is_long else 0,
             is_long and engine.long_runs == 0,
             engine.running // NEIGHBOUR_STEP,
             item.group not in engine.groups,
@@ -153,7 +157,8 @@
 
 
 def _fits(item: PendingItem, engine: EngineView, *, is_long: bool) -> bool:
-    if engine.version < item.min_version or engine.running >= engine.places:
+    version = engine.versions.get(item.model, -1)
+    if version < item.min_version or engine.running >= engine.places:
         return False
     room = engine.memory_tokens - engine.planned_tokens
     return planned_tokens(item, is_long=is_long) <= room or engine.running == 0
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -74,9 +74,9 @@
         self._failures: dict[tuple[str, str], int] = {}
         self._paces = PaceTable()
         self._wake = asyncio.Event()
-        self.loading: set[str] = set()
+        self.loading: set[tuple[str, str]] = set()
         self.pressed = False
-        self._allowed_lag = 0
+        self._allowed_lags: dict[str, int] = {}
 
     async def run(self) -> None:
         """Plan for as long as the node runs the service; cancels its runs at the end."""
@@ -102,11 +102,12 @@
             for task in list(self._scoring.values()):
                 task.cancel()
 
-    @property
-    def busy_by_engine(self) -> Mapping[str, int]:
-        """How many runs each engine has."""
+    def busy_by_engine(self, model: str) -> Mapping[str, int]:
+        """Return how many runs of a model each engine has."""
         counts: dict[str, int] = {}
         for run in self._runs.values():
+            if run.step.spec.model != model:
+                continue
             counts[run.target.instance] = counts.get(run.target.instance, 0) + 1
         return counts
 
@@ -186,16 +187,18 @@
             expected,
             item.prompt_tokens + made,
             step.spec.min_version,
+            step.spec.model,
         )
 
-    def needed_version(self, named: int) -> int:
-        """Return the lowest version that the open steps and the next one accept."""
-        steps = [step.spec for step, _route in self._my_steps()]
+    def needed_version(self, model: str, named: int) -> int:
+        """Return the lowest version of a model that open steps and the next one accept."""
+        steps = [step.spec for step, _route in self._my_steps() if step.spec.model == model]
         if steps:
             newest = max(steps, key=lambda spec: spec.number)
             # Step k is asked for at version k, or at 1 for the first ones.
-            self._allowed_lag = max(0, max(1, newest.number) - newest.min_version)
-        return max([named - self._allowed_lag, *(spec.min_version for spec in steps)])
+            self._allowed_lags[model] = max(0, max(1, newest.number) - newest.min_version)
+        lag = self._allowed_lags.get(model, 0)
+        return max([named - lag, *(spec.min_version for spec in steps)])
 
     def _tokens_per_event(self) -> int:
         spec = self._routes.config.services.get(self.service)
@@ -224,27 +227,31 @@
         for target in self._targets.serving(self.service):
             pace = self._paces.of(target.instance)
             mine = [run for run in self._runs.values() if run.target.instance == target.instance]
-            rests = pace.rests_until_s > now_s or target.instance in self.loading
+            versions = {
+                model: self.version_of(target, model)
+                for model in (engine.models if engine is not None else target.versions)
+                if (target.instance, model) not in self.loading
+            }
             views.append(
                 EngineView(
                     target.instance,
-                    self.version_of(target),
+                    versions,
                     engine.slots if engine is not None else max(1, target.slots),
                     engine.memory_tokens if engine is not None else UNBOUNDED_TOKENS,
                     len(mine),
                     sum(run.planned_tokens for run in mine),
                     self._paces.slowness(target.instance),
-                    not rests,
+                    pace.rests_until_s <= now_s,
                     frozenset(pace.groups),
                     sum(run.is_long for run in mine),
                 )
             )
         return views
 
-    def version_of(self, target: Target) -> int:
-        """Return the highest version that the engine registered or streamed."""
-        registered = max(target.versions.values(), default=1)
-        return max(registered, self._paces.of(target.instance).version)
+    def version_of(self, target: Target, model: str) -> int:
+        """Return the highest version of a model that the engine registered or streamed."""
+        streamed = self._paces.of(target.instance).versions.get(model, 0)
+        return max(target.versions.get(model, 1), streamed)
 
     def _token_s(self) -> float:
         return self._paces.typical_event_s() / self._tokens_per_event()
@@ -285,7 +292,7 @@
             target.instance,
             run.draft.last_event_id,
             plan.expected_tokens,
-            self.version_of(target),
+            self.version_of(target, step.spec.model),
         )
         run.task = asyncio.ensure_future(self._run_item(run))
 
--- a/samphirecleat/durable/_weight_orders.py
+++ b/samphirecleat/durable/_weight_orders.py
@@ -25,16 +25,22 @@
 
 
 def decide_loads(
-    engines: Sequence[OrderableEngine], named_version: int, needed_version: int, *, pressed: bool
+    engines: Sequence[OrderableEngine],
+    named_version: int,
+    needed_version: int,
+    *,
+    pressed: bool,
+    loading_elsewhere: int = 0,
 ) -> Sequence[str]:
     """Return the instances to order to ``named_version`` now, the first first.
 
     Open and coming steps accept ``needed_version`` and newer. An engine that still runs
     something is only ordered when work is ``pressed`` for a place, or none is left that
-    new work could use: a load would hold up its runs.
+    new work could use: a load would hold up its runs. ``loading_elsewhere`` counts loads of
+    other models.
     """
     at_once = max(1, int(len(engines) * SHARE_AT_ONCE))
-    free = at_once - sum(engine.loading for engine in engines)
+    free = at_once - loading_elsewhere - sum(engine.loading for engine in engines)
     if free <= 0:
         return ()
     behind = [
