--- a/samphirecleat/durable/_fold.py
+++ b/samphirecleat/durable/_fold.py
@@ -68,6 +68,15 @@
                 self.claims[record.service] = claim
                 return True
 
+    def is_carried(self, step: StepState, item_id: str) -> bool:
+        """Whether an item of a step was in an earlier step already."""
+        for other in self.steps.values():
+            if other is step:
+                return False
+            if item_id in other.items:
+                return True
+        return False
+
     def forget_before(self, now_s: float, keep_s: float) -> Sequence[str]:
         """Drop steps that ended ``keep_s`` ago and return their ids."""
         old = [
--- a/samphirecleat/durable/_orderer.py
+++ b/samphirecleat/durable/_orderer.py
@@ -82,7 +82,6 @@
     started_at_ms: int
     name: tuple[str, str]
     version: int = 0
-    orders_accepted: int = -1
     loading_since_s: float = 0.0
     loading_version: int = 0
     look_at_s: float = 0.0
@@ -136,6 +135,7 @@
         self._version_of = version_of
         self._loading = loading
         self._known: dict[tuple[str, str], _Known] = {}
+        self._orders_accepted: dict[str, int] = {}
         self._orders: set[asyncio.Task[None]] = set()
         self._fenced = False
 
@@ -181,7 +181,7 @@
                     known.version,
                     runs.get(target.instance, 0),
                     bool(known.loading_version),
-                    known.rests_until_s > now_s,
+                    known.rests_until_s > now_s or self._loads_other(target.instance, model),
                 )
             )
         elsewhere = sum(name[1] != model for name in self._loading)
@@ -200,12 +200,18 @@
         known = self._known.get(name)
         if known is None or known.started_at_ms != target.started_at_ms:
             known = self._known[name] = _Known(target.started_at_ms, name)
+            # An engine that starts again counts its orders anew.
+            self._orders_accepted.pop(target.instance, None)
             self._loading.discard(name)
         known.version = max(known.version, self._version_of(target, model))
         if known.loading_version and known.version >= known.loading_version:
             self._loaded(known)
         return known
 
+    def _loads_other(self, instance: str, model: str) -> bool:
+        """Whether an engine is under an order for another model; it takes one at a time."""
+        return any(name[0] == instance and name[1] != model for name in self._loading)
+
     def _loaded(self, known: _Known) -> None:
         known.loading_version = 0
         self._loading.discard(known.name)
@@ -222,7 +228,7 @@
         if report is None or not known.loading_version:
             return
         known.version = max(known.version, report.versions.get(model, 0))
-        known.orders_accepted = report.orders_accepted
+        self._orders_accepted[target.instance] = report.orders_accepted
         if known.version >= known.loading_version:
             self._loaded(known)
         elif not report.busy:
@@ -233,12 +239,12 @@
             known.rests_until_s = now_s + REFUSED_REST_S
 
     async def _give(self, target: Target, model: str, version: int, known: _Known) -> None:
-        if known.orders_accepted < 0:
+        if target.instance not in self._orders_accepted:
             report = await self._channel.report(target)
             if report is None:
                 self._failed(known, REFUSED_REST_S)
                 return
-            known.orders_accepted = report.orders_accepted
+            self._orders_accepted[target.instance] = report.orders_accepted
             known.version = max(known.version, report.versions.get(model, 0))
             if known.version >= version:
                 self._loaded(known)
@@ -251,9 +257,8 @@
             for route in self._routes.config.routes
             if any(part.service == self._service for part in route.services)
         )
-        order = Order(
-            model, version, self._node_id, self._fencing_number, known.orders_accepted, keep
-        )
+        expected = self._orders_accepted.get(target.instance, 0)
+        order = Order(model, version, self._node_id, self._fencing_number, expected, keep)
         outcome = await self._channel.order(target, order, ORDER_TIMEOUT_S)
         now_s = asyncio.get_running_loop().time()
         self._words.info(
@@ -268,7 +273,7 @@
         self._observer.counters[f"orders_{outcome.value}"] += 1
         match outcome:
             case OrderOutcome.ACCEPTED:
-                known.orders_accepted += 1
+                self._orders_accepted[target.instance] = expected + 1
                 known.look_at_s = now_s + FIRST_LOOK_S
             case OrderOutcome.HOLDS:
                 known.version = max(known.version, version)
@@ -277,10 +282,10 @@
                 self._failed(known, REFUSED_REST_S)
                 self._fenced = True
             case OrderOutcome.UNKNOWN:
-                known.orders_accepted = -1
+                self._orders_accepted.pop(target.instance, None)
                 known.look_at_s = now_s + UNKNOWN_REST_S
             case OrderOutcome.CONFLICT | OrderOutcome.REJECTED:
-                known.orders_accepted = -1
+                self._orders_accepted.pop(target.instance, None)
                 self._failed(known, REFUSED_REST_S)
 
     def _failed(self, known: _Known, rest_s: float) -> None:
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -183,7 +183,7 @@
             item.item_id,
             item.group,
             due_in_s,
-            self._is_carried(step, item),
+            self._step_log.fold.is_carried(step, item.item_id),
             expected,
             item.prompt_tokens + made,
             step.spec.min_version,
@@ -204,15 +204,6 @@
         spec = self._routes.config.services.get(self.service)
         return spec.engine.tokens_per_event if spec is not None and spec.engine else 1
 
-    def _is_carried(self, step: StepState, item: ItemSpec) -> bool:
-        """Whether the item's group was in an earlier step already."""
-        for other in self._step_log.fold.steps.values():
-            if other is step:
-                return False
-            if item.item_id in other.items:
-                return True
-        return False
-
     def _give_up_old(self, step: StepState, item: ItemSpec, route: Route, now_s: float) -> bool:
         """List an item as dead that may be given up by its age; True if it was."""
         if route.retention_s <= 0.0 or now_s - step.folded_at_s < route.retention_s:
