--- /dev/null
+++ b/tests/durable/steps.py
@@ -0,0 +1,28 @@
+"""Steps, items and results for tests."""
+
+from samphirecleat.durable import ItemListed, ItemSpec, RewardSpec, StepAccepted
+
+
+def item(item_id: str, group: str = "g0", hint: int = 640, *, reward: bool = False) -> ItemSpec:
+    scored = RewardSpec(f"r-{item_id}", "host.example", "/score/x", b"score") if reward else None
+    headers = [("X-Any", "1")]
+    return ItemSpec(item_id, "/run/1", headers, b"body", 255, 10944, hint, group, scored)
+
+
+def step(
+    step_id: str = "s1",
+    items: int = 4,
+    *,
+    number: int = 0,
+    min_version: int = 1,
+    reward: bool = False,
+) -> StepAccepted:
+    rows = [item(f"{step_id}-{n}", f"g{n // 2}", reward=reward) for n in range(items)]
+    groups = max(1, items // 2)
+    return StepAccepted(
+        step_id, "host.example", "/run/", number, "m", min_version, groups, 1000, rows
+    )
+
+
+def listed(step_id: str, item_id: str, text: str = "text") -> ItemListed:
+    return ItemListed(step_id, item_id, True, text, [1], "sig")
--- /dev/null
+++ b/tests/durable/test_election.py
@@ -0,0 +1,57 @@
+"""Who claims a service."""
+
+import pytest
+
+from samphirecleat.durable import Claim
+from samphirecleat.durable._election import Candidate, ElectionView, ranked, should_claim, successor
+
+OWN = Candidate("n1", "own", 10_000)
+OTHER = Candidate("n2", "other", 10_000)
+VIEW = ElectionView("own", [OWN, OTHER], 2, None, {"own", "other"}, 1e9, 1e9, 1e9, 10.0)
+DEAD = Claim("n3", "dead", 7)
+
+
+@pytest.mark.parametrize(
+    ("changes", "want"),
+    [
+        ({}, True),
+        ({"uptime_s": 0.1}, False),
+        ({"own_claim_age_s": 0.5}, False),
+        ({"claim": Claim("n2", "other", 7)}, False),
+        ({"claim": DEAD}, True),
+        ({"claim": DEAD, "claim_age_s": 0.2}, False),
+        ({"claim": Claim("n2", "dead", 7)}, False),
+        ({"claim": Claim("n1", "dead", 7), "candidates": [OTHER, OWN]}, True),
+        ({"own_incarnation": "other"}, False),
+        ({"candidates": []}, False),
+        ({"known_members": 9, "runner_silent_s": 1.0}, False),
+        ({"known_members": 9, "runner_silent_s": 5.0}, True),
+    ],
+    ids=[
+        "nobody runs it",
+        "just started",
+        "claimed a moment ago",
+        "its runner lives",
+        "its runner is gone",
+        "a claim that is settling",
+        "its host is back",
+        "own host is back",
+        "another comes first",
+        "nobody is ready",
+        "cut off, runner writes",
+        "cut off, runner silent",
+    ],
+)
+def test_should_claim(changes: dict[str, object], want: bool) -> None:
+    assert should_claim(VIEW._replace(**changes)) is want  # type: ignore[arg-type]
+
+
+def test_a_restarted_process_comes_before_those_to_be_restarted_next() -> None:
+    young = Candidate("n9", "young", 30_000)
+    assert [c.node_id for c in ranked([OWN, young, OTHER])] == ["n9", "n1", "n2"]
+    assert [c.node_id for c in ranked([OWN, young, OTHER], "n2")] == ["n2", "n9", "n1"]
+
+
+def test_a_leaving_runner_names_another() -> None:
+    assert successor([OWN, OTHER], "own") == OTHER
+    assert successor([OWN], "own") is None
--- /dev/null
+++ b/tests/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of serving by routes."""
