--- /dev/null
+++ b/tests/durable/test_orderer.py
@@ -0,0 +1,147 @@
+"""Orders of versions: late, lost, fenced, and after another holder."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from samphirecleat.durable import EngineReport, Order, OrderOutcome
+from samphirecleat.durable._orderer import Orderer
+from samphirecleat.observe import Observer
+from samphirecleat.serving import (
+    CallerLimits,
+    EngineSpec,
+    RouteTable,
+    RoutingConfig,
+    ServiceSpec,
+    Target,
+    TargetTable,
+)
+
+from ..fleets import until
+
+
+class FakeEngines:
+    """Engines that load at once, or answer as told."""
+
+    def __init__(self) -> None:
+        self.versions: dict[str, int] = {}
+        self.accepted: dict[str, int] = {}
+        self.orders: list[tuple[str, Order]] = []
+        self.answers: list[OrderOutcome] = []
+
+    async def report(self, target: Target) -> EngineReport | None:
+        name = target.instance
+        return EngineReport({"m": self.versions.get(name, 1)}, False, self.accepted.get(name, 0), 0)
+
+    async def order(self, target: Target, order: Order, timeout_s: float) -> OrderOutcome:
+        del timeout_s
+        self.orders.append((target.instance, order))
+        if self.answers:
+            answer = self.answers.pop(0)
+            if answer is not OrderOutcome.ACCEPTED:
+                return answer
+        if order.expected_orders != self.accepted.get(target.instance, 0):
+            return OrderOutcome.CONFLICT
+        self.accepted[target.instance] = order.expected_orders + 1
+        self.versions[target.instance] = order.version
+        return OrderOutcome.ACCEPTED
+
+
+def make_orderer(
+    engines: FakeEngines,
+    *,
+    may_order: Callable[[float], bool] = lambda _s: True,
+    follows_other: bool = False,
+) -> Orderer:
+    routes, targets = RouteTable(), TargetTable("z")
+    spec = ServiceSpec("svc", "", 10, EngineSpec(12, 40_000, ["m"]))
+    routes.put(RoutingConfig(1, (), {"svc": spec}, CallerLimits()))
+    targets.replace(
+        {n: Target(n, "svc", "127.0.0.1:1", "z", 12, False, {"m": 1}) for n in ("e1", "e2", "e3")}
+    )
+    return Orderer(
+        "svc", 41, "n1", 3.0, routes, targets, engines, Observer("n1"),
+        named=lambda _m: 2, needed=lambda _m: 1, pressed=lambda: False, may_order=may_order,
+        runs=lambda _m: {}, version_of=lambda _t, _m: 1, loading=set(),
+        follows_other=follows_other,
+    )  # fmt: skip
+
+
+def drive(orderer: Orderer, condition: Callable[[], bool], then_s: float = 0.0) -> None:
+    async def body() -> None:
+        task = asyncio.ensure_future(orderer.run())
+        await until(condition)
+        await asyncio.sleep(then_s)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(body())
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("LOOK_EVERY_S", "FIRST_LOOK_S", "NEXT_LOOK_S", "UNKNOWN_REST_S", "REFUSED_REST_S"):
+        monkeypatch.setattr(f"samphirecleat.durable._orderer.{name}", 0.01)
+    monkeypatch.setattr("samphirecleat.durable._orderer.ORDER_TIMEOUT_S", 0.05)
+
+
+def test_every_engine_is_ordered_once_under_the_claims_number() -> None:
+    engines = FakeEngines()
+    drive(make_orderer(engines), lambda: len(engines.versions) == 3, 0.1)
+    assert sorted(name for name, _ in engines.orders) == ["e1", "e2", "e3"]
+    assert {order.fencing_number for _, order in engines.orders} == {41}
+
+
+def test_an_order_without_an_answer_is_repeated_under_the_same_condition() -> None:
+    """An engine takes an order late, or never; its answer does not come.
+
+    The order that follows expects the same count of accepted orders, so only one of the two
+    can take effect, and the engine does not load twice.
+    """
+    engines = FakeEngines()
+    engines.answers = [OrderOutcome.UNKNOWN]
+    drive(make_orderer(engines), lambda: len(engines.versions) == 3)
+    first = engines.orders[0][0]
+    same = [order.expected_orders for name, order in engines.orders if name == first]
+    assert same == [0, 0]
+
+
+def test_a_fenced_holder_orders_no_more() -> None:
+    """Another node holds a newer claim, and an engine says so.
+
+    A holder that went on would be refused for ever, and its orders would cost the engines.
+    """
+    engines = FakeEngines()
+    engines.answers = [OrderOutcome.FENCED] * 9
+    drive(make_orderer(engines), lambda: bool(engines.orders), 0.2)
+    assert len(engines.orders) <= 2
+
+
+def test_nothing_is_ordered_while_the_claim_is_not_confirmed() -> None:
+    """The holder stood still, or can't reach the log: another may hold the service by now."""
+    engines = FakeEngines()
+    confirmed: list[bool] = []
+    orderer = make_orderer(engines, may_order=lambda _s: bool(confirmed.append(True)))
+    drive(orderer, lambda: len(confirmed) > 5)
+    assert engines.orders == []
+
+
+def test_a_holder_after_another_waits_out_its_lease(monkeypatch: pytest.MonkeyPatch) -> None:
+    now = [100.0]
+    monkeypatch.setattr("samphirecleat.durable._orderer.boot_time_s", lambda: now[0])
+    engines, looked = FakeEngines(), []
+    orderer = make_orderer(
+        engines, follows_other=True, may_order=lambda _s: not looked.append(True)
+    )
+
+    async def body() -> None:
+        task = asyncio.ensure_future(orderer.run())
+        await asyncio.sleep(0.1)
+        assert engines.orders == []
+        now[0] += 4.1
+        await until(lambda: bool(engines.orders))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(body())
--- /dev/null
+++ b/tests/durable/test_step_log.py
@@ -0,0 +1,220 @@
+"""The step log at a node: lost answers, late appends, forgotten history, a store that is away."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from samphirecleat.durable import AppendOutcome, RunnerClaimed, StepAccess, StepLog
+from samphirecleat.errors import ErrorKind, Ran, RequestError
+from samphirecleat.observe import Observer
+
+from ..fleets import until
+from .memory_log import MemoryLog
+from .steps import listed, step
+
+
+@asynccontextmanager
+async def following(log: MemoryLog, incarnation: str = "inc00001") -> AsyncIterator[StepLog]:
+    """Run a step log over ``log`` until the block ends."""
+    step_log = StepLog(log, incarnation, Observer("n1"), random.Random(1))
+    task = asyncio.ensure_future(step_log.run())
+    try:
+        yield step_log
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+def run(body: Callable[[], object]) -> None:
+    asyncio.run(body())  # type: ignore[arg-type]
+
+
+def test_a_step_whose_append_got_no_answer_is_kept_once_it_shows_in_the_log() -> None:
+    """The log does an append and the answer is lost on the way.
+
+    A caller that were told "not run" would submit the step again under another id, and it
+    would be made twice.
+    """
+
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            log.answers = ["lost"]
+            await StepAccess(step_log).submit(step("s1"))
+            assert "s1" in step_log.fold.steps
+
+    run(body)
+
+
+@pytest.mark.parametrize(
+    ("answer", "kind", "ran"),
+    [
+        ("refused", ErrorKind.NOT_READY, Ran.NO),
+        ("late", ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN),
+    ],
+)
+def test_not_kept_is_only_promised_where_it_is_sure(
+    answer: str, kind: ErrorKind, ran: Ran, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("samphirecleat.durable._access.SETTLE_WITHIN_S", 0.2)
+
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            log.answers = [answer]
+            with pytest.raises(RequestError) as raised:
+                await StepAccess(step_log).submit(step("s1"))
+            assert (raised.value.kind, raised.value.ran) == (kind, ran)
+
+    run(body)
+
+
+def test_a_result_whose_answer_was_lost_keeps_its_position() -> None:
+    """A listing is done, its answer is lost, and it is sent again.
+
+    Were it written under the same key, the newest-per-key view would move it behind what
+    was listed in between, and a trainer would read other results at its positions.
+    """
+
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            await step_log.accept(step("s1"))
+            await until(lambda: "s1" in step_log.fold.steps)
+            log.answers = ["lost"]
+            step_log.list_result(listed("s1", "s1-2"))
+            await until(lambda: len(step_log.fold.steps["s1"].results) == 1)
+            step_log.list_result(listed("s1", "s1-0"))
+            await until(lambda: len(step_log.fold.steps["s1"].results) == 2)
+            await until(lambda: step_log.unlisted == 0)
+            log.forget_history()
+            async with following(log, "inc00002") as cold:
+                await until(lambda: cold.caught_up)
+                for node in (step_log, cold):
+                    rows = [r.item_id for r in node.fold.steps["s1"].results]
+                    assert rows == ["s1-2", "s1-0"]
+
+    run(body)
+
+
+def test_results_wait_while_the_store_is_away_and_are_listed_after() -> None:
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            await step_log.accept(step("s1"))
+            await until(lambda: "s1" in step_log.fold.steps)
+            log.down = True
+            for number in range(3):
+                step_log.list_result(listed("s1", f"s1-{number}"))
+            await asyncio.sleep(0.1)
+            assert step_log.unlisted == 3
+            page = await StepAccess(step_log).read("s1", 0, 0.0)
+            assert (page.total, page.results) == (4, [])
+            log.down = False
+            await until(lambda: len(step_log.fold.steps["s1"].results) == 3)
+
+    run(body)
+
+
+def test_a_follower_goes_on_after_the_history_was_forgotten() -> None:
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            log.down = True
+            await asyncio.sleep(0.1)
+            log.down = False
+            other = StepLog(log, "inc00002", Observer("n2"), random.Random(2))
+            await other.accept(step("s1"))
+            log.forget_history()
+            await until(lambda: "s1" in step_log.fold.steps)
+
+    run(body)
+
+
+def test_only_a_node_that_asked_the_log_denies_a_step() -> None:
+    """A trainer reads its step at a node that has not folded it yet.
+
+    "Unknown" would make it give the step up, although it was promised to be kept.
+    """
+
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            access = StepAccess(step_log)
+            with pytest.raises(RequestError) as raised:
+                await access.read("s1", 0, 0.0)
+            assert raised.value.kind is ErrorKind.UNKNOWN_STEP
+            log.down = True
+            with pytest.raises(RequestError) as raised:
+                await access.read("s1", 0, 0.0)
+            assert raised.value.kind is ErrorKind.NOT_READY
+
+    run(body)
+
+
+def test_a_reader_that_saw_more_elsewhere_is_not_answered_with_less() -> None:
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            await step_log.accept(step("s1"))
+            await until(lambda: "s1" in step_log.fold.steps)
+            with pytest.raises(RequestError) as raised:
+                await StepAccess(step_log).read("s1", 3, 0.0)
+            assert raised.value.kind is ErrorKind.NOT_READY
+
+    run(body)
+
+
+def test_a_read_waits_for_a_first_result() -> None:
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            await step_log.accept(step("s1"))
+            await until(lambda: "s1" in step_log.fold.steps)
+            reading = asyncio.ensure_future(StepAccess(step_log).read("s1", 0, 10.0))
+            await asyncio.sleep(0)
+            step_log.list_result(listed("s1", "s1-1"))
+            page = await reading
+            assert [r.item_id for r in page.results] == ["s1-1"]
+            assert page.next_position == 1
+
+    run(body)
+
+
+def test_an_end_is_repeated_without_another_record() -> None:
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            await step_log.accept(step("s1"))
+            access = StepAccess(step_log)
+            await access.end("s1")
+            await until(lambda: step_log.fold.steps["s1"].ended)
+            before = log.end
+            await access.end("s1")
+            assert log.end == before
+
+    run(body)
+
+
+def test_a_claim_fails_when_something_was_appended_meanwhile() -> None:
+    async def body() -> None:
+        log = MemoryLog()
+        step_log = StepLog(log, "inc00001", Observer("n1"), random.Random(1))
+        await step_log.confirm(1.0)
+        await StepLog(log, "inc00002", Observer("n2"), random.Random(2)).accept(step("s1"))
+        written = await step_log.claim(RunnerClaimed("svc", "n1", "inc00001"))
+        assert written.outcome is AppendOutcome.CONDITION_FAILED
+
+    run(body)
