Contract tests of the adapter against stand-ins of the platform; a slow one of two targets is passed over

The median of two durations was the slower one, so a slow target was never told apart from a quick one where there are two: found by its test.

--- a/samphirecleat/serving/_target_table.py
+++ b/samphirecleat/serving/_target_table.py
@@ -111,7 +111,7 @@
 
     def _typical_s(self, candidates: Sequence[Target]) -> float:
         known = sorted(self._mean_s[t.instance] for t in candidates if t.instance in self._mean_s)
-        return max(0.001, known[len(known) // 2]) if known else 1.0
+        return max(0.001, known[(len(known) - 1) // 2]) if known else 1.0
 
 
 def services_in_turn(route: Route, draw: float) -> Sequence[str]:
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,220 @@
+"""Documents of the platform: read whole, or refused with their place."""
+
+import json
+import re
+
+import pytest
+
+from samphirecleat.errors import ErrorKind, Ran, RequestError
+from samphirecleat.platform._boot_settings import BootSettingsError, decode_boot_settings
+from samphirecleat.platform._documents import (
+    DocumentFormatError,
+    decode_config,
+    decode_named_version,
+    decode_target,
+)
+from samphirecleat.platform._front import status_of
+from samphirecleat.platform._job_documents import decode_step
+from samphirecleat.serving import CallKind, Target
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "A.example",
+            "pathPrefix": "/x/",
+            "kind": "idempotent",
+            "timeoutMs": 2000,
+            "targetLatencyMs": 150,
+            "priority": 2,
+            "maxAttempts": 2,
+            "weightedSplit": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+        },
+        {
+            "name": "r2",
+            "host": "a.example",
+            "pathPrefix": "/run/",
+            "kind": "rollout",
+            "resultDeadlineMs": 7500,
+            "retentionS": 40,
+            "service": "e",
+            "maxAttempts": 3,
+        },
+    ],
+    "services": [
+        {"name": "s", "healthPath": "/h", "connectionCap": 9},
+        {
+            "name": "e",
+            "healthPath": "/h",
+            "connectionCap": 9,
+            "engine": {
+                "slots": 12,
+                "kvCacheTokens": 40000,
+                "stride": 64,
+                "models": [{"name": "m"}],
+            },
+        },
+    ],
+    "limits": {"maxHeaderBytes": 1, "maxBodyBytes": 2, "headerTimeoutMs": 3000, "idleTimeoutMs": 1},
+}
+ENTRY = {
+    "service": "s",
+    "address": "127.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 4,
+    "born": 17,
+    "models": [{"name": "m", "version": 3, "adapters": []}],
+}
+
+
+def as_json(document: object) -> bytes:
+    return json.dumps(document).encode()
+
+
+def test_a_configuration_is_read_into_the_products_types() -> None:
+    config = decode_config(as_json(CONFIG))
+    first, second = config.routes
+    assert (config.revision, first.host, first.timeout_s) == (7, "a.example", 2.0)
+    assert [part.weight for part in first.services] == [90.0, 10.0]
+    assert (second.kind, second.result_deadline_s, second.retention_s) == (
+        CallKind.ROLLOUT,
+        7.5,
+        40,
+    )
+    engine = config.services["e"].engine
+    assert engine is not None
+    assert (engine.slots, engine.tokens_per_event, list(engine.models)) == (12, 64, ["m"])
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        b"",
+        b"[]",
+        b"{",
+        as_json({**CONFIG, "routes": [{"name": "r"}]}),
+        as_json({**CONFIG, "limits": None}),
+        as_json({**CONFIG, "version": "x"}),
+    ],
+)
+def test_what_is_no_configuration_is_refused(document: bytes) -> None:
+    with pytest.raises(DocumentFormatError):
+        decode_config(document)
+
+
+def test_a_registration_names_a_target() -> None:
+    target = decode_target("i-1", as_json(ENTRY))
+    assert target == Target("i-1", "s", "127.0.0.1:80", "z", 4, False, {"m": 3}, 17)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": 5},
+        {"address": "nowhere"},
+        {"slots": "4"},
+        {"slots": 0},
+        {"state": "odd"},
+        {"zone": None},
+        {"service": ""},
+        {"models": [{"name": "m"}]},
+        {"born": 1.5},
+        {"models": [{"name": "m", "version": True}]},
+    ],
+)
+def test_a_registration_of_another_writer_names_no_target(change: dict[str, object]) -> None:
+    """Something else wrote an entry; used as a target, calls would go to nobody."""
+    with pytest.raises(DocumentFormatError):
+        decode_target("i-1", as_json({**ENTRY, **change}))
+
+
+@pytest.mark.parametrize(
+    "document", [b"x", as_json({"model": "m"}), as_json({"model": "m", "version": 2.0})]
+)
+def test_what_names_no_version_is_refused(document: bytes) -> None:
+    with pytest.raises(DocumentFormatError):
+        decode_named_version(document)
+
+
+SETTINGS = {
+    "nodeName": "n",
+    "zone": "z",
+    "region": "r",
+    "ipAddress": "127.0.0.1",
+    "internalPortRange": [7720, 7735],
+    "seedNodes": ["127.0.0.2:1"],
+    "listenAddresses": {"front": "a:1", "ready": "a:2", "control": "a:3", "directory": "a:4"},
+    "bounds": {"gracePeriodS": 8, "leaseDurationMs": 3000, "ttl_max_s": 5, "statusS": 120},
+    "platform": {"address": "127.0.0.9:1"},
+    "unknown": 1,
+}
+
+
+def test_settings_are_read_and_unknown_ones_ignored() -> None:
+    settings = decode_boot_settings(SETTINGS, "boot.toml")
+    assert (settings.node_id, settings.lease_s, settings.peer_ports) == ("n", 3.0, (7720, 7735))
+
+
+@pytest.mark.parametrize(
+    ("change", "where"),
+    [
+        ({"nodeName": 3}, "nodeName"),
+        ({"platform": {}}, "platform.address"),
+        ({"internalPortRange": [1]}, "internalPortRange"),
+        ({"bounds": {}}, "bounds.gracePeriodS"),
+        ({"seedNodes": "x"}, "seedNodes"),
+    ],
+)
+def test_bad_settings_are_named(change: dict[str, object], where: str) -> None:
+    with pytest.raises(BootSettingsError, match=re.escape(f"boot.toml: {where}: wants")):
+        decode_boot_settings({**SETTINGS, **change}, "boot.toml")
+
+
+ITEM = {
+    "id": "i",
+    "path": "/run/1",
+    "headers": {"X-Token-Counts": "540,400", "X-Length-Hint": "99"},
+    "body": "YWJj",
+    "tokens": 940,
+    "group": "g",
+    "scoringEndpoint": {"id": "r", "host": "h", "path": "/s", "body": ""},
+}
+
+
+def test_a_job_is_read_into_a_step() -> None:
+    job = {"step": 7, "model": "m", "minVersion": 6, "targetGroups": 1, "items": [ITEM]}
+    step = decode_step("id", "h", "/run/x", as_json(job))
+    item = step.items[0]
+    assert (step.number, step.min_version, item.body) == (7, 6, b"abc")
+    assert (item.prompt_tokens, item.most_tokens, item.hinted_tokens) == (540, 400, 99)
+
+
+@pytest.mark.parametrize(
+    ("job", "where"),
+    [
+        (b"{", "job id"),
+        (as_json({"items": []}), "job id"),
+        (as_json({"items": [ITEM, {}]}), "item 1"),
+        (as_json({"items": [{**ITEM, "body": "%%"}]}), "item 0"),
+        (as_json({"items": [ITEM, ITEM]}), "one id"),
+        (as_json({"items": [{**ITEM, "headers": 3}]}), "item 0"),
+        (as_json({"items": [ITEM], "step": {}}), "job id"),
+    ],
+)
+def test_a_malformed_job_is_refused_with_its_place(job: bytes, where: str) -> None:
+    with pytest.raises(RequestError, match=where) as raised:
+        decode_step("id", "h", "/run/x", job)
+    assert raised.value.kind is ErrorKind.MALFORMED
+
+
+@pytest.mark.parametrize("kind", list(ErrorKind))
+@pytest.mark.parametrize("ran", list(Ran))
+def test_a_status_promises_not_run_exactly_when_that_is_so(kind: ErrorKind, ran: Ran) -> None:
+    status = status_of(RequestError(kind, "x", ran=ran))
+    assert ran is Ran.NO or status not in (408, 421, 429, 503)
+    assert ran is not Ran.NO or status < 500 or status == 503
--- /dev/null
+++ b/tests/platform/test_target_channels.py
@@ -0,0 +1,199 @@
+"""Calls, streams and orders against stand-ins of targets, with what they may do wrong."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from samphirecleat.durable import (
+    GenerationCall,
+    GenerationEnd,
+    GenerationError,
+    Order,
+    OrderOutcome,
+    Piece,
+)
+from samphirecleat.errors import Ran
+from samphirecleat.platform._call_exchange import CallExchange, forwarded_headers, target_url
+from samphirecleat.platform._engine_orders import EngineOrders
+from samphirecleat.platform._generation_stream import GenerationStream
+from samphirecleat.platform._target_sessions import TargetSessions
+from samphirecleat.serving import Call, Target, TargetFault
+
+from .standin_targets import TargetStandIn
+
+
+@asynccontextmanager
+async def target_of(**options: int) -> AsyncIterator[tuple[TargetStandIn, Target, TargetSessions]]:
+    stand_in = TargetStandIn("i-1", **options)
+    await stand_in.start()
+    sessions = TargetSessions()
+    yield stand_in, Target("i-1", "s", stand_in.address, "z", 4, False, {"m": 1}), sessions
+    await sessions.close()
+    await stand_in.stop()
+
+
+def a_call(raw_path: str = "/x/1") -> Call:
+    headers = [
+        ("X-Request-Id", "q1"),
+        ("X-Odd", "Ä".encode().decode("latin-1")),
+        ("Connection", "close, X-Hop"),
+        ("X-Hop", "1"),
+        ("X-Odd", "2"),
+        ("X-Deadline-Ms", "9"),
+        ("X-Expect-Instance", "evil"),
+    ]
+    return Call("q1", "POST", raw_path, "h.example", headers, b"bytes \x00", 0.0, 9.0)
+
+
+@pytest.mark.parametrize("raw_path", ["/x/1", "/x/%2F/..//a%20b?q=%41&q=+&&", "/x/?a=b?c"])
+def test_a_call_reaches_its_target_as_it_came(raw_path: str) -> None:
+    async def body() -> None:
+        async with target_of() as (stand_in, target, sessions):
+            answer = await CallExchange(sessions).exchange(a_call(raw_path), target, 1.5)
+            assert (answer.status, answer.body, answer.signature) == (
+                200,
+                b"answer to q1",
+                "i-1.q1",
+            )
+            method, path, headers, body = stand_in.seen[0]
+            assert (method, path, body) == ("POST", raw_path, b"bytes \x00")
+            assert (headers["Host"], headers["X-Deadline-Ms"]) == ("h.example", "1500")
+            assert "X-Hop" not in headers
+            assert "User-Agent" not in headers
+
+    asyncio.run(body())
+
+
+def test_headers_of_the_connection_stay_behind() -> None:
+    target = Target("i-1", "s", "127.0.0.1:1", "z", 4, False)
+    names = [name for name, _ in forwarded_headers(a_call(), target, 1.0)]
+    assert names == ["X-Request-Id", "X-Odd", "X-Odd", "Host", "X-Deadline-Ms", "X-Expect-Instance"]
+    assert str(target_url(target, "/a//b")) == "http://127.0.0.1:1/a//b"
+
+
+@pytest.mark.parametrize(
+    ("answer", "ran"),
+    [
+        ("refused", Ran.NO),
+        ("reset", Ran.UNKNOWN),
+        ("other id", Ran.UNKNOWN),
+        ("no signature", Ran.UNKNOWN),
+        ("cut", Ran.UNKNOWN),
+        ("encoded", Ran.UNKNOWN),
+    ],
+)
+def test_an_answer_that_is_not_whole_and_its_own_is_not_passed_on(answer: str, ran: Ran) -> None:
+    """A target cuts an answer off, or answers another call on a kept connection.
+
+    Passed on, a caller would take half a quote, or somebody else's, for its own.
+    """
+
+    async def body() -> None:
+        async with target_of() as (stand_in, target, sessions):
+            exchange = CallExchange(sessions)
+            stand_in.answers = [answer]
+            with pytest.raises(TargetFault) as raised:
+                await exchange.exchange(a_call(), target, 1.5)
+            assert raised.value.ran is ran
+            assert (await exchange.exchange(a_call(), target, 1.5)).status == 200
+
+    asyncio.run(body())
+
+
+def test_a_replaced_target_and_a_closed_port_ran_nothing() -> None:
+    async def body() -> None:
+        async with target_of() as (stand_in, target, sessions):
+            for other in (target._replace(instance="i-0"), target._replace(address="127.0.0.1:9")):
+                with pytest.raises(TargetFault) as raised:
+                    await CallExchange(sessions).exchange(a_call(), other, 1.5)
+                assert raised.value.ran is Ran.NO
+            assert not stand_in.runs
+
+    asyncio.run(body())
+
+
+async def generate(
+    sessions: TargetSessions, target: Target, last: int = 0
+) -> tuple[list[Piece], GenerationError | None]:
+    pieces: list[Piece] = []
+    call = GenerationCall("i1", "h", "/run/1", [("X-Model", "m")], b"p", last, 5.0, 5)
+    try:
+        async for piece in GenerationStream(sessions).generate(call, target):
+            pieces.append(piece)
+    except GenerationError as error:
+        return pieces, error
+    return pieces, None
+
+
+def test_a_broken_stream_goes_on_behind_its_last_whole_event() -> None:
+    async def body() -> None:
+        async with target_of(events=6) as (stand_in, target, sessions):
+            stand_in.answers = ["cut"]
+            first, error = await generate(sessions, target)
+            assert error is not None
+            assert error.reason is GenerationEnd.BROKEN
+            assert [p.event_id for p in first] == [1, 2, 3]
+            stand_in.version = 2
+            rest, error = await generate(sessions, target, last=3)
+            assert error is None
+            assert [(p.event_id, p.data, p.version) for p in rest] == [
+                (4, "4.6", 2),
+                (5, "5.6", 2),
+                (6, "6.6", 2),
+            ]
+
+    asyncio.run(body())
+
+
+def test_a_stream_asked_for_behind_its_last_event_is_empty_and_whole() -> None:
+    """A run is moved just as its last event came, before its end was seen.
+
+    The engine that goes on has nothing to make and names no version. Taken for a fault, the
+    item was asked for again until its step was over.
+    """
+
+    async def body() -> None:
+        async with target_of(events=3) as (_stand_in, target, sessions):
+            assert await generate(sessions, target, last=3) == ([], None)
+
+    asyncio.run(body())
+
+
+@pytest.mark.parametrize(
+    ("answer", "reason"),
+    [
+        ("refused", GenerationEnd.REFUSED),
+        (500, GenerationEnd.FAILED),
+        (422, GenerationEnd.IMPOSSIBLE),
+        (502, GenerationEnd.BROKEN),
+        ("other id", GenerationEnd.BROKEN),
+        ("reset", GenerationEnd.BROKEN),
+    ],
+)
+def test_a_run_that_does_not_start_says_why(answer: str | int, reason: GenerationEnd) -> None:
+    async def body() -> None:
+        async with target_of() as (stand_in, target, sessions):
+            stand_in.answers = [answer]
+            pieces, error = await generate(sessions, target)
+            assert (pieces, error.reason if error else None) == ([], reason)
+
+    asyncio.run(body())
+
+
+def test_orders_are_answered_by_what_the_engine_had_accepted() -> None:
+    async def body() -> None:
+        async with target_of() as (_stand_in, target, sessions):
+            orders = EngineOrders(sessions)
+            report = await orders.report(target)
+            assert report is not None
+            assert (report.versions, report.orders_accepted) == ({"m": 1}, 0)
+            order = Order("m", 2, "n1", 41, 0, True)
+            assert await orders.order(target, order, 1.0) is OrderOutcome.ACCEPTED
+            assert await orders.order(target, order, 1.0) is OrderOutcome.CONFLICT
+            gone = target._replace(address="127.0.0.1:9")
+            assert await orders.order(gone, order, 1.0) is OrderOutcome.REJECTED
+            assert await orders.report(gone) is None
+
+    asyncio.run(body())
--- /dev/null
+++ b/tests/serving/test_tables.py
@@ -0,0 +1,124 @@
+"""Routes by longest prefix, targets by what was seen of them, registrations that lapse."""
+
+import pytest
+
+from samphirecleat.serving import (
+    CallerLimits,
+    CallKind,
+    Route,
+    RouteTable,
+    RoutingConfig,
+    Target,
+    TargetRegistry,
+    TargetTable,
+    WeightedService,
+    services_in_turn,
+)
+
+
+def route(name: str, host: str, prefix: str, *services: tuple[str, float]) -> Route:
+    parts = [WeightedService(*part) for part in services or (("svc", 1.0),)]
+    return Route(name, host, prefix, CallKind.IDEMPOTENT, parts)
+
+
+def table(revision: int, *routes: Route) -> RouteTable:
+    made = RouteTable()
+    made.put(RoutingConfig(revision, routes, {}, CallerLimits()))
+    return made
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "want"),
+    [
+        ("a", "/x/1", "short"),
+        ("a", "/x/y/1", "long"),
+        ("A", "/x/y/?q=/x/z/", "long"),
+        ("a", "/x", None),
+        ("a", "/other/", None),
+        ("b", "/x/1", "other"),
+        ("c", "/x/1", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(host: str, path: str, want: str | None) -> None:
+    routes = table(
+        1, route("short", "a", "/x/"), route("long", "a", "/x/y/"), route("other", "b", "/x/")
+    )
+    found = routes.find(host, path)
+    assert (found.name if found else None) == want
+
+
+def test_a_configuration_never_goes_back() -> None:
+    """Records come again after the store forgot its history; an old one must change nothing."""
+    routes = table(7, route("new", "a", "/"))
+    assert not routes.put(RoutingConfig(5, [route("old", "a", "/")], {}, CallerLimits()))
+    assert not routes.put(RoutingConfig(7, [route("same", "a", "/")], {}, CallerLimits()))
+    assert [r.name for r in routes.config.routes] == ["new"]
+
+
+@pytest.mark.parametrize(("draw", "want"), [(0.0, "a"), (0.89, "a"), (0.91, "b"), (1.0, "b")])
+def test_a_split_follows_its_shares(draw: float, want: str) -> None:
+    assert services_in_turn(route("r", "h", "/", ("a", 90), ("b", 10)), draw) == [want]
+
+
+def target(name: str, **changes: object) -> Target:
+    base = Target(name, "svc", f"127.0.0.1:{len(name)}", "z", 4, False)
+    return base._replace(**changes)  # type: ignore[arg-type]
+
+
+def test_a_call_goes_to_the_nearest_target_with_room_that_did_not_fail() -> None:
+    targets = TargetTable("z")
+    near, far, gone = target("n"), target("ff", zone="y"), target("ddd", draining=True)
+    targets.replace({t.instance: t for t in (near, far, gone)})
+    assert targets.choose(["svc"], [], 0.0) == near
+    targets.started(near)
+    targets.started(near)
+    assert targets.choose(["svc"], [], 0.0) == far
+    targets.failed(far, 0.0, refused=False)
+    assert targets.choose(["svc"], [], 0.5) == near
+    assert targets.choose(["svc"], ["n"], 0.5) == far
+    assert targets.choose(["svc"], [], 1.5) == far
+
+
+def test_a_target_that_answers_slowly_is_passed_over() -> None:
+    targets = TargetTable("z")
+    slow, quick = target("s"), target("q", zone="y")
+    targets.replace({t.instance: t for t in (slow, quick)})
+    for _ in range(5):
+        targets.answered(slow, 0.3)
+        targets.answered(quick, 0.03)
+    assert targets.choose(["svc"], [], 0.0) == quick
+
+
+def test_a_registration_that_vanished_while_the_store_was_away_is_held_a_while(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store is down, and every registration lapses with it although all targets live.
+
+    Believed at once, no call would find a target for the two seconds that they take to
+    register again.
+    """
+    now = [100.0]
+    monkeypatch.setattr("samphirecleat.serving._registry.boot_time_s", lambda: now[0])
+    registry = TargetRegistry(lambda: 99.0)
+    registry.replace({"a": target("a"), "bb": target("bb", draining=True)})
+    registry.replace({})
+    assert set(registry.present()) == {"a"}
+    now[0] = 101.5
+    assert set(registry.present()) == set()
+    registry.put(target("a"))
+    assert set(registry.present()) == {"a"}
+
+
+def test_a_vanished_target_is_not_used_beside_the_one_at_its_address() -> None:
+    registry = TargetRegistry(lambda: 1e12)
+    registry.put(target("a", address="127.0.0.1:9"))
+    registry.remove("a")
+    registry.put(target("b", address="127.0.0.1:9"))
+    assert set(registry.present()) == {"b"}
+
+
+def test_while_the_store_is_well_a_vanished_target_is_gone_at_once() -> None:
+    registry = TargetRegistry(lambda: -1e12)
+    registry.put(target("a"))
+    registry.remove("a")
+    assert registry.present() == {}
