--- /dev/null
+++ b/tests/platform/nodes.py
@@ -0,0 +1,232 @@
+"""Real node processes on loopback, each with an address of its own and the same ports."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import aiohttp
+
+from samphirecleat.trial._addresses import free_port
+
+from .standin_store import StoreStandIn
+from .standin_targets import TargetStandIn
+
+REPOSITORY = Path(__file__).parents[2]
+WAIT_S = 30.0
+
+
+class Nodes:
+    """Node processes over one stand-in store; can be killed and started again."""
+
+    def __init__(self, count: int, folder: Path, store: StoreStandIn) -> None:
+        ports = [free_port() for _ in range(5)]
+        self.front, self.ready, self.control, self.directory, self.peer = ports
+        pid = os.getpid()
+        self.hosts = [
+            f"127.{96 + number}.{(pid >> 8) & 255}.{pid & 255}" for number in range(count)
+        ]
+        self._folder = folder
+        self._store = store
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+
+    def settings(self, host: str) -> str:
+        """Return the settings file of a node."""
+        seeds = json.dumps([f"{seed}:{self.control}" for seed in self.hosts[:3]])
+        return f"""
+nodeName = "node-{host}"
+zone = "z"
+region = "r"
+ipAddress = "{host}"
+internalPortRange = [{self.peer}, {self.peer}]
+seedNodes = {seeds}
+[listenAddresses]
+front = "{host}:{self.front}"
+ready = "{host}:{self.ready}"
+control = "{host}:{self.control}"
+directory = "{host}:{self.directory}"
+[bounds]
+gracePeriodS = 8
+leaseDurationMs = 300
+ttl_max_s = 5
+statusS = 120
+[platform]
+address = "{self._store.address}"
+"""
+
+    async def start(self) -> None:
+        """Start every node that does not run."""
+        for host in self.hosts:
+            path = self._folder / f"{host}.toml"
+            path.write_text(self.settings(host))
+            with (self._folder / f"{host}.log").open("ab") as log:
+                self._processes[host] = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "samphirecleat.platform",
+                    cwd=REPOSITORY,
+                    env={**os.environ, "SAMPHIRECLEAT_BOOT": str(path)},
+                    stdout=log,
+                    stderr=log,
+                )
+
+    async def kill_all(self, number: int = signal.SIGKILL) -> None:
+        """Send every process a signal at once and wait for its end."""
+        for process in self._processes.values():
+            if process.returncode is None:
+                process.send_signal(number)
+        for process in self._processes.values():
+            await process.wait()
+
+    async def end(self, host: str) -> int:
+        """Send one node SIGTERM and return its exit code."""
+        self._processes[host].terminate()
+        return await self._processes[host].wait()
+
+    def logs(self) -> str:
+        """Return what the nodes wrote, for a failed test."""
+        return "\n".join(path.read_text()[-4000:] for path in self._folder.glob("*.log"))
+
+
+class Caller:
+    """Calls nodes as the platform's clients do, trying again while a node can't answer."""
+
+    def __init__(self, session: aiohttp.ClientSession, nodes: Nodes) -> None:
+        self._session = session
+        self._nodes = nodes
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        host: str = "",
+        port: int = 0,
+        want: int = 200,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> bytes:
+        """Return the body of the first answer with the wanted status."""
+        seen: object = None
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                address = f"{host or self._nodes.hosts[0]}:{port or self._nodes.front}"
+                try:
+                    async with self._session.request(
+                        method,
+                        f"http://{address}{path}",
+                        data=body or None,
+                        headers={"Host": "h.example", **(headers or {})},
+                    ) as response:
+                        content = await response.read()
+                        if response.status == want:
+                            return content
+                        seen = response.status, content[:300]
+                        assert response.status in (502, 503, 504), seen
+                except aiohttp.ClientError as error:
+                    seen = error
+                await asyncio.sleep(0.05)
+
+
+@asynccontextmanager
+async def running_nodes(
+    count: int, folder: Path
+) -> AsyncIterator[tuple[Nodes, Caller, StoreStandIn, list[TargetStandIn]]]:
+    """Start a store, an engine, a scoring service and nodes; end them all after."""
+    store = StoreStandIn()
+    await store.start()
+    targets = [TargetStandIn("e-1", events=8, pause_s=0.02), TargetStandIn("p-1")]
+    for target in targets:
+        await target.start()
+    store.put("keyed.op", "config", _config())
+    for target, service in zip(targets, ("engine", "plain"), strict=True):
+        store.put("keyed.servers", target.instance, _entry(target, service))
+    nodes = Nodes(count, folder, store)
+    await nodes.start()
+    try:
+        async with aiohttp.ClientSession() as session:
+            yield nodes, Caller(session, nodes), store, targets
+    finally:
+        await nodes.kill_all()
+        for target in targets:
+            await target.stop()
+        await store.stop()
+
+
+def job(items: int) -> bytes:
+    """Return a batch job whose items are scored by the plain service."""
+    rows = [
+        {
+            "id": f"i{number}",
+            "path": f"/run/{number}",
+            "body": "cHJvbXB0",
+            "tokens": 800,
+            "headers": {"X-Model": "m", "X-Token-Counts": "255,512"},
+            "group": f"g{number // 2}",
+            "scoringEndpoint": {
+                "id": f"r{number}",
+                "host": "h.example",
+                "path": "/plain/s",
+                "body": "",
+            },
+        }
+        for number in range(items)
+    ]
+    return json.dumps(
+        {"step": 0, "model": "m", "minVersion": 1, "targetGroups": items // 2, "items": rows}
+    ).encode()
+
+
+def _config() -> dict[str, object]:
+    engine = {"slots": 12, "kvCacheTokens": 40000, "stride": 64, "models": [{"name": "m"}]}
+    return {
+        "version": 1,
+        "routes": [
+            {
+                "name": "jobs",
+                "host": "h.example",
+                "pathPrefix": "/jobs/",
+                "kind": "rollout",
+                "resultDeadlineMs": 7500,
+                "retentionS": 60,
+                "service": "engine",
+                "maxAttempts": 3,
+            },
+            {
+                "name": "plain",
+                "host": "h.example",
+                "pathPrefix": "/plain/",
+                "kind": "idempotent",
+                "timeoutMs": 2000,
+                "targetLatencyMs": 500,
+                "service": "plain",
+                "maxAttempts": 2,
+            },
+        ],
+        "services": [
+            {"name": "engine", "healthPath": "/health", "connectionCap": 99, "engine": engine},
+            {"name": "plain", "healthPath": "/health", "connectionCap": 99},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 1 << 25,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+
+
+def _entry(target: TargetStandIn, service: str) -> dict[str, object]:
+    return {
+        "service": service,
+        "address": target.address,
+        "zone": "z",
+        "slots": 12,
+        "state": "ready",
+        "models": [{"name": "m", "version": 1}] if service == "engine" else [],
+        "born": 5,
+    }
