Bodies up to the configured bound and unchanged; settings read again on SIGHUP; nodes meet in the log

Causes: the server library's bound of 1 MB refused proper bodies and unpacked encoded ones; SIGHUP was ignored; a node whose seeds are all dead stayed alone.

--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -5,6 +5,7 @@
 from ._fold import Claim, StepFold, StepState
 from ._follower import TopicFollower
 from ._journal import ProgressJournal
+from ._meeting_point import MeetingPoint
 from ._orderer import EngineReport, Order, OrderChannel, OrderOutcome
 from ._ports import (
     UNCONDITIONAL,
@@ -43,6 +44,7 @@
     "LogEntry",
     "LogSlice",
     "LogUnavailableError",
+    "MeetingPoint",
     "Order",
     "OrderChannel",
     "OrderOutcome",
--- a/samphirecleat/durable/_follower.py
+++ b/samphirecleat/durable/_follower.py
@@ -34,6 +34,7 @@
         rng: random.Random,
         *,
         ordered: bool = False,
+        read_wait_s: float = READ_WAIT_S,
     ) -> None:
         """Follow ``topic`` for ``sink``.
 
@@ -43,6 +44,7 @@
         self._log = log
         self._topic = topic
         self._ordered = ordered
+        self._read_wait_s = read_wait_s
         self._sink = sink
         self._observer = observer
         self._rng = rng
@@ -65,7 +67,7 @@
         failed = False
         while True:
             try:
-                await self.advance(READ_WAIT_S)
+                await self.advance(self._read_wait_s)
             except LogUnavailableError as error:
                 self.unavailable_at_s = boot_time_s()
                 if not failed:
--- a/samphirecleat/platform/__main__.py
+++ b/samphirecleat/platform/__main__.py
@@ -24,17 +24,28 @@
     except BootSettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
+    if "--check" in sys.argv[1:]:
+        print(f"{path}: good")
+        return
     handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(make_formatter("json"))
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
-    uvloop.run(_run(PlatformNode(settings)))
+    uvloop.run(_run(PlatformNode(settings), path))
 
 
-async def _run(node: PlatformNode) -> None:
+def _reload(node: PlatformNode, path: str) -> None:
+    """Read the settings again; ones that can't be used leave the old in force."""
+    try:
+        node.reload(read_boot_settings(path))
+    except BootSettingsError as error:
+        logging.getLogger("samphirecleat").error("[node] settings kept: %s", error)
+
+
+async def _run(node: PlatformNode, path: str) -> None:
     loop = asyncio.get_running_loop()
     leaving = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, leaving.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
     await node.start()
     await leaving.wait()
     await node.drain()
--- a/samphirecleat/platform/_metadata_store.py
+++ b/samphirecleat/platform/_metadata_store.py
@@ -164,6 +164,10 @@
                 raise ConnectionRefusedError(str(error)) from error
             return None
 
+    def move(self, address: str) -> None:
+        """Talk to the store at another address from now on."""
+        self._base = f"http://{address}"
+
     @property
     def reachable(self) -> bool:
         """Whether the store answered this node's last direct call."""
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -12,7 +12,15 @@
 
 from ..blackboard import Blackboard, Identity, Member
 from ..controllers import Membership
-from ..durable import ProgressJournal, Scorer, ServiceDuty, StepAccess, StepLog, TopicFollower
+from ..durable import (
+    MeetingPoint,
+    ProgressJournal,
+    Scorer,
+    ServiceDuty,
+    StepAccess,
+    StepLog,
+    TopicFollower,
+)
 from ..observe import Observer
 from ..peers import HeartbeatCodec
 from ..serving import Forwarder, RouteTable, TargetRegistry, TargetTable
@@ -21,6 +29,7 @@
 from ._call_exchange import CallExchange
 from ._engine_orders import EngineOrders
 from ._front import Front
+from ._front_server import FrontServer
 from ._generation_stream import GenerationStream
 from ._metadata_store import MetadataStore
 from ._side_doors import SideDoors
@@ -34,10 +43,6 @@
 HOUSEKEEPING_S: Final = 0.25
 # The store's connection is given up by the kernel after this long without a sign.
 STORE_SILENT_S: Final = 1.0
-LARGEST_BODY_BYTES: Final = 64 * 1024 * 1024
-LARGEST_HEADER_BYTES: Final = 65536
-IDLE_MARGIN_S: Final = 1.0
-FALLBACK_IDLE_S: Final = 16.0
 # A leaving node serves this long on, for callers that kept its address: three times the
 # time to live of a directory answer, and the second that it takes to be heard of.
 SERVE_ON_S: Final = 4.2
@@ -93,6 +98,7 @@
         for work in (
             self._membership.drive(),
             self._operator_follower.run(),
+            self._meeting_point.run(),
             self._target_follower.run(),
             self.step_log.run(),
             self._duty.run(),
@@ -109,6 +115,23 @@
             settings.front_address,
         )
 
+    def reload(self, settings: BootSettings) -> None:
+        """Take settings that changed while the node runs; addresses to listen at stay."""
+        changed = [
+            name
+            for name, old, new in zip(settings._fields, self.settings, settings, strict=True)
+            if old != new
+        ]
+        self._words.info("settings read again changed=%s", ",".join(changed))
+        self.settings = settings._replace(
+            front_address=self.settings.front_address,
+            ready_address=self.settings.ready_address,
+            control_address=self.settings.control_address,
+            directory_address=self.settings.directory_address,
+            peer_ports=self.settings.peer_ports,
+        )
+        self._store.move(settings.store_address)
+
     async def drain(self) -> None:
         """Hand over the work, serve on while callers may still come, and end what is open."""
         began_s = asyncio.get_running_loop().time()
@@ -145,6 +168,7 @@
             self._store, TOPIC_OPERATOR, self.operator.take, self.observer, self._rng
         )
         registry = TargetRegistry(lambda: self._target_follower.unavailable_at_s)
+        self._meeting_point = MeetingPoint(self._store, self.board, self.observer, self._rng)
         self.target_watch = TargetWatch(registry, self.targets, self.observer)
         self._target_follower = TopicFollower(
             self._store, TOPIC_TARGETS, self.target_watch.take, self.observer, self._rng
@@ -178,17 +202,7 @@
         doors = SideDoors(
             self._store, self.observer, self._ready_members, self._is_ready, settings.entry_ttl_s
         )
-        await self._serve(
-            settings.front_address,
-            web.Server(
-                self.front.handle,
-                handler_cancellation=True,
-                keepalive_timeout=FALLBACK_IDLE_S,
-                access_log=None,
-                max_line_size=LARGEST_HEADER_BYTES,
-                max_field_size=LARGEST_HEADER_BYTES,
-            ),
-        )
+        await self._serve(settings.front_address, FrontServer(self.front.handle, self.routes))
         await self._serve(settings.ready_address, web.Server(doors.ready, access_log=None))
         await self._serve(settings.directory_address, web.Server(doors.directory, access_log=None))
         await self._serve(settings.control_address, web.Server(doors.control, access_log=None))
--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -30,13 +30,14 @@
         self.hosts = [
             f"127.{96 + number}.{(pid >> 8) & 255}.{pid & 255}" for number in range(count)
         ]
+        self.seeds = self.hosts[:3]
         self._folder = folder
         self._store = store
         self._processes: dict[str, asyncio.subprocess.Process] = {}
 
     def settings(self, host: str) -> str:
         """Return the settings file of a node."""
-        seeds = json.dumps([f"{seed}:{self.control}" for seed in self.hosts[:3]])
+        seeds = json.dumps([f"{seed}:{self.control}" for seed in self.seeds])
         return f"""
 nodeName = "node-{host}"
 zone = "z"
@@ -87,6 +88,11 @@
         self._processes[host].terminate()
         return await self._processes[host].wait()
 
+    def write_settings(self, host: str, text: str) -> None:
+        """Change a node's settings file and tell it so."""
+        (self._folder / f"{host}.toml").write_text(text)
+        self._processes[host].send_signal(signal.SIGHUP)
+
     def logs(self) -> str:
         """Return what the nodes wrote, for a failed test."""
         return "\n".join(path.read_text()[-4000:] for path in self._folder.glob("*.log"))
@@ -134,7 +140,7 @@
 
 @asynccontextmanager
 async def running_nodes(
-    count: int, folder: Path
+    count: int, folder: Path, seeds: list[str] | None = None
 ) -> AsyncIterator[tuple[Nodes, Caller, StoreStandIn, list[TargetStandIn]]]:
     """Start a store, an engine, a scoring service and nodes; end them all after."""
     store = StoreStandIn()
@@ -146,6 +152,7 @@
     for target, service in zip(targets, ("engine", "plain"), strict=True):
         store.put("keyed.servers", target.instance, _entry(target, service))
     nodes = Nodes(count, folder, store)
+    nodes.seeds = nodes.seeds if seeds is None else seeds
     await nodes.start()
     try:
         async with aiohttp.ClientSession() as session:
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -1,6 +1,7 @@
 """Nodes as real processes over a stand-in of the store: killed together, ended, cut off."""
 
 import asyncio
+import gzip
 import json
 from pathlib import Path
 
@@ -147,3 +148,51 @@
             )
 
     asyncio.run(body())
+
+
+def test_a_large_and_encoded_body_reaches_its_target_unchanged(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with running_nodes(1, tmp_path) as (_nodes, caller, _store, targets):
+            content = bytes(range(256)) * 12_000
+            headers = {"X-Request-Id": "q1", "Content-Encoding": "gzip"}
+            packed = gzip.compress(content, compresslevel=0)
+            await caller.call("POST", "/plain/1", body=packed, headers=headers)
+            assert targets[1].seen[-1][3] == content
+
+    asyncio.run(body())
+
+
+def test_nodes_whose_seeds_are_all_dead_find_each_other_through_the_log(tmp_path: Path) -> None:
+    """The hosts that a new node's settings name were replaced since.
+
+    Alone, it would offer only itself to callers and run every step a second time.
+    """
+
+    async def body() -> None:
+        async with running_nodes(2, tmp_path, seeds=["127.95.95.95"]) as (nodes, caller, _s, _t):
+            query = "/v1/resolve?name=h.example&region=r&zone=z"
+            async with asyncio.timeout(30.0):
+                for host in nodes.hosts:
+                    while len(await entries(nodes, caller, host, query)) < 2:
+                        await asyncio.sleep(0.05)
+
+    asyncio.run(body())
+
+
+def test_settings_that_change_for_the_worse_leave_the_old_in_force(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with running_nodes(1, tmp_path) as (nodes, caller, _store, _targets):
+            headers = {"X-Request-Id": "q1"}
+            await caller.call("POST", "/plain/1", headers=headers)
+            host = nodes.hosts[0]
+            nodes.write_settings(host, "nodeName = 5")
+            async with asyncio.timeout(30.0):
+                while "settings kept" not in nodes.logs():
+                    await asyncio.sleep(0.05)
+            nodes.write_settings(host, nodes.settings(host))
+            async with asyncio.timeout(30.0):
+                while "settings read again" not in nodes.logs():
+                    await asyncio.sleep(0.05)
+            await caller.call("POST", "/plain/2", headers=headers)
+
+    asyncio.run(body())
