--- a/samphirecleat/durable/_item_run.py
+++ b/samphirecleat/durable/_item_run.py
@@ -1,6 +1,7 @@
 """One item on one engine: its stream is taken into the item's draft, event by event."""
 
 import asyncio
+import secrets
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Final
@@ -50,6 +51,7 @@
     :raises TimeoutError: when the engine falls silent.
     """
     loop = asyncio.get_running_loop()
+    run.draft.begin_run(secrets.token_hex(6))
     stream = engines.generate(_call_of(run, loop.time()), run.target)
     last_s = loop.time()
     wait_s = FIRST_EVENT_S
--- a/samphirecleat/durable/_journal.py
+++ b/samphirecleat/durable/_journal.py
@@ -51,7 +51,7 @@
 
     async def save(self, drafts: Sequence[Draft]) -> None:
         """Append what was made since the last save; a failure loses only that."""
-        parts = [part for draft in drafts if (part := draft.unsaved()) is not None]
+        parts = [part for draft in drafts for part in draft.unsaved()]
         if not parts:
             return
         result = await self._log.append_plain(PROGRESS_TOPIC, _pack(parts))
