--- a/samphirecleat/durable/_duty.py
+++ b/samphirecleat/durable/_duty.py
@@ -15,8 +15,7 @@
 from ._fold import Claim
 from ._journal import ProgressJournal
 from ._orderer import OrderChannel, Orderer
-from ._ports import AppendOutcome, GenerationChannel
-from ._records import RunnerClaimed
+from ._ports import GenerationChannel
 from ._runner import StepRunner
 from ._scorer import Scorer
 from ._step_log import StepLog
@@ -99,8 +98,7 @@
             try:
                 async with asyncio.timeout(HAND_OVER_S):
                     await self._journal.save(post.runner.open_drafts())
-                    record = RunnerClaimed(service, heir.node_id, heir.incarnation)
-                    await self._step_log.claim(record)
+                    await self._step_log.claim(service, heir.node_id, heir.incarnation)
             except TimeoutError:
                 self._words.warning("service=%s not handed over in time", service)
 
@@ -151,8 +149,7 @@
         if not should_claim(view) or not self._step_log.is_fresh():
             return
         self._claimed_at_s[service] = now_s
-        record = RunnerClaimed(service, identity.node_id, identity.incarnation)
-        written = await self._step_log.claim(record)
+        written = await self._step_log.claim(service, identity.node_id, identity.incarnation)
         self._words.info(
             "service=%s claimed after=%s/%s candidates=%d known=%d outcome=%s",
             service,
@@ -162,9 +159,6 @@
             view.known_members,
             written.outcome.value,
         )
-        if written.outcome is AppendOutcome.CONDITION_FAILED:
-            # Something else was appended in between; look again with it folded.
-            self._claimed_at_s[service] = -1e9
 
     async def _take_post(self, service: str, claim: Claim) -> None:
         # One host is one holder, whichever of its processes orders.
--- a/samphirecleat/durable/_fold.py
+++ b/samphirecleat/durable/_fold.py
@@ -1,17 +1,20 @@
 """The only truth about steps: the fold of the step log in offset order.
 
 The first acceptance of a step counts, the first result of an item counts and takes the
-next position, and the last claim of a service names its runner. Two writers at once, a
-record that takes effect late, or one that is sent twice can so neither double an item nor
-move a position, and every node that folded the same records knows the same.
+next position, and a claim that replaces the one in force names a service's runner. Two
+writers at once, a record that takes effect late, or one that is sent twice can so neither
+double an item nor move a position, and every node that folded the same records knows the
+same.
 """
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from ._records import ItemListed, ItemSpec, Record, RunnerClaimed, StepAccepted, StepEnded
 
+NO_CLAIM: Final = -1
+
 
 class Claim(NamedTuple):
     """Who runs a service's work; ``offset`` is the fencing number.
@@ -63,6 +66,8 @@
                 return self._end(record, now_s)
             case RunnerClaimed():
                 before = self.claims.get(record.service)
+                if record.replaces != (before.offset if before is not None else NO_CLAIM):
+                    return False
                 previous = before.node_id if before is not None else ""
                 claim = Claim(record.node_id, record.incarnation, offset, previous)
                 self.claims[record.service] = claim
--- a/samphirecleat/durable/_records.py
+++ b/samphirecleat/durable/_records.py
@@ -86,12 +86,15 @@
 class RunnerClaimed(NamedTuple):
     """An incarnation takes over the work of a service.
 
-    The offset of this record is the fencing number of the orders that it gives.
+    It counts only if the claim at the offset ``replaces`` (-1: none) is in force where it
+    stands in the log, so that one which takes effect late changes nothing. The offset of
+    this record is the fencing number of the orders that it gives.
     """
 
     service: str
     node_id: str
     incarnation: str
+    replaces: int
 
 
 Record = StepAccepted | ItemListed | StepEnded | RunnerClaimed
--- a/samphirecleat/durable/_step_log.py
+++ b/samphirecleat/durable/_step_log.py
@@ -8,9 +8,9 @@
 
 from .._boot_clock import boot_time_s
 from ..observe import Observer
-from ._fold import StepFold
+from ._fold import NO_CLAIM, StepFold
 from ._follower import TopicFollower
-from ._ports import UNCONDITIONAL, AppendOutcome, KeyedLog, LogEntry, LogUnavailableError
+from ._ports import AppendOutcome, KeyedLog, LogEntry, LogUnavailableError
 from ._records import (
     ItemListed,
     Record,
@@ -106,9 +106,11 @@
         """Write down that a step is ended."""
         return await self._write(StepEnded(step_id), step_id)
 
-    async def claim(self, record: RunnerClaimed) -> Written:
-        """Claim a service, only if nothing was appended since the fold was last confirmed."""
-        return await self._write(record, record.service, at=self._follower.end)
+    async def claim(self, service: str, node_id: str, incarnation: str) -> Written:
+        """Claim a service for a node; the fold tells whether the claim counted."""
+        held = self.fold.claims.get(service)
+        replaces = held.offset if held is not None else NO_CLAIM
+        return await self._write(RunnerClaimed(service, node_id, incarnation, replaces), service)
 
     def list_result(self, result: ItemListed) -> None:
         """Have a result listed as soon as the log takes it; kept in memory until then."""
@@ -120,9 +122,9 @@
         """How many results wait to be listed."""
         return len(self._waiting_results)
 
-    async def _write(self, record: Record, subject: str, at: int = UNCONDITIONAL) -> Written:
+    async def _write(self, record: Record, subject: str) -> Written:
         entries = split_record(record, self._new_key(subject))
-        result = await self._log.append(STEP_TOPIC, entries, at)
+        result = await self._log.append(STEP_TOPIC, entries)
         if result.outcome is not AppendOutcome.APPENDED:
             self._words.warning(
                 "write=%s subject=%s outcome=%s detail=%s",
@@ -226,14 +228,16 @@
             case StepEnded():
                 self._words.info("step=%s ended offset=%d new=%s", record.step_id, offset, changed)
             case RunnerClaimed():
-                if not past:
+                if changed and not past:
                     self.claimed_at_s[record.service] = asyncio.get_running_loop().time()
                 self._words.info(
-                    "service=%s runner=%s/%s offset=%d",
+                    "service=%s runner=%s/%s offset=%d replaces=%d counts=%s",
                     record.service,
                     record.node_id,
                     record.incarnation,
                     offset,
+                    record.replaces,
+                    changed,
                 )
             case ItemListed():
                 self._observer.counters["items_folded"] += changed
--- a/samphirecleat/platform/_target_sessions.py
+++ b/samphirecleat/platform/_target_sessions.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from ..serving import Target
-from ..targets import make_connector
+from ..targets import make_connector, make_strict
 
 # How long a connection may idle before the target has said how long it keeps one.
 FIRST_IDLE_S: Final = 4.0
@@ -64,9 +64,8 @@
             await session.close()
 
     def _open(self, service: str) -> aiohttp.ClientSession:
-        connector = make_connector(
-            SILENT_AFTER_S, keepalive_timeout_s=self._idle_s.get(service, FIRST_IDLE_S)
-        )
+        idle_s = self._idle_s.get(service, FIRST_IDLE_S)
+        connector = make_strict(make_connector(SILENT_AFTER_S, keepalive_timeout_s=idle_s))
         return aiohttp.ClientSession(
             connector=connector,
             skip_auto_headers=_NO_HEADERS,
--- a/samphirecleat/targets/__init__.py
+++ b/samphirecleat/targets/__init__.py
@@ -4,6 +4,7 @@
 from ._connector import make_connector
 from ._errors import Failed, Lost, NotSent, Refused, TargetError, TargetFailure
 from ._orders import OrderFenced, OrderOutcome, OrderRefused, OrderTaken, OrderUnknown
+from ._strict_connection import make_strict
 
 __all__ = [
     "Failed",
@@ -19,4 +20,5 @@
     "TargetError",
     "TargetFailure",
     "make_connector",
+    "make_strict",
 ]
--- /dev/null
+++ b/samphirecleat/targets/_strict_connection.py
@@ -0,0 +1,29 @@
+"""Connections on which an answer that was reset on its way is never taken for whole."""
+
+import asyncio
+from functools import partial
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+
+class StrictResponseHandler(ResponseHandler):
+    """Fails the body of an answer without a length when its connection breaks.
+
+    Such an answer ends with its connection. The library takes every end for that one, a
+    reset by a target that crashed too, and a caller would get half an answer as a whole.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note the end of the connection; only a clean one ends an answer."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError("reset within the answer"), exc)
+        super().connection_lost(exc)
+
+
+def make_strict(connector: aiohttp.TCPConnector) -> aiohttp.TCPConnector:
+    """Have a connector make strict connections; the library has no parameter for it."""
+    factory = partial(StrictResponseHandler, loop=asyncio.get_running_loop())
+    connector._factory = factory  # type: ignore[assignment]
+    return connector
