--- a/samphirecleat/observe/__init__.py
+++ b/samphirecleat/observe/__init__.py
@@ -1,6 +1,6 @@
 """Logs, traces and metrics."""
 
-from ._logs import JsonFormatter, PrefixedLog, make_formatter
+from ._logs import BoundedHandler, JsonFormatter, PrefixedLog, make_formatter
 from ._metrics import (
     Histograms,
     Metrics,
@@ -13,6 +13,7 @@
 from ._spans import RecentSpans, SpanRow
 
 __all__ = [
+    "BoundedHandler",
     "Histograms",
     "JsonFormatter",
     "Metrics",
--- a/samphirecleat/observe/_logs.py
+++ b/samphirecleat/observe/_logs.py
@@ -2,8 +2,9 @@
 
 import json
 import logging
-from collections.abc import MutableMapping
-from typing import Any, Final
+import time
+from collections.abc import Callable, MutableMapping
+from typing import Any, Final, TextIO
 
 HUMAN_FORMAT: Final = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
@@ -44,3 +45,43 @@
 def make_formatter(log_format: str) -> logging.Formatter:
     """Return the formatter of the setting ``log_format``, ``human`` or ``json``."""
     return JsonFormatter() if log_format == "json" else logging.Formatter(HUMAN_FORMAT)
+
+
+class BoundedHandler(logging.StreamHandler[TextIO]):
+    """Writes at most ``lines_per_s`` lines; of those beyond, it tells how many there were.
+
+    A fault that every request meets would else write more than the host can carry, and the
+    writing itself would slow the answers. The last quarter of the bound is kept for warnings
+    and errors, which explain what the plain lines only surround.
+    """
+
+    WARNING_SHARE: Final = 0.25
+
+    def __init__(
+        self, stream: TextIO, lines_per_s: int, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        """Write to ``stream``."""
+        super().__init__(stream)
+        self._lines_per_s = lines_per_s
+        self._clock = clock
+        self._left = float(lines_per_s)
+        self._filled_at_s = clock()
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record if the bound allows it."""
+        now_s = self._clock()
+        self._left = min(
+            float(self._lines_per_s), self._left + (now_s - self._filled_at_s) * self._lines_per_s
+        )
+        self._filled_at_s = now_s
+        urgent = record.levelno >= logging.WARNING
+        reserve = 0.0 if urgent else self.WARNING_SHARE * self._lines_per_s
+        if self._left < reserve + 1.0:
+            self.dropped += 1
+            return
+        self._left -= 1.0
+        if self.dropped:
+            record.msg = f"{record.msg} (lines dropped before: {self.dropped})"
+            self.dropped = 0
+        super().emit(record)
--- a/samphirecleat/platform/__main__.py
+++ b/samphirecleat/platform/__main__.py
@@ -5,15 +5,18 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from typing import Final
 
 import uvloop
 
-from ..observe import make_formatter
+from ..observe import BoundedHandler, make_formatter
 from ._boot_settings import SETTINGS_VARIABLE, BootSettingsError, read_boot_settings
 from ._platform_node import PlatformNode
 
 EXIT_BAD_SETTINGS: Final = 2
+# A runner writes four lines for each item, of which a step has some hundred in a second.
+LOG_LINES_PER_S: Final = 600
 
 
 def main() -> None:
@@ -27,12 +30,22 @@
     if "--check" in sys.argv[1:]:
         print(f"{path}: good")
         return
-    handler = logging.StreamHandler(sys.stdout)
+    settings = settings._replace(metrics_port=_metrics_port(sys.argv[1:]))
+    handler = BoundedHandler(sys.stdout, LOG_LINES_PER_S)
     handler.setFormatter(make_formatter("json"))
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
     uvloop.run(_run(PlatformNode(settings), path))
 
 
+def _metrics_port(arguments: Sequence[str]) -> int:
+    """Return the port of ``--metrics-port=N``, 0 for none."""
+    for argument in arguments:
+        name, _, value = argument.partition("=")
+        if name == "--metrics-port" and value.isdigit():
+            return int(value)
+    return 0
+
+
 def _reload(node: PlatformNode, path: str) -> None:
     """Read the settings again; ones that can't be used leave the old in force."""
     try:
--- a/samphirecleat/platform/_boot_settings.py
+++ b/samphirecleat/platform/_boot_settings.py
@@ -12,7 +12,8 @@
     """Who this process is on the platform, where it listens, and what bounds it.
 
     Addresses are ``IP:PORT``; ``""`` is one that the platform did not give.
-    ``peer_ports`` are the first and last port for traffic between nodes.
+    ``peer_ports`` are the first and last port for traffic between nodes. ``metrics_port``
+    comes from the command line, 0 for none.
     """
 
     node_id: str
@@ -30,6 +31,7 @@
     lease_s: float
     entry_ttl_s: float
     kept_after_s: float
+    metrics_port: int = 0
 
 
 class BootSettingsError(Exception):
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -129,6 +129,7 @@
             control_address=self.settings.control_address,
             directory_address=self.settings.directory_address,
             peer_ports=self.settings.peer_ports,
+            metrics_port=self.settings.metrics_port,
         )
         self._store.move(settings.store_address)
 
@@ -206,11 +207,20 @@
         await self._serve(settings.ready_address, web.Server(doors.ready, access_log=None))
         await self._serve(settings.directory_address, web.Server(doors.directory, access_log=None))
         await self._serve(settings.control_address, web.Server(doors.control, access_log=None))
+        if settings.metrics_port:
+            await self._serve_metrics(f"{settings.ip_address}:{settings.metrics_port}", doors)
         peer_host, _, peer_port = self.board.identity.peer_address.rpartition(":")
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self._membership, local_addr=(peer_host, int(peer_port))
         )
 
+    async def _serve_metrics(self, address: str, doors: SideDoors) -> None:
+        """Listen for those who read metrics; a node serves on without them."""
+        try:
+            await self._serve(address, web.Server(doors.metrics, access_log=None))
+        except OSError as error:
+            self._words.warning("no metrics at %s: %s", address, error)
+
     async def _serve(self, address: str, server: web.Server) -> None:
         host, _, port = address.rpartition(":")
         runner = web.ServerRunner(server, shutdown_timeout=0.2)
