--- a/samphirecleat/durable/_scorer.py
+++ b/samphirecleat/durable/_scorer.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections import Counter
 from typing import Final
 
 from ..errors import RequestError
@@ -23,10 +22,6 @@
 # Of a service's places, what rewards may take; the rest is for callers.
 REWARD_SHARE: Final = 0.7
 FAILED_STATUS: Final = 500
-# While calls take less than this share of the places, as those of a step's last texts do, a
-# second attempt starts early: the step waits for the slowest of them.
-QUIET_SHARE: Final = 0.25
-QUIET_OBJECTIVE_SHARE: Final = 0.35
 
 
 class Scorer:
@@ -46,7 +41,6 @@
         self._observer = observer
         self._words = observer.log("scorer")
         self._places: dict[str, tuple[int, asyncio.Semaphore]] = {}
-        self._under_way: Counter[str] = Counter()
 
     async def score(self, item: ItemSpec, item_route: Route) -> str:
         """Return the signature of the item's reward call.
@@ -78,7 +72,6 @@
     async def _try(self, item: ItemSpec, reward: RewardSpec, route: Route) -> tuple[int, str]:
         """Return the status of one call, 0 for none, and the signature of a success."""
         began_s = asyncio.get_running_loop().time()
-        service = route.services[0].service
         call = Call(
             reward.request_id,
             "POST",
@@ -89,9 +82,10 @@
             began_s,
             began_s + REWARD_BUDGET_S,
         )
-        self._under_way[service] += 1
         try:
-            answer = await self._forwarder.forward(call, self._hurried(route, service))
+            answer = await self._forwarder.forward(
+                call, route._replace(max_attempts=REWARD_ATTEMPTS)
+            )
         except RequestError as error:
             self._words.warning(
                 "item=%s reward=%s got no answer: %s",
@@ -100,21 +94,11 @@
                 error.detail,
             )
             return 0, ""
-        finally:
-            self._under_way[service] -= 1
         if not 200 <= answer.status < 300:
             return answer.status, ""
         self._observer.record_s("reward_call", asyncio.get_running_loop().time() - began_s)
         return answer.status, answer.signature
 
-    def _hurried(self, route: Route, service: str) -> Route:
-        """Return the route with the attempts of a reward call, early ones in quiet times."""
-        route = route._replace(max_attempts=REWARD_ATTEMPTS)
-        slots = sum(target.slots for target in self._targets.serving(service))
-        if self._under_way[service] > slots * QUIET_SHARE:
-            return route
-        return route._replace(objective_s=route.objective_s * QUIET_OBJECTIVE_SHARE)
-
     def _place(self, route: Route) -> asyncio.Semaphore:
         """Return the bound on calls to a route's service, which follows its targets."""
         service = route.services[0].service
