--- a/samphirecleat/durable/_election.py
+++ b/samphirecleat/durable/_election.py
@@ -5,7 +5,7 @@
 lease, and a wrong view of the members costs a little work.
 """
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Sequence
 from typing import Final, NamedTuple
 
 from ._fold import Claim
@@ -88,9 +88,3 @@
         if candidate.incarnation != own_incarnation:
             return candidate
     return None
-
-
-def runner_of(claims: Mapping[str, Claim], service: str) -> str:
-    """Return the incarnation that runs a service, or an empty text."""
-    claim = claims.get(service)
-    return claim.incarnation if claim is not None else ""
--- a/samphirecleat/durable/_journal.py
+++ b/samphirecleat/durable/_journal.py
@@ -81,15 +81,16 @@
         except (LogUnavailableError, TimeoutError) as error:
             self._words.warning("nothing restored: %s", error or type(error).__name__)
             return
-        taken = 0
+        parts: list[DraftPart] = []
         for record in records:
             try:
-                parts = _DECODER.decode(unpack(record))
+                parts.extend(_DECODER.decode(unpack(record)))
             except (msgspec.MsgspecError, RecordFormatError) as error:
                 self._words.error("a record is not understood: %s", error)
-                continue
-            taken += drafts.restore(parts)
-        self._words.info("records=%d parts=%d restored", len(records), taken)
+        # All at once: a run's parts lie in many records, and only the whole run tells
+        # whether it made the longer text.
+        used = drafts.restore(parts)
+        self._words.info("records=%d parts=%d runs=%d restored", len(records), len(parts), used)
 
 
 def _pack(parts: Sequence[DraftPart]) -> Sequence[bytes]:
--- a/samphirecleat/serving/_target_table.py
+++ b/samphirecleat/serving/_target_table.py
@@ -43,16 +43,6 @@
             for instance in [name for name in seen if name not in targets]:
                 del seen[instance]
 
-    def is_current(self, target: Target) -> bool:
-        """Whether the target still registers as the same start, and stays."""
-        now = self.targets.get(target.instance)
-        return (
-            now is not None
-            and not now.draining
-            and now.address == target.address
-            and now.started_at_ms == target.started_at_ms
-        )
-
     def serving(self, service: str) -> Sequence[Target]:
         """Return the targets of a service that take new work."""
         return [t for t in self._by_service.get(service, ()) if not t.draining]
