Streams are passed on event by event and gone on with elsewhere; slow heads are cut off

Cause: a streaming route's answer was collected before it was passed on, so its first event came with its last; one that broke off was lost; a head that never ended held its connection for the idle time. Change: StreamRelay (decisions, on the ports of serving/), CallStream (adapter), FrontConnection. A resumable stream goes on behind the last whole event after the first run was closed; any other is cut, so that it never looks whole. Events are read by one piece of code for items and callers.

--- a/samphirecleat/platform/_call_exchange.py
+++ b/samphirecleat/platform/_call_exchange.py
@@ -49,7 +49,7 @@
             ) as response:
                 body = await response.read()
                 self._sessions.learn_idle(target, response.headers.get("Keep-Alive", ""))
-                fault = _fault_of(response, call, target)
+                fault = fault_of(response, call, target)
                 if fault is not None:
                     if fault.ran is not Ran.NO:
                         # What else comes on this connection belongs to no call of ours.
@@ -57,7 +57,7 @@
                     raise fault
                 return TargetAnswer(
                     response.status,
-                    _answer_headers(response),
+                    answer_headers(response),
                     body,
                     response.headers.get(SIGNATURE, ""),
                 )
@@ -92,8 +92,8 @@
     return headers
 
 
-def _fault_of(response: aiohttp.ClientResponse, call: Call, target: Target) -> TargetFault | None:
-    """Return why an answer can't be passed on, None if it can."""
+def fault_of(response: aiohttp.ClientResponse, call: Call, target: Target) -> TargetFault | None:
+    """Return why an answer can't be passed on, None if its head says that it can."""
     if response.status == MISDIRECTED:
         return TargetFault(f"{target.instance}: replaced", Ran.NO, wrong_instance=True)
     if NOT_RUN in response.headers:
@@ -107,7 +107,8 @@
     return None
 
 
-def _answer_headers(response: aiohttp.ClientResponse) -> Sequence[tuple[str, str]]:
+def answer_headers(response: aiohttp.ClientResponse) -> Sequence[tuple[str, str]]:
+    """Return a target's headers without those of its connection."""
     return [
         (key, value)
         for key, value in response.headers.items()
--- /dev/null
+++ b/samphirecleat/platform/_call_stream.py
@@ -0,0 +1,62 @@
+"""One call at one target whose answer is an event stream, passed on event by event."""
+
+from collections.abc import AsyncGenerator
+
+import aiohttp
+
+from ..errors import Ran
+from ..serving import Call, StreamEvent, StreamStart, Target, TargetAnswer, TargetFault
+from ._answers import ANSWER_FAULTS
+from ._call_exchange import answer_headers, fault_of, forwarded_headers, target_url
+from ._event_stream import EVENT_STREAM, EventFormatError, event_blocks, read_event
+from ._target_sessions import TargetSessions
+from ._wire_names import LAST_EVENT_ID, SIGNATURE, VERSION
+
+
+class CallStream:
+    """Streams answers over kept connections; fills the product's channel for streams."""
+
+    def __init__(self, sessions: TargetSessions) -> None:
+        """Use ``sessions`` for connections."""
+        self._sessions = sessions
+
+    async def stream(
+        self, call: Call, target: Target, budget_s: float, last_event_id: int
+    ) -> AsyncGenerator[TargetAnswer | StreamStart | StreamEvent, None]:
+        """Yield the head and the events of a stream; see :class:`StreamChannel`."""
+        headers = [
+            (name, value)
+            for name, value in forwarded_headers(call, target, budget_s)
+            if name.lower() != LAST_EVENT_ID.lower()
+        ]
+        if last_event_id:
+            headers.append((LAST_EVENT_ID, str(last_event_id)))
+        try:
+            async with self._sessions.get(target).request(
+                call.method,
+                target_url(target, call.raw_path),
+                headers=headers,
+                data=call.body or None,
+                allow_redirects=False,
+            ) as response:
+                self._sessions.learn_idle(target, response.headers.get("Keep-Alive", ""))
+                fault = fault_of(response, call, target)
+                if fault is not None:
+                    raise fault
+                if response.status != 200 or response.content_type != EVENT_STREAM:
+                    body = await response.read()
+                    signature = response.headers.get(SIGNATURE, "")
+                    yield TargetAnswer(response.status, answer_headers(response), body, signature)
+                    return
+                version = int(response.headers.get(VERSION, "0"))
+                yield StreamStart(response.status, answer_headers(response), version)
+                async for block in event_blocks(response.content):
+                    event = read_event(block, version)
+                    version = event.version
+                    yield StreamEvent(event.event_id, version, block)
+        except aiohttp.ClientConnectorError as error:
+            raise TargetFault(f"{target.instance}: {error!r}", Ran.NO) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise TargetFault(f"{target.instance}: no connection", Ran.NO) from error
+        except (EventFormatError, *ANSWER_FAULTS) as error:
+            raise TargetFault(f"{target.instance}: {error!r}", Ran.UNKNOWN) from error
--- a/samphirecleat/platform/_front.py
+++ b/samphirecleat/platform/_front.py
@@ -10,9 +10,28 @@
 from ..durable import StepAccess
 from ..errors import ErrorKind, Ran, RequestError
 from ..observe import Observer
-from ..serving import Call, CallKind, Forwarder, Route, RouteTable, TargetAnswer
+from ..serving import (
+    Call,
+    CallKind,
+    Forwarder,
+    RelayedStream,
+    Route,
+    RouteTable,
+    StreamBrokenError,
+    StreamEvent,
+    StreamRelay,
+    TargetAnswer,
+)
 from ._job_documents import decode_step, encode_page
-from ._wire_names import DEADLINE_MS, PATH_ITEM, PATH_STEP, REQUEST_ID, WAIT_MS
+from ._wire_names import (
+    DEADLINE_MS,
+    LAST_EVENT_ID,
+    PATH_ITEM,
+    PATH_STEP,
+    REQUEST_ID,
+    VERSION,
+    WAIT_MS,
+)
 
 # A caller that names no deadline is given this much.
 DEFAULT_DEADLINE_S: Final = 30.0
@@ -28,12 +47,14 @@
         self,
         routes: RouteTable,
         forwarder: Forwarder,
+        relay: StreamRelay,
         steps: StepAccess,
         observer: Observer,
     ) -> None:
         """Serve by ``routes``; ``leaving`` may be set to ask callers to go elsewhere."""
         self._routes = routes
         self._forwarder = forwarder
+        self._relay = relay
         self._steps = steps
         self._observer = observer
         self._words = observer.log("front")
@@ -83,10 +104,55 @@
             began_s,
             began_s + _deadline_s(request.headers.get(DEADLINE_MS, "")),
         )
+        if route.kind is CallKind.STREAMING:
+            return await self._stream(request, call, route)
         answer = await self._forwarder.forward(call, route)
         self._observer.record_s("call", asyncio.get_running_loop().time() - began_s)
         return _pass_on(answer)
 
+    async def _stream(
+        self, request: web.BaseRequest, call: Call, route: Route
+    ) -> web.StreamResponse:
+        """Pass a stream on; one that can't be ended is cut, so that it never looks whole."""
+        behind = request.headers.get(LAST_EVENT_ID, "")
+        opened = await self._relay.open(call, route, int(behind) if behind.isdigit() else 0)
+        if isinstance(opened, TargetAnswer):
+            return _pass_on(opened)
+        response = web.StreamResponse(status=opened.start.status)
+        for name, value in opened.start.headers:
+            response.headers.add(name, value)
+        if self.leaving:
+            response.force_close()
+        try:
+            await response.prepare(request)
+            await self._write_events(response, opened, call.received_at_s)
+            await response.write_eof()
+        except StreamBrokenError as error:
+            self._observer.counters["streams_cut"] += 1
+            self._words.warning("request=%s stream cut: %s", call.request_id, error)
+            if request.transport is not None:
+                request.transport.abort()
+        finally:
+            await opened.close()
+        return response
+
+    async def _write_events(
+        self, response: web.StreamResponse, stream: RelayedStream, received_at_s: float
+    ) -> None:
+        told_version = stream.start.version
+        first = True
+        events = stream.events()
+        try:
+            async for event in events:
+                if first:
+                    first = False
+                    now_s = asyncio.get_running_loop().time()
+                    self._observer.record_s("stream_first_event", now_s - received_at_s)
+                await response.write(_event_bytes(event, told_version))
+                told_version = event.version
+        finally:
+            await events.aclose()
+
     def _route(self, host: str, raw_path: str) -> Route:
         if not self._routes.known:
             raise RequestError(ErrorKind.NOT_READY, "no configuration yet", retry_after_s=0.2)
@@ -167,6 +233,18 @@
     return status
 
 
+def _event_bytes(event: StreamEvent, told_version: int) -> bytes:
+    """Return an event as its target wrote it, with its version where that is news.
+
+    A target that goes on with another's stream names its version in a head which the caller
+    never sees.
+    """
+    named = VERSION.lower().encode() in event.block.lower()
+    if event.version == told_version or named:
+        return event.block + b"\n\n"
+    return f"{VERSION.lower()}: {event.version}\n".encode() + event.block + b"\n\n"
+
+
 def _pass_on(answer: TargetAnswer) -> web.StreamResponse:
     response = web.Response(status=answer.status, body=answer.body)
     response.headers.popall("Content-Type", None)
--- a/samphirecleat/platform/_generation_stream.py
+++ b/samphirecleat/platform/_generation_stream.py
@@ -1,6 +1,6 @@
 """One run of an item at an engine: an event stream read into pieces."""
 
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import Final
 
 import aiohttp
@@ -9,6 +9,7 @@
 from ..serving import Target
 from ._answers import ANSWER_FAULTS
 from ._call_exchange import MISDIRECTED, target_url
+from ._event_stream import NO_VERSION, EventFormatError, event_blocks, read_event
 from ._target_sessions import TargetSessions
 from ._wire_names import (
     DEADLINE_MS,
@@ -20,11 +21,8 @@
     VERSION,
 )
 
-# One event of a few hundred bytes; a stream that sends this much without one is no stream.
-LARGEST_EVENT_BYTES: Final = 4 * 1024 * 1024
 IMPOSSIBLE: Final = 422
 FAILED: Final = 500
-NO_VERSION: Final = -1
 
 
 class GenerationStream:
@@ -57,10 +55,12 @@
                 # An engine that is asked to go on behind the last event makes nothing and
                 # names no version; its stream ends at once, which is the end of the text.
                 version = int(response.headers.get(VERSION, NO_VERSION))
-                async for block in _blocks(response.content):
-                    piece = _read_event(block, version)
-                    version = piece.version
-                    yield piece
+                async for block in event_blocks(response.content):
+                    event = read_event(block, version)
+                    version = event.version
+                    yield Piece(*event)
+        except EventFormatError as error:
+            raise GenerationError(str(error), GenerationEnd.BROKEN) from error
         except aiohttp.ClientConnectorError as error:
             raise GenerationError(repr(error), GenerationEnd.BROKEN) from error
         except ANSWER_FAULTS as error:
@@ -87,41 +87,3 @@
         raise GenerationError("failed", GenerationEnd.FAILED)
     if response.status != 200 or response.headers.get("Content-Encoding"):
         raise GenerationError(f"HTTP {response.status}", GenerationEnd.BROKEN)
-
-
-async def _blocks(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
-    """Yield the events of a stream; what follows the last blank line is no event.
-
-    :raises GenerationError: when the stream ends within an event.
-    """
-    held = b""
-    async for chunk in content.iter_any():
-        held += chunk
-        *blocks, held = held.split(b"\n\n")
-        for block in blocks:
-            yield block
-        if len(held) > LARGEST_EVENT_BYTES:
-            raise GenerationError("an event without an end", GenerationEnd.BROKEN)
-    if held.strip():
-        raise GenerationError("ended within an event", GenerationEnd.BROKEN)
-
-
-def _read_event(block: bytes, version: int) -> Piece:
-    """Return the piece of an event's lines.
-
-    :raises GenerationError: when it has no id or no data.
-    """
-    event_id, data = -1, None
-    for line in block.decode().split("\n"):
-        name, _, value = line.partition(":")
-        value = value.removeprefix(" ")
-        match name.strip().lower():
-            case "id" if value.isdigit():
-                event_id = int(value)
-            case "data":
-                data = value if data is None else f"{data}\n{value}"
-            case key if key == VERSION.lower() and value.strip().isdigit():
-                version = int(value)
-    if event_id < 0 or data is None or version == NO_VERSION:
-        raise GenerationError(f"not an event: {block[:80]!r}", GenerationEnd.BROKEN)
-    return Piece(event_id, data, version)
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -23,10 +23,11 @@
 )
 from ..observe import Observer
 from ..peers import HeartbeatCodec
-from ..serving import Forwarder, RouteTable, TargetRegistry, TargetTable
+from ..serving import Forwarder, RouteTable, StreamRelay, TargetRegistry, TargetTable
 from ..targets import make_connector
 from ._boot_settings import BootSettings
 from ._call_exchange import CallExchange
+from ._call_stream import CallStream
 from ._engine_orders import EngineOrders
 from ._front import Front
 from ._front_server import FrontServer
@@ -181,7 +182,8 @@
         self.step_log = StepLog(
             self._store, self.board.identity.incarnation, self.observer, self._rng
         )
-        self.front = Front(self.routes, forwarder, StepAccess(self.step_log), self.observer)
+        relay = StreamRelay(forwarder, self.targets, CallStream(self._sessions))
+        self.front = Front(self.routes, forwarder, relay, StepAccess(self.step_log), self.observer)
         self._duty = ServiceDuty(
             self.board,
             self.step_log,
--- a/samphirecleat/serving/__init__.py
+++ b/samphirecleat/serving/__init__.py
@@ -3,6 +3,7 @@
 from ._forwarder import Forwarder
 from ._registry import TargetRegistry
 from ._route_table import RouteTable
+from ._stream_relay import RelayedStream, StreamBrokenError, StreamRelay
 from ._target_table import TargetTable, services_in_turn
 from ._types import (
     EMPTY_CONFIG,
@@ -15,6 +16,9 @@
     Route,
     RoutingConfig,
     ServiceSpec,
+    StreamChannel,
+    StreamEvent,
+    StreamStart,
     Target,
     TargetAnswer,
     TargetFault,
@@ -30,10 +34,16 @@
     "CallerLimits",
     "EngineSpec",
     "Forwarder",
+    "RelayedStream",
     "Route",
     "RouteTable",
     "RoutingConfig",
     "ServiceSpec",
+    "StreamBrokenError",
+    "StreamChannel",
+    "StreamEvent",
+    "StreamRelay",
+    "StreamStart",
     "Target",
     "TargetAnswer",
     "TargetFault",
--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -61,11 +61,8 @@
         run = _Forwarding(self, call, route, end_s)
         return await run.result()
 
-    def pick(
-        self, route: Route, services: Sequence[str], tried: Sequence[str], now_s: float
-    ) -> Target | None:
-        """Return the next target of a route, None if there is none."""
-        del route
+    def pick(self, services: Sequence[str], tried: Sequence[str], now_s: float) -> Target | None:
+        """Return the next target of a route's services, None if there is none."""
         return self._targets.choose(services, tried, now_s)
 
     def services_for(self, route: Route) -> Sequence[str]:
@@ -151,7 +148,7 @@
             return False
         if self._ran is not Ran.NO and not self._repeatable:
             return False
-        target = self._forwarder.pick(self._route, self._services, self._tried, now_s)
+        target = self._forwarder.pick(self._services, self._tried, now_s)
         if target is None:
             return False
         if attempts and target.instance in self._tried:
--- /dev/null
+++ b/samphirecleat/serving/_stream_relay.py
@@ -0,0 +1,241 @@
+"""Passes an event stream on as it is made, and goes on at another target where one breaks off.
+
+Load pattern answered: streams of some dozen events, 40 ms apart, of which a target breaks one
+off, falls silent in its middle, or was replaced before it began. A caller that has seen the
+first events loses its answer if the stream is not gone on with within about two seconds.
+"""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import suppress
+from typing import Final
+
+from ..errors import ErrorKind, Ran, RequestError
+from ._forwarder import REFUSALS_LIMIT, RETRY_AFTER_S, RETURN_MARGIN_S, Forwarder
+from ._target_table import TargetTable
+from ._types import (
+    Call,
+    CallKind,
+    Route,
+    StreamChannel,
+    StreamEvent,
+    StreamStart,
+    Target,
+    TargetAnswer,
+    TargetFault,
+)
+
+# A target is left when it makes no event for this long. Events are about 40 ms apart, an engine
+# that takes new weights pauses for a second, and callers leave after two.
+SILENT_S: Final = 1.4
+
+_Item = TargetAnswer | StreamStart | StreamEvent
+
+
+class StreamBrokenError(Exception):
+    """A stream that was passed on in part and can't be ended; the caller must see it cut."""
+
+
+class StreamRelay:
+    """Opens streams by routes over a channel; one for the whole process."""
+
+    def __init__(self, forwarder: Forwarder, targets: TargetTable, channel: StreamChannel) -> None:
+        """Choose targets as ``forwarder`` does and stream through ``channel``."""
+        self.forwarder = forwarder
+        self.targets = targets
+        self.channel = channel
+
+    async def open(
+        self, call: Call, route: Route, last_event_id: int
+    ) -> "TargetAnswer | RelayedStream":
+        """Return the stream of a call, or the failure that a target answered instead.
+
+        ``last_event_id`` is the event behind which the caller itself goes on, 0 for none.
+
+        :raises RequestError: when there is neither; ``ran`` is NO only if no target can
+            have run the call.
+        """
+        stream = RelayedStream(self, call, route, last_event_id)
+        answer = await stream.begin()
+        return stream if answer is None else answer
+
+
+class RelayedStream:
+    """One caller's stream, made by one target after another."""
+
+    def __init__(self, relay: StreamRelay, call: Call, route: Route, last_event_id: int) -> None:
+        """Prepare; nothing is sent yet."""
+        self._relay = relay
+        self._call = call
+        self._route = route
+        self._end_s = call.deadline_s
+        if route.timeout_s > 0.0:
+            self._end_s = min(self._end_s, call.received_at_s + route.timeout_s)
+        self._services = relay.forwarder.services_for(route)
+        self._tried: list[str] = []
+        self._runs = 0
+        self._refusals = 0
+        self._ran = Ran.NO
+        self._spoilt: TargetAnswer | None = None
+        self._detail = "no target serves this route"
+        self._last_event_id = last_event_id
+        self._target: Target | None = None
+        self._source: AsyncGenerator[_Item, None] | None = None
+        self._repeatable = route.resumable or route.kind is CallKind.IDEMPOTENT
+        self.start = StreamStart(0, (), 0)
+
+    async def begin(self) -> TargetAnswer | None:
+        """Return None once a target streams, else the failure that one answered.
+
+        :raises RequestError: when no target streams.
+        """
+        while True:
+            self._check_time()
+            if not self._choose():
+                return self._give_up()
+            try:
+                first = await self._next()
+            except TargetFault as fault:
+                await self._leave(fault)
+                continue
+            except asyncio.CancelledError:
+                await self.close()
+                raise
+            match first:
+                case StreamStart():
+                    self.start = first
+                    return None
+                case TargetAnswer():
+                    await self.close()
+                    if first.status >= 500 and self._repeatable:
+                        self._spoilt, self._ran = first, Ran.UNKNOWN
+                        continue
+                    return first
+            await self._leave(TargetFault("an event before its stream", Ran.UNKNOWN))
+
+    async def events(self) -> AsyncGenerator[StreamEvent, None]:
+        """Yield whole events as they come, across targets, until the stream is whole.
+
+        :raises StreamBrokenError: when it can't be made whole.
+        """
+        try:
+            while True:
+                try:
+                    item = await self._next()
+                    if item is None:
+                        return
+                    yield self._take(item)
+                except TargetFault as fault:
+                    await self._leave(fault)
+                    await self._go_on()
+        finally:
+            await self.close()
+
+    async def close(self) -> None:
+        """End the run at its target, which drops it with its connection."""
+        source, self._source = self._source, None
+        if source is not None:
+            with suppress(TargetFault):
+                await source.aclose()
+        if self._target is not None:
+            self._relay.targets.ended(self._target)
+            self._target = None
+
+    def _take(self, item: _Item) -> StreamEvent:
+        """Return the event to pass on.
+
+        :raises TargetFault: for an event that is not the next one.
+        """
+        if not isinstance(item, StreamEvent):
+            raise TargetFault("a second head in a stream", Ran.UNKNOWN)
+        if self._last_event_id and item.event_id != self._last_event_id + 1:
+            detail = f"event {item.event_id} after {self._last_event_id}"
+            raise TargetFault(detail, Ran.UNKNOWN)
+        self._last_event_id = item.event_id
+        return item
+
+    async def _next(self) -> _Item | None:
+        """Return what the target says next, None at the end of its stream.
+
+        :raises TargetFault: when it says nothing in time.
+        """
+        assert self._source is not None
+        left_s = self._end_s - RETURN_MARGIN_S - asyncio.get_running_loop().time()
+        wait_s = min(left_s, SILENT_S) if self._repeatable else left_s
+        try:
+            async with asyncio.timeout(max(0.0, wait_s)):
+                return await anext(self._source, None)
+        except TimeoutError as error:
+            raise TargetFault(f"silent for {wait_s:.2f} s", Ran.UNKNOWN) from error
+
+    def _choose(self) -> bool:
+        """Open a run at the next target; False when attempts or targets are used up."""
+        loop = asyncio.get_running_loop()
+        if self._runs >= self._route.max_attempts or self._refusals >= REFUSALS_LIMIT:
+            return False
+        if self._ran is not Ran.NO and not self._repeatable:
+            return False
+        target = self._relay.forwarder.pick(self._services, self._tried, loop.time())
+        if target is None:
+            return False
+        self._tried.append(target.instance)
+        self._runs += 1
+        self._target = target
+        self._relay.targets.started(target)
+        self._source = self._relay.channel.stream(
+            self._call, target, self._end_s - loop.time(), self._last_event_id
+        )
+        return True
+
+    async def _leave(self, fault: TargetFault) -> None:
+        """Close a run that failed, before another one goes on with its text."""
+        self._detail = fault.detail
+        if self._target is not None:
+            now_s = asyncio.get_running_loop().time()
+            self._relay.targets.failed(self._target, now_s, refused=fault.refused)
+        if fault.ran is Ran.NO:
+            self._runs -= 1
+            self._refusals += 1
+        else:
+            self._ran = Ran.UNKNOWN
+        await self.close()
+
+    async def _go_on(self) -> None:
+        """Open a run that goes on behind the last event that was passed on.
+
+        :raises StreamBrokenError: when that is not allowed or no target does it.
+        """
+        while self._route.resumable and self._time_is_left() and self._choose():
+            try:
+                first = await self._next()
+            except TargetFault as fault:
+                await self._leave(fault)
+                continue
+            if isinstance(first, StreamStart):
+                return
+            await self._leave(TargetFault("no stream to go on with", Ran.UNKNOWN))
+        raise StreamBrokenError(f"after event {self._last_event_id}: {self._detail}")
+
+    def _time_is_left(self) -> bool:
+        return asyncio.get_running_loop().time() < self._end_s - RETURN_MARGIN_S
+
+    def _check_time(self) -> None:
+        if not self._time_is_left():
+            raise RequestError(
+                ErrorKind.DEADLINE_EXCEEDED,
+                f"no stream in time; last: {self._detail}",
+                ran=self._ran,
+            )
+
+    def _give_up(self) -> TargetAnswer:
+        """Return the failure that a target gave, or raise our own."""
+        if self._spoilt is not None:
+            return self._spoilt
+        if self._ran is Ran.NO:
+            raise RequestError(
+                ErrorKind.NO_TARGET,
+                f"no target took the call: {self._detail}",
+                ran=Ran.NO,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        raise RequestError(ErrorKind.OUTCOME_UNKNOWN, self._detail, ran=Ran.UNKNOWN)
--- a/samphirecleat/serving/_types.py
+++ b/samphirecleat/serving/_types.py
@@ -1,6 +1,6 @@
 """What a fleet on a platform serves: routes, services, targets, calls and their answers."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import AsyncGenerator, Mapping, Sequence
 from enum import Enum
 from typing import Final, NamedTuple, Protocol
 
@@ -160,5 +160,36 @@
         ...
 
 
+class StreamStart(NamedTuple):
+    """The head of an event stream, before its first event; ``version`` made what follows."""
+
+    status: int
+    headers: Sequence[tuple[str, str]]
+    version: int
+
+
+class StreamEvent(NamedTuple):
+    """One whole event; ``block`` holds its bytes as they came, without the blank line."""
+
+    event_id: int
+    version: int
+    block: bytes
+
+
+class StreamChannel(Protocol):
+    """Sends one call to one target and takes its answer as it is made."""
+
+    def stream(
+        self, call: Call, target: Target, budget_s: float, last_event_id: int
+    ) -> AsyncGenerator[TargetAnswer | StreamStart | StreamEvent, None]:
+        """Yield the head of the stream and then its events, or one whole answer instead.
+
+        ``last_event_id`` asks the target to go on behind that event; 0 asks for nothing.
+
+        :raises TargetFault: when the stream ends before its end.
+        """
+        ...
+
+
 NO_REVISION: Final = -1
 EMPTY_CONFIG: Final = RoutingConfig(NO_REVISION, (), {}, CallerLimits())
--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -213,6 +213,7 @@
                 "service": "plain",
                 "maxAttempts": 2,
             },
+            *_stream_routes(),
         ],
         "services": [
             {"name": "engine", "healthPath": "/health", "connectionCap": 99, "engine": engine},
@@ -221,12 +222,30 @@
         "limits": {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 1 << 25,
-            "headerTimeoutMs": 3000,
+            "headerTimeoutMs": 600,
             "idleTimeoutMs": 15000,
         },
     }
 
 
+def _stream_routes() -> list[dict[str, object]]:
+    """Return routes that stream from the engine; only the first may be gone on with."""
+    return [
+        {
+            "name": prefix,
+            "host": "h.example",
+            "pathPrefix": prefix,
+            "kind": "streaming",
+            "resumable": resumable,
+            "timeoutMs": 5000,
+            "targetLatencyMs": 500,
+            "service": "engine",
+            "maxAttempts": 3,
+        }
+        for prefix, resumable in (("/run/", True), ("/run/once/", False))
+    ]
+
+
 def _entry(target: TargetStandIn, service: str) -> dict[str, object]:
     return {
         "service": service,
--- a/tests/platform/standin_targets.py
+++ b/tests/platform/standin_targets.py
@@ -12,7 +12,8 @@
     """A target that runs calls, streams items, and takes orders.
 
     ``answers`` says what becomes of the next calls: ``refused``, ``reset``, ``other id``,
-    ``no signature``, ``cut``, ``surplus``, ``encoded`` or a status.
+    ``no signature``, ``cut``, ``surplus``, ``encoded`` or a status. Behind the event
+    ``hold_after`` a stream waits for ``go_on``; ``dropped`` is set when its caller leaves.
     """
 
     def __init__(self, instance: str, *, events: int = 5, pause_s: float = 0.005) -> None:
@@ -25,6 +26,9 @@
         self.answers: list[str | int] = []
         self.seen: list[tuple[str, str, dict[str, str], bytes]] = []
         self.runs: Counter[str] = Counter()
+        self.hold_after = 0
+        self.go_on = asyncio.Event()
+        self.dropped = asyncio.Event()
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         router.add_get("/v1/report", self._report)
@@ -76,6 +80,13 @@
             return response
         return web.Response(body=b"answer to " + request_id.encode(), headers=headers)
 
+    async def _hold(self, request: web.Request) -> None:
+        while not self.go_on.is_set():
+            if request.transport is None or request.transport.is_closing():
+                self.dropped.set()
+                return
+            await asyncio.sleep(0.01)
+
     async def _stream(
         self, request: web.Request, headers: dict[str, str], *, cut: bool
     ) -> web.StreamResponse:
@@ -97,5 +108,7 @@
                 request.transport.abort()
                 return response
             await response.write(event)
+            if number == self.hold_after:
+                await self._hold(request)
         await response.write_eof()
         return response
