Trial: old records are dropped only after the log could be read for so long

The fault's own comment says that this is not what a log does; its wait now starts anew with each outage.

--- a/samphirecleat/trial/_platform_faults.py
+++ b/samphirecleat/trial/_platform_faults.py
@@ -4,11 +4,12 @@
 import time
 from typing import Final
 
-from ..standins import HostRow
+from ..standins import HostRow, StandInLog
 from ._records import Interval
 from ._stage import Stage
 
 TRIM_OLDER_THAN_S: Final = 2.0
+LOOK_S: Final = 0.02
 DEAD_ADDRESS: Final = "127.0.0.1:9"
 
 
@@ -86,14 +87,24 @@
 async def trim_log(stage: Stage) -> None:
     """The log drops all records but the newest, the accepted text among them."""
     log = stage.fleet.log
-    while log.down:
-        await asyncio.sleep(0.1)
     # What nobody could read yet is not dropped: the log keeps records for long
     # enough that a reader which is there gets them.
-    await asyncio.sleep(TRIM_OLDER_THAN_S)
-    if not log.down:
-        log.trim(TRIM_OLDER_THAN_S)
-        stage.note(f"the log dropped records older than {TRIM_OLDER_THAN_S:.0f} s")
+    await _wait_readable(log, TRIM_OLDER_THAN_S)
+    log.trim(TRIM_OLDER_THAN_S)
+    stage.note(f"the log dropped records older than {TRIM_OLDER_THAN_S:.0f} s")
+
+
+async def _wait_readable(log: StandInLog, for_s: float) -> None:
+    """Return once the log has answered for so long without a break.
+
+    A look at the end of that time is not enough: a record that is taken between two outages
+    could be dropped after a moment in which no reader came by, and nobody could know of it.
+    """
+    readable_since_s = time.monotonic()
+    while time.monotonic() - readable_since_s < for_s:
+        await asyncio.sleep(LOOK_S)
+        if log.down:
+            readable_since_s = time.monotonic()
 
 
 async def stop_store(stage: Stage) -> None:
