controllers/ grouped by matter: configuration, membership, targets, weights, steps, admission

Moves and imports only; each package re-exports what others use, tests mirror them. 297 tests of controllers, CLI and the whole path passed after it.

--- a/samphirecleat/bench/_limits.py
+++ b/samphirecleat/bench/_limits.py
@@ -16,8 +16,7 @@
 import aiohttp
 
 from ..client import StepRequest, TrainerClient
-from ..controllers import Policies
-from ..controllers.policies import AdaptiveWindow, LimitPolicy, NoLimits, StaticShare
+from ..controllers.policies import AdaptiveWindow, LimitPolicy, NoLimits, Policies, StaticShare
 from ..trial import DEPLOYMENTS, Fleet, service_text, until_ready
 from ._harness import BenchResult, BenchRow, average_runs
 from ._open_load import LoadCall, LoadOutcome, milliseconds, poisson_times, send_load
--- a/samphirecleat/bench/_log_reads.py
+++ b/samphirecleat/bench/_log_reads.py
@@ -19,7 +19,7 @@
 from aiohttp import web
 
 from ..config import Publication, publication_payload
-from ..controllers import config_follow
+from ..controllers.configuration import _config_follow as config_follow
 from ..platform import HttpLog
 from ..standins import StandInLog
 from ..trial._deployments import DEPLOYMENTS
--- a/samphirecleat/bench/_member_fleet.py
+++ b/samphirecleat/bench/_member_fleet.py
@@ -13,7 +13,8 @@
 from ..blackboard import Blackboard, Identity, Member, TargetView
 from ..config import ServiceKind, ServiceText, TargetAddress
 from ..config._service_text import Service
-from ..controllers import Membership, TargetWatch
+from ..controllers.membership import Membership
+from ..controllers.targets import TargetWatch
 from ..observe import Observer
 from ..peers import HeartbeatCodec
 from ..settings import Timings
--- a/samphirecleat/bench/_retries.py
+++ b/samphirecleat/bench/_retries.py
@@ -9,8 +9,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-from ..controllers import Policies
-from ..controllers.policies import RetryLimit
+from ..controllers.policies import Policies, RetryLimit
 from ..standins import StandInPlainService
 from ..trial import DEPLOYMENTS, Fleet, until_ready
 from ._harness import BenchResult, BenchRow, average_runs
--- a/samphirecleat/bench/_routing.py
+++ b/samphirecleat/bench/_routing.py
@@ -10,9 +10,9 @@
 from functools import partial
 from typing import Final
 
-from ..controllers import Policies
 from ..controllers.policies import (
     LeastReported,
+    Policies,
     PrefixAffinity,
     RandomTarget,
     RoundRobin,
--- a/samphirecleat/bench/_state_sizes.py
+++ b/samphirecleat/bench/_state_sizes.py
@@ -12,8 +12,8 @@
 from tabulate import tabulate
 
 from ..blackboard import Member, TargetView
-from ..controllers._member_table import MemberTable
-from ..controllers._target_news import TargetNews
+from ..controllers.membership import MemberTable
+from ..controllers.targets import TargetNews
 from ..observe import Observer
 from ..peers import MemberRow, RendezvousOwners, TargetLoad, TargetRow
 
--- a/samphirecleat/bench/_stragglers.py
+++ b/samphirecleat/bench/_stragglers.py
@@ -14,7 +14,7 @@
 import aiohttp
 
 from ..client import StepRequest, TrainerClient
-from ..controllers import Policies
+from ..controllers.policies import Policies
 from ..standins import StandInEngine
 from ..steps import CopyAllLate, CopyPolicy, CopySlow, NoCopies
 from ..trial import DEPLOYMENTS, Fleet, until_ready
--- a/samphirecleat/bench/_weights.py
+++ b/samphirecleat/bench/_weights.py
@@ -16,8 +16,8 @@
 import aiohttp
 
 from ..client import StepRequest, TrainerClient
-from ..controllers import Policies
-from ..controllers.swaps import AllAtOnce, OneByOne, SwapPolicy, WeighedSwaps
+from ..controllers.policies import Policies
+from ..controllers.weights import AllAtOnce, OneByOne, SwapPolicy, WeighedSwaps
 from ..trial import DEPLOYMENTS, Fleet, service_text, until_ready
 from ._harness import BenchResult, run_repeats
 
--- a/samphirecleat/blackboard.py
+++ b/samphirecleat/blackboard.py
@@ -135,22 +135,22 @@
     """All that one node knows; the comment behind each section names its writer."""
 
     identity: Identity
-    config: ConfigState = field(default_factory=ConfigState)  # controllers.config_reader
+    config: ConfigState = field(default_factory=ConfigState)  # controllers.configuration
     members: dict[str, MemberView] = field(default_factory=dict)  # controllers.membership
-    listed_nodes: Sequence[str] = ()  # controllers.discovery
+    listed_nodes: Sequence[str] = ()  # controllers.membership
     listed_at_s: float = -math.inf  # discovery: when the list was read, or told by a peer
     listed_targets: Mapping[str, tuple[str, str, bool]] = field(default_factory=dict)  # discovery
-    targets: dict[str, TargetView] = field(default_factory=dict)  # controllers.target_watch
+    targets: dict[str, TargetView] = field(default_factory=dict)  # controllers.targets
     targets_kept_at_s: float = math.inf  # target_watch: when its last whole round began
-    disproved: dict[str, DisprovedVersion] = field(default_factory=dict)  # controllers.step_runner
-    leases: dict[str, LeaseView] = field(default_factory=dict)  # controllers.leases
+    disproved: dict[str, DisprovedVersion] = field(default_factory=dict)  # controllers.steps
+    leases: dict[str, LeaseView] = field(default_factory=dict)  # controllers.weights
     weights: dict[str, WeightsView] = field(default_factory=dict)  # controllers.weights
     active_trainers: Mapping[str, frozenset[str]] = field(default_factory=dict)  # step_runner
     in_flight: Counter[str] = field(default_factory=Counter)  # requests.dispatcher, by target
     refusals: Counter[str] = field(default_factory=Counter)  # entry, by error kind
     key_epoch: int = 0  # requests.key_book
-    leaving: bool = False  # controllers.drain
-    accepting: bool = True  # controllers.drain
+    leaving: bool = False  # controllers.membership
+    accepting: bool = True  # controllers.membership
 
     @property
     def ready(self) -> bool:
--- a/samphirecleat/controllers/dispatcher.py
+++ b/samphirecleat/controllers/admission/_dispatcher.py
@@ -8,18 +8,18 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from ..blackboard import Blackboard, TargetView
-from ..config import Service, ServiceKind
-from ..errors import ErrorKind, Ran, RequestError
-from ..observe import Observer
-from ..requests import AnswerLine, AnswerLog, Call
-from ..targets import NotSent, TargetClient, TargetError
-from .limiter import Limiter
-from .pace import PaceKeeper
-from .policies import Policies
-from .retries import GiveUp, RetryBudget, TryElsewhere, decide_retry
-from .routing import RoutingView, choose_target
-from .target_watch import is_stale, is_unheard
+from ...blackboard import Blackboard, TargetView
+from ...config import Service, ServiceKind
+from ...errors import ErrorKind, Ran, RequestError
+from ...observe import Observer
+from ...requests import AnswerLine, AnswerLog, Call
+from ...targets import NotSent, TargetClient, TargetError
+from ..policies import Policies
+from ..targets import is_stale, is_unheard
+from ._limiter import Limiter
+from ._pace import PaceKeeper
+from ._retries import GiveUp, RetryBudget, TryElsewhere, decide_retry
+from ._routing import RoutingView, choose_target
 
 NO_TARGET_RETRY_S: Final = 1.0
 PRIORITIES_PER_CLASS: Final = 10
--- a/samphirecleat/controllers/limiter.py
+++ b/samphirecleat/controllers/admission/_limiter.py
@@ -7,10 +7,11 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from ..blackboard import Blackboard
-from ..errors import ErrorKind, RequestError
-from ..requests import Call, WorkClass
-from .limits import (
+from ...blackboard import Blackboard
+from ...errors import ErrorKind, RequestError
+from ...requests import Call, WorkClass
+from ..policies import LimitPolicy
+from ._limits import (
     AdmissionView,
     Admit,
     OccupancyView,
@@ -21,8 +22,7 @@
     next_windows,
     trainer_room,
 )
-from .policies import LimitPolicy
-from .service_time import ServiceTime
+from ._service_time import ServiceTime
 
 CONTROL_PERIOD_S: Final = 0.25
 TRAINER_RETRY_S: Final = 0.1
@@ -55,7 +55,7 @@
 
 
 class Limiter:
-    """Lets calls start within the windows of :mod:`~samphirecleat.controllers.limits`."""
+    """Lets calls start within the windows of :mod:`~samphirecleat.controllers.admission`."""
 
     def __init__(self, board: Blackboard, policy: LimitPolicy) -> None:
         """Read targets and members from the blackboard."""
--- a/samphirecleat/controllers/limits.py
+++ b/samphirecleat/controllers/admission/_limits.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Final, NamedTuple
 
-from .policies import AdaptiveWindow, LimitPolicy, NoLimits, StaticShare
+from ..policies import AdaptiveWindow, LimitPolicy, NoLimits, StaticShare
 
 UNLIMITED: Final = 1_000_000.0
 SMALLEST_WINDOW: Final = 1.0
--- a/samphirecleat/controllers/retries.py
+++ b/samphirecleat/controllers/admission/_retries.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-from ..errors import ErrorKind, Ran, RequestError
-from ..requests import Call, RetryBudget
-from ..targets import Failed, Lost, NotSent, Refused, TargetFailure
+from ...errors import ErrorKind, Ran, RequestError
+from ...requests import Call, RetryBudget
+from ...targets import Failed, Lost, NotSent, Refused, TargetFailure
 
 MAX_ATTEMPTS: Final = 4
 
--- a/samphirecleat/controllers/routing.py
+++ b/samphirecleat/controllers/admission/_routing.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Final, NamedTuple
 
-from ..blackboard import TargetView
-from .policies import (
+from ...blackboard import TargetView
+from ..policies import (
     LeastReported,
     PrefixAffinity,
     RandomTarget,
--- a/samphirecleat/controllers/config_follow.py
+++ b/samphirecleat/controllers/configuration/_config_follow.py
@@ -11,10 +11,10 @@
 from dataclasses import dataclass
 from typing import Final
 
-from ..blackboard import Blackboard, Member
-from ..config import ConfigState
-from ..peers import PeerClient, PeerUnavailableError, rank_members
-from .config_reader import ConfigReader
+from ...blackboard import Blackboard, Member
+from ...config import ConfigState
+from ...peers import PeerClient, PeerUnavailableError, rank_members
+from ._config_reader import ConfigReader
 
 ALL_READ_UP_TO: Final = 5
 READERS_PER_ZONE: Final = 2
--- a/samphirecleat/controllers/config_reader.py
+++ b/samphirecleat/controllers/configuration/_config_reader.py
@@ -4,19 +4,19 @@
 import random
 from typing import Final
 
-from .._waiting import wait_for_event
-from ..blackboard import Blackboard
-from ..config import (
+from ..._waiting import wait_for_event
+from ...blackboard import Blackboard
+from ...config import (
     ConfigState,
     Restatement,
     adopt_peer_state,
     fold_records,
     restatement_payload,
 )
-from ..observe import Observer
-from ..peers import rank_members
-from ..platform import Log, LogUnavailableError, ReadPatience
-from .config_restate import (
+from ...observe import Observer
+from ...peers import rank_members
+from ...platform import Log, LogUnavailableError, ReadPatience
+from ._config_restate import (
     LeaveStated,
     Restate,
     StatementView,
--- a/samphirecleat/controllers/config_restate.py
+++ b/samphirecleat/controllers/configuration/_config_restate.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 from typing import Final, NamedTuple
 
-from ..config import ConfigState, Restatement, read_record, state_to_tell
-from ..platform import LogBatch
+from ...config import ConfigState, Restatement, read_record, state_to_tell
+from ...platform import LogBatch
 
 RESTATE_FRACTION: Final = 0.25
 STEP_FRACTION: Final = 0.05
--- a/samphirecleat/controllers/discovery.py
+++ b/samphirecleat/controllers/membership/_discovery.py
@@ -6,11 +6,11 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
-from .._waiting import wait_for_event
-from ..blackboard import Blackboard, Member
-from ..observe import Observer
-from ..peers import ListedChange, Message, PeerClient, PeerUnavailableError
-from ..platform import HostListUnavailableError, HttpHostList, ListedHost
+from ..._waiting import wait_for_event
+from ...blackboard import Blackboard, Member
+from ...observe import Observer
+from ...peers import ListedChange, Message, PeerClient, PeerUnavailableError
+from ...platform import HostListUnavailableError, HttpHostList, ListedHost
 from ._list_doubt import believe_rows
 
 ENTRY_SERVICE: Final = "entry"
--- a/samphirecleat/controllers/drain.py
+++ b/samphirecleat/controllers/membership/_drain.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 from typing import Final, NamedTuple
 
-from ..blackboard import Blackboard
-from ..observe import Observer
-from ..settings import Timings
+from ...blackboard import Blackboard
+from ...observe import Observer
+from ...settings import Timings
 
 POLL_S: Final = 0.05
 QUIET_S: Final = 0.5
--- a/samphirecleat/controllers/_gossip.py
+++ b/samphirecleat/controllers/membership/_gossip.py
@@ -14,8 +14,8 @@
 from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple
 
-from ..blackboard import Member
-from ..peers import Death, MemberRow, Message, MessageKind, Outgoing
+from ...blackboard import Member
+from ...peers import Death, MemberRow, Message, MessageKind, Outgoing
 from ._member_table import Change, Known, Life, MemberTable
 
 FAN_OUT: Final = 3
--- a/samphirecleat/controllers/_list_doubt.py
+++ b/samphirecleat/controllers/membership/_list_doubt.py
@@ -3,8 +3,8 @@
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
-from ..platform import ListedHost
-from ..settings import ADDRESS_PATTERN
+from ...platform import ListedHost
+from ...settings import ADDRESS_PATTERN
 
 SUDDEN_LOSS_SHARE: Final = 0.5
 FEWEST_FOR_SUDDEN_LOSS: Final = 4
--- a/samphirecleat/controllers/_member_table.py
+++ b/samphirecleat/controllers/membership/_member_table.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from typing import Final, NamedTuple
 
-from ..blackboard import Member, MemberView
+from ...blackboard import Member, MemberView
 
 REMEMBER_DEAD_S: Final = 7200.0
 DEAD_KEPT: Final = 512
--- a/samphirecleat/controllers/membership.py
+++ b/samphirecleat/controllers/membership/_membership.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Final, Protocol, cast
 
-from ..blackboard import Blackboard, Member
-from ..observe import Observer
-from ..peers import HeartbeatCodec, HeartbeatError, Message, Outgoing
+from ...blackboard import Blackboard, Member
+from ...observe import Observer
+from ...peers import HeartbeatCodec, HeartbeatError, Message, Outgoing
 from ._gossip import Gossip
 
 START_JITTER: Final = 0.2
--- a/samphirecleat/controllers/policies.py
+++ b/samphirecleat/controllers/policies.py
@@ -1,15 +1,14 @@
 """The policies that a node is built with, and the baselines that benches measure against.
 
 Each family is a set of frozen data classes; the decision functions of
-:mod:`~samphirecleat.controllers.routing` and
-:mod:`~samphirecleat.controllers.limits` match on them.
+:mod:`~samphirecleat.controllers.admission` match on them.
 """
 
 from dataclasses import dataclass
 from typing import NamedTuple
 
 from ..steps import DEFAULT_COPY_POLICY, CopyPolicy
-from .swaps import DEFAULT_SWAP_POLICY, SwapPolicy
+from .weights import DEFAULT_SWAP_POLICY, SwapPolicy
 
 
 @dataclass(frozen=True)
--- a/samphirecleat/controllers/sample_maker.py
+++ b/samphirecleat/controllers/steps/_sample_maker.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable, Collection
 from typing import Final
 
-from ..blackboard import Blackboard
-from ..errors import ErrorKind, RequestError
-from ..requests import AnswerLine, AnswerLog, Call, Span, WorkClass, merge_spans
-from ..steps import Run, Sample, StepSpec
-from .dispatcher import Dispatcher
+from ...blackboard import Blackboard
+from ...errors import ErrorKind, RequestError
+from ...requests import AnswerLine, AnswerLog, Call, Span, WorkClass, merge_spans
+from ...steps import Run, Sample, StepSpec
+from ..admission import Dispatcher
 
 SAMPLE_DEADLINE_S: Final = 600.0
 SCORE_DEADLINE_S: Final = 30.0
--- a/samphirecleat/controllers/step_registry.py
+++ b/samphirecleat/controllers/steps/_step_registry.py
@@ -4,12 +4,12 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
-from .._waiting import wait_for_event
-from ..blackboard import Blackboard
-from ..errors import ErrorKind, RequestError
-from ..observe import Observer
-from ..steps import NO_VERSION, Pull, PullReply, Step, StepSpec, TrainerStats
-from .version_outlook import VersionOutlook
+from ..._waiting import wait_for_event
+from ...blackboard import Blackboard
+from ...errors import ErrorKind, RequestError
+from ...observe import Observer
+from ...steps import NO_VERSION, Pull, PullReply, Step, StepSpec, TrainerStats
+from ..weights import VersionOutlook
 
 PULL_RECHECK_S: Final = 0.5
 FORGET_AFTER_S: Final = 600.0
--- a/samphirecleat/controllers/step_runner.py
+++ b/samphirecleat/controllers/steps/_step_runner.py
@@ -6,12 +6,12 @@
 from collections.abc import Sequence
 from typing import Final
 
-from .._waiting import wait_for_event
-from ..blackboard import Blackboard
-from ..errors import ErrorKind, RequestError
-from ..observe import Observer
-from ..requests import Span
-from ..steps import (
+from ..._waiting import wait_for_event
+from ...blackboard import Blackboard
+from ...errors import ErrorKind, RequestError
+from ...observe import Observer
+from ...requests import Span
+from ...steps import (
     DEFAULT_COPY_POLICY,
     CopyPolicy,
     PaceBook,
@@ -21,11 +21,10 @@
     Step,
     find_free_slots,
 )
-from .dispatcher import Dispatcher
-from .limiter import Limiter
-from .sample_maker import SampleMaker
-from .step_registry import StepRegistry
-from .streamed_versions import StreamedVersions
+from ..admission import Dispatcher, Limiter
+from ..weights import StreamedVersions
+from ._sample_maker import SampleMaker
+from ._step_registry import StepRegistry
 
 TICK_S: Final = 0.05
 IDLE_TICK_S: Final = 1.0
--- a/samphirecleat/controllers/_target_news.py
+++ b/samphirecleat/controllers/targets/_target_news.py
@@ -13,8 +13,8 @@
 from collections.abc import Collection, Sequence
 from typing import Final, NamedTuple
 
-from ..blackboard import TargetView
-from ..peers import Message, TargetLoad, TargetRow
+from ...blackboard import TargetView
+from ...peers import Message, TargetLoad, TargetRow
 
 ROWS_PER_MESSAGE: Final = 3
 FRESH_LOADS: Final = 16
--- a/samphirecleat/controllers/target_watch.py
+++ b/samphirecleat/controllers/targets/_target_watch.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Final, NamedTuple
 
-from ..blackboard import Blackboard, TargetView
-from ..peers import Message, RendezvousOwners, TargetRow
-from ..targets import TargetClient
+from ...blackboard import Blackboard, TargetView
+from ...peers import Message, RendezvousOwners, TargetRow
+from ...targets import TargetClient
 from ._target_news import TargetNews, view_of_row
 
 SILENT_AFTER_S: Final = 1.5
--- a/samphirecleat/controllers/weights.py
+++ b/samphirecleat/controllers/weights/_coordinator.py
@@ -6,17 +6,17 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-from .._waiting import wait_for_event
-from ..blackboard import Blackboard, TargetView, WeightsView
-from ..config import Service, ServiceKind
-from ..observe import Observer
-from ..peers import rank_members
-from ..platform import HttpWeightStore, StoreInfo, WeightStoreUnavailableError
-from ..targets import OrderFenced, OrderOutcome, OrderTaken, OrderUnknown, TargetClient
-from .leases import LeaseKeeper
-from .read_back import ReadBack
-from .streamed_versions import true_version
-from .swaps import (
+from ..._waiting import wait_for_event
+from ...blackboard import Blackboard, TargetView, WeightsView
+from ...config import Service, ServiceKind
+from ...observe import Observer
+from ...peers import rank_members
+from ...platform import HttpWeightStore, StoreInfo, WeightStoreUnavailableError
+from ...targets import OrderFenced, OrderOutcome, OrderTaken, OrderUnknown, TargetClient
+from ._leases import LeaseKeeper
+from ._read_back import ReadBack
+from ._streamed_versions import true_version
+from ._swaps import (
     DEFAULT_SWAP_POLICY,
     OrderRecord,
     OrderVersion,
--- a/samphirecleat/controllers/lease_fold.py
+++ b/samphirecleat/controllers/weights/_lease_fold.py
@@ -16,8 +16,8 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, Final, NamedTuple
 
-from ..blackboard import LeaseView
-from ..config import LogRecord
+from ...blackboard import LeaseView
+from ...config import LogRecord
 
 NO_EPOCH: Final = -1
 
--- a/samphirecleat/controllers/leases.py
+++ b/samphirecleat/controllers/weights/_leases.py
@@ -14,12 +14,12 @@
 from dataclasses import dataclass
 from typing import Final, NamedTuple
 
-from ..blackboard import Blackboard, LeaseView, Member
-from ..config import LogRecord, ServiceKind
-from ..observe import Observer
-from ..peers import rank_members
-from ..platform import AppendOutcome, Log, LogUnavailableError, ReadPatience
-from .lease_fold import NO_EPOCH, Claim, LeaseTable, claim_payload, fold_claims, read_claim
+from ...blackboard import Blackboard, LeaseView, Member
+from ...config import LogRecord, ServiceKind
+from ...observe import Observer
+from ...peers import rank_members
+from ...platform import AppendOutcome, Log, LogUnavailableError, ReadPatience
+from ._lease_fold import NO_EPOCH, Claim, LeaseTable, claim_payload, fold_claims, read_claim
 
 CONTROL_STREAM: Final = "control"
 RENEW_FRACTION: Final = 0.4
--- a/samphirecleat/controllers/read_back.py
+++ b/samphirecleat/controllers/weights/_read_back.py
@@ -3,8 +3,8 @@
 import asyncio
 from typing import Final
 
-from ..blackboard import TargetView
-from ..targets import TargetClient
+from ...blackboard import TargetView
+from ...targets import TargetClient
 
 READ_BACK_S: Final = 0.1
 GIVE_UP_AFTER_S: Final = 10.0
--- a/samphirecleat/controllers/streamed_versions.py
+++ b/samphirecleat/controllers/weights/_streamed_versions.py
@@ -8,7 +8,7 @@
 
 from typing import Final, NamedTuple
 
-from ..blackboard import Blackboard, DisprovedVersion, TargetView
+from ...blackboard import Blackboard, DisprovedVersion, TargetView
 
 SETTLED_AFTER_S: Final = 1.0
 BELIEVED_FOR_S: Final = 30.0
--- a/samphirecleat/controllers/swaps.py
+++ b/samphirecleat/controllers/weights/_swaps.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass
 from typing import Final, NamedTuple
 
-from ..blackboard import TargetView
-from ..config import Service
-from ..targets import OrderOutcome, OrderTaken, OrderUnknown
+from ...blackboard import TargetView
+from ...config import Service
+from ...targets import OrderOutcome, OrderTaken, OrderUnknown
 
 UNKNOWN_SETTLES_AFTER_S: Final = 3.0
 TAKEN_SETTLES_AFTER_S: Final = 10.0
--- a/samphirecleat/controllers/version_outlook.py
+++ b/samphirecleat/controllers/weights/_version_outlook.py
@@ -3,9 +3,9 @@
 from collections import Counter
 from collections.abc import Collection
 
-from ..blackboard import Blackboard
-from ..steps import NO_VERSION, Step, TrainerPace, coming_version, stale_targets
-from .streamed_versions import true_version
+from ...blackboard import Blackboard
+from ...steps import NO_VERSION, Step, TrainerPace, coming_version, stale_targets
+from ._streamed_versions import true_version
 
 
 class VersionOutlook:
--- a/samphirecleat/daemon.py
+++ b/samphirecleat/daemon.py
@@ -8,7 +8,7 @@
 import aiomisc
 
 from ._jsonc import DocumentError
-from .controllers import longest_drain_s
+from .controllers.membership import longest_drain_s
 from .node import Node
 from .observe import make_formatter
 from .settings import Settings, read_settings
--- a/samphirecleat/entry/_callers.py
+++ b/samphirecleat/entry/_callers.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from ..blackboard import Blackboard
-from ..controllers import Dispatcher
+from ..controllers.admission import Dispatcher
 from ..errors import ErrorKind, Ran, RequestError
 from ..observe import Observer
 from ..peers import PeerClient
--- a/samphirecleat/entry/_node_report.py
+++ b/samphirecleat/entry/_node_report.py
@@ -4,7 +4,9 @@
 from typing import Any, Final
 
 from ..blackboard import Blackboard
-from ..controllers import StepRegistry, TargetWatch, WeightCoordinator
+from ..controllers.steps import StepRegistry
+from ..controllers.targets import TargetWatch
+from ..controllers.weights import WeightCoordinator
 from ..observe import Observer
 
 SMALL_FLEET: Final = 16
--- a/samphirecleat/entry/_trainers.py
+++ b/samphirecleat/entry/_trainers.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from ..blackboard import Blackboard
-from ..controllers import StepRegistry
+from ..controllers.steps import StepRegistry
 from ..errors import ErrorKind, RequestError
 from ..steps import NO_VERSION, Pull, StepSpec, decode_positions, reply_to_json
 from ._call_headers import read_body
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -12,21 +12,13 @@
 from grpclib.server import Server
 
 from .blackboard import Blackboard, Identity, Member
-from .controllers import (
-    ConfigFollower,
-    ConfigReader,
-    Discovery,
-    Dispatcher,
-    Drain,
-    LeaseKeeper,
-    Limiter,
-    Membership,
-    Policies,
-    StepRegistry,
-    StepRunner,
-    TargetWatch,
-    WeightCoordinator,
-)
+from .controllers.admission import Dispatcher, Limiter
+from .controllers.configuration import ConfigFollower, ConfigReader
+from .controllers.membership import Discovery, Drain, Membership
+from .controllers.policies import Policies
+from .controllers.steps import StepRegistry, StepRunner
+from .controllers.targets import TargetWatch
+from .controllers.weights import LeaseKeeper, WeightCoordinator
 from .entry import CallerEntry, OperatorEntry, TrainerEntry, build_app, build_node_report
 from .observe import Observer
 from .peers import HeartbeatCodec, PeerClient, PeerServer
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from ..blackboard import Blackboard, Identity, Member
-from ..controllers import Membership
+from ..controllers.membership import Membership
 from ..durable import (
     MeetingPoint,
     ProgressJournal,
--- a/samphirecleat/trial/_fleet.py
+++ b/samphirecleat/trial/_fleet.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from ..config import NO_REVISION, Publication, publication_payload
-from ..controllers import Policies
+from ..controllers.policies import Policies
 from ..platform import HttpLog
 from ..settings import Settings, Timings
 from ..standins import (
--- /dev/null
+++ b/tests/controllers/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of controllers.admission."""
--- a/tests/controllers/test_dispatcher.py
+++ b/tests/controllers/admission/test_dispatcher.py
@@ -11,7 +11,8 @@
 
 from samphirecleat.blackboard import Blackboard, Identity, TargetView
 from samphirecleat.config import ConfigState, Method, Service, ServiceKind, ServiceText
-from samphirecleat.controllers import Dispatcher, Limiter, Policies
+from samphirecleat.controllers.admission import Dispatcher, Limiter
+from samphirecleat.controllers.policies import Policies
 from samphirecleat.errors import ErrorKind, Ran, RequestError
 from samphirecleat.observe import Observer
 from samphirecleat.requests import AnswerLine, AnswerLog, Call, Span, WorkClass
--- a/tests/controllers/test_limits.py
+++ b/tests/controllers/admission/test_limits.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from samphirecleat.blackboard import Blackboard, Identity, TargetView
-from samphirecleat.controllers.limiter import Limiter
-from samphirecleat.controllers.limits import (
+from samphirecleat.controllers.admission._limiter import Limiter
+from samphirecleat.controllers.admission._limits import (
     AdmissionView,
     Admit,
     OccupancyView,
--- a/tests/controllers/test_retries.py
+++ b/tests/controllers/admission/test_retries.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from samphirecleat.controllers.retries import (
+from samphirecleat.controllers.admission._retries import (
     MAX_ATTEMPTS,
     GiveUp,
     TryElsewhere,
--- a/tests/controllers/test_routing.py
+++ b/tests/controllers/admission/test_routing.py
@@ -5,7 +5,9 @@
 import pytest
 
 from samphirecleat.blackboard import TargetView
-from samphirecleat.controllers.pace import PaceKeeper
+from samphirecleat.controllers.admission._pace import PaceKeeper
+from samphirecleat.controllers.admission._routing import RoutingView, choose_target
+from samphirecleat.controllers.admission._service_time import ServiceTime
 from samphirecleat.controllers.policies import (
     LeastReported,
     PrefixAffinity,
@@ -13,8 +15,6 @@
     RoundRobin,
     TwoChoices,
 )
-from samphirecleat.controllers.routing import RoutingView, choose_target
-from samphirecleat.controllers.service_time import ServiceTime
 
 POLICIES = [PrefixAffinity(), TwoChoices(), LeastReported(), RoundRobin(), RandomTarget()]
 NOW_S = 100.0
--- a/tests/controllers/test_config_follow.py
+++ b/tests/controllers/configuration/test_config_follow.py
@@ -4,7 +4,7 @@
 
 from samphirecleat.blackboard import Member
 from samphirecleat.config import ConfigState
-from samphirecleat.controllers.config_follow import (
+from samphirecleat.controllers.configuration._config_follow import (
     ListenToPeers,
     ReadLog,
     decide_reading,
--- a/tests/controllers/test_config_restate.py
+++ b/tests/controllers/configuration/test_config_restate.py
@@ -13,7 +13,7 @@
     restatement_payload,
     state_to_tell,
 )
-from samphirecleat.controllers.config_restate import (
+from samphirecleat.controllers.configuration._config_restate import (
     LeaveStated,
     Restate,
     StatementView,
@@ -23,7 +23,7 @@
 )
 from samphirecleat.platform import LogBatch
 
-from ..config.texts import text_of
+from ...config.texts import text_of
 
 RETENTION_S = 1000.0
 RECORD = LogRecord(0, publication_payload(Publication("p", -1, text_of("asesor"), "ana")))
--- a/tests/controllers/gossip_network.py
+++ b/tests/controllers/membership/gossip_network.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 
 from samphirecleat.blackboard import Member
-from samphirecleat.controllers._gossip import Gossip
-from samphirecleat.controllers._member_table import Life
+from samphirecleat.controllers.membership._gossip import Gossip
+from samphirecleat.controllers.membership._member_table import Life
 from samphirecleat.peers import Outgoing
 
 HEARTBEAT_S = 0.5
--- a/tests/controllers/test_drain.py
+++ b/tests/controllers/membership/test_drain.py
@@ -5,7 +5,7 @@
 import pytest
 
 from samphirecleat.blackboard import Blackboard, Identity
-from samphirecleat.controllers.drain import (
+from samphirecleat.controllers.membership._drain import (
     Drain,
     DrainView,
     FinishAccepted,
--- a/tests/controllers/test_list_doubt.py
+++ b/tests/controllers/membership/test_list_doubt.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from samphirecleat.controllers._list_doubt import believe_rows
+from samphirecleat.controllers.membership._list_doubt import believe_rows
 from samphirecleat.platform import ListedHost
 
 
--- a/tests/controllers/test_membership.py
+++ b/tests/controllers/membership/test_membership.py
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from samphirecleat.controllers._gossip import DEAF_S
-from samphirecleat.controllers._member_table import Change, Life, MemberTable
+from samphirecleat.controllers.membership._gossip import DEAF_S
+from samphirecleat.controllers.membership._member_table import Change, Life, MemberTable
 from samphirecleat.peers import (
     Death,
     HeartbeatCodec,
--- a/tests/controllers/test_step_runner.py
+++ b/tests/controllers/steps/test_step_runner.py
@@ -9,9 +9,9 @@
 
 from samphirecleat.blackboard import Blackboard, Identity, TargetView
 from samphirecleat.config import ConfigState, Service, ServiceKind, ServiceText, Trainer
-from samphirecleat.controllers import step_registry
-from samphirecleat.controllers.step_registry import StepRegistry
-from samphirecleat.controllers.step_runner import StepRunner
+from samphirecleat.controllers.steps import _step_registry as step_registry
+from samphirecleat.controllers.steps._step_registry import StepRegistry
+from samphirecleat.controllers.steps._step_runner import StepRunner
 from samphirecleat.errors import ErrorKind, RequestError
 from samphirecleat.observe import Observer
 from samphirecleat.requests import AnswerLog, Call, Span
--- a/tests/controllers/test_target_watch.py
+++ b/tests/controllers/targets/test_target_watch.py
@@ -7,9 +7,9 @@
 
 from samphirecleat.blackboard import Blackboard, Identity, MemberView, TargetView
 from samphirecleat.config import read_service_text
-from samphirecleat.controllers._target_news import TargetNews, make_row
-from samphirecleat.controllers.discovery import ListedNews, reading_period_s
-from samphirecleat.controllers.target_watch import (
+from samphirecleat.controllers.membership._discovery import ListedNews, reading_period_s
+from samphirecleat.controllers.targets._target_news import TargetNews, make_row
+from samphirecleat.controllers.targets._target_watch import (
     FALLBACK_POLLS,
     TargetWatch,
     WatchView,
@@ -20,7 +20,7 @@
 from samphirecleat.peers import MemberRow, Message, MessageKind, TargetRow
 from samphirecleat.platform import ListedHost
 
-from .gossip_network import make_member
+from ..membership.gossip_network import make_member
 
 NOW_S = 100.0
 ADDRESS = "10.0.0.1:8000"
--- a/tests/controllers/test_lease_keeper.py
+++ b/tests/controllers/weights/test_lease_keeper.py
@@ -15,12 +15,12 @@
     fold_records,
     publication_payload,
 )
-from samphirecleat.controllers import LeaseKeeper
+from samphirecleat.controllers.weights import LeaseKeeper
 from samphirecleat.observe import Observer
 from samphirecleat.platform import HttpLog
 from samphirecleat.standins import StandInLog
 
-from ..config.texts import text_of
+from ...config.texts import text_of
 
 LEASE = "weights/asesor"
 LEASE_S = 0.6
--- a/tests/controllers/test_leases.py
+++ b/tests/controllers/weights/test_leases.py
@@ -9,7 +9,7 @@
 
 from samphirecleat.blackboard import LeaseView
 from samphirecleat.config import LogRecord
-from samphirecleat.controllers.lease_fold import (
+from samphirecleat.controllers.weights._lease_fold import (
     NO_EPOCH,
     Claim,
     LeaseTable,
@@ -17,7 +17,7 @@
     fold_claims,
     read_claim,
 )
-from samphirecleat.controllers.leases import (
+from samphirecleat.controllers.weights._leases import (
     AppendClaim,
     LeaseClock,
     LeaseTimes,
--- a/tests/controllers/test_streamed_versions.py
+++ b/tests/controllers/weights/test_streamed_versions.py
@@ -1,8 +1,8 @@
 """What the token stream says of a version against what the target reports."""
 
 from samphirecleat.blackboard import Blackboard, Identity
-from samphirecleat.controllers.streamed_versions import StreamedVersions, true_version
-from tests.controllers.weight_views import LATEST, engine
+from samphirecleat.controllers.weights._streamed_versions import StreamedVersions, true_version
+from tests.controllers.weights.weight_views import LATEST, engine
 
 
 def test_a_target_that_streams_older_tokens_than_it_reports_is_not_believed() -> None:
--- a/tests/controllers/test_swaps.py
+++ b/tests/controllers/weights/test_swaps.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from samphirecleat.blackboard import TargetView
-from samphirecleat.controllers.swaps import (
+from samphirecleat.controllers.weights._swaps import (
     OrderRecord,
     SwapView,
     decide_swaps,
@@ -17,7 +17,7 @@
     OrderTaken,
     OrderUnknown,
 )
-from tests.controllers.weight_views import LATEST, engine, service
+from tests.controllers.weights.weight_views import LATEST, engine, service
 
 
 def ordered(view_targets: list[TargetView], now_s: float = 100.0, **changes: object) -> list[str]:
--- a/tests/controllers/test_weights.py
+++ b/tests/controllers/weights/test_weights.py
@@ -9,8 +9,8 @@
 
 from samphirecleat.blackboard import Blackboard, Identity, WeightsView
 from samphirecleat.config import ConfigState, ServiceText
-from samphirecleat.controllers.target_watch import TargetWatch
-from samphirecleat.controllers.weights import WeightCoordinator
+from samphirecleat.controllers.targets._target_watch import TargetWatch
+from samphirecleat.controllers.weights._coordinator import WeightCoordinator
 from samphirecleat.observe import Observer
 from samphirecleat.platform import HttpWeightStore
 from samphirecleat.standins import StandInEngine, StandInWeightStore
@@ -21,7 +21,7 @@
     OrderUnknown,
     TargetClient,
 )
-from tests.controllers.weight_views import service
+from tests.controllers.weights.weight_views import service
 
 
 class FakeLeases:
