--- a/samphirecleat/blackboard.py
+++ b/samphirecleat/blackboard.py
@@ -29,7 +29,8 @@
 
     ``sequence`` rises with every change that the node makes to its own row, so
     that of two rows of one incarnation the newer can be told. ``key_epoch_age_ms``
-    is how far the node was into its key epoch when it made the row.
+    is how far the node was into its key epoch when it made the row. ``cores`` is the
+    processor time that its host gives it, in seconds a second.
     """
 
     node_id: str
@@ -46,6 +47,7 @@
     in_flight: int
     reads_log: bool = True
     key_epoch_age_ms: int = 0
+    cores: float = 1.0
 
 
 class MemberView(NamedTuple):
--- a/samphirecleat/durable/_access.py
+++ b/samphirecleat/durable/_access.py
@@ -142,7 +142,7 @@
     results: list[ItemListed] = []
     size_bytes = 0
     for result in step.results[after:]:
-        size_bytes += len(result.text)
+        size_bytes += result.text_bytes
         if results and size_bytes > ANSWER_BYTES:
             break
         results.append(result)
--- a/samphirecleat/durable/_duty.py
+++ b/samphirecleat/durable/_duty.py
@@ -104,7 +104,7 @@
 
     def _candidates(self) -> list[Candidate]:
         return [
-            Candidate(m.node_id, m.incarnation, m.started_at_ms)
+            Candidate(m.node_id, m.incarnation, m.started_at_ms, m.cores)
             for m in self._board.live_members()
             if m.ready and not m.leaving
         ]
--- a/samphirecleat/durable/_election.py
+++ b/samphirecleat/durable/_election.py
@@ -21,14 +21,17 @@
 SETTLE_S: Final = 0.6
 # Processes that started within this long of each other count as equally new.
 SAME_AGE_MS: Final = 1500
+# A host with less than this share of the strongest one's processor time is weak.
+STRONG_SHARE: Final = 0.6
 
 
 class Candidate(NamedTuple):
-    """A live node that could run a service."""
+    """A live node that could run a service; ``cores`` is the processor time it may use."""
 
     node_id: str
     incarnation: str
     started_at_ms: int
+    cores: float = 1.0
 
 
 class ElectionView(NamedTuple):
@@ -52,15 +55,19 @@
 def ranked(candidates: Sequence[Candidate], last_node_id: str = "") -> Sequence[Candidate]:
     """Return the candidates, the one that should claim first in front.
 
-    A new process of the node that ran the service last comes first: its host needs no
-    wait before it gives orders again. Then the newest processes: when nodes are restarted
-    in turn, they are not restarted next. Names break the tie.
+    Nodes on strong hosts come first: a runner takes every event of a service's engines, which
+    is more than the smallest host of a mixed fleet has time for. Then a new process of the
+    node that ran the service last: its host needs no wait before it gives orders again. Then
+    the newest processes: when nodes are restarted in turn, they are not restarted next. Names
+    break the tie.
     """
+    most_cores = max((candidate.cores for candidate in candidates), default=0.0)
     newest_ms = max((candidate.started_at_ms for candidate in candidates), default=0)
 
-    def rank(candidate: Candidate) -> tuple[bool, bool, str]:
+    def rank(candidate: Candidate) -> tuple[bool, bool, bool, str]:
+        weak = candidate.cores < STRONG_SHARE * most_cores
         older = newest_ms - candidate.started_at_ms > SAME_AGE_MS
-        return (candidate.node_id != last_node_id, older, candidate.node_id)
+        return (weak, candidate.node_id != last_node_id, older, candidate.node_id)
 
     return sorted(candidates, key=rank)
 
--- a/samphirecleat/durable/_fold.py
+++ b/samphirecleat/durable/_fold.py
@@ -7,7 +7,7 @@
 same.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
@@ -30,21 +30,27 @@
 
 @dataclass
 class StepState:
-    """One step as folded so far."""
+    """One step as folded so far.
+
+    ``carried`` holds the items that an earlier step had too. ``unlisted`` shrinks as results
+    come, so that who plans a step's rest does not look at all of it many times a second.
+    """
 
     spec: StepAccepted
     accepted_offset: int
     folded_at_s: float
     items: Mapping[str, ItemSpec]
+    carried: Set[str]
+    group_count: int
+    unlisted: dict[str, ItemSpec]
     results: list[ItemListed] = field(default_factory=list)
-    listed: set[str] = field(default_factory=set)
     ended: bool = False
     ended_at_s: float = 0.0
 
     @property
     def open(self) -> bool:
         """Whether the step still wants results."""
-        return not self.ended and len(self.results) < len(self.items)
+        return not self.ended and bool(self.unlisted)
 
 
 class StepFold:
@@ -73,15 +79,6 @@
                 self.claims[record.service] = claim
                 return True
 
-    def is_carried(self, step: StepState, item_id: str) -> bool:
-        """Whether an item of a step was in an earlier step already."""
-        for other in self.steps.values():
-            if other is step:
-                return False
-            if item_id in other.items:
-                return True
-        return False
-
     def forget_before(self, now_s: float, keep_s: float) -> Sequence[str]:
         """Drop steps that ended ``keep_s`` ago and return their ids."""
         old = [
@@ -97,16 +94,18 @@
         if record.step_id in self.steps:
             return False
         items = {item.item_id: item for item in record.items}
-        self.steps[record.step_id] = StepState(record, offset, now_s, items)
+        carried = {name for name in items if any(name in s.items for s in self.steps.values())}
+        groups = len({item.group for item in record.items})
+        self.steps[record.step_id] = StepState(
+            record, offset, now_s, items, carried, groups, dict(items)
+        )
         return True
 
     def _list(self, record: ItemListed) -> bool:
         step = self.steps.get(record.step_id)
-        if step is None or record.item_id in step.listed or record.item_id not in step.items:
-            return False
-        if step.ended:
+        if step is None or step.ended or record.item_id not in step.unlisted:
             return False
-        step.listed.add(record.item_id)
+        del step.unlisted[record.item_id]
         step.results.append(record)
         return True
 
--- a/samphirecleat/durable/_records.py
+++ b/samphirecleat/durable/_records.py
@@ -67,15 +67,38 @@
 
 
 class ItemListed(NamedTuple):
-    """The result of an item; its position is the order of such records in the log."""
+    """The result of an item; its position is the order of such records in the log.
+
+    Its text stays compressed until a reader asks for it: every node folds every result, and
+    few nodes are asked for any one of them. ``text_bytes`` is its length in UTF-8.
+    """
 
     step_id: str
     item_id: str
     completed: bool
-    text: str
+    packed_text: bytes
+    text_bytes: int
     versions: Sequence[int]
     score: str
 
+    @classmethod
+    def whole(
+        cls, step_id: str, item_id: str, text: str, versions: Sequence[int], score: str
+    ) -> "ItemListed":
+        """Return the result of an item that was completed."""
+        content = text.encode()
+        return cls(step_id, item_id, True, pack(content), len(content), versions, score)
+
+    @classmethod
+    def dead(cls, step_id: str, item_id: str) -> "ItemListed":
+        """Return the result of an item that was given up."""
+        return cls(step_id, item_id, False, b"", 0, (), "")
+
+    @property
+    def text(self) -> str:
+        """The text of a completed item, unpacked anew at each use."""
+        return unpack(self.packed_text).decode() if self.packed_text else ""
+
 
 class StepEnded(NamedTuple):
     """The trainer wants nothing more of a step."""
@@ -114,7 +137,11 @@
 
 def encode_record(record: Record) -> bytes:
     """Return the bytes of a record."""
-    return bytes([_TAG_OF[type(record)]]) + pack(msgspec.msgpack.encode(record))
+    content = msgspec.msgpack.encode(record)
+    if not isinstance(record, ItemListed):
+        # The text of a result is packed already, and little else is in it.
+        content = pack(content)
+    return bytes([_TAG_OF[type(record)]]) + content
 
 
 def pack(content: bytes) -> bytes:
@@ -141,8 +168,9 @@
     decoder = _DECODERS.get(blob[0]) if blob else None
     if decoder is None:
         raise RecordFormatError(f"tag {blob[:1]!r}")
+    content = blob[1:] if _TAGS[blob[0]] is ItemListed else unpack(blob[1:])
     try:
-        record: Record = decoder.decode(unpack(blob[1:]))
+        record: Record = decoder.decode(content)
     except msgspec.MsgspecError as error:
         raise RecordFormatError(str(error)) from error
     return record
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -27,6 +27,10 @@
 
 # Without news the plan is made anew this often: targets and versions change on their own.
 PLAN_EVERY_S: Final = 0.05
+# Between two plans: texts end by the dozen, and one plan places all that came meanwhile. Of the
+# time, planning takes a quarter at most, since the events of all runs need the same processor.
+PLAN_GAP_S: Final = 0.005
+PLAN_REST: Final = 3.0
 # A run that is this much slower than the typical engine moves to one with a free place:
 # going on elsewhere costs a few milliseconds of reading.
 MOVE_SLOWNESS: Final = 2.0
@@ -83,7 +87,11 @@
         try:
             while True:
                 self._wake.clear()
+                began_s = asyncio.get_running_loop().time()
                 self._plan()
+                took_s = asyncio.get_running_loop().time() - began_s
+                self._observer.record_s("plan", took_s)
+                await asyncio.sleep(max(PLAN_GAP_S, PLAN_REST * took_s))
                 waits = [
                     asyncio.ensure_future(self._wake.wait()),
                     asyncio.ensure_future(self._step_log.wait_change(PLAN_EVERY_S)),
@@ -137,15 +145,10 @@
         shares: dict[str, float] = {}
         for step, route in steps:
             due_in_s = step.folded_at_s + route.result_deadline_s - now_s
-            groups = {item.group for item in step.spec.items}
-            shares[step.spec.step_id] = min(
-                1.0, step.spec.target_groups / max(1, len(groups)) if groups else 1.0
-            )
-            for item in step.spec.items:
+            shares[step.spec.step_id] = min(1.0, step.spec.target_groups / max(1, step.group_count))
+            for item in step.unlisted.values():
                 name = (step.spec.step_id, item.item_id)
-                if item.item_id in step.listed or name in self._handed_in:
-                    continue
-                if name in self._runs or name in self._scoring:
+                if name in self._handed_in or name in self._runs or name in self._scoring:
                     continue
                 if self._give_up_old(step, item, route, now_s):
                     continue
@@ -183,7 +186,7 @@
             item.item_id,
             item.group,
             due_in_s,
-            self._step_log.fold.is_carried(step, item.item_id),
+            item.item_id in step.carried,
             expected,
             item.prompt_tokens + made,
             step.spec.min_version,
@@ -250,7 +253,7 @@
     def _cancel_unwanted(self, wanted: set[str]) -> None:
         for (step_id, item_id), run in list(self._runs.items()):
             step = self._step_log.fold.steps.get(step_id)
-            unwanted = step_id not in wanted or (step is not None and item_id in step.listed)
+            unwanted = step_id not in wanted or (step is not None and item_id not in step.unlisted)
             if unwanted and run.task is not None:
                 run.task.cancel()
         for (step_id, _item_id), task in list(self._scoring.items()):
@@ -373,13 +376,13 @@
                 self._list_dead(step, item)
                 return
             versions = draft.version_set()
-            self._list(ItemListed(step_id, item.item_id, True, draft.text(), versions, score))
+            self._list(ItemListed.whole(step_id, item.item_id, draft.text(), versions, score))
         finally:
             self._scoring.pop((step_id, item.item_id), None)
             self._wake.set()
 
     def _list_dead(self, step: StepState, item: ItemSpec) -> None:
-        self._list(ItemListed(step.spec.step_id, item.item_id, False, "", (), ""))
+        self._list(ItemListed.dead(step.spec.step_id, item.item_id))
 
     def _list(self, result: ItemListed) -> None:
         self._handed_in.add((result.step_id, result.item_id))
--- a/samphirecleat/durable/_step_log.py
+++ b/samphirecleat/durable/_step_log.py
@@ -172,13 +172,13 @@
         wanted = []
         for result in self._waiting_results:
             step = self.fold.steps.get(result.step_id)
-            if step is not None and not step.ended and result.item_id not in step.listed:
+            if step is not None and not step.ended and result.item_id in step.unlisted:
                 wanted.append(result)
         self._waiting_results = wanted
         batch: list[ItemListed] = []
         size_bytes = 0
         for result in wanted:
-            size_bytes += 4 * len(result.text) if not result.text.isascii() else len(result.text)
+            size_bytes += len(result.packed_text)
             if batch and size_bytes > APPEND_BYTES:
                 break
             batch.append(result)
--- a/samphirecleat/platform/_boot_settings.py
+++ b/samphirecleat/platform/_boot_settings.py
@@ -30,7 +30,7 @@
     grace_s: float
     lease_s: float
     entry_ttl_s: float
-    kept_after_s: float
+    cores: float = 1.0
     metrics_port: int = 0
 
 
@@ -73,8 +73,8 @@
         grace_s=reader.number("bounds.gracePeriodS"),
         lease_s=reader.number("bounds.leaseDurationMs") / 1000.0,
         entry_ttl_s=reader.number("bounds.ttl_max_s"),
-        # The platform calls it a status; it is how long results stay readable.
-        kept_after_s=reader.number("bounds.statusS"),
+        # A share of each core, and the number of cores whose shares add up.
+        cores=reader.number("limits.cpuShare", 1.0) * reader.number("limits.cpuCores", 1.0),
     )
 
 
@@ -97,8 +97,11 @@
             raise self._error(key, "a list of texts", value)
         return value
 
-    def number(self, key: str) -> float:
+    def number(self, key: str, default: float | None = None) -> float:
+        """Return a number; a key that is missing is a fault unless it has a default."""
         value = self._find(key)
+        if value is None and default is not None:
+            return default
         if isinstance(value, bool) or not isinstance(value, (int, float)):
             raise self._error(key, "a number", value)
         return float(value)
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -256,6 +256,7 @@
             config_revision=self.routes.config.revision,
             key_epoch=0,
             in_flight=self.front.in_flight,
+            cores=self.settings.cores,
         )
 
     def _ready_members(self) -> Sequence[Member]:
--- a/tests/durable/steps.py
+++ b/tests/durable/steps.py
@@ -25,4 +25,4 @@
 
 
 def listed(step_id: str, item_id: str, text: str = "text") -> ItemListed:
-    return ItemListed(step_id, item_id, True, text, [1], "sig")
+    return ItemListed.whole(step_id, item_id, text, [1], "sig")
--- a/tests/durable/test_election.py
+++ b/tests/durable/test_election.py
@@ -52,6 +52,19 @@
     assert [c.node_id for c in ranked([OWN, young, OTHER], "n2")] == ["n2", "n9", "n1"]
 
 
+def test_a_strong_host_comes_before_a_weak_one_that_ran_the_service() -> None:
+    """A fleet of mixed hosts restarts, and a host with half a core was its runner.
+
+    It takes the events of all engines later than they are made, and every step is late.
+    """
+    weak = Candidate("n0", "weak", 10_000, 0.5)
+    strong = Candidate("n8", "strong", 10_000, 2.1)
+    nearly = Candidate("n7", "nearly", 10_000, 1.9)
+    order = [c.node_id for c in ranked([weak, strong, nearly], "n0")]
+    assert order == ["n7", "n8", "n0"]
+    assert successor([weak, strong, nearly], "nearly") == strong
+
+
 def test_a_leaving_runner_names_another() -> None:
     assert successor([OWN, OTHER], "own") == OTHER
     assert successor([OWN], "own") is None
