Texts of results stand in topics of their own and are read when a trainer asks

Now the step log holds where a text stands; a text is written and known to be kept before its result is listed; readers fetch the stretch they need in one call, from the newest of each key once history is gone, and keep 4 MB. Results of a batch are one record.

--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -1,13 +1,15 @@
 """Steps that are kept through the loss of every node: log, fold, runner, weights."""
 
-from ._access import StepAccess, StepPage
+from ._access import ListedResult, StepAccess, StepPage
 from ._duty import ServiceDuty
 from ._fold import Claim, StepFold, StepState
 from ._follower import TopicFollower
 from ._journal import ProgressJournal
+from ._listing import Written
 from ._meeting_point import MeetingPoint
 from ._orderer import EngineReport, Order, OrderChannel, OrderOutcome
 from ._ports import (
+    READ_BYTES,
     UNCONDITIONAL,
     AppendOutcome,
     AppendResult,
@@ -23,16 +25,29 @@
     Piece,
     PlainLog,
 )
-from ._records import ItemListed, ItemSpec, RewardSpec, RunnerClaimed, StepAccepted, StepEnded
+from ._records import (
+    FinishedItem,
+    ItemListed,
+    ItemSpec,
+    ResultsListed,
+    RewardSpec,
+    RunnerClaimed,
+    StepAccepted,
+    StepEnded,
+    TextRef,
+)
 from ._scorer import Scorer
-from ._step_log import StepLog, Written
+from ._step_log import StepLog
+from ._texts import TextShelf
 
 __all__ = [
+    "READ_BYTES",
     "UNCONDITIONAL",
     "AppendOutcome",
     "AppendResult",
     "Claim",
     "EngineReport",
+    "FinishedItem",
     "GenerationCall",
     "GenerationChannel",
     "GenerationEnd",
@@ -41,6 +56,7 @@
     "ItemListed",
     "ItemSpec",
     "KeyedLog",
+    "ListedResult",
     "LogEntry",
     "LogSlice",
     "LogUnavailableError",
@@ -51,6 +67,7 @@
     "Piece",
     "PlainLog",
     "ProgressJournal",
+    "ResultsListed",
     "RewardSpec",
     "RunnerClaimed",
     "Scorer",
@@ -62,6 +79,8 @@
     "StepLog",
     "StepPage",
     "StepState",
+    "TextRef",
+    "TextShelf",
     "TopicFollower",
     "Written",
 ]
--- a/samphirecleat/durable/_access.py
+++ b/samphirecleat/durable/_access.py
@@ -10,7 +10,7 @@
 
 from ..errors import ErrorKind, Ran, RequestError
 from ._fold import StepState
-from ._ports import AppendOutcome
+from ._ports import AppendOutcome, LogUnavailableError
 from ._records import ItemListed, StepAccepted
 from ._step_log import StepLog
 
@@ -19,15 +19,24 @@
 # After an append without an answer, how long to look for it in the log before saying so.
 SETTLE_WITHIN_S: Final = 1.5
 RETRY_AFTER_S: Final = 0.3
+# How long an answer waits for the texts of its results.
+TEXTS_WITHIN_S: Final = 1.0
 # One answer holds results of about this size, and at least one.
 ANSWER_BYTES: Final = 800_000
 
 
+class ListedResult(NamedTuple):
+    """A result with its text, "" for an item that was given up."""
+
+    item: ItemListed
+    text: str
+
+
 class StepPage(NamedTuple):
     """Some results of a step, from a position on."""
 
     total: int
-    results: Sequence[ItemListed]
+    results: Sequence[ListedResult]
     next_position: int
 
 
@@ -82,7 +91,14 @@
         if len(step.results) < after:
             # The reader saw more elsewhere than this node knows.
             raise _unsure("this node is behind")
-        return _page(step, after)
+        chosen = _choose(step, after)
+        try:
+            async with asyncio.timeout(TEXTS_WITHIN_S):
+                texts = await self._step_log.texts.read([r.text for r in chosen if r.text])
+        except (LogUnavailableError, TimeoutError) as error:
+            raise _unsure(f"texts can't be read now: {error!r}") from error
+        rows = [ListedResult(r, texts[r.text.key] if r.text else "") for r in chosen]
+        return StepPage(len(step.items), rows, after + len(rows))
 
     async def body(self, step_id: str, item_id: str) -> bytes | None:
         """Return the body of an item, or None if there is none to give.
@@ -138,15 +154,16 @@
         return step is not None and step.ended
 
 
-def _page(step: StepState, after: int) -> StepPage:
+def _choose(step: StepState, after: int) -> Sequence[ItemListed]:
+    """Return the results from a position on that one answer has room for."""
     results: list[ItemListed] = []
     size_bytes = 0
     for result in step.results[after:]:
-        size_bytes += result.text_bytes
+        size_bytes += result.text.text_bytes if result.text else 0
         if results and size_bytes > ANSWER_BYTES:
             break
         results.append(result)
-    return StepPage(len(step.items), results, after + len(results))
+    return results
 
 
 def _unsure(detail: str) -> RequestError:
--- a/samphirecleat/durable/_fold.py
+++ b/samphirecleat/durable/_fold.py
@@ -11,7 +11,15 @@
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
-from ._records import ItemListed, ItemSpec, Record, RunnerClaimed, StepAccepted, StepEnded
+from ._records import (
+    ItemListed,
+    ItemSpec,
+    Record,
+    ResultsListed,
+    RunnerClaimed,
+    StepAccepted,
+    StepEnded,
+)
 
 NO_CLAIM: Final = -1
 
@@ -66,8 +74,8 @@
         match record:
             case StepAccepted():
                 return self._accept(record, offset, now_s)
-            case ItemListed():
-                return self._list(record)
+            case ResultsListed():
+                return self._list(record) > 0
             case StepEnded():
                 return self._end(record, now_s)
             case RunnerClaimed():
@@ -101,13 +109,17 @@
         )
         return True
 
-    def _list(self, record: ItemListed) -> bool:
+    def _list(self, record: ResultsListed) -> int:
+        """Take results; return how many of them count."""
         step = self.steps.get(record.step_id)
-        if step is None or step.ended or record.item_id not in step.unlisted:
-            return False
-        del step.unlisted[record.item_id]
-        step.results.append(record)
-        return True
+        if step is None or step.ended:
+            return 0
+        new = 0
+        for result in record.results:
+            if step.unlisted.pop(result.item_id, None) is not None:
+                step.results.append(result)
+                new += 1
+        return new
 
     def _end(self, record: StepEnded, now_s: float) -> bool:
         step = self.steps.get(record.step_id)
--- a/samphirecleat/durable/_ports.py
+++ b/samphirecleat/durable/_ports.py
@@ -7,6 +7,8 @@
 from ..serving import Target
 
 UNCONDITIONAL: Final = -1
+# One answer of the log; it sends a megabyte at most.
+READ_BYTES: Final = 1 << 20
 
 
 class LogEntry(NamedTuple):
@@ -52,8 +54,8 @@
 class KeyedLog(Protocol):
     """A log that keeps the newest record of each key for good."""
 
-    async def newest(self, topic: str) -> LogSlice:
-        """Return the newest entry of every key.
+    async def newest(self, topic: str, prefix: str = "") -> LogSlice:
+        """Return the newest entry of every key, or of every key that begins with ``prefix``.
 
         ``end`` is from before the first entry was read, so that reading on from it
         misses nothing.
@@ -62,8 +64,12 @@
         """
         ...
 
-    async def read(self, topic: str, from_offset: int, wait_s: float) -> LogSlice:
-        """Return the entries from an offset on, waiting up to ``wait_s`` for a first.
+    async def read(
+        self, topic: str, from_offset: int, wait_s: float, *, most_bytes: int = READ_BYTES
+    ) -> LogSlice:
+        """Return entries from an offset on, at least one if there is any.
+
+        Waits up to ``wait_s`` for a first; of what there is, about ``most_bytes``.
 
         :raises LogUnavailableError: when there is no usable answer.
         :raises HistoryGoneError: when the offset is no longer kept.
--- a/samphirecleat/durable/_records.py
+++ b/samphirecleat/durable/_records.py
@@ -16,8 +16,7 @@
 # keeps one large text from filling an append.
 PART_BYTES: Final = 131_072
 _HEADER: Final = 4
-# Texts shrink by a third at the fastest level, which takes 20 ms a megabyte. After a loss of
-# power every node reads all of it at once, and the store's reading rate is what they wait for.
+# Texts shrink by a third at the fastest level, which takes 20 ms a megabyte.
 _ZLIB_LEVEL: Final = 1
 
 
@@ -66,38 +65,54 @@
     items: Sequence[ItemSpec]
 
 
-class ItemListed(NamedTuple):
-    """The result of an item; its position is the order of such records in the log.
+class TextRef(NamedTuple):
+    """Where a text stands: ``entries`` entries from ``offset`` on of a text topic.
 
-    Its text stays compressed until a reader asks for it: every node folds every result, and
-    few nodes are asked for any one of them. ``text_bytes`` is its length in UTF-8.
+    ``key`` is the key of its entries without their number. ``packed_bytes`` is its size as
+    written, ``text_bytes`` its length in UTF-8.
     """
 
-    step_id: str
-    item_id: str
-    completed: bool
-    packed_text: bytes
+    shard: int
+    offset: int
+    entries: int
+    key: str
+    packed_bytes: int
     text_bytes: int
+
+
+class ItemListed(NamedTuple):
+    """The result of an item; ``text`` is None for one that was given up."""
+
+    item_id: str
     versions: Sequence[int]
     score: str
+    text: TextRef | None
 
-    @classmethod
-    def whole(
-        cls, step_id: str, item_id: str, text: str, versions: Sequence[int], score: str
-    ) -> "ItemListed":
-        """Return the result of an item that was completed."""
-        content = text.encode()
-        return cls(step_id, item_id, True, pack(content), len(content), versions, score)
+    @property
+    def completed(self) -> bool:
+        """Whether the item has a text."""
+        return self.text is not None
 
-    @classmethod
-    def dead(cls, step_id: str, item_id: str) -> "ItemListed":
-        """Return the result of an item that was given up."""
-        return cls(step_id, item_id, False, b"", 0, (), "")
 
-    @property
-    def text(self) -> str:
-        """The text of a completed item, unpacked anew at each use."""
-        return unpack(self.packed_text).decode() if self.packed_text else ""
+class ResultsListed(NamedTuple):
+    """Results of a step, in the order of their positions.
+
+    The position of a result is its place among all such records in the log. Their texts
+    stand elsewhere: every node folds every result, and few nodes are asked for any one text.
+    """
+
+    step_id: str
+    results: Sequence[ItemListed]
+
+
+class FinishedItem(NamedTuple):
+    """The outcome of an item before it is written; ``text`` is None if it was given up."""
+
+    step_id: str
+    item_id: str
+    text: str | None
+    versions: Sequence[int]
+    score: str
 
 
 class StepEnded(NamedTuple):
@@ -120,10 +135,10 @@
     replaces: int
 
 
-Record = StepAccepted | ItemListed | StepEnded | RunnerClaimed
+Record = StepAccepted | ResultsListed | StepEnded | RunnerClaimed
 _TAGS: Final[dict[int, type[Any]]] = {
     1: StepAccepted,
-    2: ItemListed,
+    2: ResultsListed,
     3: StepEnded,
     4: RunnerClaimed,
 }
@@ -137,11 +152,7 @@
 
 def encode_record(record: Record) -> bytes:
     """Return the bytes of a record."""
-    content = msgspec.msgpack.encode(record)
-    if not isinstance(record, ItemListed):
-        # The text of a result is packed already, and little else is in it.
-        content = pack(content)
-    return bytes([_TAG_OF[type(record)]]) + content
+    return bytes([_TAG_OF[type(record)]]) + pack(msgspec.msgpack.encode(record))
 
 
 def pack(content: bytes) -> bytes:
@@ -168,9 +179,8 @@
     decoder = _DECODERS.get(blob[0]) if blob else None
     if decoder is None:
         raise RecordFormatError(f"tag {blob[:1]!r}")
-    content = blob[1:] if _TAGS[blob[0]] is ItemListed else unpack(blob[1:])
     try:
-        record: Record = decoder.decode(content)
+        record: Record = decoder.decode(unpack(blob[1:]))
     except msgspec.MsgspecError as error:
         raise RecordFormatError(str(error)) from error
     return record
@@ -178,7 +188,11 @@
 
 def split_record(record: Record, key: str) -> Sequence[tuple[str, bytes]]:
     """Return the entries that carry a record under ``key``, which must be new."""
-    blob = encode_record(record)
+    return split_blob(encode_record(record), key)
+
+
+def split_blob(blob: bytes, key: str) -> Sequence[tuple[str, bytes]]:
+    """Return the entries that carry some bytes under ``key``, which must be new."""
     chunks = [blob[at : at + PART_BYTES] for at in range(0, len(blob), PART_BYTES)]
     count = len(chunks)
     return [
@@ -187,6 +201,11 @@
     ]
 
 
+def join_blob(values: Sequence[bytes]) -> bytes:
+    """Return the bytes that the values of consecutive entries carry."""
+    return b"".join(value[_HEADER:] for value in values)
+
+
 class RecordAssembler:
     """Puts records together again from entries in offset order.
 
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -21,7 +21,7 @@
     planned_tokens,
 )
 from ._ports import GenerationChannel, GenerationEnd, GenerationError
-from ._records import ItemListed, ItemSpec
+from ._records import FinishedItem, ItemSpec
 from ._scorer import Scorer
 from ._step_log import StepLog
 
@@ -376,21 +376,21 @@
                 self._list_dead(step, item)
                 return
             versions = draft.version_set()
-            self._list(ItemListed.whole(step_id, item.item_id, draft.text(), versions, score))
+            self._list(FinishedItem(step_id, item.item_id, draft.text(), versions, score))
         finally:
             self._scoring.pop((step_id, item.item_id), None)
             self._wake.set()
 
     def _list_dead(self, step: StepState, item: ItemSpec) -> None:
-        self._list(ItemListed.dead(step.spec.step_id, item.item_id))
+        self._list(FinishedItem(step.spec.step_id, item.item_id, None, (), ""))
 
-    def _list(self, result: ItemListed) -> None:
+    def _list(self, result: FinishedItem) -> None:
         self._handed_in.add((result.step_id, result.item_id))
         self._words.info(
             "item=%s step=%s completed=%s versions=%s",
             result.item_id,
             result.step_id,
-            result.completed,
+            result.text is not None,
             list(result.versions),
         )
         self._step_log.list_result(result)
--- a/samphirecleat/durable/_step_log.py
+++ b/samphirecleat/durable/_step_log.py
@@ -4,44 +4,36 @@
 import random
 import secrets
 from collections.abc import Sequence
-from typing import Final, NamedTuple
+from typing import Final
 
 from .._boot_clock import boot_time_s
 from ..observe import Observer
 from ._fold import NO_CLAIM, StepFold
 from ._follower import TopicFollower
+from ._listing import ResultLister, Written
 from ._ports import AppendOutcome, KeyedLog, LogEntry, LogUnavailableError
 from ._records import (
-    ItemListed,
+    FinishedItem,
     Record,
     RecordAssembler,
     RecordFormatError,
+    ResultsListed,
     RunnerClaimed,
     StepAccepted,
     StepEnded,
     key_prefix,
     split_record,
 )
+from ._texts import TextShelf
 
 STEP_TOPIC: Final = "keyed.steps"
 # A fold that was confirmed this recently needs no question to the log before it answers:
 # half of the time within which a listed result must be seen at every node.
 FRESH_S: Final = 0.9
-# What one append may carry; the log takes two megabytes, and a slow link takes a moment.
-APPEND_BYTES: Final = 1_000_000
-# Between tries to list results while the log gives no answer.
-RELIST_S: Final = 0.2
 # How long an ended step stays readable at this node: what the platform asks, and more.
 KEEP_ENDED_S: Final = 180.0
 
 
-class Written(NamedTuple):
-    """What became of one record that was written."""
-
-    outcome: AppendOutcome
-    detail: str = ""
-
-
 class StepLog:
     """Folds the step log and appends to it; every node has one."""
 
@@ -58,8 +50,8 @@
         self._assembler = RecordAssembler()
         self._follower = TopicFollower(log, STEP_TOPIC, self._take, observer, rng, ordered=True)
         self._changed = asyncio.Event()
-        self._waiting_results: list[ItemListed] = []
-        self._results_ready = asyncio.Event()
+        self.texts = TextShelf(log, self._writer_id, observer)
+        self._lister = ResultLister(self.fold, self.texts, self._write, observer)
         self.last_write_by: dict[str, float] = {}
         self.claimed_at_s: dict[str, float] = {}
 
@@ -76,7 +68,7 @@
         """Follow the log and list results for as long as the node lives."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._follower.run())
-            group.create_task(self._list_results())
+            group.create_task(self._lister.run())
 
     async def wait_change(self, timeout_s: float) -> None:
         """Wait until the fold changes, at most ``timeout_s``."""
@@ -112,15 +104,14 @@
         replaces = held.offset if held is not None else NO_CLAIM
         return await self._write(RunnerClaimed(service, node_id, incarnation, replaces), service)
 
-    def list_result(self, result: ItemListed) -> None:
-        """Have a result listed as soon as the log takes it; kept in memory until then."""
-        self._waiting_results.append(result)
-        self._results_ready.set()
+    def list_result(self, item: FinishedItem) -> None:
+        """Have an item listed as soon as the log takes it; kept in memory until then."""
+        self._lister.add(item)
 
     @property
     def unlisted(self) -> int:
         """How many results wait to be listed."""
-        return len(self._waiting_results)
+        return self._lister.waiting
 
     async def _write(self, record: Record, subject: str) -> Written:
         entries = split_record(record, self._new_key(subject))
@@ -137,59 +128,6 @@
             self._observer.counters["step_log_appends"] += 1
         return Written(result.outcome, result.detail)
 
-    async def _list_results(self) -> None:
-        """Append results, all that became ready during an append in the next one."""
-        while True:
-            await self._results_ready.wait()
-            self._results_ready.clear()
-            while self._waiting_results:
-                batch = self._next_batch()
-                if not batch:
-                    continue
-                entries = [
-                    entry
-                    for result in batch
-                    for entry in split_record(result, self._new_key(result.step_id))
-                ]
-                began_s = asyncio.get_running_loop().time()
-                outcome = await self._log.append(STEP_TOPIC, entries)
-                self._observer.record_s(
-                    "step_listing_append", asyncio.get_running_loop().time() - began_s
-                )
-                if outcome.outcome is AppendOutcome.APPENDED:
-                    self._drop_listed(batch)
-                    continue
-                self._words.warning(
-                    "listing results=%d outcome=%s detail=%s; tried again",
-                    len(batch),
-                    outcome.outcome.value,
-                    outcome.detail,
-                )
-                await asyncio.sleep(RELIST_S)
-
-    def _next_batch(self) -> Sequence[ItemListed]:
-        """Return results that still count, up to the size of an append."""
-        wanted = []
-        for result in self._waiting_results:
-            step = self.fold.steps.get(result.step_id)
-            if step is not None and not step.ended and result.item_id in step.unlisted:
-                wanted.append(result)
-        self._waiting_results = wanted
-        batch: list[ItemListed] = []
-        size_bytes = 0
-        for result in wanted:
-            size_bytes += len(result.packed_text)
-            if batch and size_bytes > APPEND_BYTES:
-                break
-            batch.append(result)
-        return batch
-
-    def _drop_listed(self, batch: Sequence[ItemListed]) -> None:
-        done = {(result.step_id, result.item_id) for result in batch}
-        self._waiting_results = [
-            r for r in self._waiting_results if (r.step_id, r.item_id) not in done
-        ]
-
     def _new_key(self, subject: str) -> str:
         self._next_key += 1
         return f"{key_prefix(subject)}/{self._writer_id}/{self._next_key}"
@@ -239,5 +177,5 @@
                     record.replaces,
                     changed,
                 )
-            case ItemListed():
-                self._observer.counters["items_folded"] += changed
+            case ResultsListed():
+                self._observer.counters["items_folded"] += len(record.results)
--- /dev/null
+++ b/samphirecleat/durable/_texts.py
@@ -0,0 +1,187 @@
+"""Texts of results, kept in the log apart from the steps and read when a trainer asks.
+
+Load pattern answered: a fleet makes a megabyte of text a second, and every node folds every
+step. With the texts among the steps each node would read all of them all the time, and after
+a loss of power all of them at once before it could serve anything; from some dozen nodes on
+that is more than the store sends.
+"""
+
+import hashlib
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import pairwise
+from typing import Final
+
+from ..observe import Observer
+from ._ports import AppendOutcome, HistoryGoneError, KeyedLog, LogUnavailableError
+from ._records import FinishedItem, TextRef, join_blob, key_prefix, pack, split_blob, unpack
+
+# Each topic takes appends one at a time; several let the services' texts pass each other.
+SHARDS: Final = 8
+# What a node keeps of the texts that it wrote or read: a few steps' worth, far below its memory.
+CACHE_BYTES: Final = 4_000_000
+# Texts of one step stand together but for those of other steps in between; reading a few of
+# these too costs less than another call.
+SKIPPED_ENTRIES: Final = 3
+# A key and the lengths around an entry, for the size of a read.
+_ENTRY_OVERHEAD_BYTES: Final = 80
+
+
+class TextShelf:
+    """Writes and reads texts; every node has one."""
+
+    def __init__(self, log: KeyedLog, writer_id: str, observer: Observer) -> None:
+        """Write as ``writer_id``, which no other process has."""
+        self._log = log
+        self._writer_id = writer_id
+        self._observer = observer
+        self._words = observer.log("texts")
+        self._next_key = 0
+        self._cached: OrderedDict[str, bytes] = OrderedDict()
+        self._cached_bytes = 0
+
+    async def write(
+        self, step_id: str, items: Sequence[FinishedItem]
+    ) -> Mapping[str, TextRef] | None:
+        """Return where the texts of a step's items stand, None if they may not be kept.
+
+        They are then written again under new keys: what the first try may have left
+        behind is never referred to.
+        """
+        shard = shard_of(step_id)
+        entries: list[tuple[str, bytes]] = []
+        refs: dict[str, TextRef] = {}
+        for item in items:
+            if item.text is None:
+                continue
+            content = item.text.encode()
+            packed = pack(content)
+            key = self._new_key(step_id)
+            rows = split_blob(packed, key)
+            refs[item.item_id] = TextRef(
+                shard, len(entries), len(rows), key, len(packed), len(content)
+            )
+            entries.extend(rows)
+            self._keep(key, packed)
+        if not entries:
+            return refs
+        result = await self._log.append(topic_of(shard), entries)
+        if result.outcome is not AppendOutcome.APPENDED or result.offset < 0:
+            self._words.warning(
+                "step=%s texts=%d outcome=%s detail=%s",
+                step_id,
+                len(refs),
+                result.outcome.value,
+                result.detail,
+            )
+            return None
+        return {name: ref._replace(offset=ref.offset + result.offset) for name, ref in refs.items()}
+
+    async def read(self, refs: Sequence[TextRef]) -> Mapping[str, str]:
+        """Return texts by key.
+
+        :raises LogUnavailableError: when one of them can't be had now.
+        """
+        # Taken first: keeping what is read may push these out.
+        found = {ref.key: self._cached[ref.key] for ref in refs if ref.key in self._cached}
+        missing = sorted({ref for ref in refs if ref.key not in found})
+        self._observer.counters["texts_cached"] += len(refs) - len(missing)
+        for run in _runs(missing):
+            found.update(await self._fetch(run))
+        lost = [ref.key for ref in refs if ref.key not in found]
+        if lost:
+            raise LogUnavailableError(f"texts {lost[:3]} are not in the log")
+        for key, packed in found.items():
+            self._keep(key, packed)
+        return {key: unpack(packed).decode() for key, packed in found.items()}
+
+    async def drop(self, step_id: str) -> bool:
+        """Drop every text of a step from the log; False if that is not known to be done."""
+        return await drop_prefix(self._log, topic_of(shard_of(step_id)), key_prefix(step_id))
+
+    async def _fetch(self, run: Sequence[TextRef]) -> Mapping[str, bytes]:
+        """Return the packed texts of one stretch of the log."""
+        topic = topic_of(run[0].shard)
+        self._observer.counters["texts_fetched"] += len(run)
+        try:
+            values = await self._read_stretch(topic, run)
+        except HistoryGoneError:
+            # Only the newest of each key is kept for good, which is each of them.
+            values = await self._read_newest(topic, run)
+        found = {}
+        for ref in run:
+            parts = [values.get(f"{ref.key}.{part}") for part in range(ref.entries)]
+            if all(part is not None for part in parts):
+                found[ref.key] = join_blob([part for part in parts if part is not None])
+        return found
+
+    async def _read_stretch(self, topic: str, run: Sequence[TextRef]) -> Mapping[str, bytes]:
+        end = run[-1].offset + run[-1].entries
+        at = run[0].offset
+        values: dict[str, bytes] = {}
+        while at < end:
+            wanted_bytes = sum(
+                ref.packed_bytes + ref.entries * _ENTRY_OVERHEAD_BYTES
+                for ref in run
+                if ref.offset + ref.entries > at
+            )
+            chunk = await self._log.read(topic, at, 0.0, most_bytes=wanted_bytes)
+            if not chunk.entries:
+                raise LogUnavailableError(f"{topic} ends at {chunk.end}, wanted up to {end}")
+            values.update({entry.key: entry.value for entry in chunk.entries})
+            at = chunk.entries[-1].offset + 1
+        return values
+
+    async def _read_newest(self, topic: str, run: Sequence[TextRef]) -> Mapping[str, bytes]:
+        values: dict[str, bytes] = {}
+        for prefix in sorted({ref.key.partition("/")[0] for ref in run}):
+            newest = await self._log.newest(topic, prefix)
+            values.update({entry.key: entry.value for entry in newest.entries})
+        return values
+
+    def _keep(self, key: str, packed: bytes) -> None:
+        known = self._cached.pop(key, b"")
+        self._cached[key] = packed
+        self._cached_bytes += len(packed) - len(known)
+        while self._cached_bytes > CACHE_BYTES:
+            _key, dropped = self._cached.popitem(last=False)
+            self._cached_bytes -= len(dropped)
+
+    def _new_key(self, step_id: str) -> str:
+        self._next_key += 1
+        return f"{key_prefix(step_id)}/{self._writer_id}/{self._next_key}"
+
+
+def shard_of(step_id: str) -> int:
+    """Return the number of the text topic that holds a step's texts."""
+    return hashlib.blake2b(step_id.encode(), digest_size=2).digest()[0] % SHARDS
+
+
+def topic_of(shard: int) -> str:
+    """Return the name of a text topic."""
+    return f"keyed.texts.{shard}"
+
+
+async def drop_prefix(log: KeyedLog, topic: str, prefix: str) -> bool:
+    """Drop every key of a topic that begins with ``prefix``; False if it may not be done."""
+    try:
+        kept = await log.newest(topic, prefix)
+    except LogUnavailableError:
+        return False
+    if not kept.entries:
+        return True
+    result = await log.append(topic, [(entry.key, b"") for entry in kept.entries])
+    return result.outcome is AppendOutcome.APPENDED
+
+
+def _runs(refs: Iterable[TextRef]) -> Sequence[Sequence[TextRef]]:
+    """Return sorted references in stretches that are worth one read each."""
+    ordered = list(refs)
+    runs = [[ref] for ref in ordered[:1]]
+    for before, ref in pairwise(ordered):
+        gap = ref.offset - before.offset - before.entries
+        if ref.shard == before.shard and gap <= SKIPPED_ENTRIES:
+            runs[-1].append(ref)
+        else:
+            runs.append([ref])
+    return runs
--- a/samphirecleat/platform/_job_documents.py
+++ b/samphirecleat/platform/_job_documents.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..durable import ItemListed, ItemSpec, RewardSpec, StepAccepted, StepPage
+from ..durable import ItemSpec, ListedResult, RewardSpec, StepAccepted, StepPage
 from ..errors import ErrorKind, RequestError
 from ._answers import ANSWER_FAULTS
 from ._wire_names import LENGTH_HINT, TOKEN_COUNTS
@@ -96,13 +96,14 @@
     )
 
 
-def _result(result: ItemListed) -> Mapping[str, Any]:
+def _result(result: ListedResult) -> Mapping[str, Any]:
+    item = result.item
     row: dict[str, Any] = {
-        "id": result.item_id,
-        "state": "completed" if result.completed else "dead",
+        "id": item.item_id,
+        "state": "completed" if item.completed else "dead",
         "text": result.text,
     }
-    if result.completed:
-        row["versions"] = list(result.versions)
-        row["score"] = result.score
+    if item.completed:
+        row["versions"] = list(item.versions)
+        row["score"] = item.score
     return row
--- a/samphirecleat/platform/_metadata_store.py
+++ b/samphirecleat/platform/_metadata_store.py
@@ -16,6 +16,7 @@
 from yarl import URL
 
 from ..durable import (
+    READ_BYTES,
     UNCONDITIONAL,
     AppendOutcome,
     AppendResult,
@@ -37,7 +38,6 @@
 # After a direct call failed, peers are asked first for this long.
 AVOID_DIRECT_S: Final = 0.7
 PEERS_TRIED: Final = 2
-READ_KB: Final = 1024
 _LENGTH_BYTES: Final = 4
 _READ_HEADER_BYTES: Final = 16
 
@@ -79,11 +79,12 @@
         self._direct_failed_at_s = -1e9
         self._direct_works = True
 
-    async def newest(self, topic: str) -> LogSlice:
+    async def newest(self, topic: str, prefix: str = "") -> LogSlice:
         """Return the newest entry of every key; see :class:`KeyedLog`."""
         entries: list[LogEntry] = []
         end = -1
-        after = ""
+        # A key that is the prefix itself is passed over; keys are longer than their prefix.
+        after = prefix
         while True:
             query = {"topic": topic, "part": "0"} | ({"after": after} if after else {})
             reply = await self._read_call(f"{PATH_NEWEST}?{urlencode(query, quote_via=quote)}", 0.0)
@@ -99,14 +100,17 @@
                 more = bool(page["truncated"])
             except ANSWER_FAULTS as error:
                 raise LogUnavailableError(f"not understood: {error!r}") from error
-            entries.extend(rows)
-            if not more or not rows:
+            wanted = [row for row in rows if row.key.startswith(prefix)]
+            entries.extend(wanted)
+            if not more or len(wanted) < len(rows) or not rows:
                 return LogSlice(entries, end)
             after = rows[-1].key
 
-    async def read(self, topic: str, from_offset: int, wait_s: float) -> LogSlice:
+    async def read(
+        self, topic: str, from_offset: int, wait_s: float, *, most_bytes: int = READ_BYTES
+    ) -> LogSlice:
         """Return entries from an offset on; see :class:`KeyedLog`."""
-        records, end = await self._read_records(topic, from_offset, wait_s)
+        records, end = await self._read_records(topic, from_offset, wait_s, most_bytes)
         try:
             entries = [
                 LogEntry(from_offset + at, *_split_key(record)) for at, record in enumerate(records)
@@ -174,9 +178,10 @@
         return self._direct_works
 
     async def _read_records(
-        self, topic: str, from_offset: int, wait_s: float
+        self, topic: str, from_offset: int, wait_s: float, most_bytes: int = READ_BYTES
     ) -> tuple[Sequence[bytes], int]:
-        query = f"topic={quote(topic)}&part=0&from={from_offset}&maxKb={READ_KB}"
+        most_kb = min(READ_BYTES, most_bytes + 1023) // 1024
+        query = f"topic={quote(topic)}&part=0&from={from_offset}&maxKb={most_kb}"
         if wait_s > 0.0:
             query += f"&waitMs={int(wait_s * 1000)}"
         reply = await self._read_call(f"{PATH_READ}?{query}", wait_s)
--- a/tests/durable/memory_log.py
+++ b/tests/durable/memory_log.py
@@ -1,9 +1,11 @@
 """A keyed log in memory, with the failures that the platform's store may show."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Sequence
 
 from samphirecleat.durable import (
+    READ_BYTES,
     UNCONDITIONAL,
     AppendOutcome,
     AppendResult,
@@ -12,9 +14,10 @@
     LogSlice,
     LogUnavailableError,
 )
+from samphirecleat.durable._step_log import STEP_TOPIC
 
 
-class MemoryLog:
+class MemoryTopic:
     """One topic's entries; ``answers`` says what becomes of the next appends.
 
     ``lost``: done and not answered. ``late``: not answered, done by :meth:`catch_up`.
@@ -27,6 +30,7 @@
         self.down = False
         self.answers: list[str] = []
         self.appends = 0
+        self.reads = 0
         self.trimmed_to = 0
         self._late: list[tuple[Sequence[tuple[str, bytes]], int]] = []
         self._news = asyncio.Event()
@@ -35,15 +39,14 @@
     def end(self) -> int:
         return len(self.entries)
 
-    async def newest(self, topic: str, after: str = "") -> LogSlice:
-        del topic
+    async def newest(self, prefix: str) -> LogSlice:
         if self.down:
             raise LogUnavailableError("down")
-        newest = {entry.key: entry for entry in self.entries if entry.key > after}
-        return LogSlice([newest[key] for key in sorted(newest)], self.end)
+        newest = {entry.key: entry for entry in self.entries if entry.key.startswith(prefix)}
+        kept = [newest[key] for key in sorted(newest) if newest[key].value]
+        return LogSlice(kept, self.end)
 
-    async def read(self, topic: str, from_offset: int, wait_s: float) -> LogSlice:
-        del topic
+    async def read(self, from_offset: int, wait_s: float, most_bytes: int) -> LogSlice:
         if self.down:
             raise LogUnavailableError("down")
         if from_offset < self.first_kept:
@@ -57,12 +60,16 @@
                 pass
         if self.down:
             raise LogUnavailableError("down")
-        return LogSlice(self.entries[from_offset:], self.end)
+        self.reads += 1
+        sent: list[LogEntry] = []
+        for entry in self.entries[from_offset:]:
+            most_bytes -= len(entry.value) + len(entry.key)
+            if sent and most_bytes < 0:
+                break
+            sent.append(entry)
+        return LogSlice(sent, self.end)
 
-    async def append(
-        self, topic: str, entries: Sequence[tuple[str, bytes]], at: int = UNCONDITIONAL
-    ) -> AppendResult:
-        del topic
+    async def append(self, entries: Sequence[tuple[str, bytes]], at: int) -> AppendResult:
         self.appends += 1
         answer = self.answers.pop(0) if self.answers else ""
         if self.down or answer == "refused":
@@ -96,3 +103,32 @@
     def forget_history(self) -> None:
         """Drop every record that is not the newest of its key from what can be read on."""
         self.first_kept = self.end
+
+
+class MemoryLog(MemoryTopic):
+    """A keyed log: the topic of steps, and the others under ``topics``."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.topics: defaultdict[str, MemoryTopic] = defaultdict(MemoryTopic)
+
+    def topic(self, name: str) -> MemoryTopic:
+        """Return a topic; all of them are down with the log."""
+        if name == STEP_TOPIC:
+            return self
+        topic = self.topics[name]
+        topic.down = self.down
+        return topic
+
+    async def newest(self, topic: str, prefix: str = "") -> LogSlice:  # type: ignore[override]
+        return await MemoryTopic.newest(self.topic(topic), prefix)
+
+    async def read(  # type: ignore[override]
+        self, topic: str, from_offset: int, wait_s: float, *, most_bytes: int = READ_BYTES
+    ) -> LogSlice:
+        return await MemoryTopic.read(self.topic(topic), from_offset, wait_s, most_bytes)
+
+    async def append(  # type: ignore[override]
+        self, topic: str, entries: Sequence[tuple[str, bytes]], at: int = UNCONDITIONAL
+    ) -> AppendResult:
+        return await MemoryTopic.append(self.topic(topic), entries, at)
--- a/tests/durable/steps.py
+++ b/tests/durable/steps.py
@@ -1,6 +1,14 @@
 """Steps, items and results for tests."""
 
-from samphirecleat.durable import ItemListed, ItemSpec, RewardSpec, StepAccepted
+from samphirecleat.durable import (
+    FinishedItem,
+    ItemListed,
+    ItemSpec,
+    ResultsListed,
+    RewardSpec,
+    StepAccepted,
+    TextRef,
+)
 
 
 def item(item_id: str, group: str = "g0", hint: int = 640, *, reward: bool = False) -> ItemSpec:
@@ -24,5 +32,11 @@
     )
 
 
-def listed(step_id: str, item_id: str, text: str = "text") -> ItemListed:
-    return ItemListed.whole(step_id, item_id, text, [1], "sig")
+def listed(step_id: str, item_id: str, text_key: str = "text") -> ResultsListed:
+    """Return the record of one result whose text stands under a key."""
+    ref = TextRef(0, 7, 1, text_key, 4, 4)
+    return ResultsListed(step_id, [ItemListed(item_id, [1], "sig", ref)])
+
+
+def finished(step_id: str, item_id: str, text: str = "text") -> FinishedItem:
+    return FinishedItem(step_id, item_id, text, [1], "sig")
--- a/tests/durable/test_fold.py
+++ b/tests/durable/test_fold.py
@@ -26,7 +26,7 @@
 def positions(fold: StepFold) -> dict[str, list[tuple[str, str]]]:
     """Return what trainers could read of each step."""
     return {
-        step_id: [(r.item_id, r.text) for r in state.results]
+        step_id: [(r.item_id, r.text.key if r.text else "") for r in state.results]
         for step_id, state in fold.steps.items()
     }
 
@@ -130,7 +130,8 @@
     fold = StepFold()
     for offset, record in enumerate(records):
         fold.apply(record, offset, 0.0)
-    assert {name: [r.text for r in s.results] for name, s in fold.steps.items()} == want
+    kept = {name: [r.text.key for r in s.results if r.text] for name, s in fold.steps.items()}
+    assert kept == want
 
 
 def test_an_ended_step_is_forgotten_only_after_its_time() -> None:
--- a/tests/durable/test_records.py
+++ b/tests/durable/test_records.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from samphirecleat.durable import ItemListed
+from samphirecleat.durable import ItemListed, ResultsListed
 from samphirecleat.durable._records import (
     PART_BYTES,
     RecordAssembler,
@@ -31,7 +31,7 @@
 
 
 def test_a_large_record_is_split_and_counts_with_its_last_part() -> None:
-    record = ItemListed.whole("s", "i", noise(400_000), [1, 2], "sig")
+    record = ResultsListed("s", [ItemListed("i", [1, 2], noise(400_000), None)])
     entries = split_record(record, "k/1")
     assert len(entries) > 2
     assert all(len(value) <= PART_BYTES + 4 for _key, value in entries)
--- a/tests/durable/test_step_log.py
+++ b/tests/durable/test_step_log.py
@@ -13,7 +13,7 @@
 
 from ..fleets import until
 from .memory_log import MemoryLog
-from .steps import listed, step
+from .steps import finished, step
 
 
 @asynccontextmanager
@@ -88,9 +88,9 @@
             await step_log.accept(step("s1"))
             await until(lambda: "s1" in step_log.fold.steps)
             log.answers = ["lost"]
-            step_log.list_result(listed("s1", "s1-2"))
+            step_log.list_result(finished("s1", "s1-2"))
             await until(lambda: len(step_log.fold.steps["s1"].results) == 1)
-            step_log.list_result(listed("s1", "s1-0"))
+            step_log.list_result(finished("s1", "s1-0"))
             await until(lambda: len(step_log.fold.steps["s1"].results) == 2)
             await until(lambda: step_log.unlisted == 0)
             log.forget_history()
@@ -112,7 +112,7 @@
             await until(lambda: "s1" in step_log.fold.steps)
             log.down = True
             for number in range(3):
-                step_log.list_result(listed("s1", f"s1-{number}"))
+                step_log.list_result(finished("s1", f"s1-{number}"))
             await asyncio.sleep(0.1)
             assert step_log.unlisted == 3
             page = await StepAccess(step_log).read("s1", 0, 0.0)
@@ -184,9 +184,9 @@
             await until(lambda: "s1" in step_log.fold.steps)
             reading = asyncio.ensure_future(StepAccess(step_log).read("s1", 0, 10.0))
             await asyncio.sleep(0)
-            step_log.list_result(listed("s1", "s1-1"))
+            step_log.list_result(finished("s1", "s1-1"))
             page = await reading
-            assert [r.item_id for r in page.results] == ["s1-1"]
+            assert [(r.item.item_id, r.text) for r in page.results] == [("s1-1", "text")]
             assert page.next_position == 1
 
     run(body)
