Steps that nobody may ask for any more are dropped from the log

Cause: no key was ever dropped, and the store refuses appends at 400 MB: at the grown sites' load after some eight minutes. The node that runs a service drops forgotten steps and their texts; what one leaves behind the next drops.

--- a/samphirecleat/durable/_duty.py
+++ b/samphirecleat/durable/_duty.py
@@ -16,6 +16,7 @@
 from ._journal import ProgressJournal
 from ._orderer import OrderChannel, Orderer
 from ._ports import GenerationChannel
+from ._retention import drop_forgotten_steps
 from ._runner import StepRunner
 from ._scorer import Scorer
 from ._step_log import StepLog
@@ -196,6 +197,7 @@
             asyncio.ensure_future(runner.run()),
             asyncio.ensure_future(orderer.run()),
             asyncio.ensure_future(self._journal.keep(runner.open_drafts)),
+            asyncio.ensure_future(drop_forgotten_steps(self._step_log, self._observer)),
         ]
         for task in tasks:
             task.add_done_callback(partial(self._note_end, service, claim.offset))
--- a/samphirecleat/durable/_fold.py
+++ b/samphirecleat/durable/_fold.py
@@ -87,12 +87,13 @@
                 self.claims[record.service] = claim
                 return True
 
-    def forget_before(self, now_s: float, keep_s: float) -> Sequence[str]:
-        """Drop steps that ended ``keep_s`` ago and return their ids."""
+    def forget_before(self, now_s: float, keep_ended_s: float, keep_open_s: float) -> Sequence[str]:
+        """Drop steps that ended, or were folded, that long ago, and return their ids."""
         old = [
             step_id
             for step_id, step in self.steps.items()
-            if step.ended and now_s - step.ended_at_s > keep_s
+            if (step.ended and now_s - step.ended_at_s > keep_ended_s)
+            or now_s - step.folded_at_s > keep_open_s
         ]
         for step_id in old:
             del self.steps[step_id]
--- a/samphirecleat/durable/_step_log.py
+++ b/samphirecleat/durable/_step_log.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import secrets
+from collections import deque
 from collections.abc import Sequence
 from typing import Final
 
@@ -24,7 +25,7 @@
     key_prefix,
     split_record,
 )
-from ._texts import TextShelf
+from ._texts import TextShelf, drop_prefix
 
 STEP_TOPIC: Final = "keyed.steps"
 # A fold that was confirmed this recently needs no question to the log before it answers:
@@ -32,6 +33,10 @@
 FRESH_S: Final = 0.9
 # How long an ended step stays readable at this node: what the platform asks, and more.
 KEEP_ENDED_S: Final = 180.0
+# A trainer that never ends its step is gone; no step is worked on for that long.
+KEEP_OPEN_S: Final = 3600.0
+# Names of forgotten steps that are still to be dropped from the log.
+FORGOTTEN_KEPT: Final = 512
 
 
 class StepLog:
@@ -52,6 +57,7 @@
         self._changed = asyncio.Event()
         self.texts = TextShelf(log, self._writer_id, observer)
         self._lister = ResultLister(self.fold, self.texts, self._write, observer)
+        self.forgotten: deque[str] = deque(maxlen=FORGOTTEN_KEPT)
         self.last_write_by: dict[str, float] = {}
         self.claimed_at_s: dict[str, float] = {}
 
@@ -104,6 +110,14 @@
         replaces = held.offset if held is not None else NO_CLAIM
         return await self._write(RunnerClaimed(service, node_id, incarnation, replaces), service)
 
+    async def drop(self, step_id: str) -> bool:
+        """Drop a step from the log for good; False if that is not known to be done.
+
+        What refers to its texts goes first, lest a reader that starts anew look for them.
+        """
+        prefix = key_prefix(step_id)
+        return await drop_prefix(self._log, STEP_TOPIC, prefix) and await self.texts.drop(step_id)
+
     def list_result(self, item: FinishedItem) -> None:
         """Have an item listed as soon as the log takes it; kept in memory until then."""
         self._lister.add(item)
@@ -146,8 +160,9 @@
             if record is not None:
                 changed = self.fold.apply(record, entry.offset, now_s)
                 self._log_record(record, entry.offset, changed=changed, past=newest)
-        for step_id in self.fold.forget_before(now_s, KEEP_ENDED_S):
+        for step_id in self.fold.forget_before(now_s, KEEP_ENDED_S, KEEP_OPEN_S):
             self._words.info("step=%s forgotten", step_id)
+            self.forgotten.append(step_id)
         changed_event, self._changed = self._changed, asyncio.Event()
         changed_event.set()
 
--- a/tests/durable/test_fold.py
+++ b/tests/durable/test_fold.py
@@ -139,9 +139,10 @@
     fold.apply(step("s1"), 0, 0.0)
     fold.apply(step("s2"), 1, 0.0)
     fold.apply(StepEnded("s1"), 2, 10.0)
-    assert fold.forget_before(60.0, 60.0) == []
-    assert fold.forget_before(70.1, 60.0) == ["s1"]
+    assert fold.forget_before(60.0, 60.0, 500.0) == []
+    assert fold.forget_before(70.1, 60.0, 500.0) == ["s1"]
     assert list(fold.steps) == ["s2"]
+    assert fold.forget_before(501.0, 60.0, 500.0) == ["s2"]
 
 
 def test_a_claim_names_who_held_the_service_before() -> None:
