--- a/samphirecleat/durable/_drafts.py
+++ b/samphirecleat/durable/_drafts.py
@@ -182,10 +182,6 @@
         """Return an item's draft if there is one."""
         return self._drafts.get(item_id)
 
-    def drop(self, item_id: str) -> None:
-        """Forget an item's draft."""
-        self._drafts.pop(item_id, None)
-
     def restore(self, parts: Iterable[DraftPart]) -> int:
         """Take what nodes saved, in the order of saving; return how many runs were used.
 
--- a/samphirecleat/platform/_call_exchange.py
+++ b/samphirecleat/platform/_call_exchange.py
@@ -61,12 +61,14 @@
                     body,
                     response.headers.get(SIGNATURE, ""),
                 )
-        except aiohttp.ClientConnectorError as error:
-            raise TargetFault(f"{target.instance}: {error!r}", Ran.NO) from error
-        except aiohttp.ConnectionTimeoutError as error:
-            raise TargetFault(f"{target.instance}: no connection", Ran.NO) from error
         except ANSWER_FAULTS as error:
-            raise TargetFault(f"{target.instance}: {error!r}", Ran.UNKNOWN) from error
+            raise lost_answer(target, error) from error
+
+
+def lost_answer(target: Target, error: Exception) -> TargetFault:
+    """Return the fault of a call that ended in an error; it ran nowhere if never sent."""
+    never_sent = isinstance(error, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError))
+    return TargetFault(f"{target.instance}: {error!r}", Ran.NO if never_sent else Ran.UNKNOWN)
 
 
 def target_url(target: Target, raw_path: str) -> URL:
--- a/samphirecleat/platform/_call_stream.py
+++ b/samphirecleat/platform/_call_stream.py
@@ -2,12 +2,15 @@
 
 from collections.abc import AsyncGenerator
 
-import aiohttp
-
-from ..errors import Ran
-from ..serving import Call, StreamEvent, StreamStart, Target, TargetAnswer, TargetFault
+from ..serving import Call, StreamEvent, StreamStart, Target, TargetAnswer
 from ._answers import ANSWER_FAULTS
-from ._call_exchange import answer_headers, fault_of, forwarded_headers, target_url
+from ._call_exchange import (
+    answer_headers,
+    fault_of,
+    forwarded_headers,
+    lost_answer,
+    target_url,
+)
 from ._event_stream import EVENT_STREAM, EventFormatError, event_blocks, read_event
 from ._target_sessions import TargetSessions
 from ._wire_names import LAST_EVENT_ID, SIGNATURE, VERSION
@@ -54,9 +57,5 @@
                     event = read_event(block, version)
                     version = event.version
                     yield StreamEvent(event.event_id, version, block)
-        except aiohttp.ClientConnectorError as error:
-            raise TargetFault(f"{target.instance}: {error!r}", Ran.NO) from error
-        except aiohttp.ConnectionTimeoutError as error:
-            raise TargetFault(f"{target.instance}: no connection", Ran.NO) from error
         except (EventFormatError, *ANSWER_FAULTS) as error:
-            raise TargetFault(f"{target.instance}: {error!r}", Ran.UNKNOWN) from error
+            raise lost_answer(target, error) from error
--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -187,11 +187,19 @@
         """
         if self._spoilt is not None:
             return self._spoilt
-        if self._ran is Ran.NO:
-            raise RequestError(
-                ErrorKind.NO_TARGET,
-                f"no target took the call: {self._last_detail}",
-                ran=Ran.NO,
-                retry_after_s=RETRY_AFTER_S,
-            )
-        raise RequestError(ErrorKind.OUTCOME_UNKNOWN, self._last_detail, ran=Ran.UNKNOWN)
+        raise unanswered(self._ran, self._last_detail)
+
+
+def unanswered(ran: Ran, detail: str) -> RequestError:
+    """Return the error of a call whose attempts are used up.
+
+    ``ran`` is NO only if no target can have run it; its caller may then come back.
+    """
+    if ran is Ran.NO:
+        return RequestError(
+            ErrorKind.NO_TARGET,
+            f"no target took the call: {detail}",
+            ran=Ran.NO,
+            retry_after_s=RETRY_AFTER_S,
+        )
+    return RequestError(ErrorKind.OUTCOME_UNKNOWN, detail, ran=Ran.UNKNOWN)
--- a/samphirecleat/serving/_stream_relay.py
+++ b/samphirecleat/serving/_stream_relay.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from ..errors import ErrorKind, Ran, RequestError
-from ._forwarder import REFUSALS_LIMIT, RETRY_AFTER_S, RETURN_MARGIN_S, Forwarder
+from ._forwarder import REFUSALS_LIMIT, RETURN_MARGIN_S, Forwarder, unanswered
 from ._target_table import TargetTable
 from ._types import (
     Call,
@@ -231,11 +231,4 @@
         """Return the failure that a target gave, or raise our own."""
         if self._spoilt is not None:
             return self._spoilt
-        if self._ran is Ran.NO:
-            raise RequestError(
-                ErrorKind.NO_TARGET,
-                f"no target took the call: {self._detail}",
-                ran=Ran.NO,
-                retry_after_s=RETRY_AFTER_S,
-            )
-        raise RequestError(ErrorKind.OUTCOME_UNKNOWN, self._detail, ran=Ran.UNKNOWN)
+        raise unanswered(self._ran, self._detail)
--- a/samphirecleat/serving/_target_table.py
+++ b/samphirecleat/serving/_target_table.py
@@ -47,10 +47,6 @@
         """Return the targets of a service that take new work."""
         return [t for t in self._by_service.get(service, ()) if not t.draining]
 
-    def of(self, service: str) -> Sequence[Target]:
-        """Return all targets of a service."""
-        return self._by_service.get(service, ())
-
     def started(self, target: Target) -> None:
         """Count a call that goes to a target."""
         self.in_flight[target.instance] += 1
