--- a/samphirecleat/bench/_registry.py
+++ b/samphirecleat/bench/_registry.py
@@ -7,6 +7,7 @@
 from ._harness import BenchResult
 
 BENCH_MODULES: Final[Mapping[str, str]] = {
+    "planning": "_planning",
     "routing": "_routing",
     "limits": "_limits",
     "retries": "_retries",
--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -8,6 +8,7 @@
 from ._listing import Written
 from ._meeting_point import MeetingPoint
 from ._orderer import EngineReport, Order, OrderChannel, OrderOutcome
+from ._planner import EngineView, PendingItem, Placement, order_items, place_items, planned_tokens
 from ._ports import (
     READ_BYTES,
     UNCONDITIONAL,
@@ -48,6 +49,7 @@
     "AppendResult",
     "Claim",
     "EngineReport",
+    "EngineView",
     "FinishedItem",
     "GenerationCall",
     "GenerationChannel",
@@ -65,7 +67,9 @@
     "Order",
     "OrderChannel",
     "OrderOutcome",
+    "PendingItem",
     "Piece",
+    "Placement",
     "PlainLog",
     "ProgressJournal",
     "ResultsListed",
@@ -84,5 +88,8 @@
     "TextShelf",
     "TopicFollower",
     "Written",
+    "order_items",
+    "place_items",
+    "planned_tokens",
     "reading_pause_s",
 ]
