--- /dev/null
+++ b/tests/durable/test_listing.py
@@ -0,0 +1,83 @@
+"""Results are listed after their texts, once, whatever the log does in between."""
+
+import asyncio
+
+import pytest
+
+from samphirecleat.durable import StepAccess
+from samphirecleat.durable import _listing as listing_module
+from samphirecleat.durable._texts import shard_of, topic_of
+
+from ..fleets import until
+from .memory_log import MemoryLog
+from .steps import finished, step
+from .test_step_log import following
+
+
+@pytest.mark.parametrize("texts", [[], ["lost"], ["refused", "late"]], ids=str)
+@pytest.mark.parametrize("rows", [[], ["lost"], ["refused"]], ids=str)
+def test_a_listed_result_always_has_its_text(
+    texts: list[str], rows: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The log loses the answer to an append of texts, or of the results that name them.
+
+    A result that named a text which is not there could be read by nobody, and its trainer
+    would wait for it until the step's end.
+    """
+    monkeypatch.setattr(listing_module, "RELIST_S", 0.01)
+
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            await step_log.accept(step("s1"))
+            await until(lambda: "s1" in step_log.fold.steps)
+            topic = log.topics[topic_of(shard_of("s1"))]
+            topic.answers, log.answers = list(texts), list(rows)
+            for number in (2, 0):
+                step_log.list_result(finished("s1", f"s1-{number}", f"text {number}"))
+            await until(lambda: step_log.unlisted == 0)
+            topic.catch_up()
+            log.forget_history()
+            topic.forget_history()
+            async with following(log, "inc00002") as cold:
+                await until(lambda: cold.caught_up)
+                page = await StepAccess(cold).read("s1", 0, 0.0)
+                read = [(row.item.item_id, row.text) for row in page.results]
+                assert read == [("s1-2", "text 2"), ("s1-0", "text 0")]
+
+    asyncio.run(body())
+
+
+def test_a_text_that_is_written_is_not_written_again_when_its_listing_fails(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(listing_module, "RELIST_S", 0.01)
+
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            await step_log.accept(step("s1"))
+            await until(lambda: "s1" in step_log.fold.steps)
+            log.answers = ["refused"] * 3
+            step_log.list_result(finished("s1", "s1-0"))
+            await until(lambda: step_log.unlisted == 0)
+            assert log.topics[topic_of(shard_of("s1"))].appends == 1
+
+    asyncio.run(body())
+
+
+def test_what_a_step_no_longer_wants_is_not_listed() -> None:
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            await step_log.accept(step("s1"))
+            await step_log.end("s1")
+            await until(lambda: "s1" in step_log.fold.steps and step_log.fold.steps["s1"].ended)
+            step_log.list_result(finished("s1", "s1-0"))
+            await until(lambda: step_log.unlisted == 0)
+            assert not log.topics[topic_of(shard_of("s1"))].entries
+
+    asyncio.run(body())
