--- a/samphirecleat/platform/_side_doors.py
+++ b/samphirecleat/platform/_side_doors.py
@@ -8,6 +8,7 @@
 
 from ..blackboard import Member
 from ..observe import Observer
+from ..serving import offered_members
 from ._metadata_store import RELAY_PREFIX, MetadataStore
 from ._wire_names import PATH_READY, PATH_RESOLVE
 
@@ -40,7 +41,8 @@
         if not request.raw_path.startswith(PATH_RESOLVE):
             return web.Response(status=404)
         zone = request.query.get("zone", "")
-        members = sorted(self._ready_members(), key=lambda m: (m.zone != zone, m.node_id))
+        offered = offered_members(self._ready_members())
+        members = sorted(offered, key=lambda m: (m.zone != zone, m.node_id))
         if not members:
             return web.Response(status=503)
         addresses = [member.http_address for member in members[:MOST_ADDRESSES]]
--- a/samphirecleat/serving/__init__.py
+++ b/samphirecleat/serving/__init__.py
@@ -1,5 +1,6 @@
 """Serving callers' calls by routes: types, the tables that a node keeps, the forwarder."""
 
+from ._entry_choice import offered_members
 from ._forwarder import Forwarder
 from ._registry import TargetRegistry
 from ._route_table import RouteTable
@@ -50,5 +51,6 @@
     "TargetRegistry",
     "TargetTable",
     "WeightedService",
+    "offered_members",
     "services_in_turn",
 ]
