--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -60,20 +60,31 @@
 """
 
     async def start(self) -> None:
-        """Start every node that does not run."""
+        """Start every node."""
         for host in self.hosts:
-            path = self._folder / f"{host}.toml"
-            path.write_text(self.settings(host))
-            with (self._folder / f"{host}.log").open("ab") as log:
-                self._processes[host] = await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    "-m",
-                    "samphirecleat.platform",
-                    cwd=REPOSITORY,
-                    env={**os.environ, "SAMPHIRECLEAT_BOOT": str(path)},
-                    stdout=log,
-                    stderr=log,
-                )
+            await self.start_one(host)
+
+    async def start_one(self, host: str) -> None:
+        """Start a node that does not run."""
+        path = self._folder / f"{host}.toml"
+        path.write_text(self.settings(host))
+        with (self._folder / f"{host}.log").open("ab") as log:
+            self._processes[host] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "samphirecleat.platform",
+                cwd=REPOSITORY,
+                env={**os.environ, "SAMPHIRECLEAT_BOOT": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def kill(self, host: str) -> None:
+        """Kill one node and wait for its end."""
+        process = self._processes[host]
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
 
     async def kill_all(self, number: int = signal.SIGKILL) -> None:
         """Send every process a signal at once and wait for its end."""
@@ -164,18 +175,21 @@
         await store.stop()
 
 
-def job(items: int) -> bytes:
-    """Return a batch job whose items are scored by the plain service."""
+def job(items: int, prefix: str = "") -> bytes:
+    """Return a batch job whose items are scored by the plain service.
+
+    Items of one name share their text over all jobs; a ``prefix`` keeps them apart.
+    """
     rows = [
         {
-            "id": f"i{number}",
+            "id": f"{prefix}i{number}",
             "path": f"/run/{number}",
             "body": "cHJvbXB0",
             "tokens": 800,
             "headers": {"X-Model": "m", "X-Token-Counts": "255,512"},
             "group": f"g{number // 2}",
             "scoringEndpoint": {
-                "id": f"r{number}",
+                "id": f"{prefix}r{number}",
                 "host": "h.example",
                 "path": "/plain/s",
                 "body": "",
