--- a/samphirecleat/durable/_records.py
+++ b/samphirecleat/durable/_records.py
@@ -46,6 +46,13 @@
     group: str
     reward: RewardSpec | None = None
 
+    @property
+    def expected_tokens(self) -> int:
+        """The trainer's estimate of what will be made, bounded by the most that may be."""
+        if self.hinted_tokens <= 0:
+            return self.most_tokens
+        return min(self.most_tokens, self.hinted_tokens)
+
 
 class StepAccepted(NamedTuple):
     """A step that the system must keep from now on.
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -180,7 +180,7 @@
         self, step: StepState, item: ItemSpec, due_in_s: float, draft: Draft
     ) -> PendingItem:
         made = draft.last_event_id * self._tokens_per_event()
-        expected = max(LEAST_EXPECTED_TOKENS, _expected_tokens(item) - made)
+        expected = max(LEAST_EXPECTED_TOKENS, item.expected_tokens - made)
         return PendingItem(
             step.spec.step_id,
             item.item_id,
@@ -394,10 +394,3 @@
             list(result.versions),
         )
         self._step_log.list_result(result)
-
-
-def _expected_tokens(item: ItemSpec) -> int:
-    """Return the trainer's estimate of an item's length, bounded by its maximum."""
-    if item.hinted_tokens <= 0:
-        return item.most_tokens
-    return min(item.most_tokens, item.hinted_tokens)
--- a/samphirecleat/serving/_stream_relay.py
+++ b/samphirecleat/serving/_stream_relay.py
@@ -15,7 +15,6 @@
 from ._target_table import TargetTable
 from ._types import (
     Call,
-    CallKind,
     Route,
     StreamChannel,
     StreamEvent,
@@ -81,7 +80,7 @@
         self._last_event_id = last_event_id
         self._target: Target | None = None
         self._source: AsyncGenerator[_Item, None] | None = None
-        self._repeatable = route.resumable or route.kind is CallKind.IDEMPOTENT
+        self._repeatable = route.resumable
         self.start = StreamStart(0, (), 0)
 
     async def begin(self) -> TargetAnswer | None:
@@ -205,7 +204,7 @@
 
         :raises StreamBrokenError: when that is not allowed or no target does it.
         """
-        while self._route.resumable and self._time_is_left() and self._choose():
+        while self._repeatable and self._time_is_left() and self._choose():
             try:
                 first = await self._next()
             except TargetFault as fault:
