A batch of texts in other scripts stays within what one append may carry

Found on the last read of the diff: the bound counted characters, and four of their bytes may be written; a batch over the log's two megabytes would be refused each time. Red before in the new row of durable/test_listing.py.

--- a/samphirecleat/durable/_listing.py
+++ b/samphirecleat/durable/_listing.py
@@ -78,7 +78,7 @@
         for item in self._waiting:
             if item.step_id != self._waiting[0].step_id:
                 continue
-            size_bytes += len(item.text or "")
+            size_bytes += _most_bytes(item.text or "")
             if batch and size_bytes > APPEND_BYTES:
                 break
             batch.append(item)
@@ -120,3 +120,8 @@
             item for item in self._waiting if item.step_id != step_id or item.item_id not in done
         ]
         return True
+
+
+def _most_bytes(text: str) -> int:
+    """Return the most that a text takes when it is written; packing may leave all of it."""
+    return len(text) if text.isascii() else 4 * len(text)
--- a/tests/durable/test_listing.py
+++ b/tests/durable/test_listing.py
@@ -81,3 +81,24 @@
             assert not log.topics[topic_of(shard_of("s1"))].entries
 
     asyncio.run(body())
+
+
+@pytest.mark.parametrize(("character", "appends"), [("a", 1), ("ä", 2)])
+def test_one_append_holds_no_more_than_the_log_takes(character: str, appends: int) -> None:
+    """Long texts in another script end together; each character is several bytes.
+
+    An append that is too large is refused each time it is tried, and nothing is listed again.
+    """
+
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            await step_log.accept(step("s1"))
+            await until(lambda: "s1" in step_log.fold.steps)
+            for number in range(2):
+                step_log.list_result(finished("s1", f"s1-{number}", character * 300_000))
+            await until(lambda: step_log.unlisted == 0)
+            assert log.topics[topic_of(shard_of("s1"))].appends == appends
+
+    asyncio.run(body())
