--- a/samphirecleat/durable/_election.py
+++ b/samphirecleat/durable/_election.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Sequence
 from typing import Final, NamedTuple
 
+from .._strong_hosts import strong_from_cores
 from ._fold import Claim
 
 # A node that hears of less than half of those it knew may itself be the one that is cut
@@ -21,8 +22,6 @@
 SETTLE_S: Final = 0.6
 # Processes that started within this long of each other count as equally new.
 SAME_AGE_MS: Final = 1500
-# A host with less than this share of the strongest one's processor time is weak.
-STRONG_SHARE: Final = 0.6
 
 
 class Candidate(NamedTuple):
@@ -61,11 +60,11 @@
     the newest processes: when nodes are restarted in turn, they are not restarted next. Names
     break the tie.
     """
-    most_cores = max((candidate.cores for candidate in candidates), default=0.0)
+    strong_cores = strong_from_cores(candidate.cores for candidate in candidates)
     newest_ms = max((candidate.started_at_ms for candidate in candidates), default=0)
 
     def rank(candidate: Candidate) -> tuple[bool, bool, bool, str]:
-        weak = candidate.cores < STRONG_SHARE * most_cores
+        weak = candidate.cores < strong_cores
         older = newest_ms - candidate.started_at_ms > SAME_AGE_MS
         return (weak, candidate.node_id != last_node_id, older, candidate.node_id)
 
--- a/samphirecleat/durable/_step_log.py
+++ b/samphirecleat/durable/_step_log.py
@@ -200,4 +200,4 @@
                     changed,
                 )
             case ResultsListed():
-                self._observer.counters["items_folded"] += len(record.results)
+                self._observer.counters["items_folded"] += changed * len(record.results)
--- a/samphirecleat/serving/_entry_choice.py
+++ b/samphirecleat/serving/_entry_choice.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from typing import Final
 
+from .._strong_hosts import strong_from_cores
 from ..blackboard import Member
 
 # Fleets up to this size offer every node, so that a lost one costs few callers.
@@ -17,8 +18,6 @@
 # Of a larger fleet this share is offered. At 390 nodes and 3,100 calls a second that makes 32
 # calls a second a node, a small part of what one serves.
 OFFERED_SHARE: Final = 0.25
-# A host with less than this share of the strongest one's processor time is offered last.
-STRONG_SHARE: Final = 0.6
 
 
 def offered_members(members: Sequence[Member]) -> Sequence[Member]:
@@ -30,10 +29,10 @@
     wanted = max(OFFERED_AT_LEAST, math.ceil(len(members) * OFFERED_SHARE))
     if len(members) <= wanted:
         return members
-    most_cores = max(member.cores for member in members)
+    strong_cores = strong_from_cores(member.cores for member in members)
 
     def rank(member: Member) -> tuple[bool, bytes]:
-        weak = member.cores < STRONG_SHARE * most_cores
+        weak = member.cores < strong_cores
         return weak, hashlib.blake2b(member.node_id.encode(), digest_size=8).digest()
 
     by_zone: dict[str, list[Member]] = {}
