Loads of weights are decided for all models at once, by the work that waits

Cause: each model's loads were decided apart, in the order of the models' names, for all engines and every version. Change: a model keeps as many engines ready for its next step as its steps fill (two at least), so an engine loads every second version; the model whose waiting work has least time left goes first, then the one with the smallest part of its engines ready. Slow engines do not count as ready.

--- a/samphirecleat/durable/_duty.py
+++ b/samphirecleat/durable/_duty.py
@@ -185,12 +185,8 @@
             self._orders,
             self._observer,
             named=self._named,
-            needed=lambda model: runner.needed_version(model, self._named(model)),
-            pressed=lambda: runner.pressed,
             may_order=self._may_order(service, claim),
-            runs=runner.busy_by_engine,
-            version_of=runner.version_of,
-            loading=runner.loading,
+            work=runner,
             follows_other=follows_other,
         )
         tasks = [
--- a/samphirecleat/durable/_orderer.py
+++ b/samphirecleat/durable/_orderer.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final, NamedTuple, Protocol
@@ -16,7 +16,7 @@
 from .._boot_clock import boot_time_s
 from ..observe import Observer
 from ..serving import RouteTable, Target, TargetTable
-from ._weight_orders import OrderableEngine, decide_loads
+from ._weight_orders import ModelDemand, OrderableEngine, decide_loads
 
 # A holder orders only within this long of the log's last word that its claim stands.
 CONFIRMED_WITHIN_S: Final = 0.8
@@ -75,6 +75,32 @@
         ...
 
 
+class StepWork(Protocol):
+    """What the holder asks of the work that its orders are for.
+
+    ``loading`` holds the engines and models under an order, which the holder keeps up to date:
+    no item of the model is placed there meanwhile.
+    """
+
+    loading: set[tuple[str, str]]
+
+    def demand(self, model: str, named_version: int) -> ModelDemand:
+        """Return what the steps of a model ask of the engines."""
+        ...
+
+    def busy_by_engine(self, model: str) -> Mapping[str, int]:
+        """Return how many runs of a model each engine has."""
+        ...
+
+    def version_of(self, target: Target, model: str) -> int:
+        """Return the highest version of a model that an engine is known to have."""
+        ...
+
+    def is_slow(self, instance: str) -> bool:
+        """Whether an engine is too slow to count on it for the next step."""
+        ...
+
+
 @dataclass
 class _Known:
     """What the holder knows of one model at one start of an engine."""
@@ -103,18 +129,13 @@
         observer: Observer,
         *,
         named: Callable[[str], int],
-        needed: Callable[[str], int],
-        pressed: Callable[[], bool],
         may_order: Callable[[float], bool],
-        runs: Callable[[str], Mapping[str, int]],
-        version_of: Callable[[Target, str], int],
-        loading: set[tuple[str, str]],
+        work: StepWork,
         follows_other: bool,
     ) -> None:
-        """Order under ``fencing_number``; ``loading`` is kept for the planner of runs.
+        """Order under ``fencing_number`` what ``work`` asks for.
 
-        ``named`` gives a model's newest version, ``needed`` the lowest that steps accept;
-        ``pressed`` says that work is short of a place.
+        ``named`` gives a model's newest version.
         ``may_order`` says whether the claim was confirmed within some seconds. A claim
         that ``follows_other`` node waits until that one can't be ordering any more.
         """
@@ -128,12 +149,8 @@
         self._observer = observer
         self._words = observer.log("orders")
         self._named = named
-        self._needed = needed
-        self._pressed = pressed
         self._may_order = may_order
-        self._runs = runs
-        self._version_of = version_of
-        self._loading = loading
+        self._work = work
         self._known: dict[tuple[str, str], _Known] = {}
         self._orders_accepted: dict[str, int] = {}
         self._orders: set[asyncio.Task[None]] = set()
@@ -158,63 +175,63 @@
         spec = self._routes.config.services.get(self._service)
         if spec is None or spec.engine is None:
             return
-        for model in spec.engine.models:
-            named = self._named(model)
-            if named > 1:
-                self._step_model(model, named, now_s)
-
-    def _step_model(self, model: str, named: int, now_s: float) -> None:
         serving = {target.instance: target for target in self._targets.serving(self._service)}
         for name in [name for name in self._known if name[0] not in serving]:
             del self._known[name]
-            self._loading.discard(name)
-        runs = self._runs(model)
-        views = []
+            self._work.loading.discard(name)
+        models = [model for model in spec.engine.models if self._named(model) > 1]
         for target in serving.values():
-            known = self._refresh(target, model)
-            if known.loading_version and known.look_at_s <= now_s:
-                known.look_at_s = now_s + NEXT_LOOK_S
-                self._spawn(self._look(target, model, known))
-            views.append(
-                OrderableEngine(
-                    target.instance,
-                    known.version,
-                    runs.get(target.instance, 0),
-                    bool(known.loading_version),
-                    known.rests_until_s > now_s or self._loads_other(target.instance, model),
-                )
-            )
-        elsewhere = sum(name[1] != model for name in self._loading)
-        needed = self._needed(model)
-        for instance in decide_loads(
-            views, named, needed, pressed=self._pressed(), loading_elsewhere=elsewhere
-        ):
-            known = self._known[instance, model]
-            known.loading_version = named
+            for model in models:
+                self._refresh(target, model, now_s)
+        runs = {model: self._work.busy_by_engine(model) for model in models}
+        views = [self._view(target.instance, models, runs, now_s) for target in serving.values()]
+        demands = [self._work.demand(model, self._named(model)) for model in models]
+        named = {demand.model: demand.named_version for demand in demands}
+        for load in decide_loads(views, demands):
+            known = self._known[load.instance, load.model]
+            version = named[load.model]
+            known.loading_version = version
             known.look_at_s = now_s + ORDER_TIMEOUT_S + FIRST_LOOK_S
-            self._loading.add((instance, model))
-            self._spawn(self._give(serving[instance], model, named, known))
+            self._work.loading.add(known.name)
+            self._spawn(self._give(serving[load.instance], load.model, version, known))
 
-    def _refresh(self, target: Target, model: str) -> _Known:
+    def _view(
+        self,
+        instance: str,
+        models: Sequence[str],
+        runs: Mapping[str, Mapping[str, int]],
+        now_s: float,
+    ) -> OrderableEngine:
+        known = {model: self._known[instance, model] for model in models}
+        loading = [model for model in models if known[model].loading_version]
+        return OrderableEngine(
+            instance,
+            {model: known[model].version for model in models},
+            {model: runs[model].get(instance, 0) for model in models},
+            loading[0] if loading else "",
+            any(state.rests_until_s > now_s for state in known.values()),
+            self._work.is_slow(instance),
+        )
+
+    def _refresh(self, target: Target, model: str, now_s: float) -> None:
+        """Take what is known of an engine's weights; look at a load that should be done."""
         name = (target.instance, model)
         known = self._known.get(name)
         if known is None or known.started_at_ms != target.started_at_ms:
             known = self._known[name] = _Known(target.started_at_ms, name)
             # An engine that starts again counts its orders anew.
             self._orders_accepted.pop(target.instance, None)
-            self._loading.discard(name)
-        known.version = max(known.version, self._version_of(target, model))
+            self._work.loading.discard(name)
+        known.version = max(known.version, self._work.version_of(target, model))
         if known.loading_version and known.version >= known.loading_version:
             self._loaded(known)
-        return known
-
-    def _loads_other(self, instance: str, model: str) -> bool:
-        """Whether an engine is under an order for another model; it takes one at a time."""
-        return any(name[0] == instance and name[1] != model for name in self._loading)
+        if known.loading_version and known.look_at_s <= now_s:
+            known.look_at_s = now_s + NEXT_LOOK_S
+            self._spawn(self._look(target, model, known))
 
     def _loaded(self, known: _Known) -> None:
         known.loading_version = 0
-        self._loading.discard(known.name)
+        self._work.loading.discard(known.name)
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -235,7 +252,7 @@
             # Nothing is being loaded: the order was not taken, or is still to come; in
             # that case its condition fails once the next one was taken.
             known.loading_version = 0
-            self._loading.discard(known.name)
+            self._work.loading.discard(known.name)
             known.rests_until_s = now_s + REFUSED_REST_S
 
     async def _give(self, target: Target, model: str, version: int, known: _Known) -> None:
@@ -291,4 +308,4 @@
     def _failed(self, known: _Known, rest_s: float) -> None:
         known.loading_version = 0
         known.rests_until_s = asyncio.get_running_loop().time() + rest_s
-        self._loading.discard(known.name)
+        self._work.loading.discard(known.name)
--- a/samphirecleat/durable/_planner.py
+++ b/samphirecleat/durable/_planner.py
@@ -170,13 +170,27 @@
     return item.context_tokens + int(item.expected_tokens * share)
 
 
-def is_pressed(
+class Shortage(NamedTuple):
+    """That items of a model found no place; ``spare_s`` is what the most urgent has left."""
+
+    spare_s: float
+
+    @property
+    def pressed(self) -> bool:
+        """Whether the item will be late unless it starts soon."""
+        return self.spare_s < PRESSED_SPARE_S
+
+
+def shortages(
     ordered: Sequence[PendingItem], placements: Sequence[Placement], token_s: float
-) -> bool:
-    """Whether an item that found no place has little time left to spare."""
+) -> Mapping[str, Shortage]:
+    """Return the models of which an item found no place."""
     placed = {(place.item.step_id, place.item.item_id) for place in placements}
-    return any(
-        item.due_in_s - item.expected_tokens * token_s < PRESSED_SPARE_S
-        for item in ordered
-        if (item.step_id, item.item_id) not in placed
-    )
+    short: dict[str, Shortage] = {}
+    for item in ordered:
+        if (item.step_id, item.item_id) in placed:
+            continue
+        spare_s = item.due_in_s - item.expected_tokens * token_s
+        if item.model not in short or spare_s < short[item.model].spare_s:
+            short[item.model] = Shortage(spare_s)
+    return short
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -1,6 +1,7 @@
 """Runs the items of a service's steps on its engines, scores them and has them listed."""
 
 import asyncio
+import math
 from collections.abc import Mapping, Sequence
 from typing import Final
 
@@ -15,15 +16,17 @@
     EngineView,
     PendingItem,
     Placement,
-    is_pressed,
+    Shortage,
     order_items,
     place_items,
     planned_tokens,
+    shortages,
 )
 from ._ports import GenerationChannel, GenerationEnd, GenerationError
 from ._records import FinishedItem, ItemSpec
 from ._scorer import Scorer
 from ._step_log import StepLog
+from ._weight_orders import LEAST_READY, ModelDemand
 
 # Without news the plan is made anew this often: targets and versions change on their own.
 PLAN_EVERY_S: Final = 0.05
@@ -43,6 +46,8 @@
 REFUSAL_REST_S: Final = 0.1
 # The same item waits this long after a failed run.
 ITEM_REST_S: Final = 0.05
+# A model's work is the largest of so many of its latest steps.
+STEPS_REMEMBERED: Final = 3
 # The memory of an engine whose configuration names none.
 UNBOUNDED_TOKENS: Final = 1 << 40
 
@@ -79,7 +84,7 @@
         self._paces = PaceTable()
         self._wake = asyncio.Event()
         self.loading: set[tuple[str, str]] = set()
-        self.pressed = False
+        self._short: Mapping[str, Shortage] = {}
         self._allowed_lags: dict[str, int] = {}
 
     async def run(self) -> None:
@@ -167,13 +172,13 @@
             token_s = self._token_s()
             ordered = order_items(pending, shares, token_s)
             placements = place_items(ordered, engines, token_s)
-            self.pressed = is_pressed(ordered, placements, token_s)
+            self._short = shortages(ordered, placements, token_s)
             for placement in placements:
                 name = (placement.item.step_id, placement.item.item_id)
                 item, step, route = specs[name]
                 self._start_run(step, item, route, placement)
         else:
-            self.pressed = False
+            self._short = {}
             self._move_slow_runs(now_s)
 
     def _pending(
@@ -193,15 +198,42 @@
             step.spec.model,
         )
 
-    def needed_version(self, model: str, named: int) -> int:
-        """Return the lowest version of a model that open steps and the next one accept."""
+    def demand(self, model: str, named_version: int) -> ModelDemand:
+        """Return what the open steps of a model, and the next one, ask of the engines."""
         steps = [step.spec for step, _route in self._my_steps() if step.spec.model == model]
         if steps:
             newest = max(steps, key=lambda spec: spec.number)
             # Step k is asked for at version k, or at 1 for the first ones.
             self._allowed_lags[model] = max(0, max(1, newest.number) - newest.min_version)
         lag = self._allowed_lags.get(model, 0)
-        return max([named - lag, *(spec.min_version for spec in steps)])
+        short = self._short.get(model)
+        return ModelDemand(
+            model,
+            named_version,
+            max([named_version - lag, *(spec.min_version for spec in steps)]),
+            min(named_version, named_version + 1 - lag),
+            self._engines_wanted(model),
+            short is not None,
+            short is not None and short.pressed,
+            short.spare_s if short is not None else math.inf,
+        )
+
+    def _engines_wanted(self, model: str) -> int:
+        """Return how many engines a step of a model fills, by the latest ones."""
+        known = [step for step in self._step_log.fold.steps.values() if step.spec.model == model]
+        latest = sorted(known, key=lambda step: step.folded_at_s)[-STEPS_REMEMBERED:]
+        items = max((len(step.items) for step in latest), default=0)
+        return max(LEAST_READY, math.ceil(items / self._places()))
+
+    def _places(self) -> int:
+        spec = self._routes.config.services.get(self.service)
+        if spec is not None and spec.engine is not None:
+            return max(1, spec.engine.slots)
+        return max([1, *(target.slots for target in self._targets.serving(self.service))])
+
+    def is_slow(self, instance: str) -> bool:
+        """Whether an engine is too slow for a run to move there."""
+        return self._paces.slowness(instance) >= MOVE_TO_SLOWNESS
 
     def _tokens_per_event(self) -> int:
         spec = self._routes.config.services.get(self.service)
--- a/samphirecleat/durable/_weight_orders.py
+++ b/samphirecleat/durable/_weight_orders.py
@@ -1,58 +1,133 @@
-"""Which engines are ordered to load a version now: a pure decision.
+"""Which engines are ordered to load which model's version now: a pure decision.
 
-Load pattern answered: a version is named every few seconds, just before the step that may
-use it; steps allow a version or two less than the newest. An engine that loads starts
-nothing for about a second and holds up what it runs, and loads slow each other down beyond
-a number at once. So engines load when they are idle, a few at a time; the planner keeps long
-texts together on the engines with the newest version, so that the others soon are.
+Load pattern answered: several models share the engines. A version of each is named every
+few seconds, and the step that is asked for then still accepts the version before it, so an
+engine that loads a version serves two steps with it. Loads slow each other down beyond a
+number at once, and that number is less than what all engines loading every version would
+need. So a model keeps as many engines ready for its next step as its work takes, and the
+others take the version after: each engine loads every second version. Loads go to the model
+whose waiting work has the least time left, then to the one that has the smallest part of its
+engines ready. A load holds up the runs of its own model and no others.
 """
 
-from collections.abc import Sequence
+import math
+from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
 # Loads slow each other down beyond about two of five engines.
 SHARE_AT_ONCE: Final = 0.4
+# With one engine lost the others still serve the next step at once.
+LEAST_READY: Final = 2
+
+
+class ModelDemand(NamedTuple):
+    """What a model's steps ask of the engines.
+
+    Open steps accept ``needed_version`` and newer, the step after them ``next_version``,
+    which is never above ``named_version``. ``wanted_engines`` is how many the next step takes.
+    An item ``waits`` if no engine has a version and a place for it; it is ``pressed`` if it
+    will be late unless it starts soon. ``spare_s`` is what the most urgent of them has left.
+    """
+
+    model: str
+    named_version: int
+    needed_version: int
+    next_version: int
+    wanted_engines: int
+    waits: bool = False
+    pressed: bool = False
+    spare_s: float = math.inf
 
 
 class OrderableEngine(NamedTuple):
-    """An engine as the holder of the duty sees it; ``loading`` counts unknown outcomes too."""
+    """An engine as the holder of the duty sees it; ``loading`` names a model or is empty.
+
+    ``versions`` and ``runs`` are by model. Outcomes that are unknown count as loading.
+    """
+
+    instance: str
+    versions: Mapping[str, int]
+    runs: Mapping[str, int]
+    loading: str = ""
+    rests: bool = False
+    slow: bool = False
+
+
+class Load(NamedTuple):
+    """An order to give: ``instance`` is to load the newest version of ``model``."""
 
     instance: str
-    version: int
-    running: int
-    loading: bool
-    rests: bool
+    model: str
 
 
 def decide_loads(
-    engines: Sequence[OrderableEngine],
-    named_version: int,
-    needed_version: int,
-    *,
-    pressed: bool,
-    loading_elsewhere: int = 0,
-) -> Sequence[str]:
-    """Return the instances to order to ``named_version`` now, the first first.
-
-    Open and coming steps accept ``needed_version`` and newer. An engine that still runs
-    something is only ordered when work is ``pressed`` for a place, or none is left that
-    new work could use: a load would hold up its runs. ``loading_elsewhere`` counts loads of
-    other models.
-    """
-    at_once = max(1, int(len(engines) * SHARE_AT_ONCE))
-    free = at_once - loading_elsewhere - sum(engine.loading for engine in engines)
-    if free <= 0:
-        return ()
-    behind = [
+    engines: Sequence[OrderableEngine], demands: Sequence[ModelDemand]
+) -> Sequence[Load]:
+    """Return the loads to order now, the most urgent first."""
+    free = max(1, int(len(engines) * SHARE_AT_ONCE))
+    free -= sum(bool(engine.loading) for engine in engines)
+    views = {engine.instance: engine for engine in engines}
+    loads: list[Load] = []
+    while len(loads) < free:
+        choices = [_choose(list(views.values()), demand, demands) for demand in demands]
+        due = [choice for choice in choices if choice is not None]
+        if not due:
+            break
+        _urgency, load = min(due)
+        loads.append(load)
+        views[load.instance] = views[load.instance]._replace(loading=load.model)
+    return loads
+
+
+# Lower comes first: the class, what orders within it, and the share of the engines ready.
+_Urgency = tuple[int, float, float]
+
+
+def _choose(
+    engines: Sequence[OrderableEngine], demand: ModelDemand, demands: Sequence[ModelDemand]
+) -> tuple[_Urgency, Load] | None:
+    """Return a model's next load and how urgent it is, or None if it wants no load."""
+    model = demand.model
+    usable = [e for e in engines if _has(e, model, demand.needed_version)]
+    ready = [e for e in engines if not e.slow and _has(e, model, demand.next_version)]
+    ready_share = len(ready) / max(1, min(demand.wanted_engines, len(engines)))
+    if demand.waits and not usable:
+        urgency = (0, demand.spare_s, ready_share)
+    elif demand.pressed:
+        urgency = (1, demand.spare_s, ready_share)
+    elif ready_share < 1.0:
+        urgency = (2, ready_share, 0.0)
+    else:
+        return None
+    # While something can serve the open steps, their runs are not held up.
+    may_hold_up = demand.pressed or not usable
+    behind_version = demand.needed_version if ready_share >= 1.0 else demand.next_version
+    candidates = [
         engine
         for engine in engines
-        if engine.version < named_version and not engine.loading and not engine.rests
+        if not engine.loading
+        and not engine.rests
+        and engine.versions.get(model, 0) < min(behind_version, demand.named_version)
+        and (
+            not engine.runs.get(model)
+            or (may_hold_up and engine.versions.get(model, 0) < demand.needed_version)
+        )
     ]
-    behind.sort(key=lambda engine: (engine.running, engine.version, engine.instance))
-    idle = [engine for engine in behind if engine.running == 0]
-    busy = [engine for engine in behind if engine.running > 0 and engine.version < needed_version]
-    nothing_usable = all(
-        engine.loading or engine.rests or engine.version < needed_version for engine in engines
-    )
-    ordered = [*idle, *busy] if pressed or nothing_usable else idle
-    return [engine.instance for engine in ordered[:free]]
+    if not candidates:
+        return None
+
+    def cost(engine: OrderableEngine) -> tuple[bool, int, int, int, str]:
+        # Models are spread over the engines, so that the first items of steps that are asked
+        # for together do not meet at the same places.
+        others = sum(_has(engine, d.model, d.next_version) for d in demands if d.model != model)
+        runs = engine.runs.get(model, 0)
+        return (engine.slow, runs, others, engine.versions.get(model, 0), engine.instance)
+
+    return urgency, Load(min(candidates, key=cost).instance, model)
+
+
+def _has(engine: OrderableEngine, model: str, version: int) -> bool:
+    """Whether an engine has a version of a model or newer, or soon will."""
+    if engine.loading == model:
+        return True
+    return engine.versions.get(model, 0) >= version
--- a/tests/durable/test_orderer.py
+++ b/tests/durable/test_orderer.py
@@ -1,12 +1,13 @@
 """Orders of versions: late, lost, fenced, and after another holder."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import pytest
 
 from samphirecleat.durable import EngineReport, Order, OrderOutcome
 from samphirecleat.durable._orderer import Orderer
+from samphirecleat.durable._weight_orders import ModelDemand
 from samphirecleat.observe import Observer
 from samphirecleat.serving import (
     CallerLimits,
@@ -48,6 +49,25 @@
         return OrderOutcome.ACCEPTED
 
 
+class FakeWork:
+    """Steps that want every engine to have the newest version; nothing runs."""
+
+    def __init__(self) -> None:
+        self.loading: set[tuple[str, str]] = set()
+
+    def demand(self, model: str, named_version: int) -> ModelDemand:
+        return ModelDemand(model, named_version, named_version - 1, named_version, 9)
+
+    def busy_by_engine(self, model: str) -> Mapping[str, int]:
+        return {f"nothing of {model}": 0}
+
+    def version_of(self, target: Target, model: str) -> int:
+        return target.versions[model]
+
+    def is_slow(self, instance: str) -> bool:
+        return not instance
+
+
 def make_orderer(
     engines: FakeEngines,
     *,
@@ -62,9 +82,7 @@
     )
     return Orderer(
         "svc", 41, "n1", 3.0, routes, targets, engines, Observer("n1"),
-        named=lambda _m: 2, needed=lambda _m: 1, pressed=lambda: False, may_order=may_order,
-        runs=lambda _m: {}, version_of=lambda _t, _m: 1, loading=set(),
-        follows_other=follows_other,
+        named=lambda _m: 2, may_order=may_order, work=FakeWork(), follows_other=follows_other,
     )  # fmt: skip
 
 
--- a/tests/durable/test_planner.py
+++ b/tests/durable/test_planner.py
@@ -5,9 +5,9 @@
 from samphirecleat.durable._planner import (
     EngineView,
     PendingItem,
-    is_pressed,
     order_items,
     place_items,
+    shortages,
 )
 
 TOKEN_S = 0.001
@@ -112,4 +112,5 @@
     left: PendingItem, placed: bool, want: bool
 ) -> None:
     placements = place_items([left], [engine("a")] if placed else [], TOKEN_S)
-    assert is_pressed([left], placements, TOKEN_S) is want
+    short = shortages([left], placements, TOKEN_S).get(left.model)
+    assert (short is not None and short.pressed) is want
--- a/tests/durable/test_weight_orders.py
+++ b/tests/durable/test_weight_orders.py
@@ -1,31 +1,42 @@
-"""Which engines load a version now."""
+"""Which engines load which model's version now."""
+
+import math
 
 import pytest
 
-from samphirecleat.durable._weight_orders import OrderableEngine, decide_loads
+from samphirecleat.durable._weight_orders import (
+    Load,
+    ModelDemand,
+    OrderableEngine,
+    decide_loads,
+)
 
 
 def engine(
-    name: str, version: int, running: int = 0, *, loading: bool = False, rests: bool = False
+    name: str, version: int, running: int = 0, *, loading: str = "", rests: bool = False
 ) -> OrderableEngine:
-    return OrderableEngine(name, version, running, loading, rests)
+    return OrderableEngine(name, {"m": version}, {"m": running}, loading, rests)
+
+
+def demand(model: str = "m", *, named: int = 3, wanted: int = 5, **short: float) -> ModelDemand:
+    """Return the demand of steps that accept one version less than the newest."""
+    spare_s = short.get("spare_s", math.inf)
+    return ModelDemand(
+        model, named, named - 1, named, wanted, spare_s < math.inf, spare_s < 2.5, spare_s
+    )
 
 
 @pytest.mark.parametrize(
-    ("engines", "needed", "pressed", "elsewhere", "want"),
+    ("engines", "pressed", "want"),
     [
         (
             [engine("a", 1), engine("b", 1), engine("c", 1), engine("d", 1), engine("e", 1)],
-            2,
             False,
-            0,
             ["a", "b"],
         ),
         (
             [engine("a", 1, 3), engine("b", 2), engine("c", 1), engine("d", 2, 1), engine("e", 3)],
-            2,
             False,
-            0,
             ["c", "b"],
         ),
         (
@@ -36,9 +47,7 @@
                 engine("d", 2, 1),
                 engine("e", 3),
             ],
-            2,
             False,
-            0,
             [],
         ),
         (
@@ -49,34 +58,34 @@
                 engine("d", 2, 1),
                 engine("e", 3),
             ],
-            2,
             True,
-            0,
             ["c", "a"],
         ),
-        ([engine("a", 1, 3), engine("b", 1, 1), engine("c", 1, 2)], 2, False, 0, ["b"]),
+        ([engine("a", 1, 3), engine("b", 1, 1), engine("c", 1, 2)], False, ["b"]),
         (
             [
-                engine("a", 1, loading=True),
+                engine("a", 1, loading="m"),
                 engine("b", 1),
                 engine("c", 1),
                 engine("d", 1),
                 engine("e", 1),
             ],
-            2,
             False,
-            0,
             ["b"],
         ),
         (
-            [engine("a", 1), engine("b", 1), engine("c", 1), engine("d", 1), engine("e", 1)],
-            2,
+            [
+                engine("a", 1, loading="other"),
+                engine("b", 1),
+                engine("c", 1),
+                engine("d", 1),
+                engine("e", 1),
+            ],
             False,
-            1,
-            ["a"],
+            ["b"],
         ),
-        ([engine("a", 1, rests=True), engine("b", 3), engine("c", 3)], 2, False, 0, []),
-        ([engine("a", 3), engine("b", 3)], 2, False, 0, []),
+        ([engine("a", 1, rests=True), engine("b", 3), engine("c", 3)], False, []),
+        ([engine("a", 3), engine("b", 3)], False, []),
     ],
     ids=[
         "two of five at once",
@@ -90,8 +99,72 @@
         "all have it",
     ],
 )
-def test_loads(
-    engines: list[OrderableEngine], needed: int, pressed: bool, elsewhere: int, want: list[str]
-) -> None:
-    got = decide_loads(engines, 3, needed, pressed=pressed, loading_elsewhere=elsewhere)
-    assert list(got) == want
+def test_loads_of_one_model(engines: list[OrderableEngine], pressed: bool, want: list[str]) -> None:
+    spare_s = 1.0 if pressed else math.inf
+    got = decide_loads(engines, [demand(spare_s=spare_s)])
+    assert [load.instance for load in got] == want
+
+
+def shared(count: int, versions: dict[str, list[int]]) -> list[OrderableEngine]:
+    """Return idle engines; ``versions`` gives each model's version at each of them."""
+    return [
+        OrderableEngine(f"e{at}", {model: by[at] for model, by in versions.items()}, {})
+        for at in range(count)
+    ]
+
+
+def test_the_model_whose_step_waits_goes_before_those_named_first() -> None:
+    """Versions of three models are named at once; the last one's step has no engine at all.
+
+    Loads in the order of the models' names would have its trainer wait for those of all
+    the others, seconds in which engines stand idle.
+    """
+    engines = shared(6, {"a": [2] * 6, "b": [2] * 6, "c": [1] * 6})
+    demands = [demand("a", wanted=6), demand("b", wanted=6), demand("c", wanted=2, spare_s=3.0)]
+    loads = decide_loads(engines, demands)
+    assert len(loads) == 2
+    assert loads[0].model == "c"
+
+
+def test_among_waiting_steps_the_one_with_least_time_left_goes_first() -> None:
+    engines = shared(6, {"a": [1] * 6, "b": [1] * 6})
+    loads = decide_loads(engines, [demand("a", spare_s=4.0), demand("b", spare_s=3.0)])
+    assert [load.model for load in loads] == ["b", "a"]
+
+
+def test_models_share_the_loads_at_once() -> None:
+    engines = shared(6, {"a": [2] * 6, "b": [2] * 6, "c": [2] * 6})
+    demands = [demand("a", wanted=4), demand("b", wanted=4), demand("c", wanted=4)]
+    assert {load.model for load in decide_loads(engines, demands)} == {"a", "b"}
+
+
+def test_an_engine_loads_every_second_version() -> None:
+    """Half of the engines were loaded for the step that is asked for now.
+
+    If all engines loaded each version, loads would queue up behind each other and the next
+    step would find none.
+    """
+    engines = shared(6, {"m": [2, 2, 1, 1, 1, 1]})
+    first = decide_loads(engines, [demand(wanted=2)])
+    assert [load.instance for load in first] == ["e2", "e3"]
+    loaded = shared(6, {"m": [2, 2, 3, 3, 1, 1]})
+    assert decide_loads(loaded, [demand(wanted=2)]) == []
+
+
+def test_models_are_spread_over_the_engines() -> None:
+    engines = shared(5, {"a": [3, 3, 1, 1, 1], "b": [1] * 5})
+    loads = decide_loads(engines, [demand("a", wanted=2), demand("b", wanted=2)])
+    assert loads == [Load("e2", "b"), Load("e3", "b")]
+
+
+def test_a_slow_engine_does_not_count_as_ready() -> None:
+    slow = OrderableEngine("e0", {"m": 3}, {}, slow=True)
+    engines = [slow, *shared(5, {"m": [3, 1, 1, 1, 1]})]
+    assert len(decide_loads(engines, [demand(wanted=2)])) == 1
+
+
+def test_a_pressed_model_does_not_hold_up_what_others_run() -> None:
+    """One model's items lack places; its engines behind run nothing of it, only of others."""
+    engines = [OrderableEngine("e0", {"a": 1, "b": 2}, {"b": 5})]
+    assert decide_loads(engines, [demand("a", spare_s=1.0)]) == [Load("e0", "a")]
+    assert decide_loads(engines, [demand("b", named=2, wanted=1)]) == []
