--- a/samphirecleat/durable/_orderer.py
+++ b/samphirecleat/durable/_orderer.py
@@ -96,6 +96,10 @@
         """Return the highest version of a model that an engine is known to have."""
         ...
 
+    def note_version(self, instance: str, model: str, version: int) -> None:
+        """Take the version of a model that an engine itself reported."""
+        ...
+
     def is_slow(self, instance: str) -> bool:
         """Whether an engine is too slow to count on it for the next step."""
         ...
@@ -229,6 +233,15 @@
             known.look_at_s = now_s + NEXT_LOOK_S
             self._spawn(self._look(target, model, known))
 
+    def _note_version(self, known: _Known, version: int) -> None:
+        """Take what an engine said of itself.
+
+        Its registration says the same a second later, or not at all while the store is away,
+        and the items that wait for the version would wait with it.
+        """
+        known.version = max(known.version, version)
+        self._work.note_version(*known.name, known.version)
+
     def _loaded(self, known: _Known) -> None:
         known.loading_version = 0
         self._work.loading.discard(known.name)
@@ -244,7 +257,7 @@
         now_s = asyncio.get_running_loop().time()
         if report is None or not known.loading_version:
             return
-        known.version = max(known.version, report.versions.get(model, 0))
+        self._note_version(known, report.versions.get(model, 0))
         self._orders_accepted[target.instance] = report.orders_accepted
         if known.version >= known.loading_version:
             self._loaded(known)
@@ -262,7 +275,7 @@
                 self._failed(known, REFUSED_REST_S)
                 return
             self._orders_accepted[target.instance] = report.orders_accepted
-            known.version = max(known.version, report.versions.get(model, 0))
+            self._note_version(known, report.versions.get(model, 0))
             if known.version >= version:
                 self._loaded(known)
                 return
@@ -293,7 +306,7 @@
                 self._orders_accepted[target.instance] = expected + 1
                 known.look_at_s = now_s + FIRST_LOOK_S
             case OrderOutcome.HOLDS:
-                known.version = max(known.version, version)
+                self._note_version(known, version)
                 self._loaded(known)
             case OrderOutcome.FENCED:
                 self._failed(known, REFUSED_REST_S)
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -279,6 +279,11 @@
         streamed = self._paces.of(target.instance).versions.get(model, 0)
         return max(target.versions.get(model, 1), streamed)
 
+    def note_version(self, instance: str, model: str, version: int) -> None:
+        """Take the version of a model that an engine itself reported."""
+        self._paces.of(instance).note_version(model, version)
+        self._wake.set()
+
     def _token_s(self) -> float:
         return self._paces.typical_event_s() / self._tokens_per_event()
 
--- a/tests/durable/test_orderer.py
+++ b/tests/durable/test_orderer.py
@@ -54,6 +54,10 @@
 
     def __init__(self) -> None:
         self.loading: set[tuple[str, str]] = set()
+        self.noted: dict[tuple[str, str], int] = {}
+
+    def note_version(self, instance: str, model: str, version: int) -> None:
+        self.noted[instance, model] = version
 
     def demand(self, model: str, named_version: int) -> ModelDemand:
         return ModelDemand(model, named_version, named_version - 1, named_version, 9)
@@ -70,6 +74,7 @@
 
 def make_orderer(
     engines: FakeEngines,
+    work: FakeWork | None = None,
     *,
     may_order: Callable[[float], bool] = lambda _s: True,
     follows_other: bool = False,
@@ -82,7 +87,8 @@
     )
     return Orderer(
         "svc", 41, "n1", 3.0, routes, targets, engines, Observer("n1"),
-        named=lambda _m: 2, may_order=may_order, work=FakeWork(), follows_other=follows_other,
+        named=lambda _m: 2, may_order=may_order, work=work or FakeWork(),
+        follows_other=follows_other,
     )  # fmt: skip
 
 
@@ -163,3 +169,14 @@
         await asyncio.gather(task, return_exceptions=True)
 
     asyncio.run(body())
+
+
+def test_what_an_engine_reports_reaches_the_planner_without_the_store() -> None:
+    """The store is away, so that engines can't register the version that they have loaded.
+
+    Items that accept only that version would wait for the store, beside engines that are
+    ready for them.
+    """
+    engines, work = FakeEngines(), FakeWork()
+    drive(make_orderer(engines, work), lambda: len(work.noted) == 3 and not work.loading)
+    assert set(work.noted.values()) == {2}
