--- a/samphirecleat/durable/_duty.py
+++ b/samphirecleat/durable/_duty.py
@@ -15,7 +15,7 @@
 from ._fold import Claim
 from ._journal import ProgressJournal
 from ._orderer import OrderChannel, Orderer
-from ._ports import GenerationChannel
+from ._ports import AppendOutcome, GenerationChannel
 from ._retention import drop_forgotten_steps
 from ._runner import StepRunner
 from ._scorer import Scorer
@@ -151,6 +151,10 @@
             return
         self._claimed_at_s[service] = now_s
         written = await self._step_log.claim(service, identity.node_id, identity.incarnation)
+        if written.outcome is AppendOutcome.NOT_APPENDED:
+            # No claim was made that another node's could take turns with. Until the fold is
+            # stale, which bounds the tries, the log may take the next one.
+            del self._claimed_at_s[service]
         self._words.info(
             "service=%s claimed after=%s/%s candidates=%d known=%d outcome=%s",
             service,
