Loads that keep runs go to busy engines; long texts are no longer kept together

Cause: an engine was only ordered to load when it ran nothing of the model. So only new items lack a place for the 0.9 s; where items wait, engines that can serve them are passed over. Long texts were kept together so that other engines would be idle; that has no purpose now, and neighbours slow a text down.

--- a/samphirecleat/durable/_item_run.py
+++ b/samphirecleat/durable/_item_run.py
@@ -33,7 +33,6 @@
     target: Target
     draft: Draft
     planned_tokens: int
-    is_long: bool
     task: asyncio.Task[None] | None = None
     events: int = 0
     move: bool = False
--- a/samphirecleat/durable/_orderer.py
+++ b/samphirecleat/durable/_orderer.py
@@ -190,14 +190,14 @@
         runs = {model: self._work.busy_by_engine(model) for model in models}
         views = [self._view(target.instance, models, runs, now_s) for target in serving.values()]
         demands = [self._work.demand(model, self._named(model)) for model in models]
-        named = {demand.model: demand.named_version for demand in demands}
+        by_model = {demand.model: demand for demand in demands}
         for load in decide_loads(views, demands):
             known = self._known[load.instance, load.model]
-            version = named[load.model]
-            known.loading_version = version
+            demand = by_model[load.model]
+            known.loading_version = demand.named_version
             known.look_at_s = now_s + ORDER_TIMEOUT_S + FIRST_LOOK_S
             self._work.loading.add(known.name)
-            self._spawn(self._give(serving[load.instance], load.model, version, known))
+            self._spawn(self._give(serving[load.instance], demand, known))
 
     def _view(
         self,
@@ -268,7 +268,8 @@
             self._work.loading.discard(known.name)
             known.rests_until_s = now_s + REFUSED_REST_S
 
-    async def _give(self, target: Target, model: str, version: int, known: _Known) -> None:
+    async def _give(self, target: Target, demand: ModelDemand, known: _Known) -> None:
+        model, version = demand.model, demand.named_version
         if target.instance not in self._orders_accepted:
             report = await self._channel.report(target)
             if report is None:
@@ -282,13 +283,10 @@
         if not self._may_order(CONFIRMED_WITHIN_S):
             self._failed(known, 0.0)
             return
-        keep = not any(
-            route.single_version
-            for route in self._routes.config.routes
-            if any(part.service == self._service for part in route.services)
-        )
         expected = self._orders_accepted.get(target.instance, 0)
-        order = Order(model, version, self._node_id, self._fencing_number, expected, keep)
+        order = Order(
+            model, version, self._node_id, self._fencing_number, expected, demand.keeps_runs
+        )
         outcome = await self._channel.order(target, order, ORDER_TIMEOUT_S)
         now_s = asyncio.get_running_loop().time()
         self._words.info(
--- a/samphirecleat/durable/_planner.py
+++ b/samphirecleat/durable/_planner.py
@@ -17,7 +17,7 @@
 GROWTH_SHARE: Final = 0.5
 # Engines whose runs differ by less than this count as equally busy.
 NEIGHBOUR_STEP: Final = 2
-# A text that takes longer than this keeps its engine from loading the next version.
+# Texts that take longer than this are planned for as long ones.
 LONG_S: Final = 2.0
 # With less time than this to spare an item without a place presses for one: a load takes
 # about a second, and its score a few tenths.
@@ -59,7 +59,6 @@
     slowness: float
     accepts: bool
     groups: frozenset[str]
-    long_runs: int = 0
 
 
 class Placement(NamedTuple):
@@ -128,7 +127,6 @@
         views[best.instance] = best._replace(
             running=best.running + 1,
             planned_tokens=best.planned_tokens + planned_tokens(item, is_long=is_long),
-            long_runs=best.long_runs + is_long,
             groups=best.groups | {item.group},
         )
     return placements
@@ -141,14 +139,11 @@
     if not fitting:
         return None
 
-    def cost(engine: EngineView) -> tuple[int, int, bool, int, bool]:
-        # Pace first, in coarse steps. Long texts then stay together on the engines that load
-        # last. Then few neighbours, since each slows the others down a little; then a prompt
-        # that was read there, which saves a millisecond.
+    def cost(engine: EngineView) -> tuple[int, int, bool]:
+        # Pace first, in coarse steps. Then few neighbours, since each slows the others down a
+        # little; then a prompt that was read there, which saves a millisecond.
         return (
             round(engine.slowness * 2.0),
-            -engine.versions.get(item.model, 0) if is_long else 0,
-            is_long and engine.long_runs == 0,
             engine.running // NEIGHBOUR_STEP,
             item.group not in engine.groups,
         )
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -213,11 +213,20 @@
             max([named_version - lag, *(spec.min_version for spec in steps)]),
             min(named_version, named_version + 1 - lag),
             self._engines_wanted(model),
+            not self._wants_single_version(),
             short is not None,
             short is not None and short.pressed,
             short.spare_s if short is not None else math.inf,
         )
 
+    def _wants_single_version(self) -> bool:
+        """Whether texts of this service must be made by one version throughout."""
+        return any(
+            route.single_version
+            for route in self._routes.config.routes
+            if any(part.service == self.service for part in route.services)
+        )
+
     def _engines_wanted(self, model: str) -> int:
         """Return how many engines a step of a model fills, by the latest ones."""
         known = [step for step in self._step_log.fold.steps.values() if step.spec.model == model]
@@ -269,7 +278,6 @@
                     self._paces.slowness(target.instance),
                     pace.rests_until_s <= now_s,
                     frozenset(pace.groups),
-                    sum(run.is_long for run in mine),
                 )
             )
         return views
@@ -312,7 +320,6 @@
             target,
             self._drafts.get(item.item_id),
             planned_tokens(plan, is_long=is_long),
-            is_long,
         )
         self._paces.of(target.instance).groups.add(item.group)
         self._runs[run.name] = run
--- a/samphirecleat/durable/_weight_orders.py
+++ b/samphirecleat/durable/_weight_orders.py
@@ -7,7 +7,9 @@
 need. So a model keeps as many engines ready for its next step as its work takes, and the
 others take the version after: each engine loads every second version. Loads go to the model
 whose waiting work has the least time left, then to the one that has the smallest part of its
-engines ready. A load holds up the runs of its own model and no others.
+engines ready. A load that keeps runs holds up none of them: only new items of its model find
+no place at that engine meanwhile, so engines that no item of the model can use go first. One
+that waits for the runs of its model goes to engines that run none of it.
 """
 
 import math
@@ -25,6 +27,7 @@
 
     Open steps accept ``needed_version`` and newer, the step after them ``next_version``,
     which is never above ``named_version``. ``wanted_engines`` is how many the next step takes.
+    ``keeps_runs`` says that runs go on under the version that their engine loads.
     An item ``waits`` if no engine has a version and a place for it; it is ``pressed`` if it
     will be late unless it starts soon. ``spare_s`` is what the most urgent of them has left.
     """
@@ -34,6 +37,7 @@
     needed_version: int
     next_version: int
     wanted_engines: int
+    keeps_runs: bool = True
     waits: bool = False
     pressed: bool = False
     spare_s: float = math.inf
@@ -108,20 +112,26 @@
         if not engine.loading
         and not engine.rests
         and engine.versions.get(model, 0) < min(behind_version, demand.named_version)
+        # Where items wait for places, a load would take some of them away.
+        and not (demand.waits and engine.versions.get(model, 0) >= demand.needed_version)
         and (
-            not engine.runs.get(model)
+            demand.keeps_runs
+            or not engine.runs.get(model)
             or (may_hold_up and engine.versions.get(model, 0) < demand.needed_version)
         )
     ]
     if not candidates:
         return None
 
-    def cost(engine: OrderableEngine) -> tuple[bool, int, int, int, str]:
+    def cost(engine: OrderableEngine) -> tuple[bool, int, bool, int, int, int, str]:
         # Models are spread over the engines, so that the first items of steps that are asked
         # for together do not meet at the same places.
         others = sum(_has(engine, d.model, d.next_version) for d in demands if d.model != model)
+        version = engine.versions.get(model, 0)
         runs = engine.runs.get(model, 0)
-        return (engine.slow, runs, others, engine.versions.get(model, 0), engine.instance)
+        held_up = 0 if demand.keeps_runs else runs
+        usable_now = version >= demand.needed_version
+        return (engine.slow, held_up, usable_now, others, version, runs, engine.instance)
 
     return urgency, Load(min(candidates, key=cost).instance, model)
 
