--- /dev/null
+++ b/samphirecleat/bench/_loads.py
@@ -0,0 +1,304 @@
+"""Loads of weights: which engine loads which model's version, replayed in simulated time.
+
+Trainers of several models share the engines. Each asks for its next step once the version
+that its last but one step led to is named, and a step accepts that version and the one
+before. The decision code of the holder gives the loads, that of the runner places the items;
+the baseline decides for each model by itself, as one would for a single one. No node, no
+socket and no clock takes part, so a seed gives the same figures each time.
+"""
+
+import math
+import random
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Final, NamedTuple
+
+from ..durable import (
+    EngineView,
+    Load,
+    ModelDemand,
+    OrderableEngine,
+    PendingItem,
+    decide_loads,
+    order_items,
+    place_items,
+    planned_tokens,
+    shortages,
+)
+from ._harness import BenchResult, BenchRow, run_repeats
+from ._planning import DUE_S, EVENT_S, EVERY_S, HINT_SPREAD, TOKEN_S, TOKENS_PER_EVENT, draw_events
+
+DEFAULT_SEED: Final = 7
+REPEATS: Final = 4
+# One site of today: engines, places and memory of each, three trainers.
+ENGINES: Final = 6
+PLACES: Final = 12
+MEMORY_TOKENS: Final = 116_068
+MODELS: Final = ("a", "b", "c")
+TRAIN_S: Final = 1.0
+GROUP_SIZE: Final = 4
+PROMPT_TOKENS: Final = 1_016
+# A load takes this long, and as many times longer as more than the knee load at once.
+LOAD_S: Final = 0.9
+KNEE: Final = 2
+GIVE_UP_S: Final = 12.0
+TICK_S: Final = 0.05
+END_S: Final = 40.0
+BASELINE_SHARE: Final = 0.4
+
+
+class LoadsPattern(NamedTuple):
+    """A load to replay: items a step, when nobody orders, when an engine is lost."""
+
+    name: str
+    items: int
+    no_orders_s: tuple[float, float] = (math.inf, math.inf)
+    lost_at_s: float = math.inf
+
+
+PATTERNS: Final[Sequence[LoadsPattern]] = (
+    LoadsPattern("calm", 20),
+    LoadsPattern("peak", 40),
+    LoadsPattern("the holder is cut off", 32, no_orders_s=(14.0, 21.0)),
+    LoadsPattern("an engine is lost", 32, lost_at_s=12.0),
+)
+
+Decide = Callable[[Sequence[OrderableEngine], Sequence[ModelDemand]], Sequence[Load]]
+
+
+def each_for_itself(
+    engines: Sequence[OrderableEngine], demands: Sequence[ModelDemand]
+) -> Sequence[Load]:
+    """Load every version to every engine that runs nothing of the model, model by model."""
+    free = max(1, int(len(engines) * BASELINE_SHARE))
+    free -= sum(bool(engine.loading) for engine in engines)
+    loads: list[Load] = []
+    taken = {engine.instance for engine in engines if engine.loading}
+    for demand in demands:
+        for engine in engines:
+            behind = engine.versions[demand.model] < demand.named_version
+            idle = not engine.runs.get(demand.model)
+            if len(loads) < free and behind and idle and engine.instance not in taken:
+                loads.append(Load(engine.instance, demand.model))
+                taken.add(engine.instance)
+    return loads
+
+
+VARIANTS: Final[Mapping[str, Decide]] = {
+    "all models together": decide_loads,
+    "each for itself": each_for_itself,
+}
+
+
+@dataclass
+class _Item:
+    step: "_Step"
+    item_id: str
+    events: int
+    hint_tokens: int
+    made: float = 0.0
+    engine: str = ""
+
+    @property
+    def whole(self) -> bool:
+        return self.made >= self.events
+
+
+@dataclass
+class _Step:
+    model: str
+    number: int
+    asked_at_s: float
+    items: list[_Item] = field(default_factory=list)
+    ended_at_s: float = math.inf
+    longest_wait_s: float = 0.0
+
+    @property
+    def min_version(self) -> int:
+        return max(1, self.number - 1)
+
+
+@dataclass
+class _Engine:
+    instance: str
+    versions: dict[str, int]
+    loading: str = ""
+    loading_version: int = 0
+    load_left_s: float = 0.0
+
+
+class LoadsReplay:
+    """One load pattern under one way to decide the loads."""
+
+    def __init__(self, pattern: LoadsPattern, decide: Decide, seed: int) -> None:
+        """Draw lengths and hints from ``seed``, the same for every way to decide."""
+        self._pattern = pattern
+        self._decide = decide
+        # One generator a model: what one trainer gets does not depend on the others' pace.
+        self._rngs = {model: random.Random(f"{seed}{model}") for model in MODELS}
+        self._named = dict.fromkeys(MODELS, 1)
+        self._engines = [_Engine(f"e{at}", dict.fromkeys(MODELS, 1)) for at in range(ENGINES)]
+        self._short: Mapping[str, float] = {}
+        self.now_s = 0.0
+        self.steps: list[_Step] = []
+        self.loads = 0
+
+    def run(self) -> Mapping[str, float]:
+        """Play the pattern to its end and return its figures."""
+        while self.now_s < END_S:
+            if self.now_s >= self._pattern.lost_at_s and len(self._engines) == ENGINES:
+                self._lose_engine()
+            self._name_and_ask()
+            self._place()
+            start_s, end_s = self._pattern.no_orders_s
+            if not start_s <= self.now_s < end_s:
+                self._order()
+            self._advance()
+            self.now_s += TICK_S
+        ended = [step for step in self.steps if step.ended_at_s < math.inf]
+        in_time = sum(step.ended_at_s - step.asked_at_s <= DUE_S for step in ended)
+        owed = len(MODELS) * int(END_S / EVERY_S)
+        return {
+            "in_time": in_time / owed,
+            "longest_wait_s": max(step.longest_wait_s for step in self.steps),
+            "loads": float(self.loads),
+        }
+
+    def _lose_engine(self) -> None:
+        lost = self._engines.pop()
+        for item in self._runs():
+            if item.engine == lost.instance:
+                item.engine = ""
+
+    def _runs(self) -> Sequence[_Item]:
+        return [i for step in self._open() for i in step.items if i.engine and not i.whole]
+
+    def _open(self) -> Sequence[_Step]:
+        return [step for step in self.steps if step.ended_at_s == math.inf]
+
+    def _name_and_ask(self) -> None:
+        for model in MODELS:
+            mine = [step for step in self.steps if step.model == model]
+            trained = sum(step.ended_at_s + TRAIN_S <= self.now_s for step in mine)
+            self._named[model] = 1 + trained
+            number = len(mine)
+            if self.now_s >= EVERY_S * number and self._named[model] >= max(1, number):
+                self.steps.append(self._draw_step(model, number))
+
+    def _draw_step(self, model: str, number: int) -> _Step:
+        rng = self._rngs[model]
+        step = _Step(model, number, self.now_s)
+        for at in range(self._pattern.items):
+            events = draw_events(rng)
+            hint = events * rng.lognormvariate(0.0, HINT_SPREAD) * TOKENS_PER_EVENT
+            step.items.append(_Item(step, f"{model}{number}-{at}", events, max(64, int(hint))))
+        return step
+
+    def _place(self) -> None:
+        waiting = {i.item_id: i for s in self._open() for i in s.items if not i.engine}
+        pending = [self._pending(item) for item in waiting.values()]
+        ordered = order_items(pending, {}, TOKEN_S)
+        placements = place_items(ordered, self._engine_views(), TOKEN_S)
+        short = shortages(ordered, placements, TOKEN_S)
+        self._short = {model: shortage.spare_s for model, shortage in short.items()}
+        for placement in placements:
+            item = waiting[placement.item.item_id]
+            item.engine = placement.instance
+            if not item.made:
+                waited_s = self.now_s - item.step.asked_at_s
+                item.step.longest_wait_s = max(item.step.longest_wait_s, waited_s)
+
+    def _pending(self, item: _Item) -> PendingItem:
+        made_tokens = int(item.made) * TOKENS_PER_EVENT
+        group = f"{item.step.model}{item.step.number}-{int(item.item_id.split('-')[1]) // 4}"
+        return PendingItem(
+            f"{item.step.model}{item.step.number}",
+            item.item_id,
+            group,
+            item.step.asked_at_s + DUE_S - self.now_s,
+            False,
+            max(TOKENS_PER_EVENT, item.hint_tokens - made_tokens),
+            PROMPT_TOKENS + made_tokens,
+            item.step.min_version,
+            item.step.model,
+        )
+
+    def _engine_views(self) -> Sequence[EngineView]:
+        runs = self._runs()
+        views = []
+        for engine in self._engines:
+            mine = [run for run in runs if run.engine == engine.instance]
+            versions = {m: v for m, v in engine.versions.items() if m != engine.loading}
+            planned = sum(planned_tokens(self._pending(run), is_long=False) for run in mine)
+            views.append(
+                EngineView(
+                    engine.instance, versions, PLACES, MEMORY_TOKENS, len(mine), planned, 1.0,
+                    True, frozenset(),
+                )
+            )  # fmt: skip
+        return views
+
+    def _order(self) -> None:
+        runs = self._runs()
+        views = []
+        for engine in self._engines:
+            mine = [run.step.model for run in runs if run.engine == engine.instance]
+            counts = {model: mine.count(model) for model in MODELS}
+            views.append(
+                OrderableEngine(engine.instance, dict(engine.versions), counts, engine.loading)
+            )
+        demands = [self._demand(model) for model in MODELS if self._named[model] > 1]
+        by_name = {engine.instance: engine for engine in self._engines}
+        for load in self._decide(views, demands):
+            engine = by_name[load.instance]
+            engine.loading, engine.load_left_s = load.model, LOAD_S
+            engine.loading_version = self._named[load.model]
+            self.loads += 1
+
+    def _demand(self, model: str) -> ModelDemand:
+        named = self._named[model]
+        oldest = [step.min_version for step in self._open() if step.model == model]
+        spare_s = self._short.get(model, math.inf)
+        wanted = max(2, math.ceil(self._pattern.items / PLACES))
+        return ModelDemand(
+            model, named, max([named - 1, *oldest]), named, wanted, True,
+            spare_s < math.inf, spare_s < 2.5, spare_s,
+        )  # fmt: skip
+
+    def _advance(self) -> None:
+        loading = [engine for engine in self._engines if engine.loading]
+        for engine in loading:
+            engine.load_left_s -= TICK_S * min(1.0, KNEE / len(loading))
+            if engine.load_left_s <= 0.0:
+                engine.versions[engine.loading] = engine.loading_version
+                engine.loading = ""
+        for item in self._runs():
+            item.made += TICK_S / EVENT_S
+        for step in self._open():
+            age_s = self.now_s - step.asked_at_s
+            if all(item.whole for item in step.items) or age_s >= GIVE_UP_S:
+                step.ended_at_s = self.now_s
+                if not all(item.engine for item in step.items):
+                    step.longest_wait_s = max(step.longest_wait_s, age_s)
+
+
+async def run(seed: int) -> BenchResult:
+    """Replay every pattern under every way to decide."""
+    rows: list[BenchRow] = []
+    for name, decide in VARIANTS.items():
+        figures: dict[str, float] = {}
+        for pattern in PATTERNS:
+
+            async def run_once(
+                at: int, pattern: LoadsPattern = pattern, decide: Decide = decide
+            ) -> Mapping[str, float]:
+                return LoadsReplay(pattern, decide, at).run()
+
+            row = await run_repeats(name, run_once, seed, REPEATS)
+            figures |= {f"{pattern.name}: {key}": value for key, value in row.figures.items()}
+        rows.append(BenchRow(name, REPEATS, figures))
+    note = (
+        f"steps of three models on {ENGINES} engines with {PLACES} places, one each {EVERY_S} s; "
+        f"in time: share of the steps owed that were whole within {DUE_S} s"
+    )
+    return BenchResult("loads", seed, rows, note)
--- a/samphirecleat/bench/_registry.py
+++ b/samphirecleat/bench/_registry.py
@@ -8,6 +8,7 @@
 
 BENCH_MODULES: Final[Mapping[str, str]] = {
     "planning": "_planning",
+    "loads": "_loads",
     "routing": "_routing",
     "limits": "_limits",
     "retries": "_retries",
--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -8,7 +8,15 @@
 from ._listing import Written
 from ._meeting_point import MeetingPoint
 from ._orderer import EngineReport, Order, OrderChannel, OrderOutcome
-from ._planner import EngineView, PendingItem, Placement, order_items, place_items, planned_tokens
+from ._planner import (
+    EngineView,
+    PendingItem,
+    Placement,
+    order_items,
+    place_items,
+    planned_tokens,
+    shortages,
+)
 from ._ports import (
     READ_BYTES,
     UNCONDITIONAL,
@@ -41,6 +49,7 @@
 from ._scorer import Scorer
 from ._step_log import StepLog
 from ._texts import TextShelf
+from ._weight_orders import Load, ModelDemand, OrderableEngine, decide_loads
 
 __all__ = [
     "READ_BYTES",
@@ -60,13 +69,16 @@
     "ItemSpec",
     "KeyedLog",
     "ListedResult",
+    "Load",
     "LogEntry",
     "LogSlice",
     "LogUnavailableError",
     "MeetingPoint",
+    "ModelDemand",
     "Order",
     "OrderChannel",
     "OrderOutcome",
+    "OrderableEngine",
     "PendingItem",
     "Piece",
     "Placement",
@@ -88,8 +100,10 @@
     "TextShelf",
     "TopicFollower",
     "Written",
+    "decide_loads",
     "order_items",
     "place_items",
     "planned_tokens",
     "reading_pause_s",
+    "shortages",
 ]
