--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -1,7 +1,6 @@
 """Runs the items of a service's steps on its engines, scores them and has them listed."""
 
 import asyncio
-import math
 from collections.abc import Mapping, Sequence
 from typing import Final
 
@@ -25,8 +24,10 @@
 from ._ports import GenerationChannel, GenerationEnd, GenerationError
 from ._records import FinishedItem, ItemSpec
 from ._scorer import Scorer
+from ._service_view import ServiceView
 from ._step_log import StepLog
-from ._weight_orders import LEAST_READY, ModelDemand
+from ._weight_demand import allowed_lag, engines_wanted, model_demand
+from ._weight_orders import ModelDemand
 
 # Without news the plan is made anew this often: targets and versions change on their own.
 PLAN_EVERY_S: Final = 0.05
@@ -46,10 +47,6 @@
 REFUSAL_REST_S: Final = 0.1
 # The same item waits this long after a failed run.
 ITEM_REST_S: Final = 0.05
-# A model's work is the largest of so many of its latest steps.
-STEPS_REMEMBERED: Final = 3
-# The memory of an engine whose configuration names none.
-UNBOUNDED_TOKENS: Final = 1 << 40
 
 
 class StepRunner:
@@ -76,6 +73,7 @@
         self._scorer = scorer
         self._observer = observer
         self._words = observer.log("runner")
+        self._view = ServiceView(service, routes, targets)
         self._runs: dict[tuple[str, str], ItemRun] = {}
         self._scoring: dict[tuple[str, str], asyncio.Task[None]] = {}
         self._handed_in: set[tuple[str, str]] = set()
@@ -184,7 +182,7 @@
     def _pending(
         self, step: StepState, item: ItemSpec, due_in_s: float, draft: Draft
     ) -> PendingItem:
-        made = draft.last_event_id * self._tokens_per_event()
+        made = draft.last_event_id * self._view.tokens_per_event
         expected = max(LEAST_EXPECTED_TOKENS, item.expected_tokens - made)
         return PendingItem(
             step.spec.step_id,
@@ -200,54 +198,24 @@
 
     def demand(self, model: str, named_version: int) -> ModelDemand:
         """Return what the open steps of a model, and the next one, ask of the engines."""
-        steps = [step.spec for step, _route in self._my_steps() if step.spec.model == model]
-        if steps:
-            newest = max(steps, key=lambda spec: spec.number)
-            # Step k is asked for at version k, or at 1 for the first ones.
-            self._allowed_lags[model] = max(0, max(1, newest.number) - newest.min_version)
-        lag = self._allowed_lags.get(model, 0)
-        short = self._short.get(model)
-        return ModelDemand(
+        open_steps = [step for step, _route in self._my_steps() if step.spec.model == model]
+        lag = allowed_lag(open_steps, self._allowed_lags.get(model, 0))
+        self._allowed_lags[model] = lag
+        known = [step for step in self._step_log.fold.steps.values() if step.spec.model == model]
+        return model_demand(
             model,
             named_version,
-            max([named_version - lag, *(spec.min_version for spec in steps)]),
-            min(named_version, named_version + 1 - lag),
-            self._engines_wanted(model),
-            not self._wants_single_version(),
-            short is not None,
-            short is not None and short.pressed,
-            short.spare_s if short is not None else math.inf,
-        )
-
-    def _wants_single_version(self) -> bool:
-        """Whether texts of this service must be made by one version throughout."""
-        return any(
-            route.single_version
-            for route in self._routes.config.routes
-            if any(part.service == self.service for part in route.services)
+            lag,
+            open_steps,
+            engines_wanted(known, self._view.most_places),
+            keeps_runs=not self._view.wants_single_version,
+            shortage=self._short.get(model),
         )
 
-    def _engines_wanted(self, model: str) -> int:
-        """Return how many engines a step of a model fills, by the latest ones."""
-        known = [step for step in self._step_log.fold.steps.values() if step.spec.model == model]
-        latest = sorted(known, key=lambda step: step.folded_at_s)[-STEPS_REMEMBERED:]
-        items = max((len(step.items) for step in latest), default=0)
-        return max(LEAST_READY, math.ceil(items / self._places()))
-
-    def _places(self) -> int:
-        spec = self._routes.config.services.get(self.service)
-        if spec is not None and spec.engine is not None:
-            return max(1, spec.engine.slots)
-        return max([1, *(target.slots for target in self._targets.serving(self.service))])
-
     def is_slow(self, instance: str) -> bool:
         """Whether an engine is too slow for a run to move there."""
         return self._paces.slowness(instance) >= MOVE_TO_SLOWNESS
 
-    def _tokens_per_event(self) -> int:
-        spec = self._routes.config.services.get(self.service)
-        return spec.engine.tokens_per_event if spec is not None and spec.engine else 1
-
     def _give_up_old(self, step: StepState, item: ItemSpec, route: Route, now_s: float) -> bool:
         """List an item as dead that may be given up by its age; True if it was."""
         if route.retention_s <= 0.0 or now_s - step.folded_at_s < route.retention_s:
@@ -256,23 +224,21 @@
         return True
 
     def _engine_views(self, now_s: float) -> Sequence[EngineView]:
-        spec = self._routes.config.services.get(self.service)
-        engine = spec.engine if spec is not None else None
         views = []
         for target in self._targets.serving(self.service):
             pace = self._paces.of(target.instance)
             mine = [run for run in self._runs.values() if run.target.instance == target.instance]
             versions = {
                 model: self.version_of(target, model)
-                for model in (engine.models if engine is not None else target.versions)
+                for model in self._view.models(target)
                 if (target.instance, model) not in self.loading
             }
             views.append(
                 EngineView(
                     target.instance,
                     versions,
-                    engine.slots if engine is not None else max(1, target.slots),
-                    engine.memory_tokens if engine is not None else UNBOUNDED_TOKENS,
+                    self._view.places(target),
+                    self._view.memory_tokens,
                     len(mine),
                     sum(run.planned_tokens for run in mine),
                     self._paces.slowness(target.instance),
@@ -293,7 +259,7 @@
         self._wake.set()
 
     def _token_s(self) -> float:
-        return self._paces.typical_event_s() / self._tokens_per_event()
+        return self._paces.typical_event_s() / self._view.tokens_per_event
 
     def _cancel_unwanted(self, wanted: set[str]) -> None:
         for (step_id, item_id), run in list(self._runs.items()):
--- /dev/null
+++ b/tests/durable/test_weight_demand.py
@@ -0,0 +1,69 @@
+"""What a model's steps ask of the engines."""
+
+import math
+
+import pytest
+
+from samphirecleat.durable import StepState
+from samphirecleat.durable._planner import Shortage
+from samphirecleat.durable._weight_demand import allowed_lag, engines_wanted, model_demand
+
+from .steps import step
+
+
+def state(number: int, min_version: int, items: int = 4) -> StepState:
+    spec = step(f"s{number}", items, number=number, min_version=min_version)
+    by_name = {row.item_id: row for row in spec.items}
+    return StepState(spec, number, float(number), by_name, set(), 2, dict(by_name))
+
+
+@pytest.mark.parametrize(
+    ("steps", "before", "want"),
+    [
+        ([], 1, 1),
+        ([state(0, 1)], 0, 0),
+        ([state(5, 4)], 0, 1),
+        ([state(4, 4), state(5, 3)], 0, 2),
+        ([state(5, 6)], 1, 0),
+    ],
+    ids=["none open", "the first", "one less", "by the newest", "never negative"],
+)
+def test_the_lag_that_steps_allow_is_learned(
+    steps: list[StepState], before: int, want: int
+) -> None:
+    assert allowed_lag(steps, before) == want
+
+
+@pytest.mark.parametrize(
+    ("sizes", "want"), [([], 2), ([4], 2), ([25], 3), ([60, 4, 4, 13], 2), ([4, 60, 4, 13], 5)]
+)
+def test_a_step_of_the_latest_size_finds_its_places(sizes: list[int], want: int) -> None:
+    steps = [state(number, 1, size) for number, size in enumerate(sizes)]
+    assert engines_wanted(steps, 12) == want
+
+
+@pytest.mark.parametrize(
+    ("named", "lag", "open_steps", "needed", "coming"),
+    [
+        (7, 1, [state(7, 6)], 6, 7),
+        (7, 1, [], 6, 7),
+        (7, 0, [state(7, 7)], 7, 7),
+        (7, 2, [state(7, 5)], 5, 6),
+        (6, 1, [state(7, 6)], 6, 6),
+    ],
+    ids=["one less", "no step open", "the newest only", "two less", "named but not heard of"],
+)
+def test_what_open_and_coming_steps_accept(
+    named: int, lag: int, open_steps: list[StepState], needed: int, coming: int
+) -> None:
+    demand = model_demand("m", named, lag, open_steps, 2, keeps_runs=True, shortage=None)
+    assert (demand.needed_version, demand.next_version) == (needed, coming)
+    assert not demand.waits
+    assert demand.spare_s == math.inf
+
+
+def test_a_shortage_is_told() -> None:
+    demand = model_demand("m", 7, 1, [], 2, keeps_runs=False, shortage=Shortage(1.0))
+    assert demand.waits
+    assert demand.pressed
+    assert not demand.keeps_runs
