--- /dev/null
+++ b/tests/durable/test_duty.py
@@ -0,0 +1,84 @@
+"""A node's claims while the log answers badly."""
+
+import asyncio
+import random
+from typing import cast
+
+import pytest
+
+from samphirecleat.blackboard import Blackboard, Identity, Member, MemberView
+from samphirecleat.durable import (
+    GenerationChannel,
+    OrderChannel,
+    PlainLog,
+    ProgressJournal,
+    Scorer,
+    ServiceDuty,
+    StepLog,
+)
+from samphirecleat.observe import Observer
+from samphirecleat.serving import (
+    CallerLimits,
+    EngineSpec,
+    RouteTable,
+    RoutingConfig,
+    ServiceSpec,
+    TargetTable,
+)
+
+from ..fleets import until
+from .memory_log import MemoryLog
+
+
+def make_duty(step_log: StepLog) -> ServiceDuty:
+    """Return the duty of the only node, which is ready; nothing can be restored."""
+    identity = Identity("n1", "inc00001", "z", "", "")
+    row = Member("n1", "inc00001", 1, "z", "", "", 1, False, True, 1, 0, 0)
+    board = Blackboard(identity, members={"n1": MemberView(row, 0.0, True)})
+    routes = RouteTable()
+    spec = ServiceSpec("svc", "", 10, EngineSpec(12, 40_000, ["m"]))
+    routes.put(RoutingConfig(1, (), {"svc": spec}, CallerLimits()))
+    observer = Observer("n1")
+    return ServiceDuty(
+        board,
+        step_log,
+        routes,
+        TargetTable("z"),
+        cast(GenerationChannel, None),
+        cast(OrderChannel, None),
+        cast(Scorer, None),
+        ProgressJournal(cast(PlainLog, None), observer),
+        observer,
+        random.Random(1),
+        started_at_ms=1,
+        lease_s=3.0,
+        named=lambda _model: 1,
+    )
+
+
+def test_a_claim_that_the_log_refused_is_made_again_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The log refuses a claim while it comes back, and is up for only a second after that.
+
+    A node that paused as between two claims that took effect would miss that second, and the
+    steps would wait for the end of the log's next absence.
+    """
+
+    # With the pause no second claim would come while the test waits.
+    monkeypatch.setattr("samphirecleat.durable._election.CLAIM_PAUSE_S", 1e6)
+
+    async def body() -> int:
+        log = MemoryLog()
+        step_log = StepLog(log, "inc00001", Observer("n1"), random.Random(1))
+        following = asyncio.ensure_future(step_log.run())
+        await until(lambda: step_log.caught_up)
+        log.topic("keyed.steps").answers = ["refused", "refused"]
+        working = asyncio.ensure_future(make_duty(step_log).run())
+        await until(lambda: "svc" in step_log.fold.claims)
+        for task in (working, following):
+            task.cancel()
+        await asyncio.gather(working, following, return_exceptions=True)
+        return log.topic("keyed.steps").appends
+
+    assert asyncio.run(body()) == 3
