--- a/samphirecleat/cli.py
+++ b/samphirecleat/cli.py
@@ -91,10 +91,11 @@
     }
     # The daemon has little memory: it must not load the trial and the stand-ins.
     if sys.argv[1:2] != ["node"]:
+        from .explain import explain_command
         from .standins import standin_command
         from .trial import try_command
 
-        by_name.update({"standin": standin_command, "try": try_command})
+        by_name.update({"explain": explain_command, "standin": standin_command, "try": try_command})
     fire.Fire(by_name, name="samphirecleat")
 
 
--- /dev/null
+++ b/samphirecleat/explain/_command.py
@@ -0,0 +1,99 @@
+"""The command ``explain``: thin, over the readers of this package."""
+
+import sys
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Final
+
+from tabulate import tabulate
+
+from ._gaps import Gap, GapCause, gaps_of
+from ._lines import LogReading, read_lines
+from ._trace import FleetTrace, StepTrace, trace_steps
+
+EXIT_BAD_INPUT: Final = 2
+STANDARD_INPUT: Final = "-"
+
+
+def explain_command(*logs: str) -> None:
+    """Print where each step's time went, from nodes' logs; ``-`` reads standard input.
+
+    Exit code 2: a file can't be read, or no line of the logs is one of a node.
+    """
+    try:
+        reading = read_lines(_sources(logs or (STANDARD_INPUT,)))
+    except (OSError, UnicodeError) as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_BAD_INPUT)
+    if not reading.lines:
+        print("no line of a node's log was found", *reading.faults, sep="\n", file=sys.stderr)
+        sys.exit(EXIT_BAD_INPUT)
+    print(render(reading))
+
+
+def render(reading: LogReading) -> str:
+    """Return the tables of steps and of causes, and what could not be read."""
+    fleet = trace_steps(reading.lines)
+    began_s = reading.lines[0].time_s
+    steps = sorted(
+        (step for step in fleet.steps.values() if step.accepted_s is not None),
+        key=lambda step: step.accepted_s or 0.0,
+    )
+    by_step = {step.step_id: gaps_of(step, fleet) for step in steps}
+    parts = [
+        tabulate(
+            [_step_row(step, by_step[step.step_id], began_s) for step in steps],
+            headers=["step", "accepted_s", "items", "whole", "ended_s", "longest gap", "cause"],
+            floatfmt=".2f",
+        ),
+        tabulate(
+            _cause_rows(by_step.values()), headers=["cause", "steps", "seconds"], floatfmt=".2f"
+        ),
+        _lost(reading, fleet),
+    ]
+    return "\n\n".join(part for part in parts if part)
+
+
+def _sources(logs: Sequence[str]) -> Iterator[tuple[str, Iterable[str]]]:
+    for name in logs:
+        if name == STANDARD_INPUT:
+            yield "standard input", sys.stdin
+            continue
+        with open(name, encoding="utf-8", errors="replace") as file:
+            yield name, file
+
+
+def _step_row(step: StepTrace, gaps: Sequence[Gap], began_s: float) -> Sequence[object]:
+    accepted_s = step.accepted_s or 0.0
+    whole = sum(item.completed_s is not None for item in step.items.values())
+    ended = f"{step.ended_s - accepted_s:.2f}" if step.ended_s is not None else "open"
+    longest = max(gaps, key=lambda gap: gap.length_s, default=None)
+    told = (f"{longest.length_s:.2f}", _cause_words(longest)) if longest else ("", "")
+    return (step.step_id, accepted_s - began_s, step.item_count, whole, ended, *told)
+
+
+def _cause_words(gap: Gap) -> str:
+    return f"{gap.cause.value} ({gap.detail})" if gap.detail else gap.cause.value
+
+
+def _cause_rows(gaps_by_step: Iterable[Sequence[Gap]]) -> Sequence[tuple[str, int, float]]:
+    steps: dict[GapCause, int] = defaultdict(int)
+    seconds: dict[GapCause, float] = defaultdict(float)
+    for gaps in gaps_by_step:
+        for cause in {gap.cause for gap in gaps}:
+            steps[cause] += 1
+        for gap in gaps:
+            seconds[gap.cause] += gap.length_s
+    ordered = sorted(steps, key=lambda cause: seconds[cause], reverse=True)
+    return [(cause.value, steps[cause], seconds[cause]) for cause in ordered]
+
+
+def _lost(reading: LogReading, fleet: FleetTrace) -> str:
+    words = []
+    unknown = sum(step.accepted_s is None for step in fleet.steps.values())
+    if unknown:
+        words.append(f"{unknown} steps were accepted before these logs begin and are left out.")
+    if reading.malformed:
+        words.append(f"{reading.malformed} lines are no lines of a node's log, the first:")
+        words.extend(f"  {fault}" for fault in reading.faults)
+    return "\n".join(words)
--- a/tests/durable/test_duty.py
+++ b/tests/durable/test_duty.py
@@ -64,7 +64,6 @@
     A node that paused as between two claims that took effect would miss that second, and the
     steps would wait for the end of the log's next absence.
     """
-
     # With the pause no second claim would come while the test waits.
     monkeypatch.setattr("samphirecleat.durable._election.CLAIM_PAUSE_S", 1e6)
 
--- /dev/null
+++ b/tests/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of explaining logs."""
