One rule each for what is over, wanted, hinted and why a gap was

The holder cleared a load's state in three places, the loads bench wrote the demand of a model and the drawing of hints again beside the product's and the planning bench's, and explain asked twice whether a runner changed.

--- a/samphirecleat/bench/_loads.py
+++ b/samphirecleat/bench/_loads.py
@@ -19,14 +19,25 @@
     ModelDemand,
     OrderableEngine,
     PendingItem,
+    Shortage,
     decide_loads,
+    engines_for,
+    model_demand,
     order_items,
     place_items,
     planned_tokens,
     shortages,
 )
 from ._harness import BenchResult, BenchRow, run_repeats
-from ._planning import DUE_S, EVENT_S, EVERY_S, HINT_SPREAD, TOKEN_S, TOKENS_PER_EVENT, draw_events
+from ._planning import (
+    DUE_S,
+    EVENT_S,
+    EVERY_S,
+    TOKEN_S,
+    TOKENS_PER_EVENT,
+    draw_events,
+    draw_hint_tokens,
+)
 
 DEFAULT_SEED: Final = 7
 REPEATS: Final = 4
@@ -138,7 +149,7 @@
         self._rngs = {model: random.Random(f"{seed}{model}") for model in MODELS}
         self._named = dict.fromkeys(MODELS, 1)
         self._engines = [_Engine(f"e{at}", dict.fromkeys(MODELS, 1)) for at in range(ENGINES)]
-        self._short: Mapping[str, float] = {}
+        self._short: Mapping[str, Shortage] = {}
         self.now_s = 0.0
         self.steps: list[_Step] = []
         self.loads = 0
@@ -190,8 +201,8 @@
         step = _Step(model, number, self.now_s)
         for at in range(self._pattern.items):
             events = draw_events(rng)
-            hint = events * rng.lognormvariate(0.0, HINT_SPREAD) * TOKENS_PER_EVENT
-            step.items.append(_Item(step, f"{model}{number}-{at}", events, max(64, int(hint))))
+            hint_tokens = draw_hint_tokens(rng, events)
+            step.items.append(_Item(step, f"{model}{number}-{at}", events, hint_tokens))
         return step
 
     def _place(self) -> None:
@@ -199,8 +210,7 @@
         pending = [self._pending(item) for item in waiting.values()]
         ordered = order_items(pending, {}, TOKEN_S)
         placements = place_items(ordered, self._engine_views(), TOKEN_S)
-        short = shortages(ordered, placements, TOKEN_S)
-        self._short = {model: shortage.spare_s for model, shortage in short.items()}
+        self._short = shortages(ordered, placements, TOKEN_S)
         for placement in placements:
             item = waiting[placement.item.item_id]
             item.engine = placement.instance
@@ -210,7 +220,9 @@
 
     def _pending(self, item: _Item) -> PendingItem:
         made_tokens = int(item.made) * TOKENS_PER_EVENT
-        group = f"{item.step.model}{item.step.number}-{int(item.item_id.split('-')[1]) // 4}"
+        group = (
+            f"{item.step.model}{item.step.number}-{int(item.item_id.split('-')[1]) // GROUP_SIZE}"
+        )
         return PendingItem(
             f"{item.step.model}{item.step.number}",
             item.item_id,
@@ -256,14 +268,15 @@
             self.loads += 1
 
     def _demand(self, model: str) -> ModelDemand:
-        named = self._named[model]
-        oldest = [step.min_version for step in self._open() if step.model == model]
-        spare_s = self._short.get(model, math.inf)
-        wanted = max(2, math.ceil(self._pattern.items / PLACES))
-        return ModelDemand(
-            model, named, max([named - 1, *oldest]), named, wanted, True,
-            spare_s < math.inf, spare_s < 2.5, spare_s,
-        )  # fmt: skip
+        return model_demand(
+            model,
+            self._named[model],
+            1,
+            [step.min_version for step in self._open() if step.model == model],
+            engines_for(self._pattern.items, PLACES),
+            keeps_runs=True,
+            shortage=self._short.get(model),
+        )
 
     def _advance(self) -> None:
         loading = [engine for engine in self._engines if engine.loading]
--- a/samphirecleat/bench/_planning.py
+++ b/samphirecleat/bench/_planning.py
@@ -191,9 +191,9 @@
             step.left[name] = GROUP_SIZE
             for number_in_group in range(GROUP_SIZE):
                 events = draw_events(self._rng)
-                hint = events * self._rng.lognormvariate(0.0, HINT_SPREAD) * TOKENS_PER_EVENT
+                hint_tokens = draw_hint_tokens(self._rng, events)
                 step.items.append(
-                    _Item(step, f"{name}-{number_in_group}", name, events, max(64, int(hint)))
+                    _Item(step, f"{name}-{number_in_group}", name, events, hint_tokens)
                 )
         return step
 
@@ -297,6 +297,13 @@
                 item.engine = -1
 
 
+def draw_hint_tokens(rng: random.Random, events: int) -> int:
+    """Draw what is told beforehand of a text's length: right at the median, often far off."""
+    return max(
+        TOKENS_PER_EVENT, int(events * rng.lognormvariate(0.0, HINT_SPREAD) * TOKENS_PER_EVENT)
+    )
+
+
 def draw_events(rng: random.Random) -> int:
     """Draw a text's length in events."""
     mean = MEAN_EVENTS / (1.0 + TAIL_SHARE * (TAIL_TIMES - 1.0))
--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -12,6 +12,7 @@
     EngineView,
     PendingItem,
     Placement,
+    Shortage,
     order_items,
     place_items,
     planned_tokens,
@@ -49,6 +50,7 @@
 from ._scorer import Scorer
 from ._step_log import StepLog
 from ._texts import TextShelf
+from ._weight_demand import engines_for, model_demand
 from ._weight_orders import Load, ModelDemand, OrderableEngine, decide_loads
 
 __all__ = [
@@ -89,6 +91,7 @@
     "RunnerClaimed",
     "Scorer",
     "ServiceDuty",
+    "Shortage",
     "StepAccepted",
     "StepAccess",
     "StepEnded",
@@ -101,6 +104,8 @@
     "TopicFollower",
     "Written",
     "decide_loads",
+    "engines_for",
+    "model_demand",
     "order_items",
     "place_items",
     "planned_tokens",
--- a/samphirecleat/durable/_orderer.py
+++ b/samphirecleat/durable/_orderer.py
@@ -228,7 +228,7 @@
             self._work.loading.discard(name)
         known.version = max(known.version, self._work.version_of(target, model))
         if known.loading_version and known.version >= known.loading_version:
-            self._loaded(known)
+            self._load_over(known)
         if known.loading_version and known.look_at_s <= now_s:
             known.look_at_s = now_s + NEXT_LOOK_S
             self._spawn(self._look(target, model, known))
@@ -242,7 +242,7 @@
         known.version = max(known.version, version)
         self._work.note_version(*known.name, known.version)
 
-    def _loaded(self, known: _Known) -> None:
+    def _load_over(self, known: _Known) -> None:
         known.loading_version = 0
         self._work.loading.discard(known.name)
 
@@ -254,19 +254,16 @@
     async def _look(self, target: Target, model: str, known: _Known) -> None:
         """Ask an engine how far its load is."""
         report = await self._channel.report(target)
-        now_s = asyncio.get_running_loop().time()
         if report is None or not known.loading_version:
             return
         self._note_version(known, report.versions.get(model, 0))
         self._orders_accepted[target.instance] = report.orders_accepted
         if known.version >= known.loading_version:
-            self._loaded(known)
+            self._load_over(known)
         elif not report.busy:
             # Nothing is being loaded: the order was not taken, or is still to come; in
             # that case its condition fails once the next one was taken.
-            known.loading_version = 0
-            self._work.loading.discard(known.name)
-            known.rests_until_s = now_s + REFUSED_REST_S
+            self._failed(known, REFUSED_REST_S)
 
     async def _give(self, target: Target, demand: ModelDemand, known: _Known) -> None:
         model, version = demand.model, demand.named_version
@@ -278,7 +275,7 @@
             self._orders_accepted[target.instance] = report.orders_accepted
             self._note_version(known, report.versions.get(model, 0))
             if known.version >= version:
-                self._loaded(known)
+                self._load_over(known)
                 return
         if not self._may_order(CONFIRMED_WITHIN_S):
             self._failed(known, 0.0)
@@ -305,7 +302,7 @@
                 known.look_at_s = now_s + FIRST_LOOK_S
             case OrderOutcome.HOLDS:
                 self._note_version(known, version)
-                self._loaded(known)
+                self._load_over(known)
             case OrderOutcome.FENCED:
                 self._failed(known, REFUSED_REST_S)
                 self._fenced = True
@@ -317,6 +314,5 @@
                 self._failed(known, REFUSED_REST_S)
 
     def _failed(self, known: _Known, rest_s: float) -> None:
-        known.loading_version = 0
+        self._load_over(known)
         known.rests_until_s = asyncio.get_running_loop().time() + rest_s
-        self._work.loading.discard(known.name)
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -206,14 +206,14 @@
             model,
             named_version,
             lag,
-            open_steps,
+            [step.spec.min_version for step in open_steps],
             engines_wanted(known, self._view.most_places),
             keeps_runs=not self._view.wants_single_version,
             shortage=self._short.get(model),
         )
 
     def is_slow(self, instance: str) -> bool:
-        """Whether an engine is too slow for a run to move there."""
+        """Whether an engine is too slow to count on it for the next step."""
         return self._paces.slowness(instance) >= MOVE_TO_SLOWNESS
 
     def _give_up_old(self, step: StepState, item: ItemSpec, route: Route, now_s: float) -> bool:
--- a/samphirecleat/durable/_weight_demand.py
+++ b/samphirecleat/durable/_weight_demand.py
@@ -24,28 +24,36 @@
     return max(0, max(1, newest.number) - newest.min_version)
 
 
+def engines_for(items: int, places: int) -> int:
+    """Return how many engines of so many places a step of so many items fills."""
+    return max(LEAST_READY, math.ceil(items / max(1, places)))
+
+
 def engines_wanted(known_steps: Sequence[StepState], places: int) -> int:
     """Return how many engines of so many places a step of a model fills, by the latest ones."""
     latest = sorted(known_steps, key=lambda step: step.folded_at_s)[-STEPS_REMEMBERED:]
     items = max((len(step.items) for step in latest), default=0)
-    return max(LEAST_READY, math.ceil(items / max(1, places)))
+    return engines_for(items, places)
 
 
 def model_demand(
     model: str,
     named_version: int,
     lag: int,
-    open_steps: Sequence[StepState],
+    open_min_versions: Sequence[int],
     wanted_engines: int,
     *,
     keeps_runs: bool,
     shortage: Shortage | None,
 ) -> ModelDemand:
-    """Return a model's demand; steps accept ``lag`` versions less than that of their asking."""
+    """Return a model's demand; steps accept ``lag`` versions less than that of their asking.
+
+    ``open_min_versions`` holds the oldest version that each open step accepts.
+    """
     return ModelDemand(
         model,
         named_version,
-        max([named_version - lag, *(step.spec.min_version for step in open_steps)]),
+        max([named_version - lag, *open_min_versions]),
         min(named_version, named_version + 1 - lag),
         wanted_engines,
         keeps_runs,
--- a/samphirecleat/explain/_gaps.py
+++ b/samphirecleat/explain/_gaps.py
@@ -55,20 +55,14 @@
     if item is None:
         if step.ended_s is None:
             return []
-        cause = _cause_before_start(step.accepted_s, step.ended_s, step, fleet)
+        cause = _cause(step.accepted_s, step.ended_s, step, fleet, broken=False)
         return [Gap("", step.accepted_s, step.ended_s, cause, "nothing started")]
     gaps: list[Gap] = []
     stood_since_s: float | None = step.accepted_s
     detail = ""
     for run in item.runs:
         if stood_since_s is not None:
-            cause = (
-                GapCause.BROKEN_RUN
-                if detail
-                else _cause_before_start(stood_since_s, run.started_s, step, fleet)
-            )
-            if detail and _any_within(fleet.taken_s, stood_since_s, run.started_s):
-                cause = GapCause.NEW_RUNNER
+            cause = _cause(stood_since_s, run.started_s, step, fleet, broken=bool(detail))
             gaps.append(Gap(item.item_id, stood_since_s, run.started_s, cause, detail))
         stood_since_s, detail = run.ended_s, f"{run.target} {run.reason}"
     if item.completed_s is not None and stood_since_s is not None:
@@ -81,11 +75,14 @@
     return [gap for gap in gaps if gap.length_s >= LEAST_GAP_S]
 
 
-def _cause_before_start(
-    from_s: float, until_s: float, step: StepTrace, fleet: FleetTrace
+def _cause(
+    from_s: float, until_s: float, step: StepTrace, fleet: FleetTrace, *, broken: bool
 ) -> GapCause:
+    """Return why no run was under way; ``broken`` says that one had been."""
     if _any_within(fleet.taken_s, from_s, until_s):
         return GapCause.NEW_RUNNER
+    if broken:
+        return GapCause.BROKEN_RUN
     starts_s = [item.runs[0].started_s for item in step.items.values() if item.runs]
     if any(started_s < until_s - LEAST_GAP_S for started_s in starts_s):
         return GapCause.NO_PLACE
--- a/tests/durable/test_weight_demand.py
+++ b/tests/durable/test_weight_demand.py
@@ -56,7 +56,8 @@
 def test_what_open_and_coming_steps_accept(
     named: int, lag: int, open_steps: list[StepState], needed: int, coming: int
 ) -> None:
-    demand = model_demand("m", named, lag, open_steps, 2, keeps_runs=True, shortage=None)
+    oldest = [step.spec.min_version for step in open_steps]
+    demand = model_demand("m", named, lag, oldest, 2, keeps_runs=True, shortage=None)
     assert (demand.needed_version, demand.next_version) == (needed, coming)
     assert not demand.waits
     assert demand.spare_s == math.inf
