--- a/samphirecleat/durable/_access.py
+++ b/samphirecleat/durable/_access.py
@@ -55,18 +55,18 @@
         :raises RequestError: when it is not; ``ran`` is NO only if this submission will
             never be kept.
         """
-        if request.step_id in self._step_log.fold.steps:
+        if self._is_kept(request):
             return
         written = await self._step_log.accept(request)
         match written.outcome:
             case AppendOutcome.APPENDED:
                 return
             case AppendOutcome.UNKNOWN:
-                if await self._appears(request.step_id):
+                if await self._appears(request.step_id) and self._is_kept(request):
                     return
                 raise RequestError(ErrorKind.OUTCOME_UNKNOWN, written.detail, ran=Ran.UNKNOWN)
             case AppendOutcome.NOT_APPENDED | AppendOutcome.CONDITION_FAILED:
-                if request.step_id in self._step_log.fold.steps:
+                if self._is_kept(request):
                     return
                 raise RequestError(
                     ErrorKind.NOT_READY,
@@ -75,13 +75,25 @@
                     retry_after_s=RETRY_AFTER_S,
                 )
 
-    async def read(self, step_id: str, after: int, wait_s: float) -> StepPage:
+    def _is_kept(self, request: StepRequest) -> bool:
+        """Whether a step of that id is kept already.
+
+        :raises RequestError: when it is another workspace's.
+        """
+        step = self._step_log.fold.steps.get(request.step_id)
+        if step is None:
+            return False
+        if step.spec.workspace != request.workspace:
+            raise RequestError(ErrorKind.STEP_CONFLICT, f"{request.step_id}: use another id")
+        return True
+
+    async def read(self, step_id: str, after: int, wait_s: float, workspace: str = "") -> StepPage:
         """Return the results from position ``after`` on, waiting for a first one.
 
         :raises RequestError: when the step does not exist, or this node can't be sure.
         """
         loop = asyncio.get_running_loop()
-        step = await self._find(step_id)
+        step = await self._find(step_id, workspace)
         known = len(step.results)
         # A reader that saw more at another node is ahead of this one, which can catch up.
         if known < after or (known == after and not self._step_log.is_fresh()):
@@ -107,12 +119,12 @@
         rows = [ListedResult(r, texts[r.text.key] if r.text else "") for r in chosen]
         return StepPage(len(step.item_ids), rows, after + len(rows))
 
-    async def body(self, step_id: str, item_id: str) -> bytes | None:
+    async def body(self, step_id: str, item_id: str, workspace: str = "") -> bytes | None:
         """Return the body of an item, or None if there is none to give.
 
         :raises RequestError: when the step does not exist, or this node can't be sure.
         """
-        step = await self._find(step_id)
+        step = await self._find(step_id, workspace)
         if item_id not in step.item_ids:
             return None
         try:
@@ -122,12 +134,12 @@
             raise _unsure(f"items can't be read now: {error!r}") from error
         return items[item_id].body
 
-    async def end(self, step_id: str) -> None:
+    async def end(self, step_id: str, workspace: str = "") -> None:
         """Return once the step's end is kept, however often it is ended.
 
         :raises RequestError: when the step does not exist, or the end may not be kept.
         """
-        step = await self._find(step_id)
+        step = await self._find(step_id, workspace)
         if step.ended:
             return
         written = await self._step_log.end(step_id)
@@ -137,14 +149,14 @@
             return
         raise _unsure(f"the end is not written: {written.detail}")
 
-    async def _find(self, step_id: str) -> StepState:
-        step = self._step_log.fold.steps.get(step_id)
-        if step is not None:
-            return step
-        if not await self._step_log.confirm(CONFIRM_WITHIN_S):
-            raise _unsure("the log can't be asked")
+    async def _find(self, step_id: str, workspace: str) -> StepState:
+        """Return a step of a workspace; another's can't be told from one that does not exist."""
         step = self._step_log.fold.steps.get(step_id)
         if step is None:
+            if not await self._step_log.confirm(CONFIRM_WITHIN_S):
+                raise _unsure("the log can't be asked")
+            step = self._step_log.fold.steps.get(step_id)
+        if step is None or step.spec.workspace != workspace:
             raise RequestError(ErrorKind.UNKNOWN_STEP, f"no step {step_id}")
         return step
 
--- a/samphirecleat/durable/_item_run.py
+++ b/samphirecleat/durable/_item_run.py
@@ -102,6 +102,7 @@
         run.draft.last_event_id,
         max(1.0, left_s) if route.retention_s > 0.0 else UNBOUNDED_RUN_S,
         ITEM_PRIORITY,
+        step.spec.workspace,
     )
 
 
--- a/samphirecleat/durable/_ports.py
+++ b/samphirecleat/durable/_ports.py
@@ -114,7 +114,10 @@
 
 
 class GenerationCall(NamedTuple):
-    """One run of an item at an engine; resumes behind ``last_event_id`` unless it is 0."""
+    """One run of an item at an engine; resumes behind ``last_event_id`` unless it is 0.
+
+    ``workspace`` is whose step the item belongs to, "" for nobody's.
+    """
 
     item_id: str
     host: str
@@ -124,6 +127,7 @@
     last_event_id: int
     budget_s: float
     priority: int
+    workspace: str = ""
 
 
 class GenerationError(Exception):
--- a/samphirecleat/durable/_records.py
+++ b/samphirecleat/durable/_records.py
@@ -58,7 +58,7 @@
     """A step as its trainer submits it.
 
     ``accepted_at_ms`` is the accepting node's time of day and only bounds how long
-    the step is kept.
+    the step is kept. ``workspace`` is whose key submitted it, "" without a key.
     """
 
     step_id: str
@@ -70,6 +70,7 @@
     target_groups: int
     accepted_at_ms: int
     items: Sequence[ItemSpec]
+    workspace: str = ""
 
 
 class TextRef(NamedTuple):
@@ -93,6 +94,8 @@
     In a large fleet what its items are made from stands apart, at ``items_at``: every node folds
     every step, and only the node that runs it needs what its engines are sent, which is nearly
     all of its size. In a small one ``items`` holds it, and no second call to the log is needed.
+
+    A step belongs to a ``workspace`` and not to a key: one that is taken away ends no step.
     """
 
     step_id: str
@@ -106,6 +109,7 @@
     item_ids: Sequence[str]
     items_at: TextRef | None
     items: Sequence[ItemSpec] = ()
+    workspace: str = ""
 
 
 def accepted_record(request: StepRequest, items_at: TextRef | None) -> StepAccepted:
@@ -122,6 +126,7 @@
         [item.item_id for item in request.items],
         items_at,
         request.items if items_at is None else [],
+        request.workspace,
     )
 
 
--- a/samphirecleat/platform/_boot_settings.py
+++ b/samphirecleat/platform/_boot_settings.py
@@ -1,5 +1,6 @@
 """The settings that the platform lays down for a process, read into our own names."""
 
+import math
 import tomllib
 from collections.abc import Mapping, Sequence
 from pathlib import Path
@@ -13,7 +14,9 @@
 
     Addresses are ``IP:PORT``; ``""`` is one that the platform did not give.
     ``peer_ports`` are the first and last port for traffic between nodes. ``metrics_port``
-    comes from the command line, 0 for none.
+    comes from the command line, 0 for none. Within ``key_revocation_s`` a key that was taken
+    away must be out of force; a node that can't hear of that serves nobody by key afterwards
+    where ``keys_fail_closed``.
     """
 
     node_id: str
@@ -31,6 +34,8 @@
     lease_s: float
     entry_ttl_s: float
     cores: float = 1.0
+    keys_fail_closed: bool = False
+    key_revocation_s: float = math.inf
     metrics_port: int = 0
 
 
@@ -75,6 +80,8 @@
         entry_ttl_s=reader.number("bounds.ttl_max_s"),
         # A share of each core, and the number of cores whose shares add up.
         cores=reader.number("limits.cpuShare", 1.0) * reader.number("limits.cpuCores", 1.0),
+        keys_fail_closed=reader.flag("bounds.revokeFailClosed", default=False),
+        key_revocation_s=reader.number("bounds.revocationMs", math.inf) / 1000.0,
     )
 
 
@@ -106,6 +113,15 @@
             raise self._error(key, "a number", value)
         return float(value)
 
+    def flag(self, key: str, *, default: bool) -> bool:
+        """Return true or false; a key that is missing has its default."""
+        value = self._find(key)
+        if value is None:
+            return default
+        if not isinstance(value, bool):
+            raise self._error(key, "true or false", value)
+        return value
+
     def numbers(self, key: str, count: int) -> Sequence[float]:
         value = self._find(key)
         fits = isinstance(value, list) and len(value) == count
--- a/samphirecleat/platform/_call_exchange.py
+++ b/samphirecleat/platform/_call_exchange.py
@@ -17,6 +17,7 @@
     NOT_RUN,
     REQUEST_ID,
     SIGNATURE,
+    WORKSPACE,
 )
 
 _OWN_HEADERS: Final = frozenset({EXPECT_INSTANCE.lower(), DEADLINE_MS.lower(), "host"})
@@ -91,6 +92,8 @@
     headers.append(("Host", call.host))
     headers.append((DEADLINE_MS, str(max(1, int(budget_s * 1000)))))
     headers.append((EXPECT_INSTANCE, target.instance))
+    if call.workspace:
+        headers.append((WORKSPACE, call.workspace))
     return headers
 
 
--- a/samphirecleat/platform/_documents.py
+++ b/samphirecleat/platform/_documents.py
@@ -15,9 +15,11 @@
     EngineSpec,
     Route,
     RoutingConfig,
+    ScalingSpec,
     ServiceSpec,
     Target,
     WeightedService,
+    Workspace,
 )
 
 _KINDS: Final[Mapping[str, CallKind]] = {kind.value: kind for kind in CallKind}
@@ -37,6 +39,7 @@
     try:
         body = _DECODER.decode(value)
         limits = body["limits"]
+        tenants = body.get("tenants")
         return RoutingConfig(
             int(body["version"]),
             [_route(row) for row in body["routes"]],
@@ -47,6 +50,8 @@
                 limits["headerTimeoutMs"] / 1000.0,
                 limits["idleTimeoutMs"] / 1000.0,
             ),
+            [_workspace(row) for row in tenants or ()],
+            asks_for_keys=tenants is not None,
         )
     except (msgspec.MsgspecError, KeyError, TypeError, ValueError, AttributeError) as error:
         raise DocumentFormatError(f"configuration: {error!r}") from error
@@ -85,6 +90,7 @@
             draining=state == "draining",
             versions={row["name"]: row["version"] for row in body.get("models", ())},
             started_at_ms=body.get("born", 0),
+            spot=body.get("spot") is True,
         )
     except (msgspec.MsgspecError, KeyError, TypeError, AttributeError) as error:
         raise DocumentFormatError(f"target {instance}: {error!r}") from error
@@ -121,16 +127,38 @@
         result_deadline_s=row.get("resultDeadlineMs", 0) / 1000.0,
         retention_s=row.get("retentionS", 0.0),
         single_version=bool(row.get("singleVersion", False)),
+        allows_anonymous=bool(row.get("allowAnonymous", False)),
+    )
+
+
+def _workspace(row: Mapping[str, Any]) -> Workspace:
+    keys = row.get("apiKeys", [])
+    if not isinstance(keys, list) or not all(isinstance(key, str) and key for key in keys):
+        raise ValueError(f"workspace {row['name']!r}: its keys are not a list of texts")
+    priority = row.get("priority")
+    return Workspace(str(row["name"]), keys, int(priority) if priority is not None else None)
+
+
+def _scaling(row: Mapping[str, Any]) -> ScalingSpec:
+    prices = {str(zone): float(price) for zone, price in row.get("zonePrices", {}).items()}
+    return ScalingSpec(
+        int(row["minimum"]),
+        int(row["maximum"]),
+        float(row.get("bootTimeS", 0.0)),
+        prices,
+        float(row.get("spotPrice", 0.0)),
     )
 
 
 def _service(row: Mapping[str, Any]) -> ServiceSpec:
     engine = row.get("engine")
+    scaling = row.get("scaling")
     return ServiceSpec(
         row["name"],
         row.get("healthPath", ""),
         int(row.get("connectionCap", 0)),
         _engine(engine) if engine else None,
+        _scaling(scaling) if scaling else None,
     )
 
 
--- a/samphirecleat/platform/_front.py
+++ b/samphirecleat/platform/_front.py
@@ -1,19 +1,20 @@
 """What callers and trainers meet: calls by routes, and batch jobs, over HTTP."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Final
 from urllib.parse import parse_qs
 
 from aiohttp import web
 
-from ..durable import StepAccess
+from ..durable import StepAccess, StepRequest
 from ..errors import ErrorKind, Ran, RequestError
 from ..observe import Observer
 from ..serving import (
     Call,
     CallKind,
     Forwarder,
+    Gatekeeper,
     RelayedStream,
     Route,
     RouteTable,
@@ -24,7 +25,9 @@
 )
 from ._job_documents import decode_step, encode_page
 from ._wire_names import (
+    CREDENTIALS,
     DEADLINE_MS,
+    IDENTITY_HEADERS,
     LAST_EVENT_ID,
     PATH_ITEM,
     PATH_STEP,
@@ -49,13 +52,18 @@
         forwarder: Forwarder,
         relay: StreamRelay,
         steps: StepAccess,
+        gatekeeper: Gatekeeper,
         observer: Observer,
     ) -> None:
-        """Serve by ``routes``; ``leaving`` may be set to ask callers to go elsewhere."""
+        """Serve by ``routes`` whom ``gatekeeper`` admits.
+
+        ``leaving`` may be set to ask callers to go elsewhere.
+        """
         self._routes = routes
         self._forwarder = forwarder
         self._relay = relay
         self._steps = steps
+        self._gatekeeper = gatekeeper
         self._observer = observer
         self._words = observer.log("front")
         self.leaving = False
@@ -87,22 +95,25 @@
         if raw_path.startswith(PATH_STEP):
             return await self._step_call(request, raw_path)
         if raw_path.startswith(PATH_ITEM) and request.method == "GET":
-            return await self._item_call(raw_path)
+            return await self._item_call(request, raw_path)
         host = request.headers.get("Host", "").partition(":")[0]
         route = self._route(host, raw_path)
+        workspace = self._workspace(request, anonymous=route.allows_anonymous)
         body = await self._read_body(request)
         request_id = request.headers.get(REQUEST_ID, "")
         if route.kind in (CallKind.ROLLOUT, CallKind.BATCH):
-            return await self._submit(request_id, host, raw_path, body)
+            step = decode_step(request_id, host, raw_path, body, workspace)
+            return await self._submit(step)
         call = Call(
             request_id,
             request.method,
             raw_path,
             request.headers.get("Host", ""),
-            [(k.decode("latin-1"), v.decode("latin-1")) for k, v in request.raw_headers],
+            self._headers(request),
             body,
             began_s,
             began_s + _deadline_s(request.headers.get(DEADLINE_MS, "")),
+            workspace,
         )
         if route.kind is CallKind.STREAMING:
             return await self._stream(request, call, route)
@@ -167,34 +178,51 @@
         except web.HTTPRequestEntityTooLarge as error:
             raise RequestError(ErrorKind.BODY_TOO_LARGE, str(error)) from error
 
-    async def _submit(
-        self, step_id: str, host: str, raw_path: str, body: bytes
-    ) -> web.StreamResponse:
-        if not step_id:
+    def _workspace(self, request: web.BaseRequest, *, anonymous: bool) -> str:
+        """Return the name of a caller's workspace, "" for nobody's."""
+        credentials = request.headers.getall(CREDENTIALS, ())
+        return self._gatekeeper.admit(credentials, anonymous=anonymous).name
+
+    def _step_workspace(self, request: web.BaseRequest) -> str:
+        host = request.headers.get("Host", "").partition(":")[0]
+        return self._workspace(request, anonymous=self._routes.takes_anonymous_steps(host))
+
+    def _headers(self, request: web.BaseRequest) -> Sequence[tuple[str, str]]:
+        """Return a caller's headers, without those that say who it is where keys do that."""
+        rows = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in request.raw_headers]
+        if not self._routes.config.asks_for_keys:
+            return rows
+        return [(name, value) for name, value in rows if name.lower() not in IDENTITY_HEADERS]
+
+    async def _submit(self, step: StepRequest) -> web.StreamResponse:
+        if not step.step_id:
             raise RequestError(ErrorKind.MALFORMED, f"{REQUEST_ID} is missing")
         began_s = asyncio.get_running_loop().time()
-        await self._steps.submit(decode_step(step_id, host, raw_path, body))
+        await self._steps.submit(step)
         took_s = asyncio.get_running_loop().time() - began_s
         self._observer.record_s("step_accept", took_s)
-        self._words.info("step=%s kept after %.3f s", step_id, took_s)
-        return web.Response(status=202, headers={REQUEST_ID: step_id})
+        self._words.info("step=%s kept after %.3f s", step.step_id, took_s)
+        return web.Response(status=202, headers={REQUEST_ID: step.step_id})
 
     async def _step_call(self, request: web.BaseRequest, raw_path: str) -> web.StreamResponse:
         step_id, query = _split(raw_path, PATH_STEP)
+        workspace = self._step_workspace(request)
         match request.method:
             case "GET":
                 wait_s = _number(request.headers.get(WAIT_MS, "0"), WAIT_MS) / 1000.0
                 after = _number(query.get("after", "0"), "after")
-                page = await self._steps.read(step_id, after, min(LONGEST_WAIT_S, wait_s))
+                wait_s = min(LONGEST_WAIT_S, wait_s)
+                page = await self._steps.read(step_id, after, wait_s, workspace)
                 return _json(encode_page(page))
             case "DELETE":
-                await self._steps.end(step_id)
+                await self._steps.end(step_id, workspace)
                 return _json(b"{}")
         raise RequestError(ErrorKind.UNKNOWN_METHOD, f"{request.method} {raw_path}")
 
-    async def _item_call(self, raw_path: str) -> web.StreamResponse:
+    async def _item_call(self, request: web.BaseRequest, raw_path: str) -> web.StreamResponse:
         step_id, query = _split(raw_path, PATH_ITEM)
-        body = await self._steps.body(step_id, query.get("id", ""))
+        workspace = self._step_workspace(request)
+        body = await self._steps.body(step_id, query.get("id", ""), workspace)
         if body is None:
             raise RequestError(ErrorKind.UNKNOWN_STEP, f"no such item in {step_id}")
         return web.Response(body=body, content_type="application/octet-stream")
--- a/samphirecleat/platform/_generation_stream.py
+++ b/samphirecleat/platform/_generation_stream.py
@@ -1,6 +1,6 @@
 """One run of an item at an engine: an event stream read into pieces."""
 
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Sequence
 from typing import Final
 
 import aiohttp
@@ -14,11 +14,13 @@
 from ._wire_names import (
     DEADLINE_MS,
     EXPECT_INSTANCE,
+    IDENTITY_HEADERS,
     LAST_EVENT_ID,
     NOT_RUN,
     REQUEST_ID,
     RUN_PRIORITY,
     VERSION,
+    WORKSPACE,
 )
 
 IMPOSSIBLE: Final = 422
@@ -35,13 +37,15 @@
     async def generate(self, call: GenerationCall, target: Target) -> AsyncGenerator[Piece, None]:
         """Yield the pieces of a run; see :class:`GenerationChannel`."""
         headers = [
-            *call.headers,
+            *item_headers(call),
             ("Host", call.host),
             (REQUEST_ID, call.item_id),
             (DEADLINE_MS, str(int(call.budget_s * 1000))),
             (EXPECT_INSTANCE, target.instance),
             (RUN_PRIORITY, str(call.priority)),
         ]
+        if call.workspace:
+            headers.append((WORKSPACE, call.workspace))
         if call.last_event_id:
             headers.append((LAST_EVENT_ID, str(call.last_event_id)))
         session = self._sessions.get(target)
@@ -67,6 +71,13 @@
             raise GenerationError(repr(error), GenerationEnd.BROKEN) from error
 
 
+def item_headers(call: GenerationCall) -> Sequence[tuple[str, str]]:
+    """Return an item's own headers; where it belongs to a workspace, none that names another."""
+    if not call.workspace:
+        return call.headers
+    return [(name, value) for name, value in call.headers if name.lower() not in IDENTITY_HEADERS]
+
+
 async def _check_start(response: aiohttp.ClientResponse, call: GenerationCall) -> None:
     """Check that the answer is the stream of this item.
 
--- a/samphirecleat/platform/_job_documents.py
+++ b/samphirecleat/platform/_job_documents.py
@@ -15,8 +15,10 @@
 _DECODER: Final = msgspec.json.Decoder()
 
 
-def decode_step(step_id: str, host: str, raw_path: str, body: bytes) -> StepRequest:
-    """Return the step of a submission.
+def decode_step(
+    step_id: str, host: str, raw_path: str, body: bytes, workspace: str = ""
+) -> StepRequest:
+    """Return the step of a submission by a caller of ``workspace``.
 
     :raises RequestError: when the document is not one, naming the item at fault.
     """
@@ -48,6 +50,7 @@
             int(document.get("targetGroups", len(groups))),
             int(time.time() * 1000),
             items,
+            workspace,
         )
     except ANSWER_FAULTS as error:
         raise RequestError(ErrorKind.MALFORMED, f"job {step_id}: {error!r}") from error
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -26,7 +26,14 @@
 )
 from ..observe import Observer
 from ..peers import HeartbeatCodec
-from ..serving import Forwarder, RouteTable, StreamRelay, TargetRegistry, TargetTable
+from ..serving import (
+    Forwarder,
+    Gatekeeper,
+    RouteTable,
+    StreamRelay,
+    TargetRegistry,
+    TargetTable,
+)
 from ..targets import make_connector
 from ._boot_settings import BootSettings
 from ._call_exchange import CallExchange
@@ -193,7 +200,15 @@
             lambda: keeps_items_apart(len(self.board.members)),
         )
         relay = StreamRelay(forwarder, self.targets, CallStream(self._sessions))
-        self.front = Front(self.routes, forwarder, relay, StepAccess(self.step_log), self.observer)
+        gatekeeper = Gatekeeper(
+            self.routes,
+            lambda: self._operator_follower.age_s(),
+            fails_closed=self.settings.keys_fail_closed,
+            revocation_s=self.settings.key_revocation_s,
+        )
+        self.front = Front(
+            self.routes, forwarder, relay, StepAccess(self.step_log), gatekeeper, self.observer
+        )
         parts = DutyParts(
             self.step_log,
             self.routes,
--- a/samphirecleat/platform/_watches.py
+++ b/samphirecleat/platform/_watches.py
@@ -50,6 +50,13 @@
                 len(config.routes),
                 entry.offset,
             )
+            for conflict in self._routes.keys.conflicts:
+                self._words.error(
+                    "revision=%d key mark=%s is held by workspaces %s: it names none of them",
+                    config.revision,
+                    conflict.mark,
+                    ",".join(conflict.workspaces),
+                )
 
     def _take_version(self, entry: LogEntry) -> None:
         model, version = decode_named_version(entry.value)
--- a/samphirecleat/platform/_wire_names.py
+++ b/samphirecleat/platform/_wire_names.py
@@ -14,6 +14,11 @@
 TOKEN_COUNTS: Final = "X-Token-Counts"
 LENGTH_HINT: Final = "X-Length-Hint"
 WAIT_MS: Final = "X-Wait-Ms"
+CREDENTIALS: Final = "Authorization"
+# Named a tenant; it is the workspace.
+WORKSPACE: Final = "X-Tenant"
+# What a caller brings to show who it is, and never reaches a target.
+IDENTITY_HEADERS: Final = frozenset({CREDENTIALS.lower(), WORKSPACE.lower()})
 
 # Headers that concern one connection only (RFC 9110, 7.6.1) and are never passed on.
 CONNECTION_HEADERS: Final = frozenset(
--- a/samphirecleat/serving/__init__.py
+++ b/samphirecleat/serving/__init__.py
@@ -2,6 +2,7 @@
 
 from ._entry_choice import offered_members
 from ._forwarder import Forwarder
+from ._gatekeeper import Gatekeeper
 from ._registry import TargetRegistry
 from ._route_table import RouteTable
 from ._stream_relay import RelayedStream, StreamBrokenError, StreamRelay
@@ -16,6 +17,7 @@
     EngineSpec,
     Route,
     RoutingConfig,
+    ScalingSpec,
     ServiceSpec,
     StreamChannel,
     StreamEvent,
@@ -24,9 +26,12 @@
     TargetAnswer,
     TargetFault,
     WeightedService,
+    Workspace,
 )
+from ._workspaces import ANONYMOUS, KeyConflict, KeyTable, key_mark
 
 __all__ = [
+    "ANONYMOUS",
     "EMPTY_CONFIG",
     "NO_REVISION",
     "Call",
@@ -35,10 +40,14 @@
     "CallerLimits",
     "EngineSpec",
     "Forwarder",
+    "Gatekeeper",
+    "KeyConflict",
+    "KeyTable",
     "RelayedStream",
     "Route",
     "RouteTable",
     "RoutingConfig",
+    "ScalingSpec",
     "ServiceSpec",
     "StreamBrokenError",
     "StreamChannel",
@@ -51,6 +60,8 @@
     "TargetRegistry",
     "TargetTable",
     "WeightedService",
+    "Workspace",
+    "key_mark",
     "offered_members",
     "services_in_turn",
 ]
--- a/samphirecleat/serving/_route_table.py
+++ b/samphirecleat/serving/_route_table.py
@@ -2,8 +2,12 @@
 
 from collections import defaultdict
 from collections.abc import Sequence
+from typing import Final
 
-from ._types import EMPTY_CONFIG, Route, RoutingConfig
+from ._types import EMPTY_CONFIG, CallKind, Route, RoutingConfig
+from ._workspaces import KeyTable
+
+_STEP_KINDS: Final = (CallKind.ROLLOUT, CallKind.BATCH)
 
 
 class RouteTable:
@@ -12,6 +16,7 @@
     def __init__(self) -> None:
         """Start without a configuration."""
         self.config: RoutingConfig = EMPTY_CONFIG
+        self.keys = KeyTable(EMPTY_CONFIG)
         self._by_host: dict[str, Sequence[Route]] = {}
 
     @property
@@ -29,6 +34,7 @@
         for routes in by_host.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
         self.config = config
+        self.keys = KeyTable(config)
         self._by_host = dict(by_host)
         return True
 
@@ -39,3 +45,8 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
+
+    def takes_anonymous_steps(self, host: str) -> bool:
+        """Whether steps may be submitted to a host without a key."""
+        routes = self._by_host.get(host.lower(), ())
+        return any(route.allows_anonymous and route.kind in _STEP_KINDS for route in routes)
--- a/samphirecleat/serving/_types.py
+++ b/samphirecleat/serving/_types.py
@@ -45,6 +45,32 @@
     result_deadline_s: float = 0.0
     retention_s: float = 0.0
     single_version: bool = False
+    allows_anonymous: bool = False
+
+
+class Workspace(NamedTuple):
+    """A workspace of the configuration and the keys that its callers may bring.
+
+    ``priority`` goes before that of a route, 0 first; None leaves the route's.
+    """
+
+    name: str
+    keys: Sequence[str]
+    priority: int | None = None
+
+
+class ScalingSpec(NamedTuple):
+    """How many targets of a service may be ordered in each availability zone, and their prices.
+
+    The bounds hold for each zone and for both kinds of targets together. ``zone_prices`` and
+    ``spot_price`` are parts of the price of an ordinary target; 0.0 is no spot targets.
+    """
+
+    minimum: int
+    maximum: int
+    boot_s: float
+    zone_prices: Mapping[str, float]
+    spot_price: float = 0.0
 
 
 class EngineSpec(NamedTuple):
@@ -66,6 +92,7 @@
     health_path: str
     connection_cap: int
     engine: EngineSpec | None = None
+    scaling: ScalingSpec | None = None
 
 
 class CallerLimits(NamedTuple):
@@ -78,12 +105,18 @@
 
 
 class RoutingConfig(NamedTuple):
-    """A whole configuration; a higher ``revision`` replaces a lower one."""
+    """A whole configuration; a higher ``revision`` replaces a lower one.
+
+    Callers bring a key of a workspace only where it ``asks_for_keys``: a configuration with an
+    empty list of workspaces serves nobody but the callers of anonymous routes.
+    """
 
     revision: int
     routes: Sequence[Route]
     services: Mapping[str, ServiceSpec]
     limits: CallerLimits
+    workspaces: Sequence[Workspace] = ()
+    asks_for_keys: bool = False
 
 
 class Target(NamedTuple):
@@ -91,7 +124,8 @@
 
     ``instance`` is new at most starts; ``started_at_ms`` tells two starts of one
     instance apart. ``order_sequence`` counts the orders that it accepted.
-    ``versions`` holds the version of each model that it has loaded.
+    ``versions`` holds the version of each model that it has loaded. A ``spot`` target is a
+    cheap one that may be taken away at short notice.
     """
 
     instance: str
@@ -102,13 +136,15 @@
     draining: bool
     versions: Mapping[str, int] = {}
     started_at_ms: int = 0
+    spot: bool = False
 
 
 class Call(NamedTuple):
     """One attempt of a caller, as it came in; bytes and names are unchanged.
 
     ``raw_path`` holds path and query as sent. ``deadline_s`` is the time of the
-    node's clock at which the caller stops waiting.
+    node's clock at which the caller stops waiting. ``workspace`` is whose key it brought, ""
+    for an anonymous call.
     """
 
     request_id: str
@@ -119,6 +155,7 @@
     body: bytes
     received_at_s: float
     deadline_s: float
+    workspace: str = ""
 
 
 class TargetAnswer(NamedTuple):
--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -31,6 +31,7 @@
             f"127.{96 + number}.{(pid >> 8) & 255}.{pid & 255}" for number in range(count)
         ]
         self.seeds = self.hosts[:3]
+        self.more_bounds = ""
         self._folder = folder
         self._store = store
         self._processes: dict[str, asyncio.subprocess.Process] = {}
@@ -55,6 +56,7 @@
 leaseDurationMs = 300
 ttl_max_s = 5
 statusS = 120
+{self.more_bounds}
 [platform]
 address = "{self._store.address}"
 """
@@ -159,7 +161,7 @@
     targets = [TargetStandIn("e-1", events=8, pause_s=0.02), TargetStandIn("p-1")]
     for target in targets:
         await target.start()
-    store.put("keyed.op", "config", _config())
+    store.put("keyed.op", "config", config_document())
     for target, service in zip(targets, ("engine", "plain"), strict=True):
         store.put("keyed.servers", target.instance, _entry(target, service))
     nodes = Nodes(count, folder, store)
@@ -202,7 +204,19 @@
     ).encode()
 
 
-def _config() -> dict[str, object]:
+def config_with_keys(version: int, keys: dict[str, list[str]]) -> dict[str, object]:
+    """Return the configuration with workspaces by name; calls to ``/open/`` need no key."""
+    document = {**config_document(), "version": version}
+    document["tenants"] = [{"name": name, "apiKeys": held} for name, held in keys.items()]
+    routes = list(document["routes"])  # type: ignore[call-overload]
+    plain = next(route for route in routes if route["name"] == "plain")
+    routes.append({**plain, "name": "open", "pathPrefix": "/open/", "allowAnonymous": True})
+    document["routes"] = routes
+    return document
+
+
+def config_document() -> dict[str, object]:
+    """Return the configuration without workspaces."""
     engine = {"slots": 12, "kvCacheTokens": 40000, "stride": 64, "models": [{"name": "m"}]}
     return {
         "version": 1,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -15,7 +15,7 @@
 )
 from samphirecleat.platform._front import status_of
 from samphirecleat.platform._job_documents import decode_step
-from samphirecleat.serving import CallKind, Target
+from samphirecleat.serving import CallKind, ScalingSpec, Target, Workspace
 
 CONFIG = {
     "version": 7,
@@ -76,6 +76,51 @@
     return json.dumps(document).encode()
 
 
+SCALING = {
+    "minimum": 1,
+    "maximum": 15,
+    "bootTimeS": 4.0,
+    "spotPrice": 0.15,
+    "zonePrices": {"za": 1.0, "zb": 0.8},
+}
+
+
+def test_workspaces_and_scaling_are_read() -> None:
+    document = {
+        **CONFIG,
+        "services": [CONFIG["services"][0], {**CONFIG["services"][1], "scaling": SCALING}],  # type: ignore[index, dict-item]
+        "routes": [{**CONFIG["routes"][0], "allowAnonymous": True}],  # type: ignore[index, dict-item]
+        "tenants": [{"name": "w", "apiKeys": ["k1", "k2"], "priority": 1}, {"name": "v"}],
+    }
+    config = decode_config(as_json(document))
+    assert config.asks_for_keys
+    assert config.workspaces == [Workspace("w", ["k1", "k2"], 1), Workspace("v", [])]
+    assert config.routes[0].allows_anonymous
+    assert config.services["e"].scaling == ScalingSpec(1, 15, 4.0, {"za": 1.0, "zb": 0.8}, 0.15)
+    assert config.services["s"].scaling is None
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        7,
+        ["w"],
+        [{"apiKeys": []}],
+        [{"name": "w", "apiKeys": "k"}],
+        [{"name": "w", "apiKeys": [""]}],
+    ],
+)
+def test_a_configuration_with_unreadable_workspaces_changes_nothing(tenants: object) -> None:
+    """Guards against a configuration that is half read: its callers would all be refused."""
+    with pytest.raises(DocumentFormatError):
+        decode_config(as_json({**CONFIG, "tenants": tenants}))
+
+
+def test_an_empty_list_of_workspaces_is_not_the_lack_of_one() -> None:
+    assert decode_config(as_json({**CONFIG, "tenants": []})).asks_for_keys
+    assert not decode_config(as_json(CONFIG)).asks_for_keys
+
+
 def test_a_configuration_is_read_into_the_products_types() -> None:
     config = decode_config(as_json(CONFIG))
     first, second = config.routes
