--- a/samphirecleat/blackboard.py
+++ b/samphirecleat/blackboard.py
@@ -30,7 +30,8 @@
     ``sequence`` rises with every change that the node makes to its own row, so
     that of two rows of one incarnation the newer can be told. ``key_epoch_age_ms``
     is how far the node was into its key epoch when it made the row. ``cores`` is the
-    processor time that its host gives it, in seconds a second.
+    processor time that its host gives it, in seconds a second. ``time_of_day_ms`` is what its
+    host took for the time of day when it made the row, 0 where nobody asks.
     """
 
     node_id: str
@@ -48,6 +49,7 @@
     reads_log: bool = True
     key_epoch_age_ms: int = 0
     cores: float = 1.0
+    time_of_day_ms: int = 0
 
 
 class MemberView(NamedTuple):
--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -1,7 +1,8 @@
 """Steps that are kept through the loss of every node: log, fold, runner, weights."""
 
 from ._access import ListedResult, StepAccess, StepPage
-from ._duty import ServiceDuty
+from ._duty import Duty, DutyKeeper, DutyMaker, Holder
+from ._duty_tasks import DutyTasks
 from ._fold import Claim, StepFold, StepState
 from ._follower import TopicFollower
 from ._journal import ProgressJournal
@@ -35,7 +36,7 @@
     Piece,
     PlainLog,
 )
-from ._post import DutyParts
+from ._post import DutyParts, ServiceDuties
 from ._reading_pace import keeps_items_apart, reading_pause_s
 from ._records import (
     FinishedItem,
@@ -61,7 +62,11 @@
     "AppendOutcome",
     "AppendResult",
     "Claim",
+    "Duty",
+    "DutyKeeper",
+    "DutyMaker",
     "DutyParts",
+    "DutyTasks",
     "EngineReport",
     "EngineView",
     "FinishedItem",
@@ -70,6 +75,7 @@
     "GenerationEnd",
     "GenerationError",
     "HistoryGoneError",
+    "Holder",
     "ItemListed",
     "ItemSpec",
     "KeyedLog",
@@ -93,7 +99,7 @@
     "RewardSpec",
     "RunnerClaimed",
     "Scorer",
-    "ServiceDuty",
+    "ServiceDuties",
     "Shortage",
     "StepAccepted",
     "StepAccess",
--- /dev/null
+++ b/samphirecleat/durable/_duty_tasks.py
@@ -0,0 +1,35 @@
+"""The tasks of one duty, started and stopped together."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+
+class DutyTasks:
+    """Tasks that end together; the first failure of one is told."""
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(
+        self,
+        works: Sequence[Coroutine[Any, Any, None]],
+        on_failure: Callable[[BaseException], None],
+    ) -> None:
+        """Run all of ``works`` beside each other."""
+
+        def note_end(task: asyncio.Task[None]) -> None:
+            error = None if task.cancelled() else task.exception()
+            if error is not None:
+                on_failure(error)
+
+        for work in works:
+            task = asyncio.ensure_future(work)
+            task.add_done_callback(note_end)
+            self._tasks.append(task)
+
+    def stop(self) -> None:
+        """Cancel every task."""
+        for task in self._tasks:
+            task.cancel()
--- a/samphirecleat/durable/_orderer.py
+++ b/samphirecleat/durable/_orderer.py
@@ -13,15 +13,11 @@
 from enum import Enum
 from typing import Final, NamedTuple, Protocol
 
-from .._boot_clock import boot_time_s
 from ..observe import Observer
 from ..serving import RouteTable, Target, TargetTable
+from ._duty import Holder
 from ._weight_orders import ModelDemand, OrderableEngine, decide_loads
 
-# A holder orders only within this long of the log's last word that its claim stands.
-CONFIRMED_WITHIN_S: Final = 0.8
-# Added to the lease before a new holder's first order: the confirmation above, and slack.
-TAKEOVER_SLACK_S: Final = 1.0
 LOOK_EVERY_S: Final = 0.1
 # A load takes about a second; asked any earlier, the engine is still busy.
 FIRST_LOOK_S: Final = 0.7
@@ -125,36 +121,24 @@
     def __init__(
         self,
         service: str,
-        fencing_number: int,
-        node_id: str,
-        lease_s: float,
+        holder: Holder,
         routes: RouteTable,
         targets: TargetTable,
         channel: OrderChannel,
         observer: Observer,
         *,
         named: Callable[[str], int],
-        may_order: Callable[[float], bool],
         work: StepWork,
-        follows_other: bool,
     ) -> None:
-        """Order under ``fencing_number`` what ``work`` asks for.
-
-        ``named`` gives a model's newest version.
-        ``may_order`` says whether the claim was confirmed within some seconds. A claim
-        that ``follows_other`` node waits until that one can't be ordering any more.
-        """
+        """Order as ``holder`` what ``work`` asks for; ``named`` gives a model's newest version."""
         self._service = service
-        self._fencing_number = fencing_number
-        self._node_id = node_id
-        self._wait_s = lease_s + TAKEOVER_SLACK_S if follows_other else 0.0
+        self._holder = holder
         self._routes = routes
         self._targets = targets
         self._channel = channel
         self._observer = observer
         self._words = observer.log("orders")
         self._named = named
-        self._may_order = may_order
         self._work = work
         self._known: dict[tuple[str, str], _Known] = {}
         self._orders_accepted: dict[str, int] = {}
@@ -163,11 +147,9 @@
 
     async def run(self) -> None:
         """Order for as long as the claim stands."""
-        began_s = boot_time_s()
         try:
             while not self._fenced:
-                now_s = boot_time_s()
-                if now_s - began_s >= self._wait_s and self._may_order(CONFIRMED_WITHIN_S):
+                if self._holder.acts_now():
                     self._step()
                 await asyncio.sleep(LOOK_EVERY_S)
             self._words.warning("service=%s fenced; a newer holder orders", self._service)
@@ -278,12 +260,17 @@
             if known.version >= version:
                 self._load_over(known)
                 return
-        if not self._may_order(CONFIRMED_WITHIN_S):
+        if not self._holder.acts_now():
             self._failed(known, 0.0)
             return
         expected = self._orders_accepted.get(target.instance, 0)
         order = Order(
-            model, version, self._node_id, self._fencing_number, expected, demand.keeps_runs
+            model,
+            version,
+            self._holder.node_id,
+            self._holder.fencing_number,
+            expected,
+            demand.keeps_runs,
         )
         outcome = await self._channel.order(target, order, ORDER_TIMEOUT_S)
         now_s = asyncio.get_running_loop().time()
--- a/samphirecleat/durable/_post.py
+++ b/samphirecleat/durable/_post.py
@@ -1,15 +1,14 @@
-"""The work of one service under one claim: its parts, wired."""
+"""The duty of running one service's steps and ordering its engines' weights: its parts, wired."""
 
-import asyncio
-from collections.abc import Callable, Coroutine
-from functools import partial
-from typing import Any, NamedTuple
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
 
 from ..observe import Observer
 from ..serving import RouteTable, TargetTable
 from ._drafts import DraftShelf
+from ._duty import Duty, DutyMaker, Holder
+from ._duty_tasks import DutyTasks
 from ._finisher import Finisher
-from ._fold import Claim
 from ._journal import ProgressJournal
 from ._orderer import OrderChannel, Orderer
 from ._ports import GenerationChannel
@@ -35,71 +34,66 @@
     named: Callable[[str], int]
 
 
-class Holder(NamedTuple):
-    """Who gives a service's orders; ``lease_s`` separates its orders from another holder's."""
+class ServiceDuties:
+    """The services of engines that the configuration names, each a duty."""
 
-    node_id: str
-    lease_s: float
+    def __init__(self, parts: DutyParts) -> None:
+        """Make posts of ``parts``; what was saved of texts is shared between them."""
+        self._parts = parts
+        self._drafts = DraftShelf()
+
+    def subjects(self) -> Mapping[str, DutyMaker]:
+        """Return the services to run."""
+        services = self._parts.routes.config.services
+        return {n: self._make for n, spec in services.items() if spec.engine is not None}
+
+    async def _make(self, service: str, holder: Holder) -> Duty:
+        await self._parts.journal.restore(self._drafts)
+        return ServicePost(service, holder, self._parts, self._drafts)
 
 
-class Post:
-    """A service that this node runs, under the claim at ``offset``."""
+class ServicePost:
+    """A service that this node runs."""
 
-    def __init__(
-        self,
-        service: str,
-        claim: Claim,
-        holder: Holder,
-        parts: DutyParts,
-        drafts: DraftShelf,
-        may_order: Callable[[float], bool],
-    ) -> None:
+    def __init__(self, service: str, holder: Holder, parts: DutyParts, drafts: DraftShelf) -> None:
         """Wire the parts; nothing runs before :meth:`start`."""
-        self.offset = claim.offset
         self._parts = parts
         work = ServiceWork(service, parts.step_log, parts.routes, parts.targets)
         finisher = Finisher(work, parts.scorer, parts.observer)
         runs = RunPool(work, drafts, parts.engines, finisher, parts.observer)
-        self.runner = StepRunner(work, drafts, runs, finisher, parts.observer)
+        self._runner = StepRunner(work, drafts, runs, finisher, parts.observer)
         self._orderer = Orderer(
             service,
-            claim.offset,
-            holder.node_id,
-            holder.lease_s,
+            holder,
             parts.routes,
             parts.targets,
             parts.orders,
             parts.observer,
             named=parts.named,
-            may_order=may_order,
             work=work,
-            # One host is one holder, whichever of its processes orders.
-            follows_other=claim.previous_node_id not in ("", claim.node_id),
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = DutyTasks()
 
-    def start(self, on_failure: Callable[[int, BaseException], None]) -> None:
-        """Run every part; ``on_failure`` gets the post's offset and what ended a part."""
+    def start(self, on_failure: Callable[[BaseException], None]) -> None:
+        """Run every part; see :class:`Duty`."""
         parts = self._parts
-        works: list[Coroutine[Any, Any, None]] = [
-            self.runner.run(),
+        works = [
+            self._runner.run(),
             self._orderer.run(),
-            parts.journal.keep(self.runner.open_drafts),
+            parts.journal.keep(self._runner.open_drafts),
             drop_forgotten_steps(parts.step_log, parts.observer),
         ]
-        for work in works:
-            task = asyncio.ensure_future(work)
-            task.add_done_callback(partial(self._note_end, on_failure))
-            self._tasks.append(task)
+        self._tasks.start(works, on_failure)
 
     def stop(self) -> None:
         """Cancel every part."""
-        for task in self._tasks:
-            task.cancel()
-
-    def _note_end(
-        self, on_failure: Callable[[int, BaseException], None], task: asyncio.Task[None]
-    ) -> None:
-        error = None if task.cancelled() else task.exception()
-        if error is not None:
-            on_failure(self.offset, error)
+        self._tasks.stop()
+
+    async def save(self) -> None:
+        """Save every text that is being made."""
+        await self._parts.journal.save(self._runner.open_drafts())
+
+    @property
+    def out_of_reach(self) -> bool:
+        """Say no: an engine that this node can't reach is passed over, and the store has ways."""
+        return False
--- a/samphirecleat/platform/_boot_settings.py
+++ b/samphirecleat/platform/_boot_settings.py
@@ -4,9 +4,11 @@
 import tomllib
 from collections.abc import Mapping, Sequence
 from pathlib import Path
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, NamedTuple, TypedDict
 
 SETTINGS_VARIABLE: Final = "SAMPHIRECLEAT_BOOT"
+DUTY_USAGE: Final = "usage"
+DUTY_SCALING: Final = "scaling"
 
 
 class BootSettings(NamedTuple):
@@ -16,7 +18,8 @@
     ``peer_ports`` are the first and last port for traffic between nodes. ``metrics_port``
     comes from the command line, 0 for none. Within ``key_revocation_s`` a key that was taken
     away must be out of force; a node that can't hear of that serves nobody by key afterwards
-    where ``keys_fail_closed``.
+    where ``keys_fail_closed``. The platform's API at ``api_address`` wants the ``api_duties`` of
+    one node at a time; usage of each ``report_window_s`` is due ``report_due_s`` after its end.
     """
 
     node_id: str
@@ -36,6 +39,11 @@
     cores: float = 1.0
     keys_fail_closed: bool = False
     key_revocation_s: float = math.inf
+    api_address: str = ""
+    api_duties: frozenset[str] = frozenset()
+    api_calls_per_s: float = math.inf
+    report_window_s: float = 0.0
+    report_due_s: float = 0.0
     metrics_port: int = 0
 
 
@@ -82,9 +90,38 @@
         cores=reader.number("limits.cpuShare", 1.0) * reader.number("limits.cpuCores", 1.0),
         keys_fail_closed=reader.flag("bounds.revokeFailClosed", default=False),
         key_revocation_s=reader.number("bounds.revocationMs", math.inf) / 1000.0,
+        **_api_settings(reader),
     )
 
 
+class _ApiSettings(TypedDict, total=False):
+    """The settings of the platform's API, none where there is no such API."""
+
+    api_address: str
+    api_duties: frozenset[str]
+    api_calls_per_s: float
+    report_window_s: float
+    report_due_s: float
+
+
+def _api_settings(reader: "_Reader") -> _ApiSettings:
+    """Return where the platform's API is, and what of it is a duty.
+
+    :raises BootSettingsError: when a key of it is of another type, or usage has no windows.
+    """
+    if not reader.has("cloudApi"):
+        return {}
+    settings = _ApiSettings(
+        api_address=reader.text("cloudApi.address"),
+        api_duties=frozenset(reader.texts("cloudApi.duties")),
+        api_calls_per_s=reader.positive("cloudApi.dutyPerS", math.inf),
+    )
+    if DUTY_USAGE in settings["api_duties"]:
+        settings["report_window_s"] = reader.positive("bounds.reportWindowS")
+        settings["report_due_s"] = reader.positive("bounds.usageLateS")
+    return settings
+
+
 class _Reader:
     """Looks up dotted keys and says where one is wrong."""
 
@@ -113,6 +150,17 @@
             raise self._error(key, "a number", value)
         return float(value)
 
+    def has(self, key: str) -> bool:
+        """Whether a key is there."""
+        return self._find(key) is not None
+
+    def positive(self, key: str, default: float | None = None) -> float:
+        """Return a number above zero; a key that is missing is a fault unless it has a default."""
+        value = self.number(key, default)
+        if value <= 0.0:
+            raise self._error(key, "a number above zero", value)
+        return value
+
     def flag(self, key: str, *, default: bool) -> bool:
         """Return true or false; a key that is missing has its default."""
         value = self._find(key)
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -4,20 +4,23 @@
 import random
 import secrets
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import aiohttp
 from aiohttp import web
 
+from .._boot_clock import boot_time_s
 from ..blackboard import Blackboard, Identity, Member
 from ..controllers.membership import Membership
 from ..durable import (
+    DutyKeeper,
+    DutyMaker,
     DutyParts,
     MeetingPoint,
     ProgressJournal,
     Scorer,
-    ServiceDuty,
+    ServiceDuties,
     StepAccess,
     StepLog,
     TopicFollower,
@@ -33,11 +36,22 @@
     StreamRelay,
     TargetRegistry,
     TargetTable,
+    no_meter,
 )
 from ..targets import make_connector
-from ._boot_settings import BootSettings
+from ..usage import (
+    ClockSample,
+    ReportTerms,
+    TrueClock,
+    UsageCounter,
+    UsageDuty,
+    UsageParts,
+    flush_delay_s,
+)
+from ._boot_settings import DUTY_USAGE, BootSettings
 from ._call_exchange import CallExchange
 from ._call_stream import CallStream
+from ._duty_api import DutyApi
 from ._engine_orders import EngineOrders
 from ._front import Front
 from ._front_server import FrontServer
@@ -54,6 +68,8 @@
 HOUSEKEEPING_S: Final = 0.25
 # The store's connection is given up by the kernel after this long without a sign.
 STORE_SILENT_S: Final = 1.0
+# A correction of this node's clock that is worth a line in the log.
+CLOCK_MOVED_S: Final = 0.1
 # A leaving node serves this long on, for callers that kept its address: three times the
 # time to live of a directory answer, and the second that it takes to be heard of.
 SERVE_ON_S: Final = 4.2
@@ -88,6 +104,7 @@
     async def start(self) -> None:
         """Listen and start following the platform."""
         settings = self.settings
+        self._clock = TrueClock(asyncio.get_running_loop().time, boot_time_s, time.time)
         self._session = aiohttp.ClientSession(connector=make_connector(STORE_SILENT_S))
         self._sessions = TargetSessions()
         self.targets.warm.kept_s = self._sessions.idle_s
@@ -114,6 +131,7 @@
             self._target_follower.run(),
             self.step_log.run(),
             self._duty.run(),
+            self._counter.run(),
             self._keep_house(),
         ):
             task = asyncio.ensure_future(work)
@@ -152,6 +170,7 @@
         self.board.leaving = True
         self.front.leaving = True
         self._membership.announce()
+        self._counter.hurry()
         await self._duty.hand_over()
         serve_until_s = began_s + min(SERVE_ON_S, self.settings.grace_s * 0.6)
         end_by_s = began_s + self.settings.grace_s - END_MARGIN_S
@@ -174,7 +193,8 @@
         self._words.info("stopped")
 
     def _busy(self) -> bool:
-        return self.front.in_flight > 0 or self.step_log.unlisted > 0
+        unwritten = self.step_log.unlisted + self._counter.unwritten
+        return self.front.in_flight > 0 or unwritten > 0
 
     def _wire_watches(self) -> None:
         self.operator = OperatorWatch(self.routes, self.observer)
@@ -190,13 +210,22 @@
 
     def _wire_steps(self) -> None:
         exchange = CallExchange(self._sessions)
-        forwarder = Forwarder(self.routes, self.targets, exchange, self._rng)
+        self._counter = UsageCounter(
+            self._store,
+            self._clock,
+            self.settings.report_window_s,
+            lambda: flush_delay_s(len(self.board.members)),
+            self.observer,
+            self._rng,
+        )
+        meter = self._counter.began if self._reports_usage else no_meter
+        forwarder = Forwarder(self.routes, self.targets, exchange, self._rng, meter)
         self.step_log = StepLog(
             self._store,
             self.board.identity.incarnation,
             self.observer,
             self._rng,
-            lambda: reading_pause_s(len(self.board.members), runs_work=bool(self._duty.posts())),
+            lambda: reading_pause_s(len(self.board.members), runs_work=self._runs_services()),
             lambda: keeps_items_apart(len(self.board.members)),
         )
         relay = StreamRelay(forwarder, self.targets, CallStream(self._sessions))
@@ -220,7 +249,35 @@
             self.observer,
             self.operator.named,
         )
-        self._duty = ServiceDuty(self.board, parts, self._rng, lease_s=self.settings.lease_s)
+        self._services = ServiceDuties(parts)
+        self._usage = UsageDuty(
+            UsageParts(
+                self._store,
+                DutyApi(self._session, self.settings.api_address, self.settings.api_calls_per_s),
+                self._clock,
+                ReportTerms(self.settings.report_window_s, self.settings.report_due_s),
+                self.observer,
+                self._rng,
+                lambda: self._store.reachable,
+            )
+        )
+        self._duty = DutyKeeper(
+            self.board,
+            self.step_log,
+            self._subjects,
+            self.observer,
+            self._rng,
+            lease_s=self.settings.lease_s,
+        )
+
+    def _runs_services(self) -> bool:
+        return not self._services.subjects().keys().isdisjoint(self._duty.posts())
+
+    def _subjects(self) -> Mapping[str, DutyMaker]:
+        """Return the duties that some node must have."""
+        if not self._reports_usage:
+            return self._services.subjects()
+        return {**self._services.subjects(), **self._usage.subjects()}
 
     async def _listen(self) -> None:
         settings = self.settings
@@ -257,8 +314,24 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.target_watch.refresh()
+            self._agree_on_time()
             await self._sessions.keep(self.targets.targets)
 
+    def _agree_on_time(self) -> None:
+        """Take the time of day that most hosts have; windows of usage are told apart by it."""
+        samples = [
+            ClockSample(view.member.time_of_day_ms / 1000.0, view.heard_at_s)
+            for view in self.board.members.values()
+            if view.alive and view.member.time_of_day_ms
+        ]
+        moved_s = self._clock.agree(samples)
+        if abs(moved_s) > CLOCK_MOVED_S:
+            self._words.warning("clock corrected by=%.3f s hosts=%d", moved_s, len(samples))
+
+    @property
+    def _reports_usage(self) -> bool:
+        return DUTY_USAGE in self.settings.api_duties
+
     def _is_ready(self) -> bool:
         return self.routes.known and self._target_follower.caught_up and not self.board.leaving
 
@@ -279,6 +352,7 @@
             key_epoch=0,
             in_flight=self.front.in_flight,
             cores=self.settings.cores,
+            time_of_day_ms=int(time.time() * 1000) if self._reports_usage else 0,
         )
 
     def _ready_members(self) -> Sequence[Member]:
--- a/samphirecleat/platform/_wire_names.py
+++ b/samphirecleat/platform/_wire_names.py
@@ -35,6 +35,12 @@
     }
 )
 
+# Who does a duty towards the platform's API, and its fencing number.
+DUTY_HOLDER: Final = "X-Duty-Holder"
+DUTY_FENCING: Final = "X-Fencing-Token"
+
+PATH_USAGE: Final = "/usage"
+PATH_SCALE: Final = "/scale"
 PATH_REPORT: Final = "/v1/report"
 PATH_ORDER: Final = "/v1/order"
 PATH_READY: Final = "/v1/readiness"
--- a/samphirecleat/serving/__init__.py
+++ b/samphirecleat/serving/__init__.py
@@ -1,7 +1,7 @@
 """Serving callers' calls by routes: types, the tables that a node keeps, the forwarder."""
 
 from ._entry_choice import offered_members
-from ._forwarder import Forwarder
+from ._forwarder import Forwarder, UsageMeter, no_meter
 from ._gatekeeper import Gatekeeper
 from ._registry import TargetRegistry
 from ._route_table import RouteTable
@@ -59,9 +59,11 @@
     "TargetFault",
     "TargetRegistry",
     "TargetTable",
+    "UsageMeter",
     "WeightedService",
     "Workspace",
     "key_mark",
+    "no_meter",
     "offered_members",
     "services_in_turn",
 ]
--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -7,8 +7,9 @@
 """
 
 import asyncio
+import math
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
 from ..errors import ErrorKind, Ran, RequestError
@@ -30,22 +31,41 @@
 REFUSALS_LIMIT: Final = 8
 
 
+UsageMeter = Callable[[str, float], None]
+"""Takes the workspace of a call that began to run at a target, and when, on the loop's clock."""
+
+
+def no_meter(workspace: str, began_at_s: float) -> None:
+    """Count nothing."""
+    del workspace, began_at_s
+
+
 class _Attempt(NamedTuple):
     target: Target
     task: asyncio.Task[TargetAnswer]
+    sent_at_s: float
 
 
 class Forwarder:
     """Forwards calls by routes over a channel; one for the whole process."""
 
     def __init__(
-        self, routes: RouteTable, targets: TargetTable, channel: CallChannel, rng: random.Random
+        self,
+        routes: RouteTable,
+        targets: TargetTable,
+        channel: CallChannel,
+        rng: random.Random,
+        meter: UsageMeter = no_meter,
     ) -> None:
-        """Choose among ``targets`` and send through ``channel``."""
+        """Choose among ``targets`` and send through ``channel``.
+
+        ``meter`` hears once of each call of a workspace that began to run.
+        """
         self._routes = routes
         self._targets = targets
         self._channel = channel
         self._rng = rng
+        self.meter = meter
 
     async def forward(self, call: Call, route: Route) -> TargetAnswer:
         """Return the target's answer, whatever its status.
@@ -111,6 +131,7 @@
         self._runs_used = 0
         self._trail = AttemptTrail()
         self._spoilt: TargetAnswer | None = None
+        self._began_at_s = math.inf
         self._repeatable = route.kind is CallKind.IDEMPOTENT
 
     async def result(self) -> TargetAnswer:
@@ -121,6 +142,13 @@
         finally:
             for attempt in attempts:
                 attempt.task.cancel()
+                self._note_begun(attempt)
+            if self._call.workspace and self._began_at_s < math.inf:
+                self._forwarder.meter(self._call.workspace, self._began_at_s)
+
+    def _note_begun(self, attempt: _Attempt) -> None:
+        """Take an attempt that may have begun to run; a call counts when its first one did."""
+        self._began_at_s = min(self._began_at_s, attempt.sent_at_s)
 
     async def _race(self, attempts: list[_Attempt]) -> TargetAnswer:
         loop = asyncio.get_running_loop()
@@ -165,7 +193,7 @@
         self._runs_used += 1
         self._trail.sent(target.instance, now_s)
         task = asyncio.ensure_future(self._forwarder.attempt(self._call, target, self._end_s))
-        attempts.append(_Attempt(target, task))
+        attempts.append(_Attempt(target, task, now_s))
         return True
 
     def _take(self, attempt: _Attempt, now_s: float) -> TargetAnswer | None:
@@ -180,7 +208,9 @@
                 self._refusals += 1
             else:
                 self._ran = Ran.UNKNOWN
+                self._note_begun(attempt)
             return None
+        self._note_begun(attempt)
         self._trail.ended(attempt.target.instance, f"answered {answer.status}", now_s)
         if answer.status >= 500 and self._repeatable:
             self._spoilt = answer
--- a/samphirecleat/serving/_stream_relay.py
+++ b/samphirecleat/serving/_stream_relay.py
@@ -82,6 +82,7 @@
         self._target: Target | None = None
         self._source: AsyncGenerator[_Item, None] | None = None
         self._repeatable = route.resumable
+        self._metered = False
         self.start = StreamStart(0, (), 0)
 
     async def begin(self) -> TargetAnswer | None:
@@ -153,6 +154,9 @@
             detail = f"event {item.event_id} after {self._last_event_id}"
             raise TargetFault(detail, Ran.UNKNOWN)
         self._last_event_id = item.event_id
+        if self._call.workspace and not self._metered:
+            self._metered = True
+            self._relay.forwarder.meter(self._call.workspace, asyncio.get_running_loop().time())
         return item
 
     async def _next(self) -> _Item | None:
--- /dev/null
+++ b/samphirecleat/usage/__init__.py
@@ -0,0 +1,31 @@
+"""Usage of workspaces: counted where calls run, kept in the log, reported once a window."""
+
+from ._counter import UsageCounter, flush_delay_s
+from ._ledger import UsageLedger
+from ._records import CountsAdded, ReportFixed, WindowCounts
+from ._reporter import (
+    REPORT_SUBJECT,
+    ReportOutcome,
+    ReportTerms,
+    UsageChannel,
+    UsageDuty,
+    UsageParts,
+)
+from ._true_clock import ClockSample, TrueClock
+
+__all__ = [
+    "REPORT_SUBJECT",
+    "ClockSample",
+    "CountsAdded",
+    "ReportFixed",
+    "ReportOutcome",
+    "ReportTerms",
+    "TrueClock",
+    "UsageChannel",
+    "UsageCounter",
+    "UsageDuty",
+    "UsageLedger",
+    "UsageParts",
+    "WindowCounts",
+    "flush_delay_s",
+]
--- a/tests/durable/test_duty.py
+++ b/tests/durable/test_duty.py
@@ -8,13 +8,14 @@
 
 from samphirecleat.blackboard import Blackboard, Identity, Member, MemberView
 from samphirecleat.durable import (
+    DutyKeeper,
     DutyParts,
     GenerationChannel,
     OrderChannel,
     PlainLog,
     ProgressJournal,
     Scorer,
-    ServiceDuty,
+    ServiceDuties,
     StepLog,
 )
 from samphirecleat.observe import Observer
@@ -31,7 +32,7 @@
 from .memory_log import MemoryLog
 
 
-def make_duty(step_log: StepLog) -> ServiceDuty:
+def make_duty(step_log: StepLog) -> DutyKeeper:
     """Return the duty of the only node, which is ready; nothing can be restored."""
     identity = Identity("n1", "inc00001", "z", "", "")
     row = Member("n1", "inc00001", 1, "z", "", "", 1, False, True, 1, 0, 0)
@@ -51,7 +52,8 @@
         observer,
         lambda _model: 1,
     )
-    return ServiceDuty(board, parts, random.Random(1), lease_s=3.0)
+    subjects = ServiceDuties(parts).subjects
+    return DutyKeeper(board, step_log, subjects, observer, random.Random(1), lease_s=3.0)
 
 
 def test_a_claim_that_the_log_refused_is_made_again_at_once(
--- a/tests/durable/test_orderer.py
+++ b/tests/durable/test_orderer.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from samphirecleat.durable import EngineReport, Order, OrderOutcome
+from samphirecleat.durable import EngineReport, Holder, Order, OrderOutcome
 from samphirecleat.durable._orderer import Orderer
 from samphirecleat.durable._weight_orders import ModelDemand
 from samphirecleat.observe import Observer
@@ -91,10 +91,10 @@
     targets.replace(
         {n: Target(n, "svc", "127.0.0.1:1", "z", 12, False, {"m": 1}) for n in ("e1", "e2", "e3")}
     )
+    holder = Holder("n1", 41, 4.0 if follows_other else 0.0, may_order, 100.0)
     return Orderer(
-        "svc", 41, "n1", 3.0, routes, targets, engines, Observer("n1"),
-        named=lambda _m: 2, may_order=may_order, work=work or FakeWork(),
-        follows_other=follows_other,
+        "svc", holder, routes, targets, engines, Observer("n1"),
+        named=lambda _m: 2, work=work or FakeWork(),
     )  # fmt: skip
 
 
@@ -159,7 +159,7 @@
 
 def test_a_holder_after_another_waits_out_its_lease(monkeypatch: pytest.MonkeyPatch) -> None:
     now = [100.0]
-    monkeypatch.setattr("samphirecleat.durable._orderer.boot_time_s", lambda: now[0])
+    monkeypatch.setattr("samphirecleat.durable._duty.boot_time_s", lambda: now[0])
     engines, looked = FakeEngines(), []
     orderer = make_orderer(
         engines, follows_other=True, may_order=lambda _s: not looked.append(True)
--- /dev/null
+++ b/tests/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Usage: counts, clock, ledger and reports."""
