--- a/samphirecleat/durable/_item_decisions.py
+++ b/samphirecleat/durable/_item_decisions.py
@@ -5,6 +5,7 @@
 its engine do next is decided here; :mod:`._planner` decides which item starts next, and where.
 """
 
+import math
 from collections.abc import Sequence
 from enum import Enum
 from typing import Final, NamedTuple
@@ -20,6 +21,14 @@
 MOVE_SLOWNESS: Final = 2.0
 MOVE_TO_SLOWNESS: Final = 1.4
 MOVE_AFTER_EVENTS: Final = 3
+# A text that would be late moves to an engine that is this much faster, in parts of the typical
+# pace and in the time that it gains; less is within what paces differ by from event to event.
+FASTER_BY_SLOWNESS: Final = 0.15
+FASTER_BY_S: Final = 0.3
+# Between a text's last event and its listing: the score, two appends, the trainer's next read.
+FINISH_S: Final = 0.5
+# Lengths have a long tail.
+OUTLASTING_FACTOR: Final = 2
 # An engine that failed gets nothing for this long; one that refused, until a run may have ended.
 ENGINE_REST_S: Final = 0.5
 REFUSAL_REST_S: Final = 0.1
@@ -63,27 +72,75 @@
 
 
 class RunView(NamedTuple):
-    """A run on an engine of some slowness; ``moving`` if it was asked to end there."""
+    """A run on an engine of some slowness; ``moving`` if it was asked to end there.
+
+    At the typical pace its text takes ``rest_s`` more, and it is due in ``due_in_s``. Its engine
+    leaves in ``leaves_in_s``. Only weights of ``min_version`` of its ``model`` and newer may go
+    on with it.
+    """
 
     name: ItemName
     slowness: float
     events: int
     moving: bool
+    rest_s: float = 0.0
+    due_in_s: float = math.inf
+    leaves_in_s: float = math.inf
+    model: str = ""
+    min_version: int = 0
+
+    @property
+    def spare_s(self) -> float:
+        """What is left when the text is whole, scored and listed, if the run stays."""
+        return self.due_in_s - self.rest_s * self.slowness - FINISH_S
 
 
 def runs_to_move(runs: Sequence[RunView], engines: Sequence[EngineView]) -> Sequence[ItemName]:
-    """Return the runs on slow engines that go on elsewhere: one for each place at a faster one."""
-    free = sum(
-        engine.places - engine.running
-        for engine in engines
-        if engine.accepts and engine.slowness < MOVE_TO_SLOWNESS
+    """Return the runs that go on at other engines, the most pressed first.
+
+    A run leaves an engine that turned slow or leaves before its text is whole, and an engine that
+    is only a little slower if its text would be late there. Each takes one free place.
+    """
+    free = [engine for engine in engines if engine.accepts and engine.running < engine.places]
+    moved: list[ItemName] = []
+    for run in sorted(runs, key=lambda run: run.spare_s):
+        if run.moving or run.events < MOVE_AFTER_EVENTS:
+            continue
+        better = [engine for engine in free if _goes_on_better(run, engine)]
+        if not better:
+            continue
+        taken = min(better, key=lambda engine: engine.slowness)
+        free.remove(taken)
+        if taken.running + 1 < taken.places:
+            free.append(taken._replace(running=taken.running + 1))
+        moved.append(run.name)
+    return moved
+
+
+def _goes_on_better(run: RunView, engine: EngineView) -> bool:
+    if run.model and engine.versions.get(run.model, -1) < run.min_version:
+        return False
+    if run.rest_s * run.slowness > run.leaves_in_s:
+        return True
+    if run.slowness > MOVE_SLOWNESS and engine.slowness < MOVE_TO_SLOWNESS:
+        return True
+    faster_by = run.slowness - engine.slowness
+    return (
+        run.spare_s < 0.0
+        and faster_by >= FASTER_BY_SLOWNESS
+        and faster_by * run.rest_s >= FASTER_BY_S
     )
-    slow = [
-        run.name
-        for run in runs
-        if run.slowness > MOVE_SLOWNESS and run.events >= MOVE_AFTER_EVENTS and not run.moving
-    ]
-    return slow[: max(0, free)]
+
+
+def expected_rest_events(made: int, hinted: int, most: int) -> int:
+    """Return how many events a text is expected to get beyond those that were made.
+
+    Hints are right at the median and often far off. One that was outlasted says nothing more; a
+    text that has come so far is then expected to come as far again and once more.
+    """
+    if made < hinted:
+        return hinted - made
+    return max(0, min(OUTLASTING_FACTOR * made, most - made))
 
 
 class Aftermath(NamedTuple):
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -1,14 +1,24 @@
 """Plans a service's items over its engines, again and again, and has the plan carried out."""
 
 import asyncio
+import math
 from collections.abc import Mapping, Sequence
 from typing import Final
 
 from ..observe import Observer
 from ._drafts import Draft, DraftShelf
 from ._finisher import Finisher
-from ._item_decisions import ItemName, ItemStanding, NextStep, RunView, next_step, runs_to_move
+from ._item_decisions import (
+    ItemName,
+    ItemStanding,
+    NextStep,
+    RunView,
+    expected_rest_events,
+    next_step,
+    runs_to_move,
+)
 from ._item_loader import ItemLoader
+from ._item_run import ItemRun
 from ._open_item import OpenItem
 from ._planner import PendingItem, order_items, place_items, shortages
 from ._run_pool import RunPool
@@ -20,6 +30,10 @@
 # time, planning takes a quarter at most, since the events of all runs need the same processor.
 PLAN_GAP_S: Final = 0.005
 PLAN_REST: Final = 3.0
+# An engine that takes no new work serves on for about this long; a spot target no longer.
+LEAVES_IN_S: Final = 2.0
+# Runs are looked through this often for ones that should move: about the time of two events.
+MOVE_EVERY_S: Final = 0.1
 # A text's expected rest is never taken for less than one event of today's engines.
 LEAST_EXPECTED_TOKENS: Final = 64
 
@@ -42,6 +56,7 @@
         self._finisher = finisher
         self._items = ItemLoader(work, observer)
         self._observer = observer
+        self._moves_at_s = 0.0
 
     async def run(self) -> None:
         """Plan for as long as the node runs the service; cancels its runs at the end."""
@@ -91,7 +106,8 @@
             self._place(pending, by_name, now_s)
         else:
             self._work.short = {}
-            self._move_slow_runs(now_s)
+        if not self._work.short:
+            self._move_runs(now_s)
 
     def _wants_place(self, open_item: OpenItem, now_s: float) -> bool:
         """Do what an item needs next; True if that is a place at an engine."""
@@ -153,17 +169,41 @@
             name = (placement.item.step_id, placement.item.item_id)
             self._runs.start(by_name[name], placement)
 
-    def _move_slow_runs(self, now_s: float) -> None:
-        """Move runs off slow engines; while items wait for places, those come first."""
+    def _move_runs(self, now_s: float) -> None:
+        """Move runs to better engines; while items wait for places, those come first."""
+        if now_s < self._moves_at_s:
+            return
+        self._moves_at_s = now_s + MOVE_EVERY_S
         engines = self._work.engine_views(now_s)
         slowness = {engine.instance: engine.slowness for engine in engines}
-        runs = [
-            RunView(run.name, slowness.get(run.target.instance, 1.0), run.events, run.move)
-            for run in self._work.runs.values()
-        ]
+        event_s = self._work.paces.typical_event_s()
+        runs = [self._run_view(run, slowness, event_s, now_s) for run in self._work.runs.values()]
         for name in runs_to_move(runs, engines):
             self._runs.move(name)
 
+    def _run_view(
+        self, run: ItemRun, slowness: Mapping[str, float], event_s: float, now_s: float
+    ) -> RunView:
+        step, item, route = run.open_item
+        tokens_per_event = self._work.view.tokens_per_event
+        rest_events = expected_rest_events(
+            run.draft.last_event_id,
+            item.hinted_tokens // tokens_per_event,
+            item.most_tokens // tokens_per_event,
+        )
+        instance = run.target.instance
+        return RunView(
+            run.name,
+            slowness.get(instance, 1.0),
+            run.events,
+            run.move,
+            rest_events * event_s,
+            step.folded_at_s + route.result_deadline_s - now_s,
+            math.inf if instance in slowness else LEAVES_IN_S,
+            step.spec.model,
+            step.spec.min_version,
+        )
+
     async def _wait_for_news(self) -> None:
         """Wait until a run ended, a version came or the step log changed, a moment at most."""
         waits = [
--- a/samphirecleat/usage/_true_clock.py
+++ b/samphirecleat/usage/_true_clock.py
@@ -37,7 +37,7 @@
         self._boot_time_s = boot_time_s
         self._offset_s = time_of_day_s() - boot_time_s()
         self._lag_s = boot_time_s() - loop_time_s()
-        self._samples_count_from_s = 0.0
+        self._samples_count_from_s = -1.0
 
     def agree(self, samples: Sequence[ClockSample]) -> float:
         """Take what the nodes of the fleet, this one among them, say; return the correction."""
@@ -49,7 +49,7 @@
         offsets_s = [
             sample.time_of_day_s + (now_loop_s - sample.at_loop_s) - now_boot_s
             for sample in samples
-            if sample.at_loop_s >= self._samples_count_from_s
+            if sample.at_loop_s > self._samples_count_from_s
         ]
         if len(offsets_s) < LEAST_SAMPLES:
             return 0.0
--- a/tests/durable/test_item_decisions.py
+++ b/tests/durable/test_item_decisions.py
@@ -1,5 +1,7 @@
 """What becomes of items, runs and engines: the decisions, by table."""
 
+import math
+
 import pytest
 
 from samphirecleat.durable import EngineView, GenerationEnd
@@ -13,6 +15,7 @@
     NextStep,
     RunView,
     after_failed_run,
+    expected_rest_events,
     next_step,
     runs_to_move,
 )
@@ -66,6 +69,57 @@
     assert [name[1] for name in runs_to_move(runs, engines)] == want
 
 
+def pressed(
+    item: str,
+    slowness: float,
+    rest_s: float,
+    due_in_s: float,
+    leaves_in_s: float = math.inf,
+    min_version: int = 1,
+) -> RunView:
+    return RunView(("s", item), slowness, 9, False, rest_s, due_in_s, leaves_in_s, "m", min_version)
+
+
+@pytest.mark.parametrize(
+    ("runs", "engines", "want"),
+    [
+        # Late at its engine of two thirds of the pace, in time at another.
+        ([pressed("a", 1.3, 4.0, 5.0)], [engine("e1")], ["a"]),
+        # In time where it is, or no better elsewhere.
+        ([pressed("a", 1.3, 3.0, 5.0)], [engine("e1")], []),
+        ([pressed("a", 1.3, 4.0, 5.0)], [engine("e1", slowness=1.2)], []),
+        ([pressed("a", 1.3, 0.5, 0.2)], [engine("e1")], []),
+        # One place: the one that has less to spare.
+        (
+            [pressed("a", 1.3, 4.0, 5.0), pressed("b", 1.3, 4.0, 4.0)],
+            [engine("e1", running=3)],
+            ["b"],
+        ),
+        # Weights that may not go on with the text.
+        ([pressed("a", 1.3, 4.0, 5.0, min_version=2)], [engine("e1")], []),
+        # Its engine leaves before the text is whole, or after it.
+        ([pressed("a", 1.0, 4.0, 9.0, 2.0)], [engine("e1")], ["a"]),
+        ([pressed("a", 1.0, 1.5, 9.0, 2.0)], [engine("e1")], []),
+    ],
+)
+def test_a_text_that_would_be_late_goes_on_at_a_faster_engine(
+    runs: list[RunView], engines: list[EngineView], want: list[str]
+) -> None:
+    """Guards against a step that waits for one long text on the slowest kind of engine."""
+    assert [name[1] for name in runs_to_move(runs, engines)] == want
+
+
+@pytest.mark.parametrize(
+    ("made", "hinted", "most", "want"),
+    [(0, 18, 134, 18), (10, 18, 134, 8), (18, 18, 134, 36), (60, 18, 134, 74), (134, 18, 134, 0)],
+)
+def test_a_text_that_outlasts_its_hint_is_expected_to_go_on(
+    made: int, hinted: int, most: int, want: int
+) -> None:
+    """Guards against a long text that looks all but done because its hint was short."""
+    assert expected_rest_events(made, hinted, most) == want
+
+
 @pytest.mark.parametrize(
     ("reason", "failures", "want"),
     [
