--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -33,10 +33,11 @@
     LogEntry,
     LogSlice,
     LogUnavailableError,
+    PeerTexts,
     Piece,
     PlainLog,
 )
-from ._post import DutyParts, ServiceDuties
+from ._post import NO_SUPPLY, DutyParts, ServerSupply, ServiceDuties
 from ._reading_pace import keeps_items_apart, reading_pause_s
 from ._records import (
     FinishedItem,
@@ -51,12 +52,15 @@
     TextRef,
 )
 from ._scorer import Scorer
+from ._server_orders import ScaleChannel, ScaleOutcome
+from ._server_plan import ZoneSupply, plan_spot, servers_for
 from ._step_log import StepLog
 from ._texts import TextShelf
 from ._weight_demand import engines_for, model_demand
 from ._weight_orders import Load, ModelDemand, OrderableEngine, decide_loads
 
 __all__ = [
+    "NO_SUPPLY",
     "READ_BYTES",
     "UNCONDITIONAL",
     "AppendOutcome",
@@ -90,6 +94,7 @@
     "OrderChannel",
     "OrderOutcome",
     "OrderableEngine",
+    "PeerTexts",
     "PendingItem",
     "Piece",
     "Placement",
@@ -98,7 +103,10 @@
     "ResultsListed",
     "RewardSpec",
     "RunnerClaimed",
+    "ScaleChannel",
+    "ScaleOutcome",
     "Scorer",
+    "ServerSupply",
     "ServiceDuties",
     "Shortage",
     "StepAccepted",
@@ -113,13 +121,16 @@
     "TextShelf",
     "TopicFollower",
     "Written",
+    "ZoneSupply",
     "decide_loads",
     "engines_for",
     "keeps_items_apart",
     "model_demand",
     "order_items",
     "place_items",
+    "plan_spot",
     "planned_tokens",
     "reading_pause_s",
+    "servers_for",
     "shortages",
 ]
--- a/samphirecleat/durable/_ports.py
+++ b/samphirecleat/durable/_ports.py
@@ -1,6 +1,6 @@
 """What durable steps need from outside: a keyed log, and engines that stream tokens."""
 
-from collections.abc import AsyncGenerator, Sequence
+from collections.abc import AsyncGenerator, Mapping, Sequence
 from enum import Enum
 from typing import Final, NamedTuple, Protocol
 
@@ -86,6 +86,17 @@
         ...
 
 
+class PeerTexts(Protocol):
+    """Texts that another node still has in memory."""
+
+    async def fetch(self, incarnation: str, keys: Sequence[str]) -> Mapping[str, bytes]:
+        """Return those of ``keys`` that the process of an incarnation has, packed as written.
+
+        Never raises for a process that is gone or does not answer; it has none.
+        """
+        ...
+
+
 class PlainLog(Protocol):
     """A topic without keys whose old records vanish, for what may be lost."""
 
--- a/samphirecleat/durable/_post.py
+++ b/samphirecleat/durable/_post.py
@@ -1,7 +1,7 @@
 """The duty of running one service's steps and ordering its engines' weights: its parts, wired."""
 
 from collections.abc import Callable, Mapping
-from typing import NamedTuple
+from typing import Final, Literal, NamedTuple
 
 from ..observe import Observer
 from ..serving import RouteTable, TargetTable
@@ -16,10 +16,22 @@
 from ._run_pool import RunPool
 from ._runner import StepRunner
 from ._scorer import Scorer
+from ._server_orders import ScaleChannel, ServerOrderer
 from ._service_work import ServiceWork
 from ._step_log import StepLog
 
 
+class ServerSupply(NamedTuple):
+    """Where a service's targets are ordered; ``sees_targets`` says if they are all known now."""
+
+    channel: ScaleChannel
+    sees_targets: Callable[[], bool]
+
+
+NO_SUPPLY: Final = "no supply"
+"""Stands for a platform that takes no orders of targets."""
+
+
 class DutyParts(NamedTuple):
     """What the work of any service needs of its node; ``named`` gives a model's newest version."""
 
@@ -32,6 +44,7 @@
     journal: ProgressJournal
     observer: Observer
     named: Callable[[str], int]
+    servers: ServerSupply | Literal["no supply"] = NO_SUPPLY
 
 
 class ServiceDuties:
@@ -72,6 +85,19 @@
             named=parts.named,
             work=work,
         )
+        self._server_orderer = (
+            ServerOrderer(
+                work,
+                parts.routes,
+                parts.targets,
+                parts.servers.channel,
+                holder,
+                parts.observer,
+                parts.servers.sees_targets,
+            )
+            if isinstance(parts.servers, ServerSupply)
+            else None
+        )
         self._tasks = DutyTasks()
 
     def start(self, on_failure: Callable[[BaseException], None]) -> None:
@@ -83,6 +109,8 @@
             parts.journal.keep(self._runner.open_drafts),
             drop_forgotten_steps(parts.step_log, parts.observer),
         ]
+        if self._server_orderer is not None:
+            works.append(self._server_orderer.run())
         self._tasks.start(works, on_failure)
 
     def stop(self) -> None:
--- a/samphirecleat/durable/_service_work.py
+++ b/samphirecleat/durable/_service_work.py
@@ -56,6 +56,11 @@
                 steps.append((step, route))
         return steps
 
+    def items_to_make(self) -> int:
+        """Return how many items of the open steps have a run or want one."""
+        unlisted = sum(len(step.unlisted) for step, _route in self.open_steps())
+        return max(0, unlisted - len(self.scoring) - len(self.handed_in))
+
     def engine_views(self, now_s: float) -> Sequence[EngineView]:
         """Return the engines as the planner wants to see them."""
         running: Counter[str] = Counter()
--- a/samphirecleat/durable/_step_log.py
+++ b/samphirecleat/durable/_step_log.py
@@ -14,7 +14,7 @@
 from ._follower import TopicFollower, no_pause
 from ._item_shelf import ItemShelf
 from ._listing import ResultLister, Written
-from ._ports import AppendOutcome, KeyedLog, LogEntry, LogUnavailableError
+from ._ports import AppendOutcome, KeyedLog, LogEntry, LogUnavailableError, PeerTexts
 from ._records import (
     FinishedItem,
     ItemSpec,
@@ -30,7 +30,7 @@
     key_prefix,
     split_record,
 )
-from ._texts import TextShelf, drop_prefix
+from ._texts import NO_PEERS, TextShelf, drop_prefix
 
 STEP_TOPIC: Final = "keyed.steps"
 # A fold that was confirmed this recently needs no question to the log before it answers:
@@ -63,10 +63,12 @@
         rng: random.Random,
         pause_s: Callable[[], float] = no_pause,
         items_apart: Callable[[], bool] = always,
+        peer_texts: PeerTexts = NO_PEERS,
     ) -> None:
         """Write as ``incarnation``; after news of the log pause for ``pause_s``.
 
-        ``items_apart`` says whether the items of a step are written apart from it.
+        ``items_apart`` says whether the items of a step are written apart from it. Texts that
+        the log can't give are asked of ``peer_texts``.
         """
         self.fold = StepFold()
         self._log = log
@@ -82,7 +84,7 @@
             log, STEP_TOPIC, self._take, observer, rng, ordered=True, pause_s=self._pause_s
         )
         self._changed = asyncio.Event()
-        self.texts = TextShelf(log, self._writer_id, observer)
+        self.texts = TextShelf(log, self._writer_id, observer, peer_texts)
         self._items = ItemShelf(self.texts)
         self._lister = ResultLister(self.fold, self.texts, self._write_results, observer)
         self.forgotten: deque[str] = deque(maxlen=FORGOTTEN_KEPT)
--- a/samphirecleat/durable/_texts.py
+++ b/samphirecleat/durable/_texts.py
@@ -13,7 +13,7 @@
 from typing import Final
 
 from ..observe import Observer
-from ._ports import AppendOutcome, HistoryGoneError, KeyedLog, LogUnavailableError
+from ._ports import AppendOutcome, HistoryGoneError, KeyedLog, LogUnavailableError, PeerTexts
 from ._records import FinishedItem, TextRef, join_blob, key_prefix, pack, split_blob, unpack
 
 # Each topic takes appends one at a time; several let the services' texts pass each other.
@@ -27,12 +27,37 @@
 _ENTRY_OVERHEAD_BYTES: Final = 80
 
 
+# A writer's id begins with its incarnation.
+INCARNATION_CHARS: Final = 8
+
+
+class _NoPeers:
+    """Nobody to ask."""
+
+    async def fetch(self, incarnation: str, keys: Sequence[str]) -> Mapping[str, bytes]:
+        del incarnation, keys
+        return {}
+
+
+NO_PEERS: Final = _NoPeers()
+
+
 class TextShelf:
     """Writes and reads texts; every node has one."""
 
-    def __init__(self, log: KeyedLog, writer_id: str, observer: Observer) -> None:
-        """Write as ``writer_id``, which no other process has."""
+    def __init__(
+        self,
+        log: KeyedLog,
+        writer_id: str,
+        observer: Observer,
+        peers: PeerTexts = NO_PEERS,
+    ) -> None:
+        """Write as ``writer_id``, which no other process has and begins with its incarnation.
+
+        What the log can't give now is asked of ``peers``.
+        """
         self._log = log
+        self._peers = peers
         self._writer_id = writer_id
         self._observer = observer
         self._words = observer.log("texts")
@@ -96,7 +121,7 @@
         missing = sorted({ref for ref in refs if ref.key not in found})
         self._observer.counters["texts_cached"] += len(refs) - len(missing)
         for run in _runs(missing):
-            found.update(await self._fetch(run))
+            found.update(await self._fetch_or_ask(run))
         lost = [ref.key for ref in refs if ref.key not in found]
         if lost:
             raise LogUnavailableError(f"texts {lost[:3]} are not in the log")
@@ -104,6 +129,34 @@
             self._keep(key, packed)
         return {key: unpack(packed) for key, packed in found.items()}
 
+    def cached(self, keys: Sequence[str]) -> Mapping[str, bytes]:
+        """Return what this node has of some texts in memory, packed as written."""
+        return {key: self._cached[key] for key in keys if key in self._cached}
+
+    async def _fetch_or_ask(self, run: Sequence[TextRef]) -> Mapping[str, bytes]:
+        """Return texts from the log, or from the nodes that wrote them while the log is away.
+
+        A store that sheds its load refuses texts that are listed and whose writer still has them.
+        """
+        try:
+            return await self._fetch(run)
+        except LogUnavailableError as error:
+            found = await self._ask_writers(run)
+            if len(found) < len(run):
+                raise
+            self._observer.counters["texts_from_peers"] += len(found)
+            self._words.info("texts=%d from their writers, the log: %s", len(found), error)
+            return found
+
+    async def _ask_writers(self, run: Sequence[TextRef]) -> Mapping[str, bytes]:
+        by_writer: dict[str, list[str]] = {}
+        for ref in run:
+            by_writer.setdefault(_incarnation_of(ref.key), []).append(ref.key)
+        found: dict[str, bytes] = {}
+        for incarnation, keys in by_writer.items():
+            found.update(await self._peers.fetch(incarnation, keys))
+        return found
+
     async def drop(self, step_id: str) -> bool:
         """Drop every text of a step from the log; False if that is not known to be done."""
         return await drop_prefix(self._log, topic_of(shard_of(step_id)), key_prefix(step_id))
@@ -161,6 +214,12 @@
         return f"{key_prefix(step_id)}/{self._writer_id}/{self._next_key}"
 
 
+def _incarnation_of(key: str) -> str:
+    """Return the incarnation that wrote a text, "" for a key of another form."""
+    parts = key.split("/")
+    return parts[1][:INCARNATION_CHARS] if len(parts) > 1 else ""
+
+
 def shard_of(step_id: str) -> int:
     """Return the number of the text topic that holds a step's texts."""
     return hashlib.blake2b(step_id.encode(), digest_size=2).digest()[0] % SHARDS
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -14,12 +14,14 @@
 from ..blackboard import Blackboard, Identity, Member
 from ..controllers.membership import Membership
 from ..durable import (
+    NO_SUPPLY,
     DutyKeeper,
     DutyMaker,
     DutyParts,
     MeetingPoint,
     ProgressJournal,
     Scorer,
+    ServerSupply,
     ServiceDuties,
     StepAccess,
     StepLog,
@@ -48,7 +50,7 @@
     UsageParts,
     flush_delay_s,
 )
-from ._boot_settings import DUTY_USAGE, BootSettings
+from ._boot_settings import DUTY_SCALING, DUTY_USAGE, BootSettings
 from ._call_exchange import CallExchange
 from ._call_stream import CallStream
 from ._duty_api import DutyApi
@@ -57,6 +59,7 @@
 from ._front_server import FrontServer
 from ._generation_stream import GenerationStream
 from ._metadata_store import MetadataStore
+from ._peer_texts import PeerTextClient
 from ._side_doors import SideDoors
 from ._target_sessions import TargetSessions
 from ._watches import OperatorWatch, TargetWatch
@@ -68,6 +71,10 @@
 HOUSEKEEPING_S: Final = 0.25
 # The store's connection is given up by the kernel after this long without a sign.
 STORE_SILENT_S: Final = 1.0
+# Nothing is ordered by registrations that were confirmed longer ago than this, or so soon after
+# the store was away, when those of live targets may still be missing.
+REGISTRATIONS_FRESH_S: Final = 1.5
+REGISTRATIONS_BACK_S: Final = 3.0
 # A correction of this node's clock that is worth a line in the log.
 CLOCK_MOVED_S: Final = 0.1
 # A leaving node serves this long on, for callers that kept its address: three times the
@@ -227,6 +234,11 @@
             self._rng,
             lambda: reading_pause_s(len(self.board.members), runs_work=self._runs_services()),
             lambda: keeps_items_apart(len(self.board.members)),
+            PeerTextClient(
+                self._session,
+                self.board.live_members,
+                self.settings.control_address.rpartition(":")[2],
+            ),
         )
         relay = StreamRelay(forwarder, self.targets, CallStream(self._sessions))
         gatekeeper = Gatekeeper(
@@ -238,6 +250,9 @@
         self.front = Front(
             self.routes, forwarder, relay, StepAccess(self.step_log), gatekeeper, self.observer
         )
+        api = DutyApi(
+            self._session, self.settings.api_address, self.settings.api_calls_per_s, self.observer
+        )
         parts = DutyParts(
             self.step_log,
             self.routes,
@@ -248,12 +263,13 @@
             ProgressJournal(self._store, self.observer),
             self.observer,
             self.operator.named,
+            ServerSupply(api, self._sees_targets) if self._orders_servers else NO_SUPPLY,
         )
         self._services = ServiceDuties(parts)
         self._usage = UsageDuty(
             UsageParts(
                 self._store,
-                DutyApi(self._session, self.settings.api_address, self.settings.api_calls_per_s),
+                api,
                 self._clock,
                 ReportTerms(self.settings.report_window_s, self.settings.report_due_s),
                 self.observer,
@@ -282,7 +298,12 @@
     async def _listen(self) -> None:
         settings = self.settings
         doors = SideDoors(
-            self._store, self.observer, self._ready_members, self._is_ready, settings.entry_ttl_s
+            self._store,
+            self.observer,
+            self._ready_members,
+            self._is_ready,
+            settings.entry_ttl_s,
+            self.step_log.texts.cached,
         )
         await self._serve(settings.front_address, FrontServer(self.front.handle, self.routes))
         await self._serve(settings.ready_address, web.Server(doors.ready, access_log=None))
@@ -328,6 +349,16 @@
         if abs(moved_s) > CLOCK_MOVED_S:
             self._words.warning("clock corrected by=%.3f s hosts=%d", moved_s, len(samples))
 
+    def _sees_targets(self) -> bool:
+        """Whether registrations are known as they are now, and none may only have lapsed."""
+        follower = self._target_follower
+        away_ago_s = boot_time_s() - follower.unavailable_at_s
+        return follower.age_s() <= REGISTRATIONS_FRESH_S and away_ago_s > REGISTRATIONS_BACK_S
+
+    @property
+    def _orders_servers(self) -> bool:
+        return DUTY_SCALING in self.settings.api_duties
+
     @property
     def _reports_usage(self) -> bool:
         return DUTY_USAGE in self.settings.api_duties
--- a/samphirecleat/platform/_side_doors.py
+++ b/samphirecleat/platform/_side_doors.py
@@ -1,6 +1,6 @@
 """The addresses beside the callers': directory, readiness, and the one between nodes."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
 import msgspec
@@ -10,6 +10,7 @@
 from ..observe import Observer
 from ..serving import offered_members
 from ._metadata_store import MetadataStore
+from ._peer_texts import PATH_TEXTS, answer_texts
 from ._store_ways import RELAY_PREFIX
 from ._wire_names import PATH_READY, PATH_RESOLVE
 
@@ -29,12 +30,14 @@
         ready_members: Callable[[], Sequence[Member]],
         is_ready: Callable[[], bool],
         entry_ttl_s: float,
+        cached_texts: Callable[[Sequence[str]], Mapping[str, bytes]],
     ) -> None:
         """Offer ``ready_members`` to callers; an empty list is answered with 503."""
         self._store = store
         self._observer = observer
         self._ready_members = ready_members
         self._is_ready = is_ready
+        self._cached_texts = cached_texts
         self._entry_ttl_s = min(ENTRY_TTL_S, entry_ttl_s)
 
     async def directory(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -57,13 +60,22 @@
         return web.Response(status=200 if self._is_ready() else 503)
 
     async def control(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Pass a peer's call on to the store, or tell this node's metrics."""
+        """Pass a peer's call on to the store, give it texts, or tell this node's metrics."""
         if request.raw_path.startswith(RELAY_PREFIX):
             return await self._relay(request)
+        if request.raw_path == PATH_TEXTS:
+            return await self._texts(request)
         if request.raw_path == "/metrics":
             return web.Response(text=self.metrics_text())
         return web.Response(status=404)
 
+    async def _texts(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Give a peer the texts that this node has in memory."""
+        try:
+            return web.Response(body=answer_texts(await request.read(), self._cached_texts))
+        except msgspec.MsgspecError as error:
+            return web.Response(status=400, text=str(error))
+
     async def metrics(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer with counters and percentiles as text."""
         del request
--- /dev/null
+++ b/tests/durable/test_server_orders.py
@@ -0,0 +1,149 @@
+"""Orders of spot targets: repeated, lost, refused, late, and never on an old view."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from samphirecleat.durable import Holder, ScaleOutcome
+from samphirecleat.durable._server_orders import ServerOrderer
+from samphirecleat.observe import Observer
+from samphirecleat.serving import (
+    CallerLimits,
+    EngineSpec,
+    RouteTable,
+    RoutingConfig,
+    ScalingSpec,
+    ServiceSpec,
+    Target,
+)
+
+from ..fleets import until
+from .runner_stage import RunnerStage
+
+PLACES = 4
+PRICES = {"za": 1.0, "zb": 0.8}
+
+
+class FakePlatform:
+    """Takes orders; ``answers`` says what becomes of the next ones."""
+
+    def __init__(self) -> None:
+        self.spot: dict[str, int] = {}
+        self.calls: list[tuple[str, int]] = []
+        self.answers: list[ScaleOutcome] = []
+
+    async def order_spot(
+        self, service: str, zone: str, count: int, holder: Holder, timeout_s: float
+    ) -> ScaleOutcome:
+        del service, holder, timeout_s
+        self.calls.append((zone, count))
+        answer = self.answers.pop(0) if self.answers else ScaleOutcome.TAKEN
+        if answer is ScaleOutcome.TAKEN:
+            self.spot[zone] = count
+        return answer
+
+
+class Stage:
+    """A service of two ordinary engines in each of two zones, and a wave of items."""
+
+    def __init__(self, items: int) -> None:
+        self.items = items
+        self.sees_targets = True
+        self.may_act = True
+        self.platform = FakePlatform()
+        inner = RunnerStage([], PLACES)
+        self.routes, self.targets = RouteTable(), inner.targets
+        spec = ServiceSpec(
+            "svc", "", 9, EngineSpec(PLACES, 1 << 30, ["m"]), ScalingSpec(1, 9, 0.0, PRICES, 0.15)
+        )
+        self.routes.put(RoutingConfig(1, (), {"svc": spec}, CallerLimits()))
+        self.offer(spot={})
+        inner.work.items_to_make = lambda: self.items  # type: ignore[method-assign]
+        self.orderer = ServerOrderer(
+            inner.work,
+            self.routes,
+            self.targets,
+            self.platform,
+            Holder("n1", 7, 0.0, lambda _s: self.may_act),
+            Observer("n1"),
+            lambda: self.sees_targets,
+        )
+
+    def offer(self, spot: dict[str, int]) -> None:
+        """Have two ordinary engines in each zone registered, and some spot ones."""
+        rows = [(f"{zone}{n}", zone, False) for zone in PRICES for n in range(2)]
+        rows += [(f"s{zone}{n}", zone, True) for zone, count in spot.items() for n in range(count)]
+        self.targets.replace(
+            {
+                name: Target(name, "svc", "127.0.0.1:1", zone, PLACES, False, spot=is_spot)
+                for name, zone, is_spot in rows
+            }
+        )
+
+    def drive(self, condition: Callable[[], bool], then_s: float = 0.1) -> None:
+        async def body() -> None:
+            task = asyncio.ensure_future(self.orderer.run())
+            await until(condition)
+            await asyncio.sleep(then_s)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        asyncio.run(body())
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("LOOK_EVERY_S", "UNKNOWN_REST_S", "DRY_S", "SETTLE_S"):
+        monkeypatch.setattr(f"samphirecleat.durable._server_orders.{name}", 0.02)
+
+
+def test_a_wave_brings_targets_and_is_remembered() -> None:
+    """Guards against targets that go between two waves and boot too late for the next."""
+    stage = Stage(items=20)
+    stage.drive(lambda: sum(stage.platform.spot.values()) == 3, 0.0)
+    stage.items = 0
+    stage.offer(spot=stage.platform.spot)
+    calls = len(stage.platform.calls)
+    stage.drive(lambda: True, 0.2)
+    assert len(stage.platform.calls) == calls
+
+
+def test_when_the_peak_is_over_the_targets_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("samphirecleat.durable._server_orders.PEAK_KEPT_S", 0.1)
+    stage = Stage(items=20)
+    stage.drive(lambda: sum(stage.platform.spot.values()) == 3)
+    stage.items = 0
+    stage.drive(lambda: sum(stage.platform.spot.values()) == 0)
+
+
+@pytest.mark.parametrize("answer", [ScaleOutcome.UNKNOWN, ScaleOutcome.BUSY])
+def test_an_order_without_an_answer_is_repeated(answer: ScaleOutcome) -> None:
+    stage = Stage(items=20)
+    stage.platform.answers = [answer] * 3
+    stage.drive(lambda: sum(stage.platform.spot.values()) == 3)
+
+
+def test_a_zone_with_none_to_give_is_made_up_for_by_the_other() -> None:
+    """Guards against a planner that waits for the zone whose targets were just reclaimed."""
+    stage = Stage(items=20)
+    stage.platform.answers = [ScaleOutcome.NONE_OR_FENCED]
+    stage.drive(lambda: sum(stage.platform.spot.values()) == 3)
+
+
+def test_an_older_order_that_was_carried_out_late_is_put_right() -> None:
+    """Guards against a zone that keeps what an order of long ago said."""
+    stage = Stage(items=20)
+    stage.drive(lambda: sum(stage.platform.spot.values()) == 3)
+    ordered = len(stage.platform.calls)
+    stage.offer(spot={"za": 0, "zb": 0})
+    stage.drive(lambda: len(stage.platform.calls) > ordered)
+
+
+@pytest.mark.parametrize("fault", ["sees_targets", "may_act"])
+def test_nothing_is_ordered_on_an_old_view_or_claim(fault: str) -> None:
+    """Guards against a fleet that sees no targets and orders as many as it may."""
+    stage = Stage(items=200)
+    setattr(stage, fault, False)
+    stage.drive(lambda: True, 0.2)
+    assert stage.platform.calls == []
--- a/tests/durable/test_texts.py
+++ b/tests/durable/test_texts.py
@@ -1,7 +1,7 @@
 """Texts kept apart from the steps: found again whole, whatever the log loses or forgets."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 import pytest
 
@@ -141,3 +141,34 @@
             assert await reader.read(list(refs.values())) == {refs["a"].key: name}
 
     run(body)
+
+
+class FakePeers:
+    """Other nodes' shelves by incarnation."""
+
+    def __init__(self, shelves: dict[str, TextShelf]) -> None:
+        self.shelves = shelves
+
+    async def fetch(self, incarnation: str, keys: Sequence[str]) -> Mapping[str, bytes]:
+        shelf = self.shelves.get(incarnation)
+        return shelf.cached(keys) if shelf is not None else {}
+
+
+def test_what_the_log_sheds_is_had_from_the_node_that_wrote_it() -> None:
+    """Guards against listed results that can't be read although their writer still has them."""
+
+    async def body() -> None:
+        log = MemoryLog()
+        writer = shelf_of(log, "inc00001ab")
+        refs = await written(writer, "s1", a="text a", b="text b")
+        peers = FakePeers({"inc00001": writer})
+        reader = TextShelf(log, "inc00002cd", Observer("n2"), peers)
+        log.down = True
+        topic_of(log, "s1").down = True
+        read = await reader.read(list(refs.values()))
+        assert sorted(read.values()) == ["text a", "text b"]
+        stranger = TextShelf(log, "inc00003ef", Observer("n3"), FakePeers({}))
+        with pytest.raises(LogUnavailableError):
+            await stranger.read(list(refs.values()))
+
+    run(body)
