--- a/samphirecleat/bench/_registry.py
+++ b/samphirecleat/bench/_registry.py
@@ -9,6 +9,8 @@
 BENCH_MODULES: Final[Mapping[str, str]] = {
     "planning": "_planning",
     "loads": "_loads",
+    "usage": "_usage",
+    "duties": "_duties",
     "routing": "_routing",
     "limits": "_limits",
     "retries": "_retries",
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -48,7 +48,7 @@
     UsageCounter,
     UsageDuty,
     UsageParts,
-    flush_delay_s,
+    write_gap_s,
 )
 from ._boot_settings import DUTY_SCALING, DUTY_USAGE, BootSettings
 from ._call_exchange import CallExchange
@@ -221,7 +221,7 @@
             self._store,
             self._clock,
             self.settings.report_window_s,
-            lambda: flush_delay_s(len(self.board.members)),
+            lambda: write_gap_s(len(self.board.members)),
             self.observer,
             self._rng,
         )
--- a/samphirecleat/usage/__init__.py
+++ b/samphirecleat/usage/__init__.py
@@ -1,6 +1,6 @@
 """Usage of workspaces: counted where calls run, kept in the log, reported once a window."""
 
-from ._counter import UsageCounter, flush_delay_s
+from ._counter import UsageCounter, write_gap_s
 from ._ledger import UsageLedger
 from ._records import CountsAdded, ReportFixed, WindowCounts
 from ._reporter import (
@@ -27,5 +27,5 @@
     "UsageLedger",
     "UsageParts",
     "WindowCounts",
-    "flush_delay_s",
+    "write_gap_s",
 ]
--- a/samphirecleat/usage/_counter.py
+++ b/samphirecleat/usage/_counter.py
@@ -2,11 +2,12 @@
 
 Load pattern answered: a few calls a second over many nodes, where nodes are killed at any moment
 and a workspace has one call in a window. What a killed node had not written is missing from a
-report, and one call is all of that workspace's figure. So counts are written soon after the first
-one that is not written yet; in a large fleet later, since all nodes share the log's rate.
+report, and one call is all of that workspace's figure. So a count is written at once, unless the
+node has just written others: all nodes of a large fleet share the log's rate.
 """
 
 import asyncio
+import math
 import random
 import secrets
 from collections import Counter
@@ -21,14 +22,16 @@
 USAGE_TOPIC: Final = "keyed.usage"
 # Appends a second that all nodes together may make for counts.
 FLEET_APPENDS_PER_S: Final = 150.0
-SHORTEST_DELAY_S: Final = 0.2
-LONGEST_DELAY_S: Final = 2.5
+# Calls that begin together are written together.
+SHORTEST_GAP_S: Final = 0.05
+# Half of a window of a few seconds: a window's figures must be whole soon after its end.
+LONGEST_GAP_S: Final = 2.5
 RETRY_S: Final = (0.1, 0.3)
 
 
-def flush_delay_s(node_count: int) -> float:
-    """Return how long a node of a fleet waits for more counts before it writes the first."""
-    return min(LONGEST_DELAY_S, max(SHORTEST_DELAY_S, node_count / FLEET_APPENDS_PER_S))
+def write_gap_s(node_count: int) -> float:
+    """Return the least time between two writes of one node of a fleet."""
+    return min(LONGEST_GAP_S, max(SHORTEST_GAP_S, node_count / FLEET_APPENDS_PER_S))
 
 
 class UsageCounter:
@@ -39,15 +42,16 @@
         log: KeyedLog,
         clock: TrueClock,
         window_s: float,
-        delay_s: Callable[[], float],
+        gap_s: Callable[[], float],
         observer: Observer,
         rng: random.Random,
     ) -> None:
-        """Write to ``log`` what was counted, ``delay_s`` after the first count of each write."""
+        """Write to ``log`` what was counted, with ``gap_s`` at least between two writes."""
         self._log = log
         self._clock = clock
         self._window_s = window_s
-        self._delay_s = delay_s
+        self._gap_s = gap_s
+        self._written_at_s = -math.inf
         self._observer = observer
         self._words = observer.log("usage")
         self._rng = rng
@@ -77,12 +81,15 @@
         """Write counts for as long as the node lives."""
         while True:
             await self._came.wait()
+            now_s = asyncio.get_running_loop().time()
+            wait_s = max(SHORTEST_GAP_S, self._written_at_s + self._gap_s() - now_s)
             try:
-                async with asyncio.timeout(self._delay_s()):
+                async with asyncio.timeout(wait_s):
                     await self._hurried.wait()
             except TimeoutError:
                 pass
             self._came.clear()
+            self._written_at_s = asyncio.get_running_loop().time()
             await self._write()
 
     async def _write(self) -> None:
