--- a/samphirecleat/durable/_duty.py
+++ b/samphirecleat/durable/_duty.py
@@ -25,8 +25,18 @@
 HAND_OVER_S: Final = 1.0
 # A holder acts only within this long of the log's last word that its claim stands.
 CONFIRMED_WITHIN_S: Final = 0.8
-# Added before an heir's first act: the confirmation above, and slack.
+# Where fences are not checked, added to the lease before an heir's first act: the confirmation
+# above, and slack.
 TAKEOVER_SLACK_S: Final = 1.0
+# Where they are, a call of the forerunner that is carried out late is refused. It only has to have
+# stopped: its last confirmation, its last call under way, and slack for clocks and the log.
+FENCED_WAIT_S: Final = 2.0
+
+
+def heir_wait_s(lease_s: float, *, fenced: bool) -> float:
+    """Return how long an heir lets pass before its first act."""
+    longest_s = lease_s + TAKEOVER_SLACK_S
+    return min(FENCED_WAIT_S, longest_s) if fenced else longest_s
 
 
 class Holder(NamedTuple):
@@ -93,17 +103,19 @@
         rng: random.Random,
         *,
         lease_s: float,
+        fenced: bool = False,
     ) -> None:
         """Act for the node of ``board``; ``subjects`` gives what there is to do now.
 
-        ``lease_s`` separates the acts of two holders.
+        ``lease_s`` separates the acts of two holders where they are not ``fenced`` by those who
+        take their calls.
         """
         self._board = board
         self._step_log = step_log
         self._subjects = subjects
         self._rng = rng
         self._words = observer.log("duty")
-        self._lease_s = lease_s
+        self._heir_wait_s = heir_wait_s(lease_s, fenced=fenced)
         self._posts: dict[str, _Post] = {}
         self._claimed_at_s: dict[str, float] = {}
         self._began_s = 0.0
@@ -220,7 +232,7 @@
         holder = Holder(
             claim.node_id,
             claim.offset,
-            self._lease_s + TAKEOVER_SLACK_S if follows_other else 0.0,
+            self._heir_wait_s if follows_other else 0.0,
             self._may_act(subject, claim),
             boot_time_s(),
         )
--- a/samphirecleat/platform/_boot_settings.py
+++ b/samphirecleat/platform/_boot_settings.py
@@ -16,7 +16,8 @@
 
     Addresses are ``IP:PORT``; ``""`` is one that the platform did not give.
     ``peer_ports`` are the first and last port for traffic between nodes. ``metrics_port``
-    comes from the command line, 0 for none. Within ``key_revocation_s`` a key that was taken
+    comes from the command line, 0 for none. Where ``fences_checked``, those who take orders refuse
+    the ones of an earlier holder. Within ``key_revocation_s`` a key that was taken
     away must be out of force; a node that can't hear of that serves nobody by key afterwards
     where ``keys_fail_closed``. The platform's API at ``api_address`` wants the ``api_duties`` of
     one node at a time; usage of each ``report_window_s`` is due ``report_due_s`` after its end.
@@ -37,6 +38,7 @@
     lease_s: float
     entry_ttl_s: float
     cores: float = 1.0
+    fences_checked: bool = False
     keys_fail_closed: bool = False
     key_revocation_s: float = math.inf
     api_address: str = ""
@@ -88,6 +90,7 @@
         entry_ttl_s=reader.number("bounds.ttl_max_s"),
         # A share of each core, and the number of cores whose shares add up.
         cores=reader.number("limits.cpuShare", 1.0) * reader.number("limits.cpuCores", 1.0),
+        fences_checked=reader.flag("bounds.fencingEnforced", default=False),
         keys_fail_closed=reader.flag("bounds.revokeFailClosed", default=False),
         key_revocation_s=reader.number("bounds.revocationMs", math.inf) / 1000.0,
         **_api_settings(reader),
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -113,7 +113,7 @@
         settings = self.settings
         self._clock = TrueClock(asyncio.get_running_loop().time, boot_time_s, time.time)
         self._session = aiohttp.ClientSession(connector=make_connector(STORE_SILENT_S))
-        self._sessions = TargetSessions()
+        self._sessions = TargetSessions(self.observer)
         self.targets.warm.kept_s = self._sessions.idle_s
         self._store = MetadataStore(
             self._session, settings.store_address, self._peer_controls, self.observer, self._rng
@@ -284,6 +284,7 @@
             self.observer,
             self._rng,
             lease_s=self.settings.lease_s,
+            fenced=self.settings.fences_checked,
         )
 
     def _runs_services(self) -> bool:
--- a/samphirecleat/platform/_target_sessions.py
+++ b/samphirecleat/platform/_target_sessions.py
@@ -2,10 +2,12 @@
 
 import math
 from collections.abc import Mapping
+from functools import partial
 from typing import Final
 
 import aiohttp
 
+from ..observe import Observer
 from ..serving import Target
 from ..targets import make_connector, make_strict
 
@@ -22,8 +24,9 @@
 class TargetSessions:
     """A client session for each target, closed when the target is gone."""
 
-    def __init__(self) -> None:
-        """Start without connections."""
+    def __init__(self, observer: Observer) -> None:
+        """Start without connections; ``observer`` counts the new ones of each service."""
+        self._counters = observer.counters
         self._sessions: dict[tuple[str, str, int], aiohttp.ClientSession] = {}
         self._services: dict[tuple[str, str, int], str] = {}
         self._idle_s: dict[str, float] = {}
@@ -72,7 +75,8 @@
 
     def _open(self, service: str) -> aiohttp.ClientSession:
         idle_s = self.idle_s(service)
-        connector = make_strict(make_connector(SILENT_AFTER_S, keepalive_timeout_s=idle_s))
+        pool = make_connector(SILENT_AFTER_S, keepalive_timeout_s=idle_s)
+        connector = make_strict(pool, partial(self._count, service))
         return aiohttp.ClientSession(
             connector=connector,
             skip_auto_headers=_NO_HEADERS,
@@ -83,6 +87,10 @@
             max_field_size=65536,
         )
 
+    def _count(self, service: str) -> None:
+        """Count a new connection: each holds a target up for a moment."""
+        self._counters[f"connections_made_{service}"] += 1
+
     def _apply_idle(self, service: str, idle_s: float) -> None:
         """Have every target of a service keep connections so long.
 
--- a/samphirecleat/targets/_strict_connection.py
+++ b/samphirecleat/targets/_strict_connection.py
@@ -1,12 +1,16 @@
 """Connections on which an answer that was reset on its way is never taken for whole."""
 
 import asyncio
-from functools import partial
+from collections.abc import Callable
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
 
+def _do_nothing() -> None:
+    """Take no note of a connection."""
+
+
 class StrictResponseHandler(ResponseHandler):
     """Fails the body of an answer without a length when its connection breaks.
 
@@ -22,8 +26,18 @@
         super().connection_lost(exc)
 
 
-def make_strict(connector: aiohttp.TCPConnector) -> aiohttp.TCPConnector:
-    """Have a connector make strict connections; the library has no parameter for it."""
-    factory = partial(StrictResponseHandler, loop=asyncio.get_running_loop())
-    connector._factory = factory  # type: ignore[assignment]
+def make_strict(
+    connector: aiohttp.TCPConnector, on_made: Callable[[], None] = _do_nothing
+) -> aiohttp.TCPConnector:
+    """Have a connector make strict connections, and tell ``on_made`` of each.
+
+    The library has no parameter for either.
+    """
+    loop = asyncio.get_running_loop()
+
+    def make() -> StrictResponseHandler:
+        on_made()
+        return StrictResponseHandler(loop=loop)
+
+    connector._factory = make  # type: ignore[assignment]
     return connector
--- a/samphirecleat/usage/_reporter.py
+++ b/samphirecleat/usage/_reporter.py
@@ -37,7 +37,9 @@
 # Figures are fixed this part of the allowed time after a window's end. All nodes have written by
 # then, and an heir still has the time that it needs.
 FIX_AFTER: Final = 0.35
-# While the log was away lately, nodes may still have counts to write; figures wait this long.
+# Nodes that the log turned away write their counts this long after it is back, by when figures
+# wait for them, but no longer than this part of the allowed time.
+WRITTEN_AFTER_OUTAGE_S: Final = 1.5
 FIX_AFTER_OUTAGE: Final = 0.7
 # The ledger must have been confirmed this recently before figures are fixed by it.
 LEDGER_FRESH_S: Final = 1.0
@@ -162,7 +164,7 @@
         now_s = self._clock.now_s()
         terms = self._terms
         away_ago_s = boot_time_s() - self._follower.unavailable_at_s
-        share = FIX_AFTER_OUTAGE if away_ago_s < terms.window_s + terms.due_after_s else FIX_AFTER
+        share = FIX_AFTER_OUTAGE if away_ago_s < WRITTEN_AFTER_OUTAGE_S else FIX_AFTER
         newest = int((now_s - share * terms.due_after_s) // terms.window_s) - 1
         oldest = int((now_s - terms.due_after_s) // terms.window_s) - 1
         return [window for window in range(oldest, newest + 1) if window not in self._sent]
--- a/tests/durable/test_duty.py
+++ b/tests/durable/test_duty.py
@@ -18,6 +18,7 @@
     ServiceDuties,
     StepLog,
 )
+from samphirecleat.durable._duty import heir_wait_s
 from samphirecleat.observe import Observer
 from samphirecleat.serving import (
     CallerLimits,
@@ -81,3 +82,10 @@
         return log.topic("keyed.steps").appends
 
     assert asyncio.run(body()) == 3
+
+
+@pytest.mark.parametrize(("fenced", "want_s"), [(False, 4.0), (True, 2.0)])
+def test_an_heir_waits_for_what_its_forerunner_may_still_do(fenced: bool, want_s: float) -> None:
+    """Guards against two holders that act in turns, and a duty that stands still for nothing."""
+    assert heir_wait_s(3.0, fenced=fenced) == want_s
+    assert heir_wait_s(0.3, fenced=fenced) <= 1.3
