--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -32,6 +32,7 @@
         ]
         self.seeds = self.hosts[:3]
         self.more_bounds = ""
+        self.more_tables = ""
         self._folder = folder
         self._store = store
         self._processes: dict[str, asyncio.subprocess.Process] = {}
@@ -59,6 +60,7 @@
 {self.more_bounds}
 [platform]
 address = "{self._store.address}"
+{self.more_tables}
 """
 
     async def start(self) -> None:
@@ -153,7 +155,12 @@
 
 @asynccontextmanager
 async def running_nodes(
-    count: int, folder: Path, seeds: list[str] | None = None
+    count: int,
+    folder: Path,
+    seeds: list[str] | None = None,
+    *,
+    bounds: str = "",
+    tables: str = "",
 ) -> AsyncIterator[tuple[Nodes, Caller, StoreStandIn, list[TargetStandIn]]]:
     """Start a store, an engine, a scoring service and nodes; end them all after."""
     store = StoreStandIn()
@@ -166,6 +173,7 @@
         store.put("keyed.servers", target.instance, _entry(target, service))
     nodes = Nodes(count, folder, store)
     nodes.seeds = nodes.seeds if seeds is None else seeds
+    nodes.more_bounds, nodes.more_tables = bounds, tables
     await nodes.start()
     try:
         async with aiohttp.ClientSession() as session:
