--- a/samphirecleat/durable/_server_orders.py
+++ b/samphirecleat/durable/_server_orders.py
@@ -115,25 +115,27 @@
         seen = {zone.zone: zone.spot for zone in zones}
         # More comes before fewer: what a dry zone lacks is not given up elsewhere before the zone
         # has given it, or targets would come and go for as long as it is dry.
+        lacking = False
         for zone, count in sorted(plan.items(), key=lambda row: seen[row[0]] - row[1]):
             if not self._is_due(zone, count, seen[zone], scaling, now_s):
                 continue
+            ordered = self._ordered.get(zone, _Ordered()).servers
+            if lacking and count < max(seen[zone], ordered):
+                continue
             self._words.info(
                 "service=%s zone=%s spot=%d before=%d because wave_items=%d places=%d wanted=%d "
                 "seen=%s fencing=%d",
                 self._work.service,
                 zone,
                 count,
-                self._ordered.get(zone, _Ordered()).servers,
+                ordered,
                 largest_wave,
                 places,
                 wanted,
                 ",".join(f"{z.zone}:{z.ordinary}+{z.spot}" for z in zones),
                 self._holder.fencing_number,
             )
-            outcome = await self._order(zone, count)
-            if outcome is not ScaleOutcome.TAKEN:
-                return
+            lacking |= await self._order(zone, count) is not ScaleOutcome.TAKEN
 
     def _zones(self, scaling: ScalingSpec, now_s: float) -> list[ZoneSupply]:
         """Return what each zone has; a zone without any target of the service is none of its."""
--- a/tests/durable/test_duty.py
+++ b/tests/durable/test_duty.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import cast
 
 import pytest
 
 from samphirecleat.blackboard import Blackboard, Identity, Member, MemberView
 from samphirecleat.durable import (
+    Claim,
+    Duty,
     DutyKeeper,
     DutyParts,
     GenerationChannel,
+    Holder,
     OrderChannel,
     PlainLog,
     ProgressJournal,
@@ -89,3 +93,57 @@
     """Guards against two holders that act in turns, and a duty that stands still for nothing."""
     assert heir_wait_s(3.0, fenced=fenced) == want_s
     assert heir_wait_s(0.3, fenced=fenced) <= 1.3
+
+
+class CutOffDuty:
+    """A duty that this node can't do from where it is."""
+
+    out_of_reach = True
+
+    def start(self, on_failure: Callable[[BaseException], None]) -> None:
+        del on_failure
+
+    def stop(self) -> None:
+        """End at once."""
+
+    async def save(self) -> None:
+        """Keep nothing."""
+
+
+def test_a_duty_that_is_out_of_reach_goes_to_another_node() -> None:
+    """Guards against a duty that stands still because the platform answers its holder alone not."""
+
+    async def make(subject: str, holder: Holder) -> Duty:
+        del subject, holder
+        return CutOffDuty()
+
+    async def body() -> Claim:
+        log = MemoryLog()
+        step_log = StepLog(log, "inc00001", Observer("n1"), random.Random(1))
+        following = asyncio.ensure_future(step_log.run())
+        await until(lambda: step_log.caught_up)
+        rows = [
+            Member(name, inc, 1, "z", "", "", 1, False, True, 1, 0, 0)
+            for name, inc in (("n1", "inc00001"), ("n2", "inc00002"))
+        ]
+        members = {row.node_id: MemberView(row, 0.0, True) for row in rows}
+        board = Blackboard(Identity("n1", "inc00001", "z", "", ""), members=members)
+        keeper = DutyKeeper(
+            board,
+            step_log,
+            lambda: {"duty:x": make},
+            Observer("n1"),
+            random.Random(1),
+            lease_s=3.0,
+        )
+        working = asyncio.ensure_future(keeper.run())
+        await until(lambda: len(log.topic("keyed.steps").entries) == 2)
+        await until(lambda: step_log.fold.claims["duty:x"].node_id == "n2")
+        await until(lambda: not keeper.posts())
+        for task in (working, following):
+            task.cancel()
+        await asyncio.gather(working, following, return_exceptions=True)
+        return step_log.fold.claims["duty:x"]
+
+    claim = asyncio.run(body())
+    assert (claim.node_id, claim.previous_node_id) == ("n2", "n1")
--- a/tests/durable/test_server_orders.py
+++ b/tests/durable/test_server_orders.py
@@ -26,12 +26,13 @@
 
 
 class FakePlatform:
-    """Takes orders; ``answers`` says what becomes of the next ones."""
+    """Takes orders; ``answers`` says what becomes of the next ones, ``dry`` zones have none."""
 
     def __init__(self) -> None:
         self.spot: dict[str, int] = {}
         self.calls: list[tuple[str, int]] = []
         self.answers: list[ScaleOutcome] = []
+        self.dry: set[str] = set()
 
     async def order_spot(
         self, service: str, zone: str, count: int, holder: Holder, timeout_s: float
@@ -39,6 +40,8 @@
         del service, holder, timeout_s
         self.calls.append((zone, count))
         answer = self.answers.pop(0) if self.answers else ScaleOutcome.TAKEN
+        if zone in self.dry:
+            answer = ScaleOutcome.NONE_OR_FENCED
         if answer is ScaleOutcome.TAKEN:
             self.spot[zone] = count
         return answer
@@ -94,7 +97,8 @@
 
 @pytest.fixture(autouse=True)
 def quick(monkeypatch: pytest.MonkeyPatch) -> None:
-    for name in ("LOOK_EVERY_S", "UNKNOWN_REST_S", "DRY_S", "SETTLE_S"):
+    monkeypatch.setattr("samphirecleat.durable._server_orders.DRY_S", 0.1)
+    for name in ("LOOK_EVERY_S", "UNKNOWN_REST_S", "SETTLE_S"):
         monkeypatch.setattr(f"samphirecleat.durable._server_orders.{name}", 0.02)
 
 
@@ -147,3 +151,16 @@
     setattr(stage, fault, False)
     stage.drive(lambda: True, 0.2)
     assert stage.platform.calls == []
+
+
+def test_what_stands_in_for_a_dry_zone_stays_until_that_zone_gives_again() -> None:
+    """Guards against targets that come and go with each try for a zone that has none."""
+    stage = Stage(items=20)
+    stage.platform.dry = {"zb"}
+    stage.drive(lambda: stage.platform.spot.get("za") == 3)
+    stage.offer(spot=stage.platform.spot)
+    before = len(stage.platform.calls)
+    stage.drive(lambda: len(stage.platform.calls) > before + 2)
+    assert {zone for zone, _count in stage.platform.calls[before:]} == {"zb"}
+    stage.platform.dry = set()
+    stage.drive(lambda: stage.platform.spot.get("zb", 0) > 0)
