--- a/samphirecleat/durable/_post.py
+++ b/samphirecleat/durable/_post.py
@@ -28,7 +28,7 @@
     sees_targets: Callable[[], bool]
 
 
-NO_SUPPLY: Final = "no supply"
+NO_SUPPLY: Final[Literal["no supply"]] = "no supply"
 """Stands for a platform that takes no orders of targets."""
 
 
--- a/samphirecleat/platform/_metadata_store.py
+++ b/samphirecleat/platform/_metadata_store.py
@@ -9,7 +9,7 @@
 from base64 import b64decode
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import suppress
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
 from urllib.parse import quote, urlencode
 
 import aiohttp
@@ -28,6 +28,14 @@
 )
 from ..observe import Observer
 from ._answers import ANSWER_FAULTS
+from ._record_framing import (
+    first_kept,
+    join_key,
+    join_records,
+    offset_of,
+    split_key,
+    split_records,
+)
 from ._store_ways import StoreWays, Way
 from ._wire_names import PATH_APPEND, PATH_NEWEST, PATH_READ, PATH_TRIM, TOPIC_OPERATOR
 
@@ -39,7 +47,6 @@
 # While the direct way does not work, a probe tries it this often, with a patience of its own.
 PROBE_EVERY_S: Final = 0.4
 PROBE_PATIENCE_S: Final = 1.0
-_LENGTH_BYTES: Final = 4
 _READ_HEADER_BYTES: Final = 16
 
 
@@ -111,7 +118,7 @@
         records, end = await self._read_records(topic, from_offset, wait_s, most_bytes)
         try:
             entries = [
-                LogEntry(from_offset + at, *_split_key(record)) for at, record in enumerate(records)
+                LogEntry(from_offset + at, *split_key(record)) for at, record in enumerate(records)
             ]
         except (IndexError, UnicodeDecodeError) as error:
             raise LogUnavailableError(f"a record without a key: {error!r}") from error
@@ -121,7 +128,7 @@
         self, topic: str, entries: Sequence[tuple[str, bytes]], at: int = UNCONDITIONAL
     ) -> AppendResult:
         """Append keyed entries; see :class:`KeyedLog`."""
-        records = [_join_key(key, value) for key, value in entries]
+        records = [join_key(key, value) for key, value in entries]
         return await self._append(topic, records, at)
 
     async def append_plain(self, topic: str, records: Sequence[bytes]) -> AppendResult:
@@ -189,18 +196,18 @@
             query += f"&waitMs={int(wait_s * 1000)}"
         reply = await self._read_call(f"{PATH_READ}?{query}", wait_s)
         if reply.status == 410:
-            raise HistoryGoneError(_first_kept(reply.body))
+            raise HistoryGoneError(first_kept(reply.body))
         if reply.status != 200 or len(reply.body) < _READ_HEADER_BYTES:
             raise LogUnavailableError(f"HTTP {reply.status}")
         end = int.from_bytes(reply.body[:8])
         try:
-            return list(_split_records(reply.body[_READ_HEADER_BYTES:])), end
+            return list(split_records(reply.body[_READ_HEADER_BYTES:])), end
         except ValueError as error:
             raise LogUnavailableError(str(error)) from error
 
     async def _append(self, topic: str, records: Sequence[bytes], at: int) -> AppendResult:
         query = f"topic={quote(topic)}&part=0" + (f"&at={at}" if at >= 0 else "")
-        body = b"".join(len(r).to_bytes(_LENGTH_BYTES) + r for r in records)
+        body = join_records(iter(records))
         detail = ""
         for way in self._in_turn():
             try:
@@ -211,7 +218,7 @@
                     return AppendResult(AppendOutcome.UNKNOWN, detail=detail)
                 continue
             if reply.status == 200:
-                return AppendResult(AppendOutcome.APPENDED, _offset_of(reply.body))
+                return AppendResult(AppendOutcome.APPENDED, offset_of(reply.body))
             if reply.status == 412:
                 return AppendResult(AppendOutcome.CONDITION_FAILED, detail="HTTP 412")
             detail = f"HTTP {reply.status}"
@@ -299,39 +306,3 @@
             await asyncio.sleep(PROBE_EVERY_S)
             with suppress(_Unanswered):
                 await self._call(self._ways.direct, "GET", path, b"", 0.0, PROBE_PATIENCE_S)
-
-
-def _split_records(body: bytes) -> Iterator[bytes]:
-    at = 0
-    while at < len(body):
-        size = int.from_bytes(body[at : at + _LENGTH_BYTES])
-        at += _LENGTH_BYTES
-        if at + size > len(body):
-            raise ValueError("a record is cut short")
-        yield body[at : at + size]
-        at += size
-
-
-def _split_key(record: bytes) -> tuple[str, bytes]:
-    size = record[0]
-    return record[1 : 1 + size].decode(), record[1 + size :]
-
-
-def _join_key(key: str, value: bytes) -> bytes:
-    encoded = key.encode()
-    return bytes([len(encoded)]) + encoded + value
-
-
-def _offset_of(body: bytes) -> int:
-    try:
-        offset: Any = msgspec.json.decode(body)["offset"]
-        return int(offset)
-    except ANSWER_FAULTS:
-        return -1
-
-
-def _first_kept(body: bytes) -> int:
-    try:
-        return int(msgspec.json.decode(body)["first"])
-    except ANSWER_FAULTS:
-        return -1
--- /dev/null
+++ b/samphirecleat/platform/_node_duties.py
@@ -0,0 +1,93 @@
+"""The duties that a node of this platform may have, wired: services, usage, ordered targets."""
+
+import random
+from collections.abc import Callable, Mapping
+from typing import Final, NamedTuple
+
+from ..blackboard import Blackboard
+from ..durable import (
+    DutyKeeper,
+    DutyMaker,
+    DutyParts,
+    KeyedLog,
+    ServerSupply,
+    ServiceDuties,
+)
+from ..usage import ReportTerms, TrueClock, UsageDuty, UsageParts
+from ._boot_settings import DUTY_SCALING, DUTY_USAGE, BootSettings
+from ._duty_api import DutyApi
+
+
+class PlatformView(NamedTuple):
+    """What a node's duties ask of its view of the platform.
+
+    ``sees_targets`` says if the registrations of targets are known as they are now,
+    ``store_answers`` if the store answers this node itself.
+    """
+
+    log: KeyedLog
+    clock: TrueClock
+    sees_targets: Callable[[], bool]
+    store_answers: Callable[[], bool]
+
+
+class NodeDuties:
+    """Keeps this node's share of the duties that the settings and the configuration name."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        settings: BootSettings,
+        parts: DutyParts,
+        api: DutyApi,
+        view: PlatformView,
+        rng: random.Random,
+    ) -> None:
+        """Wire the duties; nothing is claimed before :meth:`run`."""
+        self._reports_usage: Final = DUTY_USAGE in settings.api_duties
+        orders_servers = DUTY_SCALING in settings.api_duties
+        if orders_servers:
+            parts = parts._replace(servers=ServerSupply(api, view.sees_targets))
+        self._services = ServiceDuties(parts)
+        self._usage = UsageDuty(
+            UsageParts(
+                view.log,
+                api,
+                view.clock,
+                ReportTerms(settings.report_window_s, settings.report_due_s),
+                parts.observer,
+                rng,
+                view.store_answers,
+            )
+        )
+        self._keeper = DutyKeeper(
+            board,
+            parts.step_log,
+            self._subjects,
+            parts.observer,
+            rng,
+            lease_s=settings.lease_s,
+            fenced=settings.fences_checked,
+        )
+
+    async def run(self) -> None:
+        """Look after the duties for as long as the node lives."""
+        await self._keeper.run()
+
+    async def hand_over(self) -> None:
+        """Name the next holder of each duty that this node has."""
+        await self._keeper.hand_over()
+
+    def posts(self) -> Mapping[str, int]:
+        """Return the subjects that this node holds, with their fencing numbers."""
+        return self._keeper.posts()
+
+    def runs_services(self) -> bool:
+        """Whether this node runs the steps of any service."""
+        return not self._services.subjects().keys().isdisjoint(self._keeper.posts())
+
+    def _subjects(self) -> Mapping[str, DutyMaker]:
+        """Return the duties that some node must have."""
+        if not self._reports_usage:
+            return self._services.subjects()
+        return {**self._services.subjects(), **self._usage.subjects()}
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from typing import Final
 
 import aiohttp
@@ -14,15 +14,10 @@
 from ..blackboard import Blackboard, Identity, Member
 from ..controllers.membership import Membership
 from ..durable import (
-    NO_SUPPLY,
-    DutyKeeper,
-    DutyMaker,
     DutyParts,
     MeetingPoint,
     ProgressJournal,
     Scorer,
-    ServerSupply,
-    ServiceDuties,
     StepAccess,
     StepLog,
     TopicFollower,
@@ -43,14 +38,11 @@
 from ..targets import make_connector
 from ..usage import (
     ClockSample,
-    ReportTerms,
     TrueClock,
     UsageCounter,
-    UsageDuty,
-    UsageParts,
     write_gap_s,
 )
-from ._boot_settings import DUTY_SCALING, DUTY_USAGE, BootSettings
+from ._boot_settings import DUTY_USAGE, BootSettings
 from ._call_exchange import CallExchange
 from ._call_stream import CallStream
 from ._duty_api import DutyApi
@@ -58,7 +50,9 @@
 from ._front import Front
 from ._front_server import FrontServer
 from ._generation_stream import GenerationStream
+from ._listeners import Listeners
 from ._metadata_store import MetadataStore
+from ._node_duties import NodeDuties, PlatformView
 from ._peer_texts import PeerTextClient
 from ._side_doors import SideDoors
 from ._target_sessions import TargetSessions
@@ -105,7 +99,7 @@
         self._words = self.observer.log("node")
         self.routes = RouteTable()
         self.targets = TargetTable(settings.zone, settings.node_id)
-        self._runners: list[web.ServerRunner] = []
+        self._listeners = Listeners(self.observer)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -137,7 +131,7 @@
             self._meeting_point.run(),
             self._target_follower.run(),
             self.step_log.run(),
-            self._duty.run(),
+            self._duties.run(),
             self._counter.run(),
             self._keep_house(),
         ):
@@ -173,12 +167,13 @@
     async def drain(self) -> None:
         """Hand over the work, serve on while callers may still come, and end what is open."""
         began_s = asyncio.get_running_loop().time()
-        self._words.info("leaving in_flight=%d posts=%s", self.front.in_flight, self._duty.posts())
+        posts = self._duties.posts()
+        self._words.info("leaving in_flight=%d posts=%s", self.front.in_flight, posts)
         self.board.leaving = True
         self.front.leaving = True
         self._membership.announce()
         self._counter.hurry()
-        await self._duty.hand_over()
+        await self._duties.hand_over()
         serve_until_s = began_s + min(SERVE_ON_S, self.settings.grace_s * 0.6)
         end_by_s = began_s + self.settings.grace_s - END_MARGIN_S
         loop = asyncio.get_running_loop()
@@ -192,8 +187,7 @@
         self._membership.say_gone()
         for task in self._tasks:
             task.cancel()
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._listeners.close()
         self._store.close()
         await self._sessions.close()
         await self._session.close()
@@ -232,7 +226,7 @@
             self.board.identity.incarnation,
             self.observer,
             self._rng,
-            lambda: reading_pause_s(len(self.board.members), runs_work=self._runs_services()),
+            self._reading_pause_s,
             lambda: keeps_items_apart(len(self.board.members)),
             PeerTextClient(
                 self._session,
@@ -250,9 +244,6 @@
         self.front = Front(
             self.routes, forwarder, relay, StepAccess(self.step_log), gatekeeper, self.observer
         )
-        api = DutyApi(
-            self._session, self.settings.api_address, self.settings.api_calls_per_s, self.observer
-        )
         parts = DutyParts(
             self.step_log,
             self.routes,
@@ -263,41 +254,21 @@
             ProgressJournal(self._store, self.observer),
             self.observer,
             self.operator.named,
-            ServerSupply(api, self._sees_targets) if self._orders_servers else NO_SUPPLY,
         )
-        self._services = ServiceDuties(parts)
-        self._usage = UsageDuty(
-            UsageParts(
-                self._store,
-                api,
-                self._clock,
-                ReportTerms(self.settings.report_window_s, self.settings.report_due_s),
-                self.observer,
-                self._rng,
-                lambda: self._store.reachable,
-            )
+        api = DutyApi(
+            self._session, self.settings.api_address, self.settings.api_calls_per_s, self.observer
         )
-        self._duty = DutyKeeper(
-            self.board,
-            self.step_log,
-            self._subjects,
-            self.observer,
-            self._rng,
-            lease_s=self.settings.lease_s,
-            fenced=self.settings.fences_checked,
+        view = PlatformView(
+            self._store, self._clock, self._sees_targets, lambda: self._store.reachable
         )
+        self._duties = NodeDuties(self.board, self.settings, parts, api, view, self._rng)
 
-    def _runs_services(self) -> bool:
-        return not self._services.subjects().keys().isdisjoint(self._duty.posts())
-
-    def _subjects(self) -> Mapping[str, DutyMaker]:
-        """Return the duties that some node must have."""
-        if not self._reports_usage:
-            return self._services.subjects()
-        return {**self._services.subjects(), **self._usage.subjects()}
+    def _reading_pause_s(self) -> float:
+        return reading_pause_s(len(self.board.members), runs_work=self._duties.runs_services())
 
     async def _listen(self) -> None:
         settings = self.settings
+        listeners = self._listeners
         doors = SideDoors(
             self._store,
             self.observer,
@@ -306,31 +277,19 @@
             settings.entry_ttl_s,
             self.step_log.texts.cached,
         )
-        await self._serve(settings.front_address, FrontServer(self.front.handle, self.routes))
-        await self._serve(settings.ready_address, web.Server(doors.ready, access_log=None))
-        await self._serve(settings.directory_address, web.Server(doors.directory, access_log=None))
-        await self._serve(settings.control_address, web.Server(doors.control, access_log=None))
+        await listeners.open(settings.front_address, FrontServer(self.front.handle, self.routes))
+        await listeners.open(settings.ready_address, web.Server(doors.ready, access_log=None))
+        directory = web.Server(doors.directory, access_log=None)
+        await listeners.open(settings.directory_address, directory)
+        await listeners.open(settings.control_address, web.Server(doors.control, access_log=None))
         if settings.metrics_port:
-            await self._serve_metrics(f"{settings.ip_address}:{settings.metrics_port}", doors)
+            address = f"{settings.ip_address}:{settings.metrics_port}"
+            await listeners.open_if_free(address, web.Server(doors.metrics, access_log=None))
         peer_host, _, peer_port = self.board.identity.peer_address.rpartition(":")
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self._membership, local_addr=(peer_host, int(peer_port))
         )
 
-    async def _serve_metrics(self, address: str, doors: SideDoors) -> None:
-        """Listen for those who read metrics; a node serves on without them."""
-        try:
-            await self._serve(address, web.Server(doors.metrics, access_log=None))
-        except OSError as error:
-            self._words.warning("no metrics at %s: %s", address, error)
-
-    async def _serve(self, address: str, server: web.Server) -> None:
-        host, _, port = address.rpartition(":")
-        runner = web.ServerRunner(server, shutdown_timeout=0.2)
-        await runner.setup()
-        await web.TCPSite(runner, host, int(port), backlog=1024).start()
-        self._runners.append(runner)
-
     async def _keep_house(self) -> None:
         """Bring slow-moving state up to date."""
         while True:
@@ -356,10 +315,6 @@
         away_ago_s = boot_time_s() - follower.unavailable_at_s
         return follower.age_s() <= REGISTRATIONS_FRESH_S and away_ago_s > REGISTRATIONS_BACK_S
 
-    @property
-    def _orders_servers(self) -> bool:
-        return DUTY_SCALING in self.settings.api_duties
-
     @property
     def _reports_usage(self) -> bool:
         return DUTY_USAGE in self.settings.api_duties
