A workspace's priority ranks the items of its steps; the middle rank where it has none

Cause: a priority of a workspace goes before its route's, and nothing read it. Strictly first, the items of one workspace would keep another's from starting for as long as places are short; a rank counts like half a second less to spare instead, and engines get it as their own priority.

--- a/samphirecleat/durable/_item_run.py
+++ b/samphirecleat/durable/_item_run.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from ..serving import Target
+from ..serving import MIDDLE_PRIORITY, Target
 from ._drafts import Draft
 from ._item_decisions import ItemName
 from ._open_item import OpenItem
@@ -18,20 +18,19 @@
 # that takes new weights pauses for a second.
 STALL_S: Final = 1.5
 FIRST_EVENT_S: Final = 2.0
-# The engines' priority of an item's run; callers' calls have the middle one by default.
-ITEM_PRIORITY: Final = 5
 # What an engine is told of the time left where the route names no end.
 UNBOUNDED_RUN_S: Final = 60.0
 
 
 @dataclass
 class ItemRun:
-    """One run; ``move`` may be set to have it end at its next event."""
+    """One run, at the priority of its workspace; ``move`` may be set to have it end soon."""
 
     open_item: OpenItem
     target: Target
     draft: Draft
     planned_tokens: int
+    priority: int = MIDDLE_PRIORITY
     task: asyncio.Task[None] | None = None
     events: int = 0
     move: bool = False
@@ -101,7 +100,7 @@
         item.body,
         run.draft.last_event_id,
         max(1.0, left_s) if route.retention_s > 0.0 else UNBOUNDED_RUN_S,
-        ITEM_PRIORITY,
+        run.priority,
         step.spec.workspace,
     )
 
--- a/samphirecleat/durable/_planner.py
+++ b/samphirecleat/durable/_planner.py
@@ -11,6 +11,8 @@
 from collections.abc import Mapping, Sequence, Set
 from typing import Final, NamedTuple
 
+from ..serving import MIDDLE_PRIORITY
+
 # Of what a text is expected to need, this share is planned for: texts grow at the same pace,
 # so the short ones have left before the long ones need their room. An engine that runs out
 # of memory after all holds up its newest run, which costs a few milliseconds of reading.
@@ -26,11 +28,16 @@
 LONG_GROWTH_SHARE: Final = 0.8
 
 
+# Each rank of a workspace counts like so much less time to spare: its items start first beside
+# equally urgent ones, and no workspace waits for another for good.
+PRIORITY_S: Final = 0.5
+
+
 class PendingItem(NamedTuple):
     """An item that wants a place, to be listed within ``due_in_s``.
 
     ``expected_tokens`` is what is still to be made, ``context_tokens`` what its engine
-    reads before that.
+    reads before that. ``priority`` is that of its workspace, 0 first.
     """
 
     step_id: str
@@ -42,6 +49,7 @@
     context_tokens: int
     min_version: int
     model: str
+    priority: int = MIDDLE_PRIORITY
 
 
 class EngineView(NamedTuple):
@@ -92,7 +100,8 @@
 
     def rank(item: PendingItem) -> tuple[bool, float]:
         spare_s = item.due_in_s - item.expected_tokens * token_s
-        return ((item.step_id, item.group) in spare, spare_s)
+        ranked_s = spare_s + (item.priority - MIDDLE_PRIORITY) * PRIORITY_S
+        return ((item.step_id, item.group) in spare, ranked_s)
 
     return sorted(items, key=rank)
 
--- a/samphirecleat/durable/_run_pool.py
+++ b/samphirecleat/durable/_run_pool.py
@@ -45,7 +45,7 @@
         plan = place.item
         item, step = open_item.item, open_item.step
         draft = self._drafts.get(item.item_id)
-        run = ItemRun(open_item, target, draft, place.planned_tokens)
+        run = ItemRun(open_item, target, draft, place.planned_tokens, plan.priority)
         self._work.paces.of(target.instance).groups.add(item.group)
         self._work.runs[run.name] = run
         self._words.info(
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -149,6 +149,7 @@
             item.prompt_tokens + made,
             step.spec.min_version,
             step.spec.model,
+            self._work.priority_of(step),
         )
 
     def _place(
--- a/samphirecleat/durable/_service_work.py
+++ b/samphirecleat/durable/_service_work.py
@@ -56,6 +56,10 @@
                 steps.append((step, route))
         return steps
 
+    def priority_of(self, step: StepState) -> int:
+        """Return the rank of a step's workspace."""
+        return self._routes.priority_of(step.spec.workspace)
+
     def items_to_make(self) -> int:
         """Return how many items of the open steps have a run or want one."""
         unlisted = sum(len(step.unlisted) for step, _route in self.open_steps())
--- a/samphirecleat/platform/_watches.py
+++ b/samphirecleat/platform/_watches.py
@@ -45,9 +45,11 @@
         config = decode_config(entry.value)
         if self._routes.put(config):
             self._words.info(
-                "revision=%d in force routes=%d offset=%d",
+                "revision=%d in force routes=%d workspaces=%d keys=%d offset=%d",
                 config.revision,
                 len(config.routes),
+                len(config.workspaces),
+                sum(len(workspace.keys) for workspace in config.workspaces),
                 entry.offset,
             )
             for conflict in self._routes.keys.conflicts:
--- a/samphirecleat/serving/__init__.py
+++ b/samphirecleat/serving/__init__.py
@@ -9,6 +9,7 @@
 from ._target_table import TargetTable, services_in_turn
 from ._types import (
     EMPTY_CONFIG,
+    MIDDLE_PRIORITY,
     NO_REVISION,
     Call,
     CallChannel,
@@ -33,6 +34,7 @@
 __all__ = [
     "ANONYMOUS",
     "EMPTY_CONFIG",
+    "MIDDLE_PRIORITY",
     "NO_REVISION",
     "Call",
     "CallChannel",
--- a/samphirecleat/serving/_route_table.py
+++ b/samphirecleat/serving/_route_table.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from typing import Final
 
-from ._types import EMPTY_CONFIG, CallKind, Route, RoutingConfig
+from ._types import EMPTY_CONFIG, MIDDLE_PRIORITY, CallKind, Route, RoutingConfig
 from ._workspaces import KeyTable
 
 _STEP_KINDS: Final = (CallKind.ROLLOUT, CallKind.BATCH)
@@ -18,6 +18,7 @@
         self.config: RoutingConfig = EMPTY_CONFIG
         self.keys = KeyTable(EMPTY_CONFIG)
         self._by_host: dict[str, Sequence[Route]] = {}
+        self._priorities: dict[str, int] = {}
 
     @property
     def known(self) -> bool:
@@ -36,6 +37,11 @@
         self.config = config
         self.keys = KeyTable(config)
         self._by_host = dict(by_host)
+        self._priorities = {
+            workspace.name: workspace.priority
+            for workspace in config.workspaces
+            if workspace.priority is not None
+        }
         return True
 
     def find(self, host: str, raw_path: str) -> Route | None:
@@ -46,6 +52,10 @@
                 return route
         return None
 
+    def priority_of(self, workspace: str) -> int:
+        """Return the rank of a workspace's work, the middle one for a workspace without."""
+        return self._priorities.get(workspace, MIDDLE_PRIORITY)
+
     def takes_anonymous_steps(self, host: str) -> bool:
         """Whether steps may be submitted to a host without a key."""
         routes = self._by_host.get(host.lower(), ())
--- a/samphirecleat/serving/_types.py
+++ b/samphirecleat/serving/_types.py
@@ -228,5 +228,7 @@
         ...
 
 
+# Of a call or an item that neither a workspace nor a route ranks; 0 comes first, 9 last.
+MIDDLE_PRIORITY: Final = 5
 NO_REVISION: Final = -1
 EMPTY_CONFIG: Final = RoutingConfig(NO_REVISION, (), {}, CallerLimits())
--- a/tests/durable/test_planner.py
+++ b/tests/durable/test_planner.py
@@ -132,3 +132,13 @@
     engines = [engine("idle"), engine("warm", running=4)._replace(warm=True)]
     placed = place_items([pending("a", 500)], engines, TOKEN_S)
     assert [place.instance for place in placed] == ["idle"]
+
+
+def test_the_workspace_of_the_higher_rank_starts_first_and_starves_nobody() -> None:
+    """Guards against a rank that changes nothing, and against one that others wait for in vain."""
+    low = pending("low", 500)._replace(priority=7)
+    high = pending("high", 500)._replace(priority=1)
+    late = pending("late", 500)._replace(priority=9, due_in_s=low.due_in_s - 6.0)
+    order = [item.item_id for item in order_items([low, high, late], {}, TOKEN_S)]
+    assert order.index("high") < order.index("low")
+    assert order[0] == "late"
