--- a/samphirecleat/platform/_duty_api.py
+++ b/samphirecleat/platform/_duty_api.py
@@ -46,6 +46,10 @@
         self._pause_s = 1.0 / calls_per_s
         self._one_at_a_time = asyncio.Lock()
 
+    def move(self, address: str) -> None:
+        """Talk to the API at another address from now on."""
+        self._address = address
+
     async def report_usage(
         self, window: int, counts: WindowCounts, holder: Holder, timeout_s: float
     ) -> ReportOutcome:
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -163,6 +163,10 @@
             metrics_port=self.settings.metrics_port,
         )
         self._store.move(settings.store_address)
+        self._api.move(settings.api_address)
+        self._gatekeeper.rebind(
+            fails_closed=settings.keys_fail_closed, revocation_s=settings.key_revocation_s
+        )
 
     async def drain(self) -> None:
         """Hand over the work, serve on while callers may still come, and end what is open."""
@@ -235,14 +239,19 @@
             ),
         )
         relay = StreamRelay(forwarder, self.targets, CallStream(self._sessions))
-        gatekeeper = Gatekeeper(
+        self._gatekeeper = Gatekeeper(
             self.routes,
             lambda: self._operator_follower.age_s(),
             fails_closed=self.settings.keys_fail_closed,
             revocation_s=self.settings.key_revocation_s,
         )
         self.front = Front(
-            self.routes, forwarder, relay, StepAccess(self.step_log), gatekeeper, self.observer
+            self.routes,
+            forwarder,
+            relay,
+            StepAccess(self.step_log),
+            self._gatekeeper,
+            self.observer,
         )
         parts = DutyParts(
             self.step_log,
@@ -255,13 +264,13 @@
             self.observer,
             self.operator.named,
         )
-        api = DutyApi(
+        self._api = DutyApi(
             self._session, self.settings.api_address, self.settings.api_calls_per_s, self.observer
         )
         view = PlatformView(
             self._store, self._clock, self._sees_targets, lambda: self._store.reachable
         )
-        self._duties = NodeDuties(self.board, self.settings, parts, api, view, self._rng)
+        self._duties = NodeDuties(self.board, self.settings, parts, self._api, view, self._rng)
 
     def _reading_pause_s(self) -> float:
         return reading_pause_s(len(self.board.members), runs_work=self._duties.runs_services())
--- a/samphirecleat/serving/_gatekeeper.py
+++ b/samphirecleat/serving/_gatekeeper.py
@@ -41,6 +41,11 @@
         self._fails_closed = fails_closed
         self._revocation_s = revocation_s
 
+    def rebind(self, *, fails_closed: bool, revocation_s: float) -> None:
+        """Take other bounds on keys that were taken away from now on."""
+        self._fails_closed = fails_closed
+        self._revocation_s = revocation_s
+
     def admit(self, credentials: Sequence[str], *, anonymous: bool) -> Workspace:
         """Return the workspace of a caller by its ``Authorization`` headers.
 
--- a/samphirecleat/usage/_true_clock.py
+++ b/samphirecleat/usage/_true_clock.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable, Sequence
-from statistics import median
 from typing import Final, NamedTuple
 
 # With fewer samples than this nobody can be outvoted, and the own clock stands.
@@ -53,7 +52,7 @@
         ]
         if len(offsets_s) < LEAST_SAMPLES:
             return 0.0
-        before_s, self._offset_s = self._offset_s, median(offsets_s)
+        before_s, self._offset_s = self._offset_s, _median(offsets_s)
         return self._offset_s - before_s
 
     def now_s(self) -> float:
@@ -63,3 +62,10 @@
     def at_s(self, loop_s: float) -> float:
         """Return the true time at a time of the loop that is not long ago."""
         return self.now_s() - (self._loop_time_s() - loop_s)
+
+
+def _median(values: Sequence[float]) -> float:
+    """Return the median; the library's module for it would take a megabyte at every node."""
+    ordered = sorted(values)
+    middle = len(ordered) // 2
+    return (ordered[middle] + ordered[-middle - 1]) / 2.0
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -130,3 +130,22 @@
             await caller.call("POST", "/plain/1", want=401, headers=bearer("unheard-of"))
 
     asyncio.run(body())
+
+
+def test_settings_that_change_bound_keys_from_then_on(tmp_path: Path) -> None:
+    """Guards against a bound on keys that holds only after the next start."""
+
+    async def body() -> None:
+        async with running_nodes(1, tmp_path) as (nodes, caller, store, _targets):
+            host = nodes.hosts[0]
+            await put_keys(nodes, caller, store, 2, KEYS)
+            nodes.more_bounds = "revokeFailClosed = true\nrevocationMs = 700"
+            nodes.write_settings(host, nodes.settings(host))
+            await asyncio.sleep(0.5)
+            store.refusing = 503
+            await asyncio.sleep(1.2)
+            await caller.call("POST", "/plain/1", want=503, headers=bearer("shop-1"))
+            store.refusing = 0
+            await caller.call("POST", "/plain/1", headers=bearer("shop-1"))
+
+    asyncio.run(body())
