--- a/tests/usage/test_usage.py
+++ b/tests/usage/test_usage.py
@@ -253,6 +253,31 @@
     run(body)
 
 
+def test_figures_wait_for_the_nodes_that_the_log_turned_away_and_no_longer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against figures without late counts, and windows missed by a holder that dies next."""
+    monkeypatch.setattr("samphirecleat.usage._reporter.WRITTEN_AFTER_OUTAGE_S", 1e6)
+
+    async def body(stage: Stage) -> None:
+        window = stage.window
+        duty = await stage.holder(7)
+        await asyncio.sleep(0.05)
+        stage.log.topic(USAGE_TOPIC).down = stage.log.down = True
+        # A read that waits for news sees that the log is away when its wait is over.
+        await asyncio.sleep(0.8)
+        stage.log.topic(USAGE_TOPIC).down = stage.log.down = False
+        stage.now_s += WINDOW_S + 4.0
+        await asyncio.sleep(0.6)
+        assert window not in stage.api.taken
+        write(stage, CountsAdded(window, {"w": 1}), "n2.1")
+        monkeypatch.setattr("samphirecleat.usage._reporter.WRITTEN_AFTER_OUTAGE_S", 0.0)
+        assert await stage.reported(window) == {"w": 1}
+        duty.stop()
+
+    run(body)
+
+
 def test_a_fenced_holder_reports_no_more() -> None:
     async def body(stage: Stage) -> None:
         stage.api.answers = [ReportOutcome.FENCED] * 99
