--- a/samphirecleat/usage/_reporter.py
+++ b/samphirecleat/usage/_reporter.py
@@ -145,8 +145,12 @@
 
     @property
     def out_of_reach(self) -> bool:
-        """Whether the platform's API does not answer this node, which the store turns away too."""
-        return self._unreached >= UNREACHED_LIMIT and not self._store_answers()
+        """Whether the platform's API refuses this claim, or does not answer this node alone.
+
+        A claim that is in force and refused all the same can only be followed by a newer one.
+        """
+        cut_off = self._unreached >= UNREACHED_LIMIT and not self._store_answers()
+        return self._fenced or cut_off
 
     async def _report(self) -> None:
         while not self._fenced:
--- a/tests/usage/test_usage.py
+++ b/tests/usage/test_usage.py
@@ -283,7 +283,7 @@
         stage.api.answers = [ReportOutcome.FENCED] * 99
         stage.now_s += WINDOW_S + 5.0
         duty = await stage.holder(7)
-        await until(lambda: bool(stage.api.calls))
+        await until(lambda: duty.out_of_reach)
         await asyncio.sleep(0.1)
         duty.stop()
         assert len(stage.api.calls) <= 3
