--- a/samphirecleat/durable/_follower.py
+++ b/samphirecleat/durable/_follower.py
@@ -129,6 +129,17 @@
             return
         self._take(chunk.entries, chunk.end)
 
+    async def confirm(self, timeout_s: float) -> bool:
+        """Take all that is in the log now; False when that is not known to have worked."""
+        began_s = boot_time_s()
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self.confirmed_at_s < began_s:
+                    await self.advance(0.0)
+        except (TimeoutError, LogUnavailableError):
+            return False
+        return True
+
     async def _snapshot(self) -> None:
         snapshot = await self._log.newest(self._topic)
         entries = sorted(snapshot.entries)
--- a/samphirecleat/durable/_step_log.py
+++ b/samphirecleat/durable/_step_log.py
@@ -8,13 +8,12 @@
 from contextlib import contextmanager
 from typing import Final
 
-from .._boot_clock import boot_time_s
 from ..observe import Observer
 from ._fold import NO_CLAIM, StepFold
 from ._follower import TopicFollower, no_pause
 from ._item_shelf import ItemShelf
 from ._listing import ResultLister, Written
-from ._ports import AppendOutcome, KeyedLog, LogEntry, LogUnavailableError, PeerTexts
+from ._ports import AppendOutcome, KeyedLog, LogEntry, PeerTexts
 from ._records import (
     FinishedItem,
     ItemSpec,
@@ -139,14 +138,7 @@
 
     async def confirm(self, timeout_s: float) -> bool:
         """Fold all that is in the log now; False when that is not known to have worked."""
-        began_s = boot_time_s()
-        try:
-            async with asyncio.timeout(timeout_s):
-                while self._follower.confirmed_at_s < began_s:
-                    await self._follower.advance(0.0)
-        except (TimeoutError, LogUnavailableError):
-            return False
-        return True
+        return await self._follower.confirm(timeout_s)
 
     async def accept(self, request: StepRequest) -> Written:
         """Write a step down; APPENDED as soon as it is known to be kept.
--- a/samphirecleat/usage/_reporter.py
+++ b/samphirecleat/usage/_reporter.py
@@ -41,8 +41,10 @@
 # wait for them, but no longer than this part of the allowed time.
 WRITTEN_AFTER_OUTAGE_S: Final = 1.5
 FIX_AFTER_OUTAGE: Final = 0.7
-# The ledger must have been confirmed this recently before figures are fixed by it.
-LEDGER_FRESH_S: Final = 1.0
+# Figures are fixed by all that the log holds at that moment; it is asked for this long.
+CONFIRM_WITHIN_S: Final = 1.0
+# A record that was written is seen in the log within this time, or its append took no effect.
+SEEN_WITHIN_S: Final = 1.0
 REPORT_TIMEOUT_S: Final = 0.8
 RETRY_S: Final = 0.3
 # Calls without an answer in a row after which another node may have better luck.
@@ -175,9 +177,7 @@
 
     async def _fix(self, window: int) -> None:
         """Write the figures of a window, which the ledger then takes from the log."""
-        if not self._follower.caught_up or self._follower.age_s() > LEDGER_FRESH_S:
-            return
-        if not self._holder.acts_now():
+        if not await self._follower.confirm(CONFIRM_WITHIN_S) or not self._holder.acts_now():
             return
         record = ReportFixed(window, self._ledger.counts(window))
         unique = f"{self._holder.fencing_number}.{secrets.token_hex(4)}"
@@ -195,7 +195,7 @@
 
     async def _wait_fixed(self, window: int) -> None:
         """Wait until the log has shown which figures hold, but not for long."""
-        until_s = asyncio.get_running_loop().time() + LEDGER_FRESH_S
+        until_s = asyncio.get_running_loop().time() + SEEN_WITHIN_S
         while self._ledger.report(window) is None and asyncio.get_running_loop().time() < until_s:
             await asyncio.sleep(LOOK_EVERY_S / 10.0)
 
