--- a/samphirecleat/durable/_item_decisions.py
+++ b/samphirecleat/durable/_item_decisions.py
@@ -118,7 +118,7 @@
 
 
 def _goes_on_better(run: RunView, engine: EngineView) -> bool:
-    if run.model and engine.versions.get(run.model, -1) < run.min_version:
+    if engine.versions.get(run.model, -1) < run.min_version:
         return False
     if run.rest_s * run.slowness > run.leaves_in_s:
         return True
--- a/samphirecleat/durable/_records.py
+++ b/samphirecleat/durable/_records.py
@@ -16,6 +16,8 @@
 # keeps one large text from filling an append.
 PART_BYTES: Final = 131_072
 _HEADER: Final = 4
+# A writer's id begins with its incarnation, of which this much stands in keys.
+INCARNATION_CHARS: Final = 8
 # Texts shrink by a third at the fastest level, which takes 20 ms a megabyte.
 _ZLIB_LEVEL: Final = 1
 
@@ -289,3 +291,14 @@
 def key_prefix(subject: str) -> str:
     """Return a short, fixed-length part of a key for an id of any length."""
     return hashlib.blake2b(subject.encode(), digest_size=10).hexdigest()
+
+
+def writer_of(key: str) -> str:
+    """Return the beginning of the incarnation that wrote an entry, "" for a key of another form."""
+    parts = key.split("/")
+    return incarnation_mark(parts[1]) if len(parts) > 1 else ""
+
+
+def incarnation_mark(writer: str) -> str:
+    """Return what the ids of an incarnation and of its writers have in common: their beginning."""
+    return writer[:INCARNATION_CHARS]
--- a/samphirecleat/durable/_step_log.py
+++ b/samphirecleat/durable/_step_log.py
@@ -28,6 +28,7 @@
     accepted_record,
     key_prefix,
     split_record,
+    writer_of,
 )
 from ._texts import NO_PEERS, TextShelf, drop_prefix
 
@@ -226,7 +227,7 @@
         for entry in entries:
             if not entry.value:
                 continue
-            self.last_write_by[entry.key.split("/")[1][:8] if "/" in entry.key else ""] = now_s
+            self.last_write_by[writer_of(entry.key)] = now_s
             try:
                 record = self._assembler.add(entry.key, entry.value)
             except RecordFormatError as error:
--- a/samphirecleat/durable/_texts.py
+++ b/samphirecleat/durable/_texts.py
@@ -14,7 +14,16 @@
 
 from ..observe import Observer
 from ._ports import AppendOutcome, HistoryGoneError, KeyedLog, LogUnavailableError, PeerTexts
-from ._records import FinishedItem, TextRef, join_blob, key_prefix, pack, split_blob, unpack
+from ._records import (
+    FinishedItem,
+    TextRef,
+    join_blob,
+    key_prefix,
+    pack,
+    split_blob,
+    unpack,
+    writer_of,
+)
 
 # Each topic takes appends one at a time; several let the services' texts pass each other.
 SHARDS: Final = 8
@@ -27,10 +36,6 @@
 _ENTRY_OVERHEAD_BYTES: Final = 80
 
 
-# A writer's id begins with its incarnation.
-INCARNATION_CHARS: Final = 8
-
-
 class _NoPeers:
     """Nobody to ask."""
 
@@ -151,7 +156,7 @@
     async def _ask_writers(self, run: Sequence[TextRef]) -> Mapping[str, bytes]:
         by_writer: dict[str, list[str]] = {}
         for ref in run:
-            by_writer.setdefault(_incarnation_of(ref.key), []).append(ref.key)
+            by_writer.setdefault(writer_of(ref.key), []).append(ref.key)
         found: dict[str, bytes] = {}
         for incarnation, keys in by_writer.items():
             found.update(await self._peers.fetch(incarnation, keys))
@@ -214,12 +219,6 @@
         return f"{key_prefix(step_id)}/{self._writer_id}/{self._next_key}"
 
 
-def _incarnation_of(key: str) -> str:
-    """Return the incarnation that wrote a text, "" for a key of another form."""
-    parts = key.split("/")
-    return parts[1][:INCARNATION_CHARS] if len(parts) > 1 else ""
-
-
 def shard_of(step_id: str) -> int:
     """Return the number of the text topic that holds a step's texts."""
     return hashlib.blake2b(step_id.encode(), digest_size=2).digest()[0] % SHARDS
--- a/samphirecleat/platform/_boot_settings.py
+++ b/samphirecleat/platform/_boot_settings.py
@@ -48,6 +48,16 @@
     report_due_s: float = 0.0
     metrics_port: int = 0
 
+    @property
+    def reports_usage(self) -> bool:
+        """Whether the platform wants usage reported."""
+        return DUTY_USAGE in self.api_duties
+
+    @property
+    def orders_targets(self) -> bool:
+        """Whether the platform takes orders of targets."""
+        return DUTY_SCALING in self.api_duties
+
 
 class BootSettingsError(Exception):
     """Settings that cannot be used; the text names the file, the key and what is wrong."""
--- a/samphirecleat/platform/_duty_api.py
+++ b/samphirecleat/platform/_duty_api.py
@@ -55,7 +55,7 @@
     ) -> ReportOutcome:
         """Send a report once; see :class:`UsageChannel`."""
         body = {"windowNumber": window, "counts": counts}
-        status, _ = await self._call(PATH_USAGE, body, holder, timeout_s)
+        status = await self._call(PATH_USAGE, body, holder, timeout_s)
         return _REPORT_OUTCOMES.get(status, ReportOutcome.UNKNOWN)
 
     async def order_spot(
@@ -64,13 +64,13 @@
         """Order spot targets once; see :class:`ScaleChannel`."""
         # Named groups; it is the number of targets.
         body = {"service": service, "zone": zone, "targetGroups": count, "spot": True}
-        status, _ = await self._call(PATH_SCALE, body, holder, timeout_s)
+        status = await self._call(PATH_SCALE, body, holder, timeout_s)
         return _SCALE_OUTCOMES.get(status, ScaleOutcome.UNKNOWN)
 
     async def _call(
         self, path: str, body: Mapping[str, Any], holder: Holder, timeout_s: float
-    ) -> tuple[int, bytes]:
-        """Return the status and the body of the answer, 0 when there is none.
+    ) -> int:
+        """Return the status of the answer, 0 when there is none.
 
         A call without an answer may still be carried out, seconds later.
         """
@@ -91,7 +91,7 @@
                     answer = await response.read()
             except ANSWER_FAULTS as error:
                 self._words.warning("%s got no answer: %r", path, error)
-                return 0, b""
+                return 0
             if response.status != 200:
                 self._words.warning("%s status=%d %s", path, response.status, answer[:TOLD_BYTES])
-            return response.status, answer
+            return response.status
--- a/samphirecleat/platform/_front.py
+++ b/samphirecleat/platform/_front.py
@@ -96,7 +96,7 @@
             return await self._step_call(request, raw_path)
         if raw_path.startswith(PATH_ITEM) and request.method == "GET":
             return await self._item_call(request, raw_path)
-        host = request.headers.get("Host", "").partition(":")[0]
+        host = _host_of(request)
         route = self._route(host, raw_path)
         workspace = self._workspace(request, anonymous=route.allows_anonymous)
         body = await self._read_body(request)
@@ -165,8 +165,7 @@
             await events.aclose()
 
     def _route(self, host: str, raw_path: str) -> Route:
-        if not self._routes.known:
-            raise RequestError(ErrorKind.NOT_READY, "no configuration yet", retry_after_s=0.2)
+        self._routes.ensure_known()
         route = self._routes.find(host, raw_path)
         if route is None:
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, f"no route for {host}{raw_path}")
@@ -184,8 +183,8 @@
         return self._gatekeeper.admit(credentials, anonymous=anonymous).name
 
     def _step_workspace(self, request: web.BaseRequest) -> str:
-        host = request.headers.get("Host", "").partition(":")[0]
-        return self._workspace(request, anonymous=self._routes.takes_anonymous_steps(host))
+        anonymous = self._routes.takes_anonymous_steps(_host_of(request))
+        return self._workspace(request, anonymous=anonymous)
 
     def _headers(self, request: web.BaseRequest) -> Sequence[tuple[str, str]]:
         """Return a caller's headers, without those that say who it is where keys do that."""
@@ -251,6 +250,11 @@
         return web.json_response(error.body(), status=status, headers=headers)
 
 
+def _host_of(request: web.BaseRequest) -> str:
+    """Return the host that a caller names, without its port."""
+    return request.headers.get("Host", "").partition(":")[0]
+
+
 def status_of(error: RequestError) -> int:
     """Return the status of an error, which promises "not run" exactly when that is so."""
     status = error.status
--- a/samphirecleat/platform/_metadata_store.py
+++ b/samphirecleat/platform/_metadata_store.py
@@ -207,7 +207,7 @@
 
     async def _append(self, topic: str, records: Sequence[bytes], at: int) -> AppendResult:
         query = f"topic={quote(topic)}&part=0" + (f"&at={at}" if at >= 0 else "")
-        body = join_records(iter(records))
+        body = join_records(records)
         detail = ""
         for way in self._in_turn():
             try:
--- a/samphirecleat/platform/_node_duties.py
+++ b/samphirecleat/platform/_node_duties.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable, Mapping
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from ..blackboard import Blackboard
 from ..durable import (
@@ -14,7 +14,7 @@
     ServiceDuties,
 )
 from ..usage import ReportTerms, TrueClock, UsageDuty, UsageParts
-from ._boot_settings import DUTY_SCALING, DUTY_USAGE, BootSettings
+from ._boot_settings import BootSettings
 from ._duty_api import DutyApi
 
 
@@ -44,9 +44,8 @@
         rng: random.Random,
     ) -> None:
         """Wire the duties; nothing is claimed before :meth:`run`."""
-        self._reports_usage: Final = DUTY_USAGE in settings.api_duties
-        orders_servers = DUTY_SCALING in settings.api_duties
-        if orders_servers:
+        self._reports_usage = settings.reports_usage
+        if settings.orders_targets:
             parts = parts._replace(servers=ServerSupply(api, view.sees_targets))
         self._services = ServiceDuties(parts)
         self._usage = UsageDuty(
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -42,7 +42,7 @@
     UsageCounter,
     write_gap_s,
 )
-from ._boot_settings import DUTY_USAGE, BootSettings
+from ._boot_settings import BootSettings
 from ._call_exchange import CallExchange
 from ._call_stream import CallStream
 from ._duty_api import DutyApi
@@ -223,7 +223,7 @@
             self.observer,
             self._rng,
         )
-        meter = self._counter.began if self._reports_usage else no_meter
+        meter = self._counter.began if self.settings.reports_usage else no_meter
         forwarder = Forwarder(self.routes, self.targets, exchange, self._rng, meter)
         self.step_log = StepLog(
             self._store,
@@ -304,7 +304,8 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.target_watch.refresh()
-            self._agree_on_time()
+            if self.settings.reports_usage:
+                self._agree_on_time()
             await self._sessions.keep(self.targets.targets)
 
     def _agree_on_time(self) -> None:
@@ -324,10 +325,6 @@
         away_ago_s = boot_time_s() - follower.unavailable_at_s
         return follower.age_s() <= REGISTRATIONS_FRESH_S and away_ago_s > REGISTRATIONS_BACK_S
 
-    @property
-    def _reports_usage(self) -> bool:
-        return DUTY_USAGE in self.settings.api_duties
-
     def _is_ready(self) -> bool:
         return self.routes.known and self._target_follower.caught_up and not self.board.leaving
 
@@ -348,7 +345,7 @@
             key_epoch=0,
             in_flight=self.front.in_flight,
             cores=self.settings.cores,
-            time_of_day_ms=int(time.time() * 1000) if self._reports_usage else 0,
+            time_of_day_ms=int(time.time() * 1000) if self.settings.reports_usage else 0,
         )
 
     def _ready_members(self) -> Sequence[Member]:
--- a/samphirecleat/platform/_record_framing.py
+++ b/samphirecleat/platform/_record_framing.py
@@ -1,6 +1,6 @@
 """How the platform's store frames records, keys and its short answers."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any, Final
 
 import msgspec
@@ -10,7 +10,7 @@
 _LENGTH_BYTES: Final = 4
 
 
-def join_records(records: Iterator[bytes]) -> bytes:
+def join_records(records: Iterable[bytes]) -> bytes:
     """Return the body that carries records, each behind its length."""
     return b"".join(len(record).to_bytes(_LENGTH_BYTES) + record for record in records)
 
--- a/samphirecleat/serving/_gatekeeper.py
+++ b/samphirecleat/serving/_gatekeeper.py
@@ -54,8 +54,7 @@
         :raises RequestError: UNAUTHENTICATED for a caller without a key in force, NOT_READY when
             this node can't be sure of that.
         """
-        if not self._routes.known:
-            raise RequestError(ErrorKind.NOT_READY, "no configuration yet", retry_after_s=0.2)
+        self._routes.ensure_known()
         if not self._routes.config.asks_for_keys:
             return ANONYMOUS
         fault = "no key: send Authorization: Bearer KEY"
--- a/samphirecleat/serving/_route_table.py
+++ b/samphirecleat/serving/_route_table.py
@@ -4,9 +4,12 @@
 from collections.abc import Sequence
 from typing import Final
 
+from ..errors import ErrorKind, RequestError
 from ._types import EMPTY_CONFIG, MIDDLE_PRIORITY, CallKind, Route, RoutingConfig
 from ._workspaces import KeyTable
 
+# What a caller is told to wait at a node that has just started.
+RETRY_AFTER_S: Final = 0.2
 _STEP_KINDS: Final = (CallKind.ROLLOUT, CallKind.BATCH)
 
 
@@ -25,6 +28,15 @@
         """Whether any configuration has come; until then no route can be denied."""
         return self.config.revision >= 0
 
+    def ensure_known(self) -> None:
+        """Return if any configuration has come.
+
+        :raises RequestError: NOT_READY before that: nothing can be said of a route or a key.
+        """
+        if not self.known:
+            detail = "no configuration yet"
+            raise RequestError(ErrorKind.NOT_READY, detail, retry_after_s=RETRY_AFTER_S)
+
     def put(self, config: RoutingConfig) -> bool:
         """Take a configuration into force; False for one that is not newer."""
         if config.revision <= self.config.revision:
--- a/samphirecleat/serving/_workspaces.py
+++ b/samphirecleat/serving/_workspaces.py
@@ -34,8 +34,10 @@
         for workspace in config.workspaces:
             for key in workspace.keys:
                 digest = self._digest(key)
-                marks[digest] = key_mark(key)
-                holders.setdefault(digest, {})[workspace.name] = workspace
+                held = holders.setdefault(digest, {})
+                held[workspace.name] = workspace
+                if len(held) > 1:
+                    marks[digest] = key_mark(key)
         self._by_digest: Mapping[bytes, Workspace] = {
             digest: next(iter(held.values())) for digest, held in holders.items() if len(held) == 1
         }
--- a/tests/durable/test_item_decisions.py
+++ b/tests/durable/test_item_decisions.py
@@ -46,7 +46,7 @@
 
 
 def run(item: str, slowness: float, events: int = 9, *, moving: bool = False) -> RunView:
-    return RunView(("s", item), slowness, events, moving)
+    return RunView(("s", item), slowness, events, moving, model="m")
 
 
 @pytest.mark.parametrize(
