Log each run that its target cut off: which request it was, and whether the target ended

On-call engineers could not tell that two ids were the same request, nor a target that ended from a connection that was reset. MARK is a digest of method, host, path with query, caller and body.

--- a/samphirecleat/platform/_call_exchange.py
+++ b/samphirecleat/platform/_call_exchange.py
@@ -1,5 +1,6 @@
 """One call at one target: sent as it came, and its whole answer checked."""
 
+import errno
 from collections.abc import Sequence
 from typing import Final
 
@@ -69,7 +70,23 @@
 def lost_answer(target: Target, error: Exception) -> TargetFault:
     """Return the fault of a call that ended in an error; it ran nowhere if never sent."""
     never_sent = isinstance(error, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError))
-    return TargetFault(f"{target.instance}: {error!r}", Ran.NO if never_sent else Ran.UNKNOWN)
+    return TargetFault(
+        f"{target.instance}: {error!r}",
+        Ran.NO if never_sent else Ran.UNKNOWN,
+        cut=not never_sent and is_cut(error),
+    )
+
+
+def is_cut(error: Exception) -> bool:
+    """Whether the other end closed or reset the connection, rather than fell silent."""
+    match error:
+        case TimeoutError():
+            return False
+        case aiohttp.ServerDisconnectedError() | aiohttp.ClientPayloadError() | EOFError():
+            return True
+        case OSError():
+            return error.errno != errno.ETIMEDOUT
+    return False
 
 
 def target_url(target: Target, raw_path: str) -> URL:
--- a/samphirecleat/platform/_front.py
+++ b/samphirecleat/platform/_front.py
@@ -114,6 +114,7 @@
             began_s,
             began_s + _deadline_s(request.headers.get(DEADLINE_MS, "")),
             workspace,
+            self._caller(request, workspace),
         )
         if route.kind is CallKind.STREAMING:
             return await self._stream(request, call, route)
@@ -186,6 +187,13 @@
         anonymous = self._routes.takes_anonymous_steps(_host_of(request))
         return self._workspace(request, anonymous=anonymous)
 
+    def _caller(self, request: web.BaseRequest, workspace: str) -> str:
+        """Return who sends a call: its workspace, or without keys whatever it says of itself."""
+        if self._routes.config.asks_for_keys:
+            return workspace
+        said = (request.headers.getall(name, ()) for name in sorted(IDENTITY_HEADERS))
+        return "\n".join(value for values in said for value in values)
+
     def _headers(self, request: web.BaseRequest) -> Sequence[tuple[str, str]]:
         """Return a caller's headers, without those that say who it is where keys do that."""
         rows = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in request.raw_headers]
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -13,6 +13,7 @@
 from .._boot_clock import boot_time_s
 from ..blackboard import Blackboard, Identity, Member
 from ..controllers.membership import Membership
+from ..crashes import CrashGuard
 from ..durable import (
     DutyParts,
     MeetingPoint,
@@ -34,8 +35,9 @@
     TargetRegistry,
     TargetTable,
     no_meter,
+    registration_of,
 )
-from ..targets import make_connector
+from ..targets import is_listening, make_connector
 from ..usage import (
     ClockSample,
     TrueClock,
@@ -224,7 +226,12 @@
             self._rng,
         )
         meter = self._counter.began if self.settings.reports_usage else no_meter
-        forwarder = Forwarder(self.routes, self.targets, exchange, self._rng, meter)
+        self._crash_guard = CrashGuard(
+            is_listening, lambda start: registration_of(self.targets, start), self.observer
+        )
+        forwarder = Forwarder(
+            self.routes, self.targets, exchange, self._rng, meter, self._crash_guard
+        )
         self.step_log = StepLog(
             self._store,
             self.board.identity.incarnation,
@@ -304,6 +311,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.target_watch.refresh()
+            self._crash_guard.review()
             if self.settings.reports_usage:
                 self._agree_on_time()
             await self._sessions.keep(self.targets.targets)
--- a/samphirecleat/serving/__init__.py
+++ b/samphirecleat/serving/__init__.py
@@ -1,5 +1,6 @@
 """Serving callers' calls by routes: types, the tables that a node keeps, the forwarder."""
 
+from ._crash_watch import mark_of, registration_of, start_of
 from ._entry_choice import offered_members
 from ._forwarder import Forwarder, UsageMeter, no_meter
 from ._gatekeeper import Gatekeeper
@@ -65,7 +66,10 @@
     "WeightedService",
     "Workspace",
     "key_mark",
+    "mark_of",
     "no_meter",
     "offered_members",
+    "registration_of",
     "services_in_turn",
+    "start_of",
 ]
--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -12,8 +12,10 @@
 from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
+from ..crashes import CrashGuard
 from ..errors import ErrorKind, Ran, RequestError
 from ._attempt_trail import AttemptTrail
+from ._crash_watch import mark_of, start_of
 from ._route_table import RouteTable
 from ._target_table import TargetTable, services_in_turn
 from ._types import Call, CallChannel, CallKind, Route, Target, TargetAnswer, TargetFault
@@ -56,16 +58,19 @@
         channel: CallChannel,
         rng: random.Random,
         meter: UsageMeter = no_meter,
+        guard: CrashGuard | None = None,
     ) -> None:
         """Choose among ``targets`` and send through ``channel``.
 
-        ``meter`` hears once of each call of a workspace that began to run.
+        ``meter`` hears once of each call of a workspace that began to run, and ``guard`` of each
+        run that its target cut off.
         """
         self._routes = routes
         self._targets = targets
         self._channel = channel
         self._rng = rng
         self.meter = meter
+        self._guard = guard
 
     async def forward(self, call: Call, route: Route) -> TargetAnswer:
         """Return the target's answer, whatever its status.
@@ -90,6 +95,13 @@
         """Draw one of the route's services by their shares."""
         return services_in_turn(route, self._rng.random())
 
+    async def cut(self, call: Call, target: Target, begun_s: float, fault: TargetFault) -> None:
+        """Take a fault of a run, which may have ended with its target."""
+        if self._guard is not None and fault.cut:
+            await self._guard.cut(
+                call.request_id, mark_of(call), start_of(target), begun_s, fault.detail
+            )
+
     async def attempt(self, call: Call, target: Target, end_s: float) -> TargetAnswer:
         """Send the call once and note what was seen of the target.
 
@@ -103,6 +115,7 @@
             answer = await self._channel.exchange(call, target, end_s - started_s)
         except TargetFault as fault:
             self._targets.failed(target, loop.time(), refused=fault.refused)
+            await self.cut(call, target, started_s, fault)
             raise
         except asyncio.CancelledError:
             now_s = loop.time()
--- a/samphirecleat/serving/_stream_relay.py
+++ b/samphirecleat/serving/_stream_relay.py
@@ -83,6 +83,7 @@
         self._source: AsyncGenerator[_Item, None] | None = None
         self._repeatable = route.resumable
         self._metered = False
+        self._begun_s = 0.0
         self.start = StreamStart(0, (), 0)
 
     async def begin(self) -> TargetAnswer | None:
@@ -185,6 +186,7 @@
             return False
         self._tried.append(target.instance)
         self._runs += 1
+        self._begun_s = loop.time()
         self._target = target
         self._trail.sent(target.instance, loop.time())
         self._relay.targets.started(target)
@@ -199,6 +201,7 @@
         if self._target is not None:
             now_s = asyncio.get_running_loop().time()
             self._relay.targets.failed(self._target, now_s, refused=fault.refused)
+            await self._relay.forwarder.cut(self._call, self._target, self._begun_s, fault)
         if fault.ran is Ran.NO:
             self._runs -= 1
             self._refusals += 1
--- a/samphirecleat/serving/_types.py
+++ b/samphirecleat/serving/_types.py
@@ -144,7 +144,7 @@
 
     ``raw_path`` holds path and query as sent. ``deadline_s`` is the time of the
     node's clock at which the caller stops waiting. ``workspace`` is whose key it brought, ""
-    for an anonymous call.
+    for an anonymous call. ``caller`` is who sent it, as far as that can be told.
     """
 
     request_id: str
@@ -156,6 +156,7 @@
     received_at_s: float
     deadline_s: float
     workspace: str = ""
+    caller: str = ""
 
 
 class TargetAnswer(NamedTuple):
@@ -172,11 +173,18 @@
 
     ``ran`` is NO only if no byte left for the target, or the target said so.
     ``refused`` marks a target that has no room; ``wrong_instance`` one that is not
-    the target it was taken for.
+    the target it was taken for. ``cut`` says that the target's end of the connection went away
+    before its answer was whole.
     """
 
     def __init__(
-        self, detail: str, ran: Ran, *, refused: bool = False, wrong_instance: bool = False
+        self,
+        detail: str,
+        ran: Ran,
+        *,
+        refused: bool = False,
+        wrong_instance: bool = False,
+        cut: bool = False,
     ) -> None:
         """Say what was seen of the target."""
         super().__init__(detail)
@@ -184,6 +192,7 @@
         self.ran = ran
         self.refused = refused
         self.wrong_instance = wrong_instance
+        self.cut = cut
 
 
 class CallChannel(Protocol):
--- a/samphirecleat/targets/__init__.py
+++ b/samphirecleat/targets/__init__.py
@@ -5,6 +5,7 @@
 from .._lazy_exports import lazy_exports
 from ._connector import make_connector
 from ._errors import Failed, Lost, NotSent, Refused, TargetError, TargetFailure
+from ._listening import is_listening
 from ._orders import OrderFenced, OrderOutcome, OrderRefused, OrderTaken, OrderUnknown
 from ._strict_connection import make_strict
 
@@ -24,6 +25,7 @@
     "TargetClient",
     "TargetError",
     "TargetFailure",
+    "is_listening",
     "make_connector",
     "make_strict",
 ]
--- a/tests/platform/test_target_channels.py
+++ b/tests/platform/test_target_channels.py
@@ -1,9 +1,11 @@
 """Calls, streams and orders against stand-ins of targets, with what they may do wrong."""
 
 import asyncio
+import errno
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import aiohttp
 import pytest
 
 from samphirecleat.durable import (
@@ -16,7 +18,12 @@
 )
 from samphirecleat.errors import Ran
 from samphirecleat.observe import Observer
-from samphirecleat.platform._call_exchange import CallExchange, forwarded_headers, target_url
+from samphirecleat.platform._call_exchange import (
+    CallExchange,
+    forwarded_headers,
+    lost_answer,
+    target_url,
+)
 from samphirecleat.platform._engine_orders import EngineOrders
 from samphirecleat.platform._generation_stream import GenerationStream
 from samphirecleat.platform._target_sessions import TargetSessions
@@ -198,3 +205,25 @@
             assert await orders.report(gone) is None
 
     asyncio.run(body())
+
+
+@pytest.mark.parametrize(
+    ("error", "cut"),
+    [
+        (aiohttp.ServerDisconnectedError(), True),
+        (aiohttp.ClientPayloadError("reset within the answer"), True),
+        (aiohttp.ClientOSError(errno.ECONNRESET, "reset"), True),
+        (aiohttp.ClientConnectionResetError("closing"), True),
+        (aiohttp.ClientOSError(errno.ETIMEDOUT, "silent"), False),
+        (aiohttp.SocketTimeoutError(), False),
+        (TimeoutError(), False),
+        (ValueError("no answer"), False),
+    ],
+    ids=lambda value: type(value).__name__,
+)
+def test_a_fault_tells_a_connection_that_its_target_closed_from_a_silent_one(
+    error: Exception, cut: bool
+) -> None:
+    """Only a target that closed the connection may have ended under the call."""
+    fault = lost_answer(Target("t", "svc", "127.0.0.1:1", "z", 1, False), error)
+    assert (fault.cut, fault.ran) == (cut, Ran.UNKNOWN)
