--- a/samphirecleat/crashes/__init__.py
+++ b/samphirecleat/crashes/__init__.py
@@ -1,6 +1,23 @@
-"""Runs of calls that ended with their targets."""
+"""Calls that end the targets that run them: evidence of all nodes, and a bound on retries."""
 
 from ._call_mark import call_mark
-from ._guard import CrashGuard, Registered, TargetStart
+from ._guard import CrashGuard, EndRecorder, Registered, TargetStart
+from ._ledger import CrashLedger
+from ._news import CrashNews
+from ._suspect import FREE_ENDS, MOST_ENDS, SETTLE_S, RunEnd, Standing, Suspect
 
-__all__ = ["CrashGuard", "Registered", "TargetStart", "call_mark"]
+__all__ = [
+    "FREE_ENDS",
+    "MOST_ENDS",
+    "SETTLE_S",
+    "CrashGuard",
+    "CrashLedger",
+    "CrashNews",
+    "EndRecorder",
+    "Registered",
+    "RunEnd",
+    "Standing",
+    "Suspect",
+    "TargetStart",
+    "call_mark",
+]
--- a/samphirecleat/crashes/_guard.py
+++ b/samphirecleat/crashes/_guard.py
@@ -1,12 +1,21 @@
-"""Watches runs that are cut off, and finds out whether their target ended."""
+"""Watches runs that are cut off, finds out whether their target ended, and bars what ends them."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from enum import Enum
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, Protocol
 
 from ..observe import Observer
-
+from ._ledger import CrashLedger
+from ._news import NO_CALL, CrashNews
+from ._suspect import RunEnd, Standing
+
+# A target that still listens right after it cut a call may have started again at once. Its
+# registration says so within this time: three of its heartbeats, and the way to this node.
+DOUBT_KEPT_S: Final = 6.0
+MOST_DOUBTS: Final = 1024
+# Of the other targets of a service, so many are looked at before a call is blamed for the ends.
+OTHERS_LOOKED_AT: Final = 3
 # One look at a target serves every call that it cut.
 SAME_LOOK_S: Final = 0.25
 
@@ -32,25 +41,91 @@
     GONE = "gone"
 
 
+class EndRecorder(Protocol):
+    """Writes what is known of a call where it lasts."""
+
+    def record(self, mark: bytes, *, own: bool) -> None:
+        """Write soon; a node whose ``own`` evidence it is goes before the others."""
+        ...
+
+
+class _Doubt(NamedTuple):
+    mark: bytes
+    start: TargetStart
+    begun_s: float
+    cut_s: float
+
+
 class CrashGuard:
-    """Tells, for each run that was cut off, which request it was and whether its target ended.
+    """One node's part in keeping a call from ending one target after another.
 
     A cut connection is no evidence by itself: the link, a pause of this node or a faulty target
-    cuts too.
+    cuts too. It counts once the target is known to have ended, and had not said that it leaves.
     """
 
     def __init__(
         self,
+        node_id: str,
+        ledger: CrashLedger,
+        news: CrashNews,
         listens: Callable[[str], Awaitable[bool]],
         registered: Callable[[TargetStart], Registered],
+        others: Callable[[TargetStart], Sequence[TargetStart]],
+        recorder: EndRecorder,
         observer: Observer,
     ) -> None:
-        """Ask ``listens`` whether anything accepts connections at an address."""
+        """Ask ``listens`` whether anything accepts connections at an address.
+
+        ``others`` are the targets that serve the same as one.
+        """
+        self._node_id = node_id
+        self._ledger = ledger
+        self._news = news
         self._listens = listens
         self._registered = registered
+        self._others = others
         self._observer = observer
         self._words = observer.log("crashes")
+        self._doubts: list[_Doubt] = []
         self._looks: dict[TargetStart, tuple[float, asyncio.Task[bool]]] = {}
+        self._recorder = recorder
+
+    @property
+    def suspects_any(self) -> bool:
+        """Whether any call is suspected; if none is, marks need not be made."""
+        return bool(self._ledger.suspects)
+
+    def standing(self, request_id: str, mark: bytes) -> Standing:
+        """Return what may be done with a call now; what bars it is logged."""
+        now_s = asyncio.get_running_loop().time()
+        standing = self._ledger.standing(mark, now_s)
+        if standing in (Standing.HELD, Standing.REFUSED):
+            self._observer.counters[f"crash_calls_{standing.value}"] += 1
+            self._words.warning(
+                "request=%s call=%s %s evidence=%s",
+                request_id,
+                mark.hex(),
+                standing.value,
+                self.evidence(mark, now_s),
+            )
+            if standing is Standing.REFUSED:
+                self._recorder.record(mark, own=False)
+        return standing
+
+    def answered(self, request_id: str, mark: bytes) -> None:
+        """Note a target's answer to a call, which may be suspected."""
+        now_s = asyncio.get_running_loop().time()
+        self._ledger.remember_answer(mark, now_s)
+        suspect = self._ledger.suspects.get(mark)
+        if suspect is None or not suspect.ends:
+            return
+        ends = len(suspect.ends)
+        if self._ledger.note_answer(mark, now_s):
+            self._words.info(
+                "request=%s call=%s answered cleared_ends=%d", request_id, mark.hex(), ends
+            )
+            self._news.tell(mark)
+            self._recorder.record(mark, own=True)
 
     async def cut(
         self, request_id: str, mark: bytes, start: TargetStart, begun_s: float, detail: str
@@ -63,7 +138,6 @@
         registered = self._registered(start)
         listens = registered is Registered.READY and await self._look(start, cut_s)
         counts = registered is Registered.READY and not listens
-        self._observer.counters["crash_ends_seen"] += counts
         self._words.warning(
             "request=%s call=%s target=%s cut after=%.3f s registered=%s listens=%s counts=%s "
             "detail=%s",
@@ -76,13 +150,73 @@
             counts,
             detail,
         )
+        doubt = _Doubt(mark, start, begun_s, cut_s)
+        if counts:
+            self._count(doubt)
+            if self._ledger.awaits_verdict(mark):
+                await self._look_at_others(mark, start)
+        elif listens:
+            self._doubts.append(doubt)
+            del self._doubts[:-MOST_DOUBTS]
 
     def review(self) -> None:
-        """Forget what was seen a while ago."""
+        """Settle doubts by the registrations, refuse where the evidence is complete, forget."""
         now_s = asyncio.get_running_loop().time()
+        doubts, self._doubts = self._doubts, []
+        for doubt in doubts:
+            match self._registered(doubt.start):
+                case Registered.GONE:
+                    self._words.info(
+                        "call=%s target=%s ended: its registration is gone after=%.3f s",
+                        doubt.mark.hex(),
+                        doubt.start.name,
+                        now_s - doubt.cut_s,
+                    )
+                    self._count(doubt)
+                case Registered.READY if now_s - doubt.cut_s <= DOUBT_KEPT_S:
+                    self._doubts.append(doubt)
         self._looks = {
             start: look for start, look in self._looks.items() if now_s - look[0] <= SAME_LOOK_S
         }
+        for mark in self._ledger.decide(now_s):
+            self._observer.counters["crash_calls_barred"] += 1
+            self._words.error("call=%s barred evidence=%s", mark.hex(), self.evidence(mark, now_s))
+            self._recorder.record(mark, own=False)
+        for mark in self._ledger.forget(now_s):
+            self._recorder.record(mark, own=False)
+
+    def evidence(self, mark: bytes, now_s: float) -> str:
+        """Return each counted end: its target, the node that saw it, and how old it is."""
+        suspect = self._ledger.suspects.get(mark)
+        if suspect is None:
+            return "none"
+        ends = sorted(suspect.ends.values(), key=lambda end: end.ended_s)
+        return ",".join(f"{end.target}/{end.node}/{now_s - end.ended_s:.1f}s" for end in ends)
+
+    def _count(self, doubt: _Doubt) -> None:
+        now_s = asyncio.get_running_loop().time()
+        name = doubt.start.name
+        end = RunEnd(name, doubt.begun_s, doubt.cut_s, self._node_id)
+        if not self._ledger.note_end(doubt.mark, end, now_s):
+            return
+        self._observer.counters["crash_ends_seen"] += 1
+        self._news.tell_end(doubt.mark, name, now_s)
+        self._recorder.record(doubt.mark, own=True)
+
+    async def _look_at_others(self, mark: bytes, start: TargetStart) -> None:
+        """Find out whether targets ended that did not run a call, as when all of them go."""
+        ended = self._ledger.ended_targets
+        sample = [other for other in self._others(start) if other.name not in ended]
+        sample = sample[:OTHERS_LOOKED_AT]
+        now_s = asyncio.get_running_loop().time()
+        listening = await asyncio.gather(*(self._look(other, now_s) for other in sample))
+        gone = [other.name for other, is_up in zip(sample, listening, strict=True) if not is_up]
+        for name in gone:
+            if self._ledger.note_ended_target(name, now_s, now_s):
+                self._news.tell(NO_CALL, name)
+        self._words.info(
+            "call=%s others looked_at=%d ended=%s", mark.hex(), len(sample), ",".join(gone)
+        )
 
     async def _look(self, start: TargetStart, now_s: float) -> bool:
         """Whether the target still listens; calls that were cut together share one look."""
--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -1,6 +1,7 @@
 """Steps that are kept through the loss of every node: log, fold, runner, weights."""
 
 from ._access import ListedResult, StepAccess, StepPage
+from ._crash_records import CrashRecords
 from ._duty import Duty, DutyKeeper, DutyMaker, Holder
 from ._duty_tasks import DutyTasks
 from ._fold import Claim, StepFold, StepState
@@ -66,6 +67,7 @@
     "AppendOutcome",
     "AppendResult",
     "Claim",
+    "CrashRecords",
     "Duty",
     "DutyKeeper",
     "DutyMaker",
--- /dev/null
+++ b/samphirecleat/durable/_crash_records.py
@@ -0,0 +1,168 @@
+"""What is known of calls that ended targets, kept in the log: it outlives every node.
+
+Load pattern answered: all nodes lose power, or a node starts or was cut off, while a call that
+ends its targets still comes back. Each node that forgot would let it end three more.
+"""
+
+import asyncio
+import math
+import random
+import time
+from collections.abc import Mapping, Sequence
+from typing import Any, Final, NamedTuple
+
+import msgspec
+
+from ..crashes import CrashLedger, RunEnd
+from ..observe import Observer
+from ._follower import TopicFollower
+from ._ports import AppendOutcome, KeyedLog, LogEntry
+
+CRASH_TOPIC: Final = "keyed.crashes"
+# A call is written down from its second end on: nearly every call that loses one target is
+# innocent, and a third end would be the first that is one too many.
+LEAST_ENDS: Final = 2
+READ_WAIT_S: Final = 10.0
+# Appends of one node are this far apart.
+GAP_S: Final = 0.05
+# Nodes without evidence of their own wait so long for another one to have written it.
+OTHERS_WAIT_S: Final = (0.1, 0.6)
+RETRY_S: Final = (0.1, 0.3)
+# A call that is refused and still comes is written anew this often, so that nobody forgets it.
+REFRESH_S: Final = 600.0
+
+
+class _Written(NamedTuple):
+    targets: frozenset[str]
+    refused: bool
+    at_s: float
+
+
+class CrashRecords:
+    """Writes suspects to the log and takes in what other nodes wrote."""
+
+    def __init__(
+        self, log: KeyedLog, ledger: CrashLedger, observer: Observer, rng: random.Random
+    ) -> None:
+        """Keep ``ledger`` as the log says."""
+        self._log = log
+        self._ledger = ledger
+        self._observer = observer
+        self._words = observer.log("crashes")
+        self._rng = rng
+        self._due_s: dict[bytes, float] = {}
+        self._came = asyncio.Event()
+        self._written: dict[bytes, _Written] = {}
+        self._follower = TopicFollower(
+            log, CRASH_TOPIC, self._take, observer, rng, read_wait_s=READ_WAIT_S
+        )
+
+    @property
+    def caught_up(self) -> bool:
+        """Whether all that was written before this node started is known."""
+        return self._follower.caught_up
+
+    async def run(self) -> None:
+        """Follow and write for as long as the node lives."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follower.run())
+            group.create_task(self._write_on())
+
+    def record(self, mark: bytes, *, own: bool) -> None:
+        """Write soon what is known of a call, unless another node does meanwhile."""
+        if not self._is_news(mark):
+            return
+        wait_s = 0.0 if own else self._rng.uniform(*OTHERS_WAIT_S)
+        due_s = asyncio.get_running_loop().time() + wait_s
+        self._due_s[mark] = min(due_s, self._due_s.get(mark, math.inf))
+        self._came.set()
+
+    def _is_news(self, mark: bytes) -> bool:
+        """Whether the log lacks what is known of a call."""
+        suspect = self._ledger.suspects.get(mark)
+        written = self._written.get(mark)
+        if suspect is None or not suspect.ends:
+            return written is not None
+        if not suspect.refused and len(suspect.ends) < LEAST_ENDS:
+            return False
+        if written is None or (suspect.refused and not written.refused):
+            return True
+        old = suspect.refused and asyncio.get_running_loop().time() - written.at_s > REFRESH_S
+        return old or not suspect.ends.keys() <= written.targets
+
+    async def _write_on(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            if not self._due_s:
+                self._came.clear()
+                await self._came.wait()
+            await asyncio.sleep(GAP_S)
+            due = [mark for mark, due_s in self._due_s.items() if due_s <= loop.time()]
+            for mark in due:
+                del self._due_s[mark]
+            await self._write([mark for mark in due if self._is_news(mark)])
+
+    async def _write(self, marks: Sequence[bytes]) -> None:
+        if not marks:
+            return
+        entries = [(mark.hex(), self._value(mark)) for mark in marks]
+        result = await self._log.append(CRASH_TOPIC, entries)
+        if result.outcome is AppendOutcome.APPENDED:
+            self._observer.counters["crash_records_written"] += len(marks)
+            return
+        self._words.warning("calls=%d not written yet: %s", len(marks), result.detail)
+        again_s = asyncio.get_running_loop().time() + self._rng.uniform(*RETRY_S)
+        for mark in marks:
+            self._due_s.setdefault(mark, again_s)
+
+    def _value(self, mark: bytes) -> bytes:
+        """Return the record of a call; none drops what stood there."""
+        suspect = self._ledger.suspects.get(mark)
+        if suspect is None or not suspect.ends:
+            return b""
+        to_day_s = time.time() - asyncio.get_running_loop().time()
+        ends = [
+            {
+                "target": end.target,
+                "node": end.node,
+                "begun_ms": round((end.begun_s + to_day_s) * 1000.0),
+                "ended_ms": round((end.ended_s + to_day_s) * 1000.0),
+            }
+            for end in suspect.ends.values()
+        ]
+        return msgspec.json.encode({"refused": suspect.refused, "ends": ends})
+
+    def _take(self, entries: Sequence[LogEntry], past: bool) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for entry in entries:
+            try:
+                self._take_one(bytes.fromhex(entry.key), entry.value, now_s, past=past)
+            except (msgspec.MsgspecError, ValueError, KeyError, TypeError) as error:
+                self._words.error("offset=%d not understood: %r", entry.offset, error)
+
+    def _take_one(self, mark: bytes, value: bytes, now_s: float, *, past: bool) -> None:
+        """Take one record.
+
+        :raises ValueError: and the like, when it is none.
+        """
+        if not value:
+            self._written.pop(mark, None)
+            self._ledger.drop(mark)
+            return
+        body: Mapping[str, Any] = msgspec.json.decode(value)
+        from_day_s = now_s - time.time()
+        ends = [
+            RunEnd(
+                str(row["target"]),
+                float(row["begun_ms"]) / 1000.0 + from_day_s,
+                float(row["ended_ms"]) / 1000.0 + from_day_s,
+                str(row["node"]),
+            )
+            for row in body["ends"]
+        ]
+        refused = bool(body["refused"])
+        for end in ends:
+            self._ledger.note_end(mark, end, now_s, fresh=not past)
+        if refused and self._ledger.note_refused(mark, now_s):
+            self._words.warning("call=%s barred by the log ends=%d", mark.hex(), len(ends))
+        self._written[mark] = _Written(frozenset(end.target for end in ends), refused, now_s)
--- a/samphirecleat/errors.py
+++ b/samphirecleat/errors.py
@@ -36,6 +36,8 @@
     TARGET_FAILED = "target_failed"
     ANSWER_DISCARDED = "answer_discarded"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    CRASHES_TARGETS = "crashes_targets"
+    CRASH_SUSPECTED = "crash_suspected"
     UNAUTHENTICATED = "unauthenticated"
     INTERNAL = "internal"
 
@@ -87,6 +89,9 @@
     ErrorKind.TARGET_FAILED: Answer(502, Ran.UNKNOWN, RetryAt.NEVER),
     ErrorKind.ANSWER_DISCARDED: Answer(410, Ran.YES, RetryAt.NEVER),
     ErrorKind.OUTCOME_UNKNOWN: Answer(502, Ran.UNKNOWN, RetryAt.NEVER),
+    # The same request ran before under another id, so nothing is promised.
+    ErrorKind.CRASHES_TARGETS: Answer(502, Ran.UNKNOWN, RetryAt.NEVER),
+    ErrorKind.CRASH_SUSPECTED: Answer(503, Ran.NO, RetryAt.LATER),
     ErrorKind.UNAUTHENTICATED: Answer(401, Ran.NO, RetryAt.NEVER),
     ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN, RetryAt.NEVER),
 }
--- a/samphirecleat/peers/__init__.py
+++ b/samphirecleat/peers/__init__.py
@@ -5,6 +5,7 @@
 from .._lazy_exports import lazy_exports
 from ._heartbeat import HeartbeatCodec, HeartbeatError
 from ._messages import (
+    CrashRow,
     Death,
     ListedChange,
     MemberRow,
@@ -21,6 +22,7 @@
     from ._server import PeerServer
 
 __all__ = [
+    "CrashRow",
     "Death",
     "HeartbeatCodec",
     "HeartbeatError",
--- a/samphirecleat/peers/_heartbeat.py
+++ b/samphirecleat/peers/_heartbeat.py
@@ -26,7 +26,8 @@
 
     def pack(self, message: Message) -> bytes:
         """Return the datagram that carries a message."""
-        payload = self._encoder.encode(message)
+        # Left out where it says nothing: nodes of a version without it can't read it.
+        payload = self._encoder.encode(message if message.crashes else message[:-1])
         return self._sign(payload) + payload
 
     def unpack(self, datagram: bytes) -> Message:
--- a/samphirecleat/peers/_messages.py
+++ b/samphirecleat/peers/_messages.py
@@ -82,6 +82,20 @@
     age_ms: int
 
 
+class CrashRow(NamedTuple):
+    """That a run of a call ended with its target, and when.
+
+    ``mark`` stands for the call, ``target`` for one start of a target, and ``node`` saw the end.
+    Without a ``target`` the call was answered; without a ``mark`` the target ended by itself.
+    """
+
+    mark: bytes
+    target: str
+    node: str
+    begun_age_ms: int
+    ended_age_ms: int
+
+
 class Message(NamedTuple):
     """One datagram; the first of ``rows`` is the sender's own.
 
@@ -99,6 +113,7 @@
     targets: Sequence[TargetRow] = ()
     loads: Sequence[TargetLoad] = ()
     listed: Sequence[ListedChange] = ()
+    crashes: Sequence[CrashRow] = ()
 
 
 class Outgoing(NamedTuple):
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -13,8 +13,9 @@
 from .._boot_clock import boot_time_s
 from ..blackboard import Blackboard, Identity, Member
 from ..controllers.membership import Membership
-from ..crashes import CrashGuard
+from ..crashes import CrashGuard, CrashLedger, CrashNews
 from ..durable import (
+    CrashRecords,
     DutyParts,
     MeetingPoint,
     ProgressJournal,
@@ -35,6 +36,7 @@
     TargetRegistry,
     TargetTable,
     no_meter,
+    others_beside,
     registration_of,
 )
 from ..targets import is_listening, make_connector
@@ -115,6 +117,7 @@
             self._session, settings.store_address, self._peer_controls, self.observer, self._rng
         )
         self._wire_watches()
+        self._wire_crash_guard()
         self._wire_steps()
         self._membership = Membership(
             self.board,
@@ -125,6 +128,7 @@
             heartbeat_s=HEARTBEAT_S,
             suspect_after_s=SUSPECT_AFTER_S,
             rng=self._rng,
+            riders=[self._crash_news],
         )
         await self._listen()
         for work in (
@@ -132,6 +136,7 @@
             self._operator_follower.run(),
             self._meeting_point.run(),
             self._target_follower.run(),
+            self._crash_records.run(),
             self.step_log.run(),
             self._duties.run(),
             self._counter.run(),
@@ -215,6 +220,21 @@
             self._store, TOPIC_TARGETS, self.target_watch.take, self.observer, self._rng
         )
 
+    def _wire_crash_guard(self) -> None:
+        ledger = CrashLedger()
+        self._crash_news = CrashNews(ledger, lambda: len(self.board.members))
+        self._crash_records = CrashRecords(self._store, ledger, self.observer, self._rng)
+        self._crash_guard = CrashGuard(
+            self.settings.node_id,
+            ledger,
+            self._crash_news,
+            is_listening,
+            lambda start: registration_of(self.targets, start),
+            lambda start: others_beside(self.targets, start),
+            self._crash_records,
+            self.observer,
+        )
+
     def _wire_steps(self) -> None:
         exchange = CallExchange(self._sessions)
         self._counter = UsageCounter(
@@ -226,9 +246,6 @@
             self._rng,
         )
         meter = self._counter.began if self.settings.reports_usage else no_meter
-        self._crash_guard = CrashGuard(
-            is_listening, lambda start: registration_of(self.targets, start), self.observer
-        )
         forwarder = Forwarder(
             self.routes, self.targets, exchange, self._rng, meter, self._crash_guard
         )
@@ -334,7 +351,8 @@
         return follower.age_s() <= REGISTRATIONS_FRESH_S and away_ago_s > REGISTRATIONS_BACK_S
 
     def _is_ready(self) -> bool:
-        return self.routes.known and self._target_follower.caught_up and not self.board.leaving
+        caught_up = self._target_follower.caught_up and self._crash_records.caught_up
+        return self.routes.known and caught_up and not self.board.leaving
 
     def _own_row(self) -> Member:
         identity = self.board.identity
--- a/samphirecleat/serving/__init__.py
+++ b/samphirecleat/serving/__init__.py
@@ -1,6 +1,6 @@
 """Serving callers' calls by routes: types, the tables that a node keeps, the forwarder."""
 
-from ._crash_watch import mark_of, registration_of, start_of
+from ._crash_watch import mark_of, others_beside, registration_of, start_of
 from ._entry_choice import offered_members
 from ._forwarder import Forwarder, UsageMeter, no_meter
 from ._gatekeeper import Gatekeeper
@@ -69,6 +69,7 @@
     "mark_of",
     "no_meter",
     "offered_members",
+    "others_beside",
     "registration_of",
     "services_in_turn",
     "start_of",
--- a/samphirecleat/serving/_crash_watch.py
+++ b/samphirecleat/serving/_crash_watch.py
@@ -1,5 +1,7 @@
 """Calls and targets as the bound on calls that end their targets knows them."""
 
+from collections.abc import Sequence
+
 from ..crashes import Registered, TargetStart, call_mark
 from ._target_table import TargetTable
 from ._types import Call, Target
@@ -21,3 +23,10 @@
     if target is None or start_of(target) != start:
         return Registered.GONE
     return Registered.DRAINING if target.draining else Registered.READY
+
+
+def others_beside(targets: TargetTable, start: TargetStart) -> Sequence[TargetStart]:
+    """Return the other targets that serve the same as one that is registered."""
+    target = targets.targets.get(start.instance)
+    serving = targets.serving(target.service) if target is not None else ()
+    return [start_of(other) for other in serving if other.instance != start.instance]
--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -3,7 +3,8 @@
 Load pattern answered: a target that is slow, silent, full, spoils answers or was replaced
 under the same address, for calls of a few tens of milliseconds. A call that may be repeated
 gets a second attempt beside the first when the first is late; one that may not is sent once,
-and again only after a proof that it has not run.
+and again only after a proof that it has not run. One under which a target ended is sent to one
+target at a time, and to none once it is known to end them.
 """
 
 import asyncio
@@ -12,7 +13,7 @@
 from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
-from ..crashes import CrashGuard
+from ..crashes import CrashGuard, Standing
 from ..errors import ErrorKind, Ran, RequestError
 from ._attempt_trail import AttemptTrail
 from ._crash_watch import mark_of, start_of
@@ -31,6 +32,11 @@
 RETRY_AFTER_S: Final = 0.1
 # Targets refuse at once, so a few more rounds cost little; each may be sent a call again.
 REFUSALS_LIMIT: Final = 8
+# Answers to calls with larger bodies are only noted while any call is suspected: a digest of each
+# would cost more than it tells, since hardly two are alike.
+REMEMBERED_BYTES: Final = 65536
+# What the caller of a call that is held is told to wait: until what other nodes saw has arrived.
+HELD_RETRY_S: Final = 1.0
 
 
 UsageMeter = Callable[[str, float], None]
@@ -62,8 +68,8 @@
     ) -> None:
         """Choose among ``targets`` and send through ``channel``.
 
-        ``meter`` hears once of each call of a workspace that began to run, and ``guard`` of each
-        run that its target cut off.
+        ``meter`` hears once of each call of a workspace that began to run. ``guard`` bars calls
+        that end their targets; without one, none is barred.
         """
         self._routes = routes
         self._targets = targets
@@ -95,6 +101,19 @@
         """Draw one of the route's services by their shares."""
         return services_in_turn(route, self._rng.random())
 
+    def standing(self, call: Call) -> Standing:
+        """Return what may be done with a call by what is known of targets that ended under it."""
+        if self._guard is None or not self._guard.suspects_any:
+            return Standing.CLEAR
+        return self._guard.standing(call.request_id, mark_of(call))
+
+    def answered(self, call: Call) -> None:
+        """Note that a target answered a call, so that it does not end its targets."""
+        if self._guard is None:
+            return
+        if self._guard.suspects_any or len(call.body) <= REMEMBERED_BYTES:
+            self._guard.answered(call.request_id, mark_of(call))
+
     async def cut(self, call: Call, target: Target, begun_s: float, fault: TargetFault) -> None:
         """Take a fault of a run, which may have ended with its target."""
         if self._guard is not None and fault.cut:
@@ -102,14 +121,18 @@
                 call.request_id, mark_of(call), start_of(target), begun_s, fault.detail
             )
 
-    async def attempt(self, call: Call, target: Target, end_s: float) -> TargetAnswer:
+    async def attempt(
+        self, call: Call, target: Target, end_s: float, *, suspect: bool = False
+    ) -> TargetAnswer:
         """Send the call once and note what was seen of the target.
 
+        A ``suspect`` call may end it.
+
         :raises TargetFault: when the target gave no answer.
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        self._targets.started(target)
+        self._targets.started(target, suspect=suspect)
         self._targets.warm.taken(target)
         try:
             answer = await self._channel.exchange(call, target, end_s - started_s)
@@ -122,8 +145,9 @@
             self._targets.left_unanswered(target, now_s - started_s, now_s)
             raise
         finally:
-            self._targets.ended(target)
+            self._targets.ended(target, suspect=suspect)
         now_s = loop.time()
+        self.answered(call)
         self._targets.answered(target, now_s - started_s, now_s)
         self._targets.warm.returned(target, now_s)
         return answer
@@ -146,6 +170,7 @@
         self._spoilt: TargetAnswer | None = None
         self._began_at_s = math.inf
         self._repeatable = route.kind is CallKind.IDEMPOTENT
+        self._standing = Standing.CLEAR
 
     async def result(self) -> TargetAnswer:
         """Return the first usable answer of the attempts; cancels the others."""
@@ -177,7 +202,11 @@
                     f"no answer in time; {self._trail.told(loop.time())}",
                     ran=Ran.UNKNOWN,
                 )
-            may_hedge = self._repeatable and self._runs_used < self._route.max_attempts
+            may_hedge = (
+                self._repeatable
+                and self._runs_used < self._route.max_attempts
+                and self._standing is Standing.CLEAR
+            )
             wait_s = min(left_s, max(0.0, next_hedge_s - loop.time())) if may_hedge else left_s
             done, _ = await asyncio.wait(
                 [a.task for a in attempts], timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
@@ -197,6 +226,9 @@
             return False
         if self._ran is not Ran.NO and not self._repeatable:
             return False
+        self._standing = self._forwarder.standing(self._call)
+        if is_barred(self._standing) or (attempts and self._standing is not Standing.CLEAR):
+            return False
         target = self._forwarder.pick(self._services, self._tried, now_s)
         if target is None:
             return False
@@ -205,7 +237,9 @@
         self._tried.append(target.instance)
         self._runs_used += 1
         self._trail.sent(target.instance, now_s)
-        task = asyncio.ensure_future(self._forwarder.attempt(self._call, target, self._end_s))
+        suspect = self._standing is not Standing.CLEAR
+        attempt = self._forwarder.attempt(self._call, target, self._end_s, suspect=suspect)
+        task = asyncio.ensure_future(attempt)
         attempts.append(_Attempt(target, task, now_s))
         return True
 
@@ -239,9 +273,34 @@
         """
         if self._spoilt is not None:
             return self._spoilt
+        if is_barred(self._standing):
+            raise barred(self._standing, self._ran, self._trail.told(now_s))
         raise unanswered(self._ran, self._trail.told(now_s))
 
 
+def is_barred(standing: Standing) -> bool:
+    """Whether a call is not sent for now, or for good."""
+    return standing in (Standing.HELD, Standing.REFUSED)
+
+
+def barred(standing: Standing, ran: Ran, detail: str) -> RequestError:
+    """Return the error of a call that is not sent since targets ended under it.
+
+    ``ran`` is NO only if no target can have run it under this id.
+    """
+    if standing is Standing.REFUSED:
+        return RequestError(
+            ErrorKind.CRASHES_TARGETS, f"targets end when they run this request: {detail}"
+        )
+    if ran is Ran.NO:
+        return RequestError(
+            ErrorKind.CRASH_SUSPECTED,
+            "targets ended while they ran this request; whether by it is being found out",
+            retry_after_s=HELD_RETRY_S,
+        )
+    return unanswered(ran, detail)
+
+
 def unanswered(ran: Ran, detail: str) -> RequestError:
     """Return the error of a call whose attempts are used up.
 
--- a/samphirecleat/serving/_stream_relay.py
+++ b/samphirecleat/serving/_stream_relay.py
@@ -10,9 +10,17 @@
 from contextlib import suppress
 from typing import Final
 
+from ..crashes import Standing
 from ..errors import ErrorKind, Ran, RequestError
 from ._attempt_trail import AttemptTrail
-from ._forwarder import REFUSALS_LIMIT, RETURN_MARGIN_S, Forwarder, unanswered
+from ._forwarder import (
+    REFUSALS_LIMIT,
+    RETURN_MARGIN_S,
+    Forwarder,
+    barred,
+    is_barred,
+    unanswered,
+)
 from ._target_table import TargetTable
 from ._types import (
     Call,
@@ -83,6 +91,7 @@
         self._source: AsyncGenerator[_Item, None] | None = None
         self._repeatable = route.resumable
         self._metered = False
+        self._standing = Standing.CLEAR
         self._begun_s = 0.0
         self.start = StreamStart(0, (), 0)
 
@@ -109,6 +118,7 @@
                     return None
                 case TargetAnswer():
                     self._note_outcome(f"answered {first.status}")
+                    self._relay.forwarder.answered(self._call)
                     await self.close()
                     if first.status >= 500 and self._repeatable:
                         self._spoilt, self._ran = first, Ran.UNKNOWN
@@ -126,6 +136,7 @@
                 try:
                     item = await self._next()
                     if item is None:
+                        self._relay.forwarder.answered(self._call)
                         return
                     yield self._take(item)
                 except TargetFault as fault:
@@ -141,7 +152,7 @@
             with suppress(TargetFault):
                 await source.aclose()
         if self._target is not None:
-            self._relay.targets.ended(self._target)
+            self._relay.targets.ended(self._target, suspect=self._is_suspect())
             self._target = None
 
     def _take(self, item: _Item) -> StreamEvent:
@@ -181,6 +192,9 @@
             return False
         if self._ran is not Ran.NO and not self._repeatable:
             return False
+        self._standing = self._relay.forwarder.standing(self._call)
+        if is_barred(self._standing):
+            return False
         target = self._relay.forwarder.pick(self._services, self._tried, loop.time())
         if target is None:
             return False
@@ -189,7 +203,7 @@
         self._begun_s = loop.time()
         self._target = target
         self._trail.sent(target.instance, loop.time())
-        self._relay.targets.started(target)
+        self._relay.targets.started(target, suspect=self._is_suspect())
         self._source = self._relay.channel.stream(
             self._call, target, self._end_s - loop.time(), self._last_event_id
         )
@@ -225,6 +239,10 @@
             await self._leave(TargetFault("no stream to go on with", Ran.UNKNOWN))
         raise StreamBrokenError(f"after event {self._last_event_id}: {self._told()}")
 
+    def _is_suspect(self) -> bool:
+        """Whether targets ended under this call before its present run."""
+        return self._standing is not Standing.CLEAR
+
     def _note_outcome(self, outcome: str) -> None:
         if self._target is not None:
             now_s = asyncio.get_running_loop().time()
@@ -248,4 +266,6 @@
         """Return the failure that a target gave, or raise our own."""
         if self._spoilt is not None:
             return self._spoilt
+        if is_barred(self._standing):
+            raise barred(self._standing, self._ran, self._told())
         raise unanswered(self._ran, self._told())
--- a/samphirecleat/serving/_target_table.py
+++ b/samphirecleat/serving/_target_table.py
@@ -1,7 +1,8 @@
 """The targets that may get work now, and which of them a call goes to.
 
 Load pattern answered: few calls per node over many nodes, where one target turns slow,
-refuses, or falls silent while its entry still says that it is ready.
+refuses, or falls silent while its entry still says that it is ready; and calls under which a
+target ended, which may end the next one with all that runs there.
 """
 
 import hashlib
@@ -46,6 +47,7 @@
         self.targets: Mapping[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
         self.in_flight: Counter[str] = Counter()
+        self.suspect_runs: Counter[str] = Counter()
         self._rests_until_s: dict[str, float] = {}
         self._paces: dict[str, _Pace] = {}
         self.warm = WarmConnections()
@@ -75,13 +77,15 @@
         """Return the targets of a service that take new work."""
         return [t for t in self._by_service.get(service, ()) if not t.draining]
 
-    def started(self, target: Target) -> None:
-        """Count a call that goes to a target."""
+    def started(self, target: Target, *, suspect: bool = False) -> None:
+        """Count a call that goes to a target, and whether it may end that target."""
         self.in_flight[target.instance] += 1
+        self.suspect_runs[target.instance] += suspect
 
-    def ended(self, target: Target) -> None:
+    def ended(self, target: Target, *, suspect: bool = False) -> None:
         """Count a call that is over."""
         self.in_flight[target.instance] -= 1
+        self.suspect_runs[target.instance] -= suspect
 
     def answered(self, target: Target, duration_s: float, now_s: float) -> None:
         """Note how long a whole answer took."""
@@ -123,7 +127,9 @@
         """Return the target for the next attempt, or None if there is none left.
 
         A target that was tried already comes back only if no other is left, and one
-        that rests only if all do.
+        that rests only if all do. One that runs a suspect call of this node is left alone with
+        it: a call that is not at fault is not lost with its target, and two suspects that run
+        apart can be told apart.
         """
         candidates = [target for service in services for target in self.serving(service)]
         if not candidates:
@@ -131,7 +137,7 @@
         means_s = self._means_s(candidates, now_s)
         typical_s = _typical_s(means_s.values())
 
-        def cost(target: Target) -> tuple[bool, bool, float]:
+        def cost(target: Target) -> tuple[bool, bool, bool, float]:
             load = self.in_flight[target.instance] / max(1, target.slots)
             slowness = means_s.get(target.instance, typical_s) / typical_s
             away = 0.0 if target.zone == self._zone else OTHER_ZONE_COST
@@ -139,6 +145,7 @@
             return (
                 target.instance in tried,
                 self.resting(target, now_s),
+                self.suspect_runs[target.instance] > 0,
                 (1.0 + load + away + cold) * max(1.0, slowness),
             )
 
--- a/tests/crashes/test_guard.py
+++ b/tests/crashes/test_guard.py
@@ -1,44 +1,166 @@
-"""What is told of runs that were cut off: by their target's end, or not."""
+"""What counts as the end of a target, and what is logged of it."""
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 
 import pytest
 
-from samphirecleat.crashes import CrashGuard, Registered, TargetStart
+from samphirecleat.crashes import (
+    CrashGuard,
+    CrashLedger,
+    CrashNews,
+    Registered,
+    Standing,
+    TargetStart,
+)
+from samphirecleat.crashes import _guard as guard_module
 from samphirecleat.observe import Observer
 
 CALL = b"\x01" * 12
 
 
+class Recorder:
+    """Keeps what is to be written."""
+
+    def __init__(self) -> None:
+        self.recorded: list[tuple[bytes, bool]] = []
+
+    def record(self, mark: bytes, *, own: bool) -> None:
+        self.recorded.append((mark, own))
+
+
+class World:
+    """Targets as they are: whether they listen, and what their registrations say."""
+
+    def __init__(self) -> None:
+        self.listening: set[str] = set()
+        self.registered: dict[str, Registered] = {}
+        self.looks: list[str] = []
+        self.others: list[TargetStart] = []
+        self.ledger = CrashLedger()
+        self.recorder = Recorder()
+        self.guard = CrashGuard(
+            "n",
+            self.ledger,
+            CrashNews(self.ledger, lambda: 3),
+            self._listens,
+            lambda start: self.registered.get(start.instance, Registered.READY),
+            lambda start: [o for o in self.others if o != start],
+            self.recorder,
+            Observer("n"),
+        )
+
+    async def _listens(self, address: str) -> bool:
+        self.looks.append(address)
+        await asyncio.sleep(0)
+        return address in self.listening
+
+    async def cut(self, name: str, mark: bytes = CALL) -> None:
+        start = TargetStart(name, f"{name}:1", 5)
+        now_s = asyncio.get_running_loop().time()
+        await self.guard.cut("r", mark, start, now_s - 0.001, "reset")
+
+    @property
+    def ends(self) -> set[str]:
+        suspect = self.ledger.suspects.get(CALL)
+        return set() if suspect is None else set(suspect.ends)
+
+
+def play(body: Callable[[World], Awaitable[None]]) -> None:
+    async def main() -> None:
+        await body(World())
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
-    ("listens", "registered", "counts"),
+    ("listens", "registered", "ends"),
     [
-        (False, Registered.READY, True),
-        (True, Registered.READY, False),
-        (False, Registered.DRAINING, False),
-        (False, Registered.GONE, False),
+        (False, Registered.READY, {"t@5"}),
+        (True, Registered.READY, set()),
+        (False, Registered.DRAINING, set()),
+        (False, Registered.GONE, set()),
     ],
     ids=["crashed", "only the connection", "left as it said", "left without a word"],
 )
 def test_a_cut_counts_only_if_the_target_ended_unplanned(
-    listens: bool, registered: Registered, counts: bool, caplog: pytest.LogCaptureFixture
+    listens: bool, registered: Registered, ends: set[str]
 ) -> None:
     """Links, faulty targets and releases cut connections too; a call is not to blame for them."""
 
-    async def body() -> None:
-        looks: list[str] = []
+    async def body(world: World) -> None:
+        world.listening = {"t:1"} if listens else set()
+        world.registered["t"] = registered
+        await world.cut("t")
+        assert world.ends == ends
+        assert bool(world.recorder.recorded) == bool(ends)
+
+    play(body)
 
-        async def look(address: str) -> bool:
-            looks.append(address)
-            return listens
 
-        guard = CrashGuard(look, lambda _start: registered, Observer("n"))
-        cuts = [guard.cut("r", CALL, TargetStart("t", "t:1", 5), 0.0, "reset") for _ in range(9)]
+@pytest.mark.parametrize(
+    ("after", "ends"),
+    [(Registered.GONE, {"t@5"}), (Registered.DRAINING, set()), (Registered.READY, set())],
+)
+def test_a_target_that_listens_again_at_once_is_judged_by_its_registration(
+    monkeypatch: pytest.MonkeyPatch, after: Registered, ends: set[str]
+) -> None:
+    """A supervisor starts a crashed target again before anybody can look."""
+    monkeypatch.setattr(guard_module, "DOUBT_KEPT_S", 0.0)
+
+    async def body(world: World) -> None:
+        world.listening = {"t:1"}
+        await world.cut("t")
+        world.registered["t"] = after
+        world.guard.review()
+        assert world.ends == ends
+        world.registered["t"] = Registered.GONE
+        world.guard.review()
+        assert world.ends == ends
+
+    play(body)
+
+
+def test_calls_that_a_target_cut_together_share_one_look() -> None:
+    async def body(world: World) -> None:
+        await asyncio.gather(*(world.cut("t", b"%12d" % number) for number in range(50)))
+        assert world.looks == ["t:1"]
+        assert len(world.ledger.suspects) == 50
+
+    play(body)
+
+
+def test_what_bars_a_call_is_logged_with_its_evidence(caplog: pytest.LogCaptureFixture) -> None:
+    async def body(world: World) -> None:
+        assert world.guard.standing("r", CALL) is Standing.CLEAR
+        for name in ("a", "b", "c"):
+            await world.cut(name)
+            await asyncio.sleep(0.002)
         with caplog.at_level(logging.WARNING):
-            await asyncio.gather(*cuts)
-        assert looks == (["t:1"] if registered is Registered.READY else [])
+            assert world.guard.standing("again", CALL) is Standing.HELD
+        assert "request=again" in caplog.text
+        assert all(f"{name}@5/n/0.0s" in caplog.text for name in ("a", "b", "c"))
+        world.guard.answered("again", CALL)
+        assert world.guard.standing("again", CALL) is Standing.CLEAR
+
+    play(body)
+
+
+@pytest.mark.parametrize(("others_listen", "standing"), [(True, "refused"), (False, "suspect")])
+def test_other_targets_are_looked_at_before_a_call_is_blamed(
+    others_listen: bool, standing: str
+) -> None:
+    """A zone goes, and nothing ran at some of its targets whose end anybody would have seen."""
+
+    async def body(world: World) -> None:
+        world.others = [TargetStart(f"o{number}", f"o{number}:1", 5) for number in range(9)]
+        world.listening = {other.address for other in world.others} if others_listen else set()
+        for name in ("a", "b", "c"):
+            await world.cut(name)
+            await asyncio.sleep(0.002)
+        assert len([look for look in world.looks if look.startswith("o")]) == 3
+        now_s = asyncio.get_running_loop().time()
+        assert world.ledger.standing(CALL, now_s + 1.1).value == standing
 
-    asyncio.run(body())
-    assert f"request=r call={CALL.hex()} target=t@5 cut" in caplog.text
-    assert f"counts={counts}" in caplog.text
+    play(body)
--- /dev/null
+++ b/tests/crashes/test_ledger.py
@@ -0,0 +1,186 @@
+"""Who ended the targets: a call, or what else was going on."""
+
+from collections.abc import Sequence
+
+import pytest
+
+from samphirecleat.crashes import SETTLE_S, CrashLedger, RunEnd, Standing
+from samphirecleat.crashes._ledger import MOST_SUSPECTS, REFUSED_KEPT_S, SUSPECT_KEPT_S
+
+CALL, BESIDE = b"call", b"beside"
+LATER_S = SETTLE_S + 0.01
+# Target, begun and ended.
+Run = tuple[str, float, float]
+IN_TURN: Sequence[Run] = [("a", 0.0, 0.1), ("b", 0.11, 0.2), ("c", 0.21, 0.3)]
+SIDE_BY_SIDE: Sequence[Run] = [("a", 0.0, 0.3), ("b", 0.05, 0.3), ("c", 0.1, 0.31)]
+
+
+def put(ledger: CrashLedger, mark: bytes, runs: Sequence[Run]) -> None:
+    for target, begun_s, ended_s in runs:
+        ledger.note_end(mark, RunEnd(target, begun_s, ended_s, "n"), ended_s)
+
+
+def later(ledger: CrashLedger, mark: bytes, after_s: float = LATER_S) -> Standing:
+    suspect = ledger.suspects.get(mark)
+    return ledger.standing(mark, (suspect.last_end_s() if suspect else 0.0) + after_s)
+
+
+@pytest.mark.parametrize(
+    ("runs", "standing"),
+    [
+        ([], Standing.CLEAR),
+        (IN_TURN[:1], Standing.SUSPECT),
+        (IN_TURN[:2], Standing.SUSPECT),
+        (IN_TURN, Standing.REFUSED),
+        (SIDE_BY_SIDE, Standing.SUSPECT),
+        ([*SIDE_BY_SIDE, ("d", 0.4, 0.5)], Standing.REFUSED),
+    ],
+    ids=["none", "one", "two", "three in turn", "three at once", "three at once and one after"],
+)
+def test_a_call_is_refused_once_targets_ended_under_it_in_turn(
+    runs: Sequence[Run], standing: Standing
+) -> None:
+    """A zone goes while a popular call is under way at three of its targets.
+
+    Counted as three crashes by that call, it would be refused for good.
+    """
+    ledger = CrashLedger()
+    put(ledger, CALL, runs)
+    assert later(ledger, CALL) is standing
+
+
+def test_a_call_is_held_until_what_other_nodes_saw_has_arrived() -> None:
+    ledger = CrashLedger()
+    put(ledger, CALL, IN_TURN)
+    assert later(ledger, CALL, SETTLE_S / 2.0) is Standing.HELD
+    assert ledger.decide(0.3 + SETTLE_S / 2.0) == []
+    assert ledger.decide(0.3 + LATER_S) == [CALL]
+    assert ledger.decide(0.3 + LATER_S) == []
+
+
+def test_a_call_that_lost_targets_while_others_ended_without_it_needs_another_proof() -> None:
+    """All targets of a service go within a second; a call is retried at the next to go."""
+    ledger = CrashLedger()
+    put(ledger, CALL, IN_TURN)
+    put(ledger, BESIDE, [("other", 0.0, 0.25)])
+    assert later(ledger, CALL) is Standing.SUSPECT
+    put(ledger, CALL, [("d", 5.0, 5.1)])
+    assert later(ledger, CALL) is Standing.REFUSED
+
+
+def test_targets_that_go_on_ending_for_another_reason_bar_a_call_in_the_end() -> None:
+    """Whatever the cause, a request under which targets end is sent three more times at most."""
+    ledger = CrashLedger()
+    put(ledger, CALL, IN_TURN)
+    for number, at_s in enumerate((0.25, 5.1, 9.1)):
+        put(ledger, BESIDE, [(f"other {number}", at_s - 0.1, at_s)])
+    put(ledger, CALL, [("d", 5.0, 5.1)])
+    assert later(ledger, CALL) is Standing.SUSPECT
+    put(ledger, CALL, [("e", 9.0, 9.1)])
+    assert later(ledger, CALL) is Standing.REFUSED
+
+
+def test_a_popular_call_whose_targets_all_go_one_after_the_other_is_served() -> None:
+    """A service loses all targets within a second, and one request is always under way at each.
+
+    Only that it was answered right before tells it from one that ends its targets.
+    """
+    ledger = CrashLedger()
+    ledger.remember_answer(CALL, -0.1)
+    put(ledger, CALL, [(f"t{number}", number / 10.0, number / 10.0 + 0.05) for number in range(9)])
+    assert ledger.recall_answer(CALL, 1.0)
+    assert later(ledger, CALL, SETTLE_S / 2.0) is Standing.SUSPECT
+    assert later(ledger, CALL) is Standing.SUSPECT
+    put(ledger, CALL, [("d", 5.0, 5.1)])
+    assert later(ledger, CALL) is Standing.REFUSED
+
+
+def test_runs_that_two_nodes_saw_are_told_apart_only_beyond_what_a_datagram_takes() -> None:
+    ledger = CrashLedger()
+    for number, (target, begun_s) in enumerate((("a", 0.0), ("b", 0.11), ("c", 0.12))):
+        ledger.note_end(CALL, RunEnd(target, begun_s, 0.1 + number / 50.0, f"n{number}"), 0.2)
+    assert later(ledger, CALL) is Standing.SUSPECT
+
+
+def test_a_call_that_stood_beside_the_one_at_fault_is_cleared_by_its_answer() -> None:
+    """Two calls ended at the same three targets, and one of them only stood beside the other.
+
+    Refused with it, a caller would lose an answer that any target gives.
+    """
+    ledger = CrashLedger()
+    for mark in (CALL, BESIDE):
+        put(ledger, mark, IN_TURN)
+    assert later(ledger, CALL) is Standing.SUSPECT
+    assert later(ledger, BESIDE) is Standing.SUSPECT
+    assert ledger.note_answer(BESIDE, 2.0)
+    assert later(ledger, BESIDE) is Standing.CLEAR
+    assert later(ledger, CALL) is Standing.REFUSED
+
+
+def test_a_call_under_the_same_targets_as_a_refused_one_is_not_refused_for_that() -> None:
+    ledger = CrashLedger()
+    put(ledger, CALL, [*IN_TURN, ("d", 1.0, 1.1)])
+    put(ledger, BESIDE, IN_TURN)
+    assert later(ledger, CALL) is Standing.REFUSED
+    assert later(ledger, BESIDE) is Standing.SUSPECT
+
+
+def test_an_answer_clears_what_ended_before_it_and_not_what_ends_after() -> None:
+    """A request of many callers is answered all the time; a release makes it end its targets."""
+    ledger = CrashLedger()
+    put(ledger, CALL, IN_TURN[:2])
+    assert ledger.note_answer(CALL, 0.2)
+    assert not ledger.note_answer(CALL, 0.1)
+    put(ledger, CALL, [("late news", 0.05, 0.15)])
+    assert later(ledger, CALL) is Standing.CLEAR
+    put(ledger, CALL, [("x", 1.0, 1.1), ("y", 1.2, 1.3), ("z", 1.4, 1.5)])
+    assert later(ledger, CALL) is Standing.SUSPECT
+    put(ledger, CALL, [("w", 6.0, 6.1)])
+    assert later(ledger, CALL) is Standing.REFUSED
+
+
+def test_an_answer_lifts_a_refusal() -> None:
+    ledger = CrashLedger()
+    put(ledger, CALL, IN_TURN)
+    assert later(ledger, CALL) is Standing.REFUSED
+    assert ledger.note_answer(CALL, 3.0)
+    assert later(ledger, CALL) is Standing.CLEAR
+
+
+def test_one_target_start_counts_once_whoever_tells_of_it() -> None:
+    ledger = CrashLedger()
+    end = RunEnd("a", 0.0, 0.1, "n")
+    assert ledger.note_end(CALL, end, 0.1)
+    assert not ledger.note_end(CALL, end._replace(node="m", ended_s=0.12), 0.3)
+
+
+def test_ends_from_before_this_process_refuse_nothing_until_another_follows() -> None:
+    ledger = CrashLedger()
+    for target, begun_s, ended_s in IN_TURN:
+        ledger.note_end(CALL, RunEnd(target, begun_s, ended_s, "n"), 9.0, fresh=False)
+    assert ledger.standing(CALL, 9.0) is Standing.SUSPECT
+    assert ledger.decide(9.0) == []
+    put(ledger, CALL, [("d", 9.0, 9.1)])
+    assert later(ledger, CALL) is Standing.REFUSED
+
+
+def test_a_flood_of_suspects_is_bounded_and_pushes_out_no_refused_call() -> None:
+    ledger = CrashLedger()
+    put(ledger, CALL, IN_TURN)
+    assert later(ledger, CALL) is Standing.REFUSED
+    for number in range(3 * MOST_SUSPECTS):
+        put(ledger, b"%d" % number, [(f"t{number}", 0.0, 0.1)])
+        assert len(ledger.suspects) <= MOST_SUSPECTS
+    assert ledger.standing(CALL, 2.0) is Standing.REFUSED
+
+
+@pytest.mark.parametrize(
+    ("runs", "kept_s"), [(IN_TURN, REFUSED_KEPT_S), (IN_TURN[:1], SUSPECT_KEPT_S)]
+)
+def test_a_call_that_nobody_sends_any_more_is_forgotten(runs: Sequence[Run], kept_s: float) -> None:
+    ledger = CrashLedger()
+    put(ledger, CALL, runs)
+    later(ledger, CALL)
+    assert ledger.forget(kept_s - 1.0) == []
+    assert ledger.forget(kept_s + 10.0) == [CALL]
+    assert later(ledger, CALL) is Standing.CLEAR
--- /dev/null
+++ b/tests/durable/test_crash_records.py
@@ -0,0 +1,142 @@
+"""Calls that end their targets, as the log keeps them: through restarts, written once."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+import pytest
+
+from samphirecleat.crashes import CrashLedger, RunEnd, Standing
+from samphirecleat.durable import CrashRecords
+from samphirecleat.durable._crash_records import CRASH_TOPIC
+from samphirecleat.observe import Observer
+
+from ..fleets import until
+from .memory_log import MemoryLog
+
+CALL = b"\x05" * 12
+
+
+class Node:
+    """A node's ledger and records over a shared log."""
+
+    def __init__(self, log: MemoryLog, seed: int) -> None:
+        self.ledger = CrashLedger()
+        self.records = CrashRecords(log, self.ledger, Observer(f"n{seed}"), random.Random(seed))
+        self.task = asyncio.ensure_future(self.records.run())
+
+    def end_runs(self, *targets: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for number, target in enumerate(targets):
+            begun_s = now_s - 9.0 + number
+            end = RunEnd(target, begun_s, begun_s + 0.5, "n")
+            if self.ledger.note_end(CALL, end, now_s):
+                self.records.record(CALL, own=True)
+
+    def standing(self) -> Standing:
+        return self.ledger.standing(CALL, asyncio.get_running_loop().time())
+
+    async def stop(self) -> None:
+        self.task.cancel()
+        with suppress(asyncio.CancelledError):
+            await self.task
+
+
+def play(body: Callable[[MemoryLog, list[Node]], Awaitable[None]], nodes: int = 2) -> None:
+    async def main() -> None:
+        log = MemoryLog()
+        fleet = [Node(log, seed) for seed in range(nodes)]
+        try:
+            await until(lambda: all(node.records.caught_up for node in fleet))
+            await body(log, fleet)
+        finally:
+            for node in fleet:
+                await node.stop()
+
+    asyncio.run(main())
+
+
+def appends(log: MemoryLog) -> int:
+    return log.topic(CRASH_TOPIC).appends
+
+
+def test_a_refused_call_stays_refused_after_every_node_is_lost() -> None:
+    """All nodes lose power while a request that crashes its targets still comes back."""
+
+    async def body(log: MemoryLog, fleet: list[Node]) -> None:
+        fleet[0].end_runs("a", "b", "c")
+        assert fleet[0].standing() is Standing.REFUSED
+        fleet[0].records.record(CALL, own=True)
+        await until(lambda: fleet[1].standing() is Standing.REFUSED)
+        for node in fleet:
+            await node.stop()
+        fleet[:] = [Node(log, 7)]
+        await until(lambda: fleet[0].records.caught_up)
+        assert fleet[0].standing() is Standing.REFUSED
+
+    play(body)
+
+
+def test_ends_that_refused_nothing_yet_are_counted_after_a_restart_with_the_next_one() -> None:
+    async def body(log: MemoryLog, fleet: list[Node]) -> None:
+        fleet[0].end_runs("a", "b")
+        await until(lambda: appends(log) == 1)
+        await fleet[1].stop()
+        fleet[1] = Node(log, 8)
+        await until(lambda: fleet[1].records.caught_up)
+        assert fleet[1].standing() is Standing.SUSPECT
+        fleet[1].end_runs("a", "b", "c")
+        assert fleet[1].standing() is Standing.REFUSED
+
+    play(body)
+
+
+def test_one_end_is_not_written_and_several_are_written_once_by_all_nodes() -> None:
+    """Each crash of a busy target is one end for all its calls: the log's rate is not for those."""
+
+    async def body(log: MemoryLog, fleet: list[Node]) -> None:
+        for node in fleet:
+            node.end_runs("a")
+        await asyncio.sleep(0.15)
+        assert appends(log) == 0
+        for node in fleet:
+            node.ledger.note_end(CALL, RunEnd("b", 1.0, 2.0, "n"), 2.0)
+            node.records.record(CALL, own=False)
+        await until(lambda: appends(log) == 1)
+        await asyncio.sleep(0.8)
+        assert appends(log) == 1
+
+    play(body, nodes=5)
+
+
+@pytest.mark.parametrize("answer", ["refused", "lost", "late"])
+def test_a_record_that_the_log_did_not_answer_for_is_written_again(answer: str) -> None:
+    async def body(log: MemoryLog, fleet: list[Node]) -> None:
+        log.topic(CRASH_TOPIC).answers = [answer]
+        fleet[0].end_runs("a", "b")
+        await until(lambda: len(fleet[1].ledger.suspects) == 1)
+        assert set(fleet[1].ledger.suspects[CALL].ends) == {"a", "b"}
+
+    play(body)
+
+
+def test_an_answer_drops_the_record_everywhere() -> None:
+    async def body(log: MemoryLog, fleet: list[Node]) -> None:
+        fleet[0].end_runs("a", "b", "c")
+        await until(lambda: len(fleet[1].ledger.suspects) == 1)
+        assert fleet[0].ledger.note_answer(CALL, asyncio.get_running_loop().time())
+        fleet[0].records.record(CALL, own=True)
+        await until(lambda: not fleet[1].ledger.suspects)
+        assert (await log.newest(CRASH_TOPIC)).entries == []
+
+    play(body)
+
+
+def test_a_record_that_is_none_is_passed_over() -> None:
+    async def body(log: MemoryLog, fleet: list[Node]) -> None:
+        await log.append(CRASH_TOPIC, [("no mark", b"{"), (CALL.hex(), b"[1]")])
+        fleet[0].end_runs("a", "b")
+        await until(lambda: CALL in fleet[1].ledger.suspects)
+
+    play(body)
