A call on a kept connection that its target closes is sent once, and never told as not run

A caller of a route with GET got 503, "has not run", for a call that had run: the client library sends GET, PUT and DELETE again by itself when a kept connection closes under them. With the target gone the second sending was refused, and the call counted as never sent; a call that may run once only could run twice, and the end of a target under such a call was counted against nobody. Found while looking for other ways past the bound on requests that end their targets. The library's repetition is switched off; the forwarder decides.

Test a_call_on_a_kept_connection_that_its_target_closes_is_sent_once failed before (no fault was raised, the target saw the call three times in all).

--- a/samphirecleat/platform/_target_sessions.py
+++ b/samphirecleat/platform/_target_sessions.py
@@ -77,7 +77,7 @@
         idle_s = self.idle_s(service)
         pool = make_connector(SILENT_AFTER_S, keepalive_timeout_s=idle_s)
         connector = make_strict(pool, partial(self._count, service))
-        return aiohttp.ClientSession(
+        session = aiohttp.ClientSession(
             connector=connector,
             skip_auto_headers=_NO_HEADERS,
             auto_decompress=False,
@@ -86,6 +86,10 @@
             max_line_size=65536,
             max_field_size=65536,
         )
+        # The library would send a call again by itself when a kept connection closes under it,
+        # which may have run it; it has no parameter for that.
+        session._retry_connection = False
+        return session
 
     def _count(self, service: str) -> None:
         """Count a new connection: each holds a target up for a moment."""
--- a/tests/platform/test_target_channels.py
+++ b/tests/platform/test_target_channels.py
@@ -227,3 +227,24 @@
     """Only a target that closed the connection may have ended under the call."""
     fault = lost_answer(Target("t", "svc", "127.0.0.1:1", "z", 1, False), error)
     assert (fault.cut, fault.ran) == (cut, Ran.UNKNOWN)
+
+
+def test_a_call_on_a_kept_connection_that_its_target_closes_is_sent_once() -> None:
+    """A target ends while it runs a GET that came on a kept connection.
+
+    The client library sends such a call again by itself. Refused by then, it looked as if it
+    had never been sent: its caller was told "not run", and its end was counted against nobody.
+    """
+
+    async def body() -> None:
+        async with target_of() as (stand_in, target, sessions):
+            exchange = CallExchange(sessions)
+            call = a_call()._replace(method="GET", body=b"")
+            await exchange.exchange(call, target, 2.0)
+            stand_in.answers = ["reset"]
+            with pytest.raises(TargetFault) as raised:
+                await exchange.exchange(call, target, 2.0)
+            assert (raised.value.ran, raised.value.cut) == (Ran.UNKNOWN, True)
+            assert len(stand_in.seen) == 2
+
+    asyncio.run(body())
