The product's own interface holds the bound on requests that end their targets; samphirecleat try brings it about

The dispatcher now asks the same guard, its news rides on the same heartbeats. Knowledge lives in the nodes' memory there: it is lost with all of them, and with the last node that knows. Samples of steps are not bound.

--- a/samphirecleat/controllers/admission/_dispatcher.py
+++ b/samphirecleat/controllers/admission/_dispatcher.py
@@ -10,18 +10,21 @@
 
 from ...blackboard import Blackboard, TargetView
 from ...config import Service, ServiceKind
+from ...crashes import CrashGuard, Standing
 from ...errors import ErrorKind, Ran, RequestError
 from ...observe import Observer
-from ...requests import AnswerLine, AnswerLog, Call
-from ...targets import NotSent, TargetClient, TargetError
+from ...requests import AnswerLine, AnswerLog, Call, WorkClass
+from ...targets import Lost, NotSent, TargetClient, TargetError
 from ..policies import Policies
 from ..targets import is_stale, is_unheard
+from ._crash_watch import mark_of, start_of
 from ._limiter import Limiter
 from ._pace import PaceKeeper
 from ._retries import GiveUp, RetryBudget, TryElsewhere, decide_retry
 from ._routing import RoutingView, choose_target
 
 NO_TARGET_RETRY_S: Final = 1.0
+HELD_RETRY_S: Final = 1.0
 PRIORITIES_PER_CLASS: Final = 10
 
 
@@ -45,14 +48,19 @@
         observer: Observer,
         rng: random.Random,
         policies: Policies,
+        guard: CrashGuard | None = None,
     ) -> None:
-        """Wire the parts that a call passes through."""
+        """Wire the parts that a call passes through.
+
+        ``guard`` bars callers' calls that end their targets; without one, none is barred.
+        """
         self._board = board
         self._limiter = limiter
         self._client = client
         self._observer = observer
         self._rng = rng
         self._policies = policies
+        self._guard = guard
         self._paces = PaceKeeper()
         self._turns: Counter[str] = Counter()
         self._budgets: dict[str, RetryBudget] = {}
@@ -117,16 +125,21 @@
         budget = self._budgets.setdefault(service.name, RetryBudget(limit.ratio, limit.cap))
         budget.note_first_attempt()
         while True:
+            self._check_standing(call, attempts)
             target = self._choose(service, call, attempts.tried)
             if target is None:
                 raise _weaken(attempts.last_error or _no_target(service), attempts.may_have_run)
             attempts.tried.append(target.address)
             earlier_may_have_run = attempts.may_have_run
             attempts.may_have_run = True
+            begun_s = asyncio.get_running_loop().time()
             try:
                 await self._attempt(service, target, call, answer)
+                if self._guard is not None and self._guards(call):
+                    self._guard.answered(call.request_id, mark_of(call))
                 return
             except TargetError as error:
+                await self._note_cut(call, target, begun_s, error)
                 attempts.may_have_run = earlier_may_have_run or error.may_have_run
                 self._observer.counters[f"attempts_{type(error.failure).__name__.lower()}"] += 1
                 if isinstance(error.failure, NotSent):
@@ -146,6 +159,44 @@
                         if spends_budget and not budget.take():
                             raise _weaken(final, attempts.may_have_run) from error
 
+    def _guards(self, call: Call) -> bool:
+        """Whether the bound on calls that end their targets holds for a call.
+
+        The samples of a step are made anew elsewhere until they are whole.
+        """
+        return self._guard is not None and call.work_class is WorkClass.CALLER
+
+    def _check_standing(self, call: Call, attempts: _Attempts) -> None:
+        """Return if a call may be sent to a target now.
+
+        :raises RequestError: CRASHES_TARGETS for one that ends them, CRASH_SUSPECTED while that
+            is being found out.
+        """
+        if self._guard is None or not self._guards(call) or not self._guard.suspects_any:
+            return
+        match self._guard.standing(call.request_id, mark_of(call)):
+            case Standing.REFUSED:
+                detail = "targets end when they run this request"
+                raise RequestError(ErrorKind.CRASHES_TARGETS, detail)
+            case Standing.HELD:
+                held = RequestError(
+                    ErrorKind.CRASH_SUSPECTED,
+                    "targets ended while they ran this request; whether by it is being found out",
+                    retry_after_s=HELD_RETRY_S,
+                )
+                raise _weaken(held, attempts.may_have_run)
+
+    async def _note_cut(
+        self, call: Call, target: TargetView, begun_s: float, error: TargetError
+    ) -> None:
+        """Take a failure of a run, which may have ended with its target."""
+        failure = error.failure
+        if self._guard is None or not self._guards(call):
+            return
+        if isinstance(failure, Lost) and failure.cut:
+            mark, start = mark_of(call), start_of(target)
+            await self._guard.cut(call.request_id, mark, start, begun_s, failure.detail)
+
     def _choose(self, service: Service, call: Call, tried: Sequence[str]) -> TargetView | None:
         now_s = asyncio.get_running_loop().time()
         if is_stale(self._board.targets_kept_at_s, now_s):
--- a/samphirecleat/crashes/__init__.py
+++ b/samphirecleat/crashes/__init__.py
@@ -1,7 +1,7 @@
 """Calls that end the targets that run them: evidence of all nodes, and a bound on retries."""
 
 from ._call_mark import call_mark
-from ._guard import CrashGuard, EndRecorder, Registered, TargetStart
+from ._guard import CrashGuard, EndRecorder, Registered, TargetStart, UnkeptEnds
 from ._ledger import CrashLedger
 from ._news import CrashNews
 from ._suspect import FREE_ENDS, MOST_ENDS, SETTLE_S, RunEnd, Standing, Suspect
@@ -19,5 +19,6 @@
     "Standing",
     "Suspect",
     "TargetStart",
+    "UnkeptEnds",
     "call_mark",
 ]
--- a/samphirecleat/crashes/_guard.py
+++ b/samphirecleat/crashes/_guard.py
@@ -49,6 +49,13 @@
         ...
 
 
+class UnkeptEnds:
+    """Writes nothing: what is known lives as long as any node that knows it."""
+
+    def record(self, mark: bytes, *, own: bool) -> None:
+        """Leave the call to the nodes' memory."""
+
+
 class _Doubt(NamedTuple):
     mark: bytes
     start: TargetStart
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -12,22 +12,24 @@
 from grpclib.server import Server
 
 from .blackboard import Blackboard, Identity, Member
-from .controllers.admission import Dispatcher, Limiter
+from .controllers.admission import Dispatcher, Limiter, others_beside, registration_of
 from .controllers.configuration import ConfigFollower, ConfigReader
 from .controllers.membership import Discovery, Drain, Membership
 from .controllers.policies import Policies
 from .controllers.steps import StepRegistry, StepRunner
 from .controllers.targets import TargetWatch
 from .controllers.weights import LeaseKeeper, WeightCoordinator
+from .crashes import CrashGuard, CrashLedger, CrashNews, UnkeptEnds
 from .entry import CallerEntry, OperatorEntry, TrainerEntry, build_app, build_node_report
 from .observe import Observer
 from .peers import HeartbeatCodec, PeerClient, PeerServer
 from .platform import HttpHostList, HttpLog, HttpWeightStore
 from .requests import AnswerStore, KeyBook
 from .settings import Settings
-from .targets import TargetClient, make_connector
+from .targets import TargetClient, is_listening, make_connector
 
 RESTART_AFTER_S: Final = 1.0
+CRASH_REVIEW_S: Final = 0.25
 Driver = Callable[[], Awaitable[None]]
 
 
@@ -136,8 +138,15 @@
         )
         self.peers = PeerClient(settings.shared_key, timings.progress_timeout_s)
         self.limiter = Limiter(board, self._policies.limits)
+        self._build_crash_guard()
         self.dispatcher = Dispatcher(
-            board, self.limiter, client, self.observer, self._rng, self._policies
+            board,
+            self.limiter,
+            client,
+            self.observer,
+            self._rng,
+            self._policies,
+            self.crash_guard,
         )
         self.steps = StepRegistry(board, self.observer)
         self.step_runner = StepRunner(
@@ -187,7 +196,7 @@
             heartbeat_s=timings.heartbeat_s,
             suspect_after_s=timings.suspect_after_s,
             rng=self._rng,
-            riders=[self.target_watch, self.discovery],
+            riders=[self.target_watch, self.discovery, self._crash_news],
         )
         self.weights = WeightCoordinator(
             board,
@@ -202,6 +211,26 @@
             board, self.key_book, store, self.dispatcher, self.peers, self.observer, timings
         )
 
+    def _build_crash_guard(self) -> None:
+        board = self.board
+        ledger = CrashLedger()
+        self._crash_news = CrashNews(ledger, lambda: len(board.members))
+        self.crash_guard = CrashGuard(
+            self.settings.node_id,
+            ledger,
+            self._crash_news,
+            is_listening,
+            lambda start: registration_of(board, start),
+            lambda start: others_beside(board, start),
+            UnkeptEnds(),
+            self.observer,
+        )
+
+    async def _review_crashes(self) -> None:
+        while True:
+            await asyncio.sleep(CRASH_REVIEW_S)
+            self.crash_guard.review()
+
     async def _listen(self) -> None:
         settings = self.settings
         app = build_app(
@@ -246,6 +275,7 @@
             self.weights.drive,
             self.limiter.drive,
             self.step_runner.drive,
+            self._review_crashes,
         ]
 
     async def _supervise(self, drive: Driver) -> None:
--- a/samphirecleat/platform/_call_exchange.py
+++ b/samphirecleat/platform/_call_exchange.py
@@ -1,6 +1,5 @@
 """One call at one target: sent as it came, and its whole answer checked."""
 
-import errno
 from collections.abc import Sequence
 from typing import Final
 
@@ -9,6 +8,7 @@
 
 from ..errors import Ran
 from ..serving import Call, Target, TargetAnswer, TargetFault
+from ..targets import is_cut
 from ._answers import ANSWER_FAULTS
 from ._target_sessions import TargetSessions
 from ._wire_names import (
@@ -77,18 +77,6 @@
     )
 
 
-def is_cut(error: Exception) -> bool:
-    """Whether the other end closed or reset the connection, rather than fell silent."""
-    match error:
-        case TimeoutError():
-            return False
-        case aiohttp.ServerDisconnectedError() | aiohttp.ClientPayloadError() | EOFError():
-            return True
-        case OSError():
-            return error.errno != errno.ETIMEDOUT
-    return False
-
-
 def target_url(target: Target, raw_path: str) -> URL:
     """Return the URL of a path at a target, with the path as the caller wrote it."""
     return URL(f"http://{target.address}{raw_path}", encoded=True)
--- a/samphirecleat/standins/_plain.py
+++ b/samphirecleat/standins/_plain.py
@@ -25,7 +25,8 @@
 
     Faults: ``refuse_next`` calls get 503 before they start;
     ``lose_next_answers`` calls run and their connection is closed in place of
-    the answer; ``fail_next`` calls run and answer 500. ``tells_status``, set
+    the answer; ``fail_next`` calls run and answer 500; a call whose prompt is in
+    ``ends_on`` ends it, and it is back ``back_after_s`` later. ``tells_status``, set
     before the start, adds ``GET /v1/status``, which few plain services have.
     """
 
@@ -36,6 +37,10 @@
         self.call_s = call_s
         self.fail_next = 0
         self.lose_next_answers = 0
+        self.ends_on: set[str] = set()
+        self.back_after_s = 0.4
+        self.ends: list[PlainRun] = []
+        self._ending: set[asyncio.Task[None]] = set()
         self.runs: list[PlainRun] = []
         self.runs_by_request: Counter[str] = Counter()
         self.tells_status = False
@@ -65,6 +70,10 @@
         prompt = str(body.get("prompt", ""))
         self.runs.append(PlainRun(request_id, method, prompt, time.monotonic()))
         self.runs_by_request[request_id] += 1
+        if prompt in self.ends_on:
+            self.ends.append(self.runs[-1])
+            self._end()
+            await asyncio.Event().wait()
         self._busy += 1
         try:
             await asyncio.sleep(self.call_s)
@@ -79,6 +88,17 @@
             _abort(request)
         return await self._send(request, fault, self.answer(method, body))
 
+    def _end(self) -> None:
+        """End now with all that runs here, and come back as a new instance."""
+        task = asyncio.ensure_future(self._end_and_return())
+        self._ending.add(task)
+        task.add_done_callback(self._ending.discard)
+
+    async def _end_and_return(self) -> None:
+        await self.crash()
+        await asyncio.sleep(self.back_after_s)
+        await self.restart()
+
     async def _send(
         self, request: web.Request, fault: str, answer: dict[str, object]
     ) -> web.StreamResponse:
--- a/samphirecleat/targets/__init__.py
+++ b/samphirecleat/targets/__init__.py
@@ -4,6 +4,7 @@
 
 from .._lazy_exports import lazy_exports
 from ._connector import make_connector
+from ._cut import is_cut
 from ._errors import Failed, Lost, NotSent, Refused, TargetError, TargetFailure
 from ._listening import is_listening
 from ._orders import OrderFenced, OrderOutcome, OrderRefused, OrderTaken, OrderUnknown
@@ -25,6 +26,7 @@
     "TargetClient",
     "TargetError",
     "TargetFailure",
+    "is_cut",
     "is_listening",
     "make_connector",
     "make_strict",
--- a/samphirecleat/targets/_errors.py
+++ b/samphirecleat/targets/_errors.py
@@ -23,9 +23,13 @@
 
 @dataclass(frozen=True)
 class Lost:
-    """The request was sent and its outcome is not known."""
+    """The request was sent and its outcome is not known.
+
+    ``cut`` says that the target's end of the connection went away before the answer was whole.
+    """
 
     detail: str
+    cut: bool = False
 
 
 @dataclass(frozen=True)
--- a/samphirecleat/trial/_checks.py
+++ b/samphirecleat/trial/_checks.py
@@ -15,6 +15,10 @@
 T = TypeVar("T")
 LEAVING_GRACE_S: Final = 3.0
 END_MARGIN_S: Final = 0.5
+# A request that ended three targets may reach three more once all nodes can know of it.
+FREE_ENDS: Final = 3
+RETRIES: Final = 3
+KNOWN_AFTER_S: Final = 3.0
 
 
 def check_promises(fleet: Fleet, receipts: Receipts, onlooker: Onlooker) -> Mapping[str, Verdict]:
@@ -31,6 +35,7 @@
         "answers_doubled": _check_answers_doubled(receipts),
         "not_run_but_ran": _check_not_run(fleet, receipts),
         "non_idempotent_run_twice": _check_run_twice(fleet),
+        "sent_on_after_three_ends": _check_ends(fleet),
         "work_to_leaving_after_3s": _check_leaving(fleet),
         "in_flight_cut_by_drain": _check_drains(fleet, receipts),
         "config_reverted": check_reverted(appends, onlooker.sights),
@@ -150,6 +155,26 @@
     return judge(_find_doubled(prompts), len(set(prompts)))
 
 
+def _check_ends(fleet: Fleet) -> Verdict:
+    """Count requests that reached more targets than they may after they had ended three."""
+    runs: dict[str, list[float]] = defaultdict(list)
+    ends: dict[str, list[float]] = defaultdict(list)
+    for server in fleet.plain:
+        for run in server.runs:
+            runs[run.prompt].append(run.started_at_s)
+        for run in server.ends:
+            ends[run.prompt].append(run.started_at_s)
+    broken: list[str] = []
+    for prompt, ended_s in ends.items():
+        if len(ended_s) < FREE_ENDS:
+            continue
+        known_s = sorted(ended_s)[FREE_ENDS - 1] + KNOWN_AFTER_S
+        retries = sum(at_s > known_s for at_s in runs[prompt])
+        if retries > RETRIES:
+            broken.append(f"{prompt!r} sent {retries} times more, {len(ended_s)} ended")
+    return judge(broken, len(runs))
+
+
 def _check_leaving(fleet: Fleet) -> Verdict:
     """Count work that reached a target too long after it was said to leave.
 
--- a/samphirecleat/trial/_fault_table.py
+++ b/samphirecleat/trial/_fault_table.py
@@ -35,6 +35,7 @@
         Fault("swap_pretend", _target_faults.pretend_swaps),
         Fault("answer_lost", _target_faults.lose_answers),
         Fault("plain_silent", _target_faults.silence_plain),
+        Fault("request_ends_targets", _target_faults.end_by_request),
         Fault("target_refuse", _target_faults.refuse_work),
         Fault("target_leaving", _target_faults.leave),
         Fault("host_list_wrong", _platform_faults.falsify_host_list),
--- a/samphirecleat/trial/_target_faults.py
+++ b/samphirecleat/trial/_target_faults.py
@@ -1,10 +1,16 @@
 """Faults of targets: crashes, silence, slowness, false words, lost answers."""
 
 import asyncio
+from typing import Final
 
 from ..standins import StandInEngine, StandInPlainService
 from ._stage import Stage
 
+# A request that ends its targets is sent so often, and so far apart: beyond the time in which all
+# nodes hear of it.
+ENDING_SENDINGS: Final = 14
+ENDING_EVERY_S: Final = 0.4
+
 
 async def crash_engine(stage: Stage) -> None:
     """An engine crashes with work in hand and comes back with old weights."""
@@ -70,6 +76,21 @@
         stage.note(f"open connections of {server.address} are silent")
 
 
+async def end_by_request(stage: Stage) -> None:
+    """A request ends each plain server that begins to run it, and comes again at every node."""
+    fleet = stage.fleet
+    prompt = f"{stage.name} {stage.rng.random()}"
+    for server in fleet.plain:
+        server.ends_on.add(prompt)
+    async with stage.workload.new_session() as session:
+        for number in range(ENDING_SENDINGS):
+            node = fleet.nodes[number % len(fleet.nodes)]
+            await stage.workload.call_plain(session, node, prompt)
+            await asyncio.sleep(ENDING_EVERY_S)
+    ends = sum(run.prompt == prompt for server in fleet.plain for run in server.ends)
+    stage.note(f"a request sent {ENDING_SENDINGS} times ended {ends} plain servers")
+
+
 async def refuse_work(stage: Stage) -> None:
     """Targets refuse work before they start it."""
     for target in (stage.rng.choice(stage.fleet.engines), stage.rng.choice(stage.fleet.plain)):
--- a/samphirecleat/trial/_workload.py
+++ b/samphirecleat/trial/_workload.py
@@ -106,6 +106,17 @@
 
         await self._receive(service, "generate", body, True, send)
 
+    async def call_plain(self, session: aiohttp.ClientSession, node: Node, prompt: str) -> None:
+        """Send a plain call that may be repeated to this very node; its end is nobody's loss."""
+        shape = self._fleet.shape
+        address = node.board.identity.http_address
+        url = f"http://{address}/v1/services/{shape.plain_service}/{shape.plain_idempotent}"
+        try:
+            async with session.post(url, json={"prompt": prompt}) as response:
+                await response.read()
+        except (aiohttp.ClientError, OSError):
+            return
+
     def _new_body(self, max_tokens: int) -> dict[str, Any]:
         """Return a body with a prompt that no other call of the trial has."""
         self._numbers += 1
--- /dev/null
+++ b/tests/controllers/admission/test_crash_watch.py
@@ -0,0 +1,99 @@
+"""Calls to the services of the text that end their targets."""
+
+import asyncio
+
+import pytest
+
+from samphirecleat.blackboard import Blackboard, Identity, TargetView
+from samphirecleat.config import ServiceKind
+from samphirecleat.controllers.admission import others_beside, registration_of
+from samphirecleat.controllers.admission._crash_watch import mark_of, start_of
+from samphirecleat.crashes import CrashGuard, CrashLedger, CrashNews, Registered, UnkeptEnds
+from samphirecleat.errors import ErrorKind, Ran, RequestError
+from samphirecleat.observe import Observer
+from samphirecleat.standins import StandInPlainService
+from samphirecleat.targets import is_listening
+
+from .dispatch_stage import PLAIN_SERVICE, make_bench, make_call, run
+
+SERVER = TargetView("a:1", "svc", "z", "i-1", reachable=True)
+
+
+@pytest.mark.parametrize(
+    ("now", "registered"),
+    [
+        ([SERVER], Registered.READY),
+        ([SERVER._replace(reachable=False)], Registered.READY),
+        ([SERVER._replace(leaving=True)], Registered.DRAINING),
+        ([SERVER._replace(instance="i-2")], Registered.GONE),
+        ([], Registered.GONE),
+    ],
+    ids=["ready", "gives no answer", "leaves", "another instance", "not listed"],
+)
+def test_what_is_known_of_a_start_of_a_target(
+    now: list[TargetView], registered: Registered
+) -> None:
+    board = Blackboard(Identity("n1", "aa", "z", "", ""))
+    board.targets = {view.address: view for view in now}
+    assert registration_of(board, start_of(SERVER)) is registered
+
+
+def test_the_other_targets_of_a_service_are_those_that_answer() -> None:
+    board = Blackboard(Identity("n1", "aa", "z", "", ""))
+    others = [SERVER._replace(address=f"{n}:1", reachable=n < 2) for n in range(3)]
+    board.targets = {view.address: view for view in [SERVER, *others]}
+    assert [other.address for other in others_beside(board, start_of(SERVER))] == ["0:1", "1:1"]
+
+
+def test_a_call_has_one_mark_whatever_its_key_and_order_of_its_body() -> None:
+    async def scenario() -> None:
+        call = make_call(PLAIN_SERVICE, idempotent=True)
+        other = call._replace(request_id="other", body=dict(reversed(list(call.body.items()))))
+        assert mark_of(other) == mark_of(call)
+        assert mark_of(call._replace(body={"prompt": "another"})) != mark_of(call)
+
+    asyncio.run(scenario())
+
+
+def guard_of(board: Blackboard) -> CrashGuard:
+    ledger = CrashLedger()
+    return CrashGuard(
+        "n1",
+        ledger,
+        CrashNews(ledger, lambda: 1),
+        is_listening,
+        lambda start: registration_of(board, start),
+        lambda start: others_beside(board, start),
+        UnkeptEnds(),
+        Observer("n1"),
+    )
+
+
+def test_a_call_that_ends_its_targets_is_refused_and_any_other_is_served() -> None:
+    """Each run of a call ends its plain server, and callers send it again and again."""
+
+    async def scenario() -> None:
+        servers = [StandInPlainService(PLAIN_SERVICE, "z", call_s=0.005) for _ in range(6)]
+        call = make_call(PLAIN_SERVICE, idempotent=True)
+        async with make_bench(servers, ServiceKind.PLAIN) as bench:
+            bench.dispatcher._guard = guard_of(bench.board)
+            for server in servers:
+                server.ends_on.add(str(call.body["prompt"]))
+            kinds: list[ErrorKind] = []
+            while sum(len(server.ends) for server in servers) < 3:
+                outcome = await run(bench, call)
+                assert isinstance(outcome, RequestError)
+                kinds.append(outcome.kind)
+            assert set(kinds) <= {ErrorKind.OUTCOME_UNKNOWN}
+            held = await run(bench, call)
+            assert isinstance(held, RequestError)
+            assert (held.kind, held.ran) == (ErrorKind.CRASH_SUSPECTED, Ran.NO)
+            await asyncio.sleep(1.05)
+            refused = await run(bench, call)
+            assert isinstance(refused, RequestError)
+            assert (refused.kind, refused.ran) == (ErrorKind.CRASHES_TARGETS, Ran.UNKNOWN)
+            other = call._replace(body={**call.body, "prompt": "another"})
+            assert not isinstance(await run(bench, other), RequestError)
+            assert sum(len(server.ends) for server in servers) == 3
+
+    asyncio.run(scenario())
--- a/tests/trial/test_kept_seeds.py
+++ b/tests/trial/test_kept_seeds.py
@@ -65,6 +65,12 @@
         "lease_pause,swap_fail,swap_pretend,node_freeze,log_outage",
         "an order that was cut short and held up all swaps of its service",
     ),
+    KeptSeed(
+        "lavadero-norte",
+        3,
+        "request_ends_targets,node_kill,engine_crash",
+        "a request that ended 35 targets, since each sending had a bound of its own",
+    ),
 )
 
 
--- a/tests/trial/test_trial_checks.py
+++ b/tests/trial/test_trial_checks.py
@@ -1,10 +1,13 @@
 """The trial's own checks: each must see the break that it is there for."""
 
 import math
+from types import SimpleNamespace
 
 import pytest
 
-from samphirecleat.standins import LogAppend
+from samphirecleat.standins import LogAppend, StandInPlainService
+from samphirecleat.standins._plain import PlainRun
+from samphirecleat.trial._checks import _check_ends
 from samphirecleat.trial._config_checks import check_late, check_reverted, fold_ledger
 from samphirecleat.trial._records import ConfigSight, Interval, Tenure
 
@@ -73,3 +76,23 @@
     ledger = [publication(1, -1, "second", at_s=10.0)]
     verdict = check_late(ledger, sights, [tenure], outages, seen_until_s=40.0)
     assert (verdict.broken, verdict.checked) == (broken, checked)
+
+
+@pytest.mark.parametrize(
+    ("runs_s", "ends_s", "broken"),
+    [
+        ([0.0, 1.0, 2.0, 6.0, 7.0, 8.0], [0.0, 1.0, 2.0], 0),
+        ([0.0, 1.0, 2.0, 3.0, 4.0, 4.9, 6.0, 7.0, 8.0], [0.0, 1.0, 2.0], 0),
+        ([0.0, 1.0, 2.0, 6.0, 7.0, 8.0, 9.0], [0.0, 1.0, 2.0], 1),
+        ([0.0, 1.0, 6.0, 7.0, 8.0, 9.0], [0.0, 1.0], 0),
+    ],
+    ids=["three more", "before all could know", "four more", "two ends"],
+)
+def test_a_request_that_is_sent_on_after_it_ended_three_targets_is_seen(
+    runs_s: list[float], ends_s: list[float], broken: int
+) -> None:
+    server = StandInPlainService("svc", "z")
+    server.runs = [PlainRun("r", "m", "p", at_s) for at_s in runs_s]
+    server.ends = [PlainRun("r", "m", "p", at_s) for at_s in ends_s]
+    verdict = _check_ends(SimpleNamespace(plain=[server]))  # type: ignore[arg-type]
+    assert (verdict.broken, verdict.checked) == (broken, 1)
