An item that ends the engines that run it runs once in 3.5 s, at whatever node

An item whose prompt ends its engines took all engines of its service down, with every other run on them: 20 runs in 2.5 s over four engines in the new test. The evidence goes to the same guard, under the item's id, which it keeps; from the second end on it stands in the log, so an heir of the service knows it. A barred item still runs once in 3.5 s: its step is owed it, and an item that is at no engine for 5 s while others run breaks LOST. The log of ends is read at the pace of the step log in large fleets, so that a burst of records does not use up the store's reads.

Test an_item_that_ends_its_engines_runs_seldom_and_the_others_are_made failed before (20 runs, 5 allowed).

--- a/samphirecleat/crashes/_guard.py
+++ b/samphirecleat/crashes/_guard.py
@@ -119,6 +119,11 @@
                 self._recorder.record(mark, own=False)
         return standing
 
+    def bars(self, mark: bytes) -> bool:
+        """Whether a call is held or refused now; nothing is logged or counted."""
+        now_s = asyncio.get_running_loop().time()
+        return self._ledger.standing(mark, now_s) in (Standing.HELD, Standing.REFUSED)
+
     def answered(self, request_id: str, mark: bytes) -> None:
         """Note a target's answer to a call, which may be suspected."""
         now_s = asyncio.get_running_loop().time()
--- a/samphirecleat/durable/_crash_records.py
+++ b/samphirecleat/durable/_crash_records.py
@@ -8,14 +8,14 @@
 import math
 import random
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final, NamedTuple
 
 import msgspec
 
 from ..crashes import CrashLedger, RunEnd
 from ..observe import Observer
-from ._follower import TopicFollower
+from ._follower import TopicFollower, no_pause
 from ._ports import AppendOutcome, KeyedLog, LogEntry
 
 CRASH_TOPIC: Final = "keyed.crashes"
@@ -42,9 +42,14 @@
     """Writes suspects to the log and takes in what other nodes wrote."""
 
     def __init__(
-        self, log: KeyedLog, ledger: CrashLedger, observer: Observer, rng: random.Random
+        self,
+        log: KeyedLog,
+        ledger: CrashLedger,
+        observer: Observer,
+        rng: random.Random,
+        pause_s: Callable[[], float] = no_pause,
     ) -> None:
-        """Keep ``ledger`` as the log says."""
+        """Keep ``ledger`` as the log says, reading on ``pause_s`` after news."""
         self._log = log
         self._ledger = ledger
         self._observer = observer
@@ -54,7 +59,7 @@
         self._came = asyncio.Event()
         self._written: dict[bytes, _Written] = {}
         self._follower = TopicFollower(
-            log, CRASH_TOPIC, self._take, observer, rng, read_wait_s=READ_WAIT_S
+            log, CRASH_TOPIC, self._take, observer, rng, read_wait_s=READ_WAIT_S, pause_s=pause_s
         )
 
     @property
--- a/samphirecleat/durable/_ports.py
+++ b/samphirecleat/durable/_ports.py
@@ -144,9 +144,10 @@
 class GenerationError(Exception):
     """A run that ended without its end."""
 
-    def __init__(self, detail: str, reason: "GenerationEnd") -> None:
-        """Say what was seen of the engine."""
+    def __init__(self, detail: str, reason: "GenerationEnd", *, cut: bool = False) -> None:
+        """Say what was seen of the engine; ``cut`` if it closed the connection."""
         super().__init__(detail)
+        self.cut = cut
         self.detail = detail
         self.reason = reason
 
--- a/samphirecleat/durable/_post.py
+++ b/samphirecleat/durable/_post.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping
 from typing import Final, Literal, NamedTuple
 
+from ..crashes import CrashGuard
 from ..observe import Observer
 from ..serving import RouteTable, TargetTable
 from ._drafts import DraftShelf
@@ -45,6 +46,7 @@
     observer: Observer
     named: Callable[[str], int]
     servers: ServerSupply | Literal["no supply"] = NO_SUPPLY
+    guard: CrashGuard | None = None
 
 
 class ServiceDuties:
@@ -73,7 +75,7 @@
         self._parts = parts
         work = ServiceWork(service, parts.step_log, parts.routes, parts.targets)
         finisher = Finisher(work, parts.scorer, parts.observer)
-        runs = RunPool(work, drafts, parts.engines, finisher, parts.observer)
+        runs = RunPool(work, drafts, parts.engines, finisher, parts.observer, parts.guard)
         self._runner = StepRunner(work, drafts, runs, finisher, parts.observer)
         self._orderer = Orderer(
             service,
--- a/samphirecleat/durable/_run_pool.py
+++ b/samphirecleat/durable/_run_pool.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections.abc import Collection
 
+from ..crashes import CrashGuard
 from ..observe import Observer
 from ._drafts import DraftShelf
 from ._finisher import Finisher
+from ._item_bound import ItemBound
 from ._item_decisions import ItemName, after_failed_run
 from ._item_run import ItemRun, stream_item
 from ._open_item import OpenItem
@@ -24,8 +26,12 @@
         engines: GenerationChannel,
         finisher: Finisher,
         observer: Observer,
+        guard: CrashGuard | None = None,
     ) -> None:
-        """Stream from ``engines`` into ``drafts``; whole texts go to ``finisher``."""
+        """Stream from ``engines`` into ``drafts``; whole texts go to ``finisher``.
+
+        Items that end their engines are known by ``guard``.
+        """
         self._work = work
         self._drafts = drafts
         self._engines = engines
@@ -34,10 +40,11 @@
         self._words = observer.log("runner")
         self._rests_until_s: dict[ItemName, float] = {}
         self._failures: dict[ItemName, int] = {}
+        self._bound = ItemBound(guard)
 
     def rests(self, name: ItemName, now_s: float) -> bool:
         """Whether an item waits after a failed run."""
-        return self._rests_until_s.get(name, 0.0) > now_s
+        return self._rests_until_s.get(name, 0.0) > now_s or self._bound.rests(name, now_s)
 
     def start(self, open_item: OpenItem, place: Placement) -> None:
         """Start an item on the engine that was chosen for it."""
@@ -65,6 +72,7 @@
 
     def keep_only(self, wanted_steps: Collection[str]) -> None:
         """Cancel the runs that no open step wants, and forget what was noted of the others."""
+        self._bound.keep_only(wanted_steps)
         for (step_id, item_id), run in list(self._work.runs.items()):
             listed = item_id not in run.open_item.step.unlisted
             if (step_id not in wanted_steps or listed) and run.task is not None:
@@ -88,6 +96,7 @@
             await stream_item(run, self._engines, self._work.paces.of(run.target.instance))
         except GenerationError as error:
             self._note_failure(run, error)
+            await self._bound.cut(run, began_s, error, loop.time())
         except asyncio.CancelledError:
             self._words.info("item=%s run cancelled", run.open_item.item.item_id)
             raise
@@ -96,6 +105,7 @@
             self._work.runs.pop(run.name, None)
             self._work.changed.set()
         if run.draft.whole:
+            self._bound.whole(run)
             self._work.targets.warm.returned(run.target, loop.time())
         if run.draft.whole and not self._work.is_under_way(run.name):
             self._observer.record_s("item_run", loop.time() - began_s)
--- a/samphirecleat/platform/_generation_stream.py
+++ b/samphirecleat/platform/_generation_stream.py
@@ -7,6 +7,7 @@
 
 from ..durable import GenerationCall, GenerationEnd, GenerationError, Piece
 from ..serving import Target
+from ..targets import is_cut
 from ._answers import ANSWER_FAULTS
 from ._call_exchange import MISDIRECTED, target_url
 from ._event_stream import NO_VERSION, EventFormatError, event_blocks, read_event
@@ -64,11 +65,12 @@
                     version = event.version
                     yield Piece(*event)
         except EventFormatError as error:
-            raise GenerationError(str(error), GenerationEnd.BROKEN) from error
+            raise GenerationError(str(error), GenerationEnd.BROKEN, cut=True) from error
         except aiohttp.ClientConnectorError as error:
             raise GenerationError(repr(error), GenerationEnd.BROKEN) from error
         except ANSWER_FAULTS as error:
-            raise GenerationError(repr(error), GenerationEnd.BROKEN) from error
+            cut = is_cut(error)
+            raise GenerationError(repr(error), GenerationEnd.BROKEN, cut=cut) from error
 
 
 def item_headers(call: GenerationCall) -> Sequence[tuple[str, str]]:
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -223,7 +223,13 @@
     def _wire_crash_guard(self) -> None:
         ledger = CrashLedger()
         self._crash_news = CrashNews(ledger, lambda: len(self.board.members))
-        self._crash_records = CrashRecords(self._store, ledger, self.observer, self._rng)
+        self._crash_records = CrashRecords(
+            self._store,
+            ledger,
+            self.observer,
+            self._rng,
+            lambda: reading_pause_s(len(self.board.members), runs_work=False),
+        )
         self._crash_guard = CrashGuard(
             self.settings.node_id,
             ledger,
@@ -287,6 +293,7 @@
             ProgressJournal(self._store, self.observer),
             self.observer,
             self.operator.named,
+            guard=self._crash_guard,
         )
         self._api = DutyApi(
             self._session, self.settings.api_address, self.settings.api_calls_per_s, self.observer
--- a/tests/durable/runner_stage.py
+++ b/tests/durable/runner_stage.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from typing import cast
 
+from samphirecleat.crashes import CrashGuard
 from samphirecleat.durable import (
     GenerationCall,
     GenerationEnd,
@@ -46,7 +47,8 @@
 class ScriptedEngines:
     """Each text has some events; ``ends`` says how an engine's next runs end early.
 
-    ``event_s`` is an engine's pause between events, ``versions`` its weights.
+    ``event_s`` is an engine's pause between events, ``versions`` its weights. An item in
+    ``ends_on`` ends each engine that begins to run it.
     """
 
     def __init__(self) -> None:
@@ -56,6 +58,7 @@
         self.calls: list[tuple[str, GenerationCall]] = []
         self.closed: list[str] = []
         self.events = EVENTS
+        self.ends_on: set[str] = set()
 
     def generate(self, call: GenerationCall, target: Target) -> AsyncGenerator[Piece, None]:
         self.calls.append((target.instance, call))
@@ -65,6 +68,9 @@
         ends = self.ends[engine]
         end = ends.pop(0) if ends else None
         try:
+            if call.item_id in self.ends_on:
+                await asyncio.sleep(EVENT_S)
+                raise GenerationError("reset", GenerationEnd.BROKEN, cut=True)
             if end is GenerationEnd.SILENT:
                 await asyncio.sleep(1e6)
             if end in (GenerationEnd.REFUSED, GenerationEnd.FAILED, GenerationEnd.IMPOSSIBLE):
@@ -101,7 +107,13 @@
 class RunnerStage:
     """All parts of one service's work on one node."""
 
-    def __init__(self, engines: Sequence[str], places: int, **route_changes: object) -> None:
+    def __init__(
+        self,
+        engines: Sequence[str],
+        places: int,
+        guard: CrashGuard | None = None,
+        **route_changes: object,
+    ) -> None:
         self.planning: asyncio.Task[None]
         self.log = MemoryLog()
         self.observer = Observer("n1")
@@ -120,7 +132,9 @@
         self.work = ServiceWork("svc", self.step_log, routes, self.targets)
         scorer = cast(Scorer, self.scorer)
         self.finisher = Finisher(self.work, scorer, self.observer)
-        self.runs = RunPool(self.work, self.drafts, self.engines, self.finisher, self.observer)
+        self.runs = RunPool(
+            self.work, self.drafts, self.engines, self.finisher, self.observer, guard
+        )
         self.runner = StepRunner(self.work, self.drafts, self.runs, self.finisher, self.observer)
 
     def offer(self, engines: Sequence[str]) -> None:
@@ -162,12 +176,13 @@
     engines: Sequence[str],
     body: Callable[[RunnerStage], Awaitable[None]],
     places: int = 4,
+    guard: CrashGuard | None = None,
     **route_changes: object,
 ) -> RunnerStage:
     """Run a body beside a runner over some engines, and return the stage as it was left."""
 
     async def whole() -> RunnerStage:
-        stage = RunnerStage(engines, places, **route_changes)
+        stage = RunnerStage(engines, places, guard, **route_changes)
         async with running(stage):
             await body(stage)
         return stage
--- a/tests/durable/test_runner.py
+++ b/tests/durable/test_runner.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from samphirecleat.crashes import CrashGuard, CrashLedger, CrashNews, Registered, UnkeptEnds
 from samphirecleat.durable import GenerationEnd
+from samphirecleat.observe import Observer
 
 from ..fleets import until
 from .runner_stage import EVENTS, RunnerStage, play
@@ -292,3 +294,37 @@
         await until(lambda: len(stage.work.runs) == 1)
 
     play(["e1"], body)
+
+
+def test_an_item_that_ends_its_engines_runs_seldom_and_the_others_are_made() -> None:
+    """An item's prompt crashes each engine that begins to run it, and the item can't be given up.
+
+    Made anew at the next engine at once, it took all engines of its service down, again and again.
+    """
+
+    async def ended(_address: str) -> bool:
+        return False
+
+    async def body(stage: RunnerStage) -> None:
+        stage.engines.ends_on.add("s1-0")
+        await stage.accept(step(items=4))
+        await stage.listed(3)
+        await asyncio.sleep(2.5)
+        assert 3 <= len(stage.engines.engines_of("s1-0")) <= 5
+        stage.engines.ends_on.clear()
+        await stage.listed(4)
+
+    ledger = CrashLedger()
+    guard = CrashGuard(
+        "n1",
+        ledger,
+        CrashNews(ledger, lambda: 1),
+        ended,
+        lambda _start: Registered.READY,
+        lambda _start: (),
+        UnkeptEnds(),
+        Observer("n1"),
+    )
+    stage = play(["e1", "e2", "e3", "e4"], body, guard=guard)
+    assert all(stage.results().values())
+    assert not any(suspect.ends for suspect in ledger.suspects.values())
