--- a/samphirecleat/bench/_registry.py
+++ b/samphirecleat/bench/_registry.py
@@ -11,6 +11,8 @@
     "loads": "_loads",
     "usage": "_usage",
     "duties": "_duties",
+    "crashes": "_crashes",
+    "blame": "_blame",
     "routing": "_routing",
     "limits": "_limits",
     "retries": "_retries",
