--- a/samphirecleat/explain/__init__.py
+++ b/samphirecleat/explain/__init__.py
@@ -1,11 +1,14 @@
-"""Where the time of steps went, from the structured logs of the nodes."""
+"""Where the time of steps went, and what was refused since targets ended, from nodes' logs."""
 
+from ._barred import BarredCall, EndSeen, trace_barred
 from ._command import explain_command
 from ._gaps import Gap, GapCause, gaps_of
 from ._lines import LogLine, LogReading, read_lines
 from ._trace import FleetTrace, ItemTrace, StepTrace, trace_steps
 
 __all__ = [
+    "BarredCall",
+    "EndSeen",
     "FleetTrace",
     "Gap",
     "GapCause",
@@ -16,5 +19,6 @@
     "explain_command",
     "gaps_of",
     "read_lines",
+    "trace_barred",
     "trace_steps",
 ]
--- a/samphirecleat/explain/_command.py
+++ b/samphirecleat/explain/_command.py
@@ -7,16 +7,21 @@
 
 from tabulate import tabulate
 
+from ._barred import BarredCall, trace_barred
 from ._gaps import Gap, GapCause, gaps_of
 from ._lines import LogReading, read_lines
 from ._trace import FleetTrace, StepTrace, trace_steps
 
 EXIT_BAD_INPUT: Final = 2
 STANDARD_INPUT: Final = "-"
+# Of the ends under a request, so many are named.
+NAMED_ENDS: Final = 5
 
 
 def explain_command(*logs: str) -> None:
-    """Print where each step's time went, from nodes' logs; ``-`` reads standard input.
+    """Print where each step's time went, and which requests were refused since targets ended.
+
+    Reads nodes' logs; ``-`` is standard input.
 
     Exit code 2: a file can't be read, or no line of the logs is one of a node.
     """
@@ -32,7 +37,7 @@
 
 
 def render(reading: LogReading) -> str:
-    """Return the tables of steps and of causes, and what could not be read."""
+    """Return the tables of steps, of causes and of barred requests, and what could not be read."""
     fleet = trace_steps(reading.lines)
     began_s = reading.lines[0].time_s
     steps = sorted(
@@ -49,6 +54,7 @@
         tabulate(
             _cause_rows(by_step.values()), headers=["cause", "steps", "seconds"], floatfmt=".2f"
         ),
+        _barred_table(trace_barred(reading.lines), began_s),
         _lost(reading, fleet),
     ]
     return "\n\n".join(part for part in parts if part)
@@ -88,6 +94,29 @@
     return [(cause.value, steps[cause], seconds[cause]) for cause in ordered]
 
 
+def _barred_table(calls: Sequence[BarredCall], began_s: float) -> str:
+    """Return a row for each request under which targets ended, on whose word, and how old."""
+    rows = [
+        (
+            call.call,
+            len(call.ends),
+            "; ".join(f"{end.target} by {end.node}" for end in call.ends[:NAMED_ENDS]),
+            f"{call.barred_s - began_s:.2f}" if call.barred_s is not None else "no",
+            call.held,
+            call.refused,
+            call.last_request_id,
+            f"{call.oldest_evidence_s:.1f}",
+            f"{call.cleared_s - began_s:.2f}" if call.cleared_s is not None else "",
+        )
+        for call in calls
+    ]
+    if not rows:
+        return ""
+    headers = ["request ends targets", "ends", "the first, and who saw them", "barred_s"]
+    headers += ["held", "refused", "last id", "oldest evidence_s", "cleared_s"]
+    return tabulate(rows, headers=headers, disable_numparse=True)
+
+
 def _lost(reading: LogReading, fleet: FleetTrace) -> str:
     words = []
     unknown = sum(step.accepted_s is None for step in fleet.steps.values())
--- /dev/null
+++ b/tests/explain/test_barred.py
@@ -0,0 +1,90 @@
+"""From nodes' logs to the requests that were refused since targets ended under them."""
+
+import asyncio
+import io
+import logging
+from collections.abc import Sequence
+
+import pytest
+
+from samphirecleat.crashes import (
+    CrashGuard,
+    CrashLedger,
+    CrashNews,
+    Registered,
+    TargetStart,
+    UnkeptEnds,
+)
+from samphirecleat.explain import LogLine, read_lines, trace_barred
+from samphirecleat.explain._command import render
+from samphirecleat.observe import JsonFormatter, Observer
+
+CALL = b"\x09" * 12
+
+
+@pytest.fixture(scope="module")
+def log() -> Sequence[str]:
+    """Return what a node writes while a request ends its targets and is refused."""
+    stream = io.StringIO()
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(JsonFormatter())
+    logger = logging.getLogger("samphirecleat.n1")
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    try:
+        asyncio.run(_end_three())
+    finally:
+        logger.removeHandler(handler)
+    return stream.getvalue().splitlines()
+
+
+async def _end_three() -> None:
+    async def gone(_address: str) -> bool:
+        return False
+
+    ledger = CrashLedger()
+    guard = CrashGuard(
+        "n1",
+        ledger,
+        CrashNews(ledger, lambda: 1),
+        gone,
+        lambda _start: Registered.READY,
+        lambda _start: (),
+        UnkeptEnds(),
+        Observer("n1"),
+    )
+    loop = asyncio.get_running_loop()
+    for name in ("a", "b", "c"):
+        await guard.cut(f"r-{name}", CALL, TargetStart(name, "h:1", 5), loop.time(), "reset")
+        await asyncio.sleep(0.002)
+    guard.standing("r-held", CALL)
+    await asyncio.sleep(1.05)
+    guard.review()
+    guard.standing("r-again", CALL)
+
+
+def test_a_refused_request_is_told_with_who_saw_its_ends_and_how_old_that_is(
+    log: Sequence[str],
+) -> None:
+    """On-call engineers have a caller's id and the logs, and nothing else."""
+    (call,) = trace_barred(read_lines([("n1.log", log)]).lines)
+    assert call.call == CALL.hex()
+    assert [(end.target, end.node) for end in call.ends] == [(f"{t}@5", "n1") for t in "abc"]
+    assert (call.held, call.refused, call.last_request_id) == (1, 1, "r-again")
+    assert call.barred_s is not None
+    assert call.oldest_evidence_s >= 1.0
+    table = render(read_lines([("n1.log", log)]))
+    assert all(word in table for word in (CALL.hex(), "a@5 by n1", "r-again"))
+
+
+def test_an_answer_that_cleared_a_request_is_told() -> None:
+    lines = [
+        LogLine(0.0, "n1", f"[crashes] request=r call={CALL.hex()} held evidence=a@5/n2/0.4s"),
+        LogLine(2.0, "n1", f"[crashes] request=s call={CALL.hex()} answered cleared_ends=3"),
+    ]
+    (call,) = trace_barred(lines)
+    assert (call.held, call.cleared_s, call.oldest_evidence_s) == (1, 2.0, 0.4)
+
+
+def test_logs_without_such_requests_have_no_table_of_them() -> None:
+    assert trace_barred([LogLine(0.0, "n1", "[front] request=r status=502")]) == []
