Verdicts and records of suspects are bounded in what they cost a node and the log

A flood of suspects with three ends each cost 0.41 s of every quarter second for verdicts (2,048 suspects): a call is looked at once after its newest end, 32 at a time (10 ms). At 390 nodes about half of them wrote the same record, and each asked a log that takes nothing five times a second: nodes without evidence of their own now wait 1.5 s and up to 0.1 s for each node of the fleet, and what is not taken is tried after 0.1 s, then twice as long each time up to 5 s. Tests: a_flood_of_calls_that_wait_for_ a_verdict_is_decided_a_few_at_a_time, a_log_that_takes_nothing_is_asked_less_and_less_often.

--- a/samphirecleat/crashes/_guard.py
+++ b/samphirecleat/crashes/_guard.py
@@ -193,7 +193,8 @@
         for mark in self._ledger.decide(now_s):
             self._observer.counters["crash_calls_barred"] += 1
             self._words.error("call=%s barred evidence=%s", mark.hex(), self.evidence(mark, now_s))
-            self._recorder.record(mark, own=False)
+            ends = self._ledger.suspects[mark].ends.values()
+            self._recorder.record(mark, own=any(end.node == self._node_id for end in ends))
         for mark in self._ledger.forget(now_s):
             self._recorder.record(mark, own=False)
 
--- a/samphirecleat/crashes/_ledger.py
+++ b/samphirecleat/crashes/_ledger.py
@@ -31,6 +31,8 @@
 ANSWERED_KEPT_S: Final = 60.0
 MOST_ANSWERED: Final = 4096
 ENDED_TARGETS_KEPT_S: Final = 60.0
+# Verdicts of one look, so that a flood of suspects does not hold the node up.
+DECIDED_AT_ONCE: Final = 32
 MOST_SUSPECTS: Final = 2048
 # Room is made for so many at once, since finding the least costs a look at each.
 DROPPED_AT_ONCE: Final = 128
@@ -45,6 +47,7 @@
         self.suspects: OrderedDict[bytes, Suspect] = OrderedDict()
         self.ended_targets: OrderedDict[str, float] = OrderedDict()
         self._answered: OrderedDict[bytes, float] = OrderedDict()
+        self._undecided: set[bytes] = set()
 
     def note_end(self, mark: bytes, end: RunEnd, now_s: float, *, fresh: bool = True) -> bool:
         """Take a run that ended with its target; False if it is known or changes nothing.
@@ -60,6 +63,8 @@
         suspect.ends[end.target] = end
         suspect.seen_at_s = max(suspect.seen_at_s, now_s)
         suspect.fresh = suspect.fresh or fresh
+        if may_end_its_targets(suspect):
+            self._undecided.add(mark)
         return True
 
     def note_ended_target(self, target: str, at_s: float, now_s: float) -> bool:
@@ -139,15 +144,22 @@
         return suspect is not None and not suspect.refused and may_end_its_targets(suspect)
 
     def decide(self, now_s: float) -> Sequence[bytes]:
-        """Refuse each call whose evidence is complete and enough; return those."""
+        """Refuse each call whose newest evidence is complete and enough; return those.
+
+        One that stays in doubt is looked at again when it is sent, or when more is heard of it.
+        """
+        due = [mark for mark in self._undecided if self._is_due(mark, now_s)][:DECIDED_AT_ONCE]
+        self._undecided.difference_update(due)
         return [
             mark
-            for mark, suspect in self.suspects.items()
-            if self.awaits_verdict(mark)
-            and not self._settles(suspect, now_s)
-            and self._refuse_if_guilty(suspect)
+            for mark in due
+            if self.awaits_verdict(mark) and self._refuse_if_guilty(self.suspects[mark])
         ]
 
+    def _is_due(self, mark: bytes, now_s: float) -> bool:
+        suspect = self.suspects.get(mark)
+        return suspect is None or not self._settles(suspect, now_s)
+
     def forget(self, now_s: float) -> Sequence[bytes]:
         """Forget what is old; return the calls that were dropped."""
         gone = [mark for mark, suspect in self.suspects.items() if _is_over(suspect, now_s)]
--- a/samphirecleat/durable/_crash_records.py
+++ b/samphirecleat/durable/_crash_records.py
@@ -25,9 +25,13 @@
 READ_WAIT_S: Final = 10.0
 # Appends of one node are this far apart.
 GAP_S: Final = 0.05
-# Nodes without evidence of their own wait so long for another one to have written it.
-OTHERS_WAIT_S: Final = (0.1, 0.6)
-RETRY_S: Final = (0.1, 0.3)
+# A node without evidence of its own waits so long, and up to so much longer for each node of the
+# fleet, for another one to have written it: if all did at once, they would use up the log's rate.
+OTHERS_WAIT_S: Final = 1.5
+WAIT_PER_NODE_S: Final = 0.1
+# A record that was not taken is tried again after this long, and twice as long each time.
+FIRST_RETRY_S: Final = 0.1
+LONGEST_RETRY_S: Final = 5.0
 # A call that is refused and still comes is written anew this often, so that nobody forgets it.
 REFRESH_S: Final = 600.0
 
@@ -47,6 +51,7 @@
         ledger: CrashLedger,
         observer: Observer,
         rng: random.Random,
+        node_count: Callable[[], int],
         pause_s: Callable[[], float] = no_pause,
     ) -> None:
         """Keep ``ledger`` as the log says, reading on ``pause_s`` after news."""
@@ -55,6 +60,8 @@
         self._observer = observer
         self._words = observer.log("crashes")
         self._rng = rng
+        self._node_count = node_count
+        self._retry_s = FIRST_RETRY_S
         self._due_s: dict[bytes, float] = {}
         self._came = asyncio.Event()
         self._written: dict[bytes, _Written] = {}
@@ -77,7 +84,8 @@
         """Write soon what is known of a call, unless another node does meanwhile."""
         if not self._is_news(mark):
             return
-        wait_s = 0.0 if own else self._rng.uniform(*OTHERS_WAIT_S)
+        longest_s = WAIT_PER_NODE_S * self._node_count()
+        wait_s = 0.0 if own else OTHERS_WAIT_S + self._rng.uniform(0.0, longest_s)
         due_s = asyncio.get_running_loop().time() + wait_s
         self._due_s[mark] = min(due_s, self._due_s.get(mark, math.inf))
         self._came.set()
@@ -98,9 +106,14 @@
     async def _write_on(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            if not self._due_s:
-                self._came.clear()
-                await self._came.wait()
+            next_s = min(self._due_s.values(), default=math.inf) - loop.time()
+            self._came.clear()
+            try:
+                async with asyncio.timeout(next_s if next_s < math.inf else None):
+                    await self._came.wait()
+            except TimeoutError:
+                pass
+            # What comes together is written together.
             await asyncio.sleep(GAP_S)
             due = [mark for mark, due_s in self._due_s.items() if due_s <= loop.time()]
             for mark in due:
@@ -114,9 +127,11 @@
         result = await self._log.append(CRASH_TOPIC, entries)
         if result.outcome is AppendOutcome.APPENDED:
             self._observer.counters["crash_records_written"] += len(marks)
+            self._retry_s = FIRST_RETRY_S
             return
         self._words.warning("calls=%d not written yet: %s", len(marks), result.detail)
-        again_s = asyncio.get_running_loop().time() + self._rng.uniform(*RETRY_S)
+        again_s = asyncio.get_running_loop().time() + self._retry_s * self._rng.uniform(1.0, 2.0)
+        self._retry_s = min(LONGEST_RETRY_S, 2.0 * self._retry_s)
         for mark in marks:
             self._due_s.setdefault(mark, again_s)
 
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -228,6 +228,7 @@
             ledger,
             self.observer,
             self._rng,
+            lambda: len(self.board.members),
             lambda: reading_pause_s(len(self.board.members), runs_work=False),
         )
         self._crash_guard = CrashGuard(
--- a/tests/crashes/test_ledger.py
+++ b/tests/crashes/test_ledger.py
@@ -5,7 +5,12 @@
 import pytest
 
 from samphirecleat.crashes import SETTLE_S, CrashLedger, RunEnd, Standing
-from samphirecleat.crashes._ledger import MOST_SUSPECTS, REFUSED_KEPT_S, SUSPECT_KEPT_S
+from samphirecleat.crashes._ledger import (
+    DECIDED_AT_ONCE,
+    MOST_SUSPECTS,
+    REFUSED_KEPT_S,
+    SUSPECT_KEPT_S,
+)
 
 CALL, BESIDE = b"call", b"beside"
 LATER_S = SETTLE_S + 0.01
@@ -184,3 +189,14 @@
     assert ledger.forget(kept_s - 1.0) == []
     assert ledger.forget(kept_s + 10.0) == [CALL]
     assert later(ledger, CALL) is Standing.CLEAR
+
+
+def test_a_flood_of_calls_that_wait_for_a_verdict_is_decided_a_few_at_a_time() -> None:
+    """Verdicts are taken on the loop that serves callers."""
+    ledger = CrashLedger()
+    for number in range(3 * DECIDED_AT_ONCE):
+        at_s = number * 10.0
+        put(ledger, b"%d" % number, [(f"{number}{t}", at_s + b, at_s + e) for t, b, e in IN_TURN])
+    now_s = 3 * DECIDED_AT_ONCE * 10.0 + LATER_S
+    counts = [len(ledger.decide(now_s)) for _ in range(4)]
+    assert counts == [DECIDED_AT_ONCE] * 3 + [0]
--- a/tests/durable/test_crash_records.py
+++ b/tests/durable/test_crash_records.py
@@ -9,7 +9,7 @@
 
 from samphirecleat.crashes import CrashLedger, RunEnd, Standing
 from samphirecleat.durable import CrashRecords
-from samphirecleat.durable._crash_records import CRASH_TOPIC
+from samphirecleat.durable._crash_records import CRASH_TOPIC, OTHERS_WAIT_S
 from samphirecleat.observe import Observer
 
 from ..fleets import until
@@ -23,7 +23,9 @@
 
     def __init__(self, log: MemoryLog, seed: int) -> None:
         self.ledger = CrashLedger()
-        self.records = CrashRecords(log, self.ledger, Observer(f"n{seed}"), random.Random(seed))
+        self.records = CrashRecords(
+            log, self.ledger, Observer(f"n{seed}"), random.Random(seed), lambda: 1
+        )
         self.task = asyncio.ensure_future(self.records.run())
 
     def end_runs(self, *targets: str) -> None:
@@ -100,16 +102,36 @@
             node.end_runs("a")
         await asyncio.sleep(0.15)
         assert appends(log) == 0
-        for node in fleet:
+        for number, node in enumerate(fleet):
             node.ledger.note_end(CALL, RunEnd("b", 1.0, 2.0, "n"), 2.0)
-            node.records.record(CALL, own=False)
+            node.records.record(CALL, own=number == 0)
         await until(lambda: appends(log) == 1)
-        await asyncio.sleep(0.8)
+        await asyncio.sleep(OTHERS_WAIT_S + 0.3)
         assert appends(log) == 1
 
     play(body, nodes=5)
 
 
+def test_a_record_whose_writers_are_lost_is_written_by_another_node() -> None:
+    async def body(log: MemoryLog, fleet: list[Node]) -> None:
+        fleet[0].ledger.note_end(CALL, RunEnd("a", 0.0, 1.0, "lost"), 2.0)
+        fleet[0].ledger.note_end(CALL, RunEnd("b", 1.0, 2.0, "lost"), 2.0)
+        fleet[0].records.record(CALL, own=False)
+        await until(lambda: CALL in fleet[1].ledger.suspects)
+
+    play(body)
+
+
+def test_a_log_that_takes_nothing_is_asked_less_and_less_often() -> None:
+    async def body(log: MemoryLog, fleet: list[Node]) -> None:
+        log.topic(CRASH_TOPIC).answers = ["refused"] * 100
+        fleet[0].end_runs("a", "b")
+        await asyncio.sleep(1.6)
+        assert 2 <= appends(log) <= 5
+
+    play(body)
+
+
 @pytest.mark.parametrize("answer", ["refused", "lost", "late"])
 def test_a_record_that_the_log_did_not_answer_for_is_written_again(answer: str) -> None:
     async def body(log: MemoryLog, fleet: list[Node]) -> None:
