Nodes that come later are told of the requests that are refused

News is told a few times when it is new; the log lines show nodes n19 and n3 started after that, and each let the request end three. On the platform the log tells them, on the product's own interface nothing did. What is refused is told again whenever a live node is new. Test a_node_that_comes_later_is_told_of_what_is_refused.

--- a/samphirecleat/crashes/_guard.py
+++ b/samphirecleat/crashes/_guard.py
@@ -1,7 +1,7 @@
 """Watches runs that are cut off, finds out whether their target ended, and bars what ends them."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Sequence
 from enum import Enum
 from typing import Final, NamedTuple, Protocol
 
@@ -94,6 +94,7 @@
         self._observer = observer
         self._words = observer.log("crashes")
         self._doubts: list[_Doubt] = []
+        self._met: frozenset[str] = frozenset()
         self._looks: dict[TargetStart, tuple[float, asyncio.Task[bool]]] = {}
         self._recorder = recorder
 
@@ -171,9 +172,16 @@
             self._doubts.append(doubt)
             del self._doubts[:-MOST_DOUBTS]
 
-    def review(self) -> None:
-        """Settle doubts by the registrations, refuse where the evidence is complete, forget."""
+    def review(self, live_nodes: Collection[str]) -> None:
+        """Settle doubts by the registrations, refuse where the evidence is complete, forget.
+
+        ``live_nodes`` are incarnations. What is refused is told again when one of them is new: it
+        has heard nothing of what was told before it came.
+        """
         now_s = asyncio.get_running_loop().time()
+        if not self._met.issuperset(live_nodes):
+            self._tell_newcomers()
+        self._met = frozenset(live_nodes)
         doubts, self._doubts = self._doubts, []
         for doubt in doubts:
             match self._registered(doubt.start):
@@ -198,6 +206,12 @@
         for mark in self._ledger.forget(now_s):
             self._recorder.record(mark, own=False)
 
+    def _tell_newcomers(self) -> None:
+        for mark, suspect in self._ledger.suspects.items():
+            if suspect.refused:
+                for target in suspect.ends:
+                    self._news.tell(mark, target)
+
     def evidence(self, mark: bytes, now_s: float) -> str:
         """Return each counted end: its target, the node that saw it, and how old it is."""
         suspect = self._ledger.suspects.get(mark)
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -229,7 +229,7 @@
     async def _review_crashes(self) -> None:
         while True:
             await asyncio.sleep(CRASH_REVIEW_S)
-            self.crash_guard.review()
+            self.crash_guard.review([m.incarnation for m in self.board.live_members()])
 
     async def _listen(self) -> None:
         settings = self.settings
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -336,7 +336,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.target_watch.refresh()
-            self._crash_guard.review()
+            self._crash_guard.review([m.incarnation for m in self.board.live_members()])
             if self.settings.reports_usage:
                 self._agree_on_time()
             await self._sessions.keep(self.targets.targets)
--- a/tests/crashes/test_guard.py
+++ b/tests/crashes/test_guard.py
@@ -17,6 +17,8 @@
 from samphirecleat.crashes import _guard as guard_module
 from samphirecleat.observe import Observer
 
+from .test_news import EMPTY
+
 CALL = b"\x01" * 12
 
 
@@ -40,10 +42,11 @@
         self.others: list[TargetStart] = []
         self.ledger = CrashLedger()
         self.recorder = Recorder()
+        self.news = CrashNews(self.ledger, lambda: 3)
         self.guard = CrashGuard(
             "n",
             self.ledger,
-            CrashNews(self.ledger, lambda: 3),
+            self.news,
             self._listens,
             lambda start: self.registered.get(start.instance, Registered.READY),
             lambda start: [o for o in self.others if o != start],
@@ -113,10 +116,10 @@
         world.listening = {"t:1"}
         await world.cut("t")
         world.registered["t"] = after
-        world.guard.review()
+        world.guard.review([])
         assert world.ends == ends
         world.registered["t"] = Registered.GONE
-        world.guard.review()
+        world.guard.review([])
         assert world.ends == ends
 
     play(body)
@@ -164,3 +167,30 @@
         assert world.ledger.standing(CALL, now_s + 1.1).value == standing
 
     play(body)
+
+
+def test_a_node_that_comes_later_is_told_of_what_is_refused() -> None:
+    """All nodes are replaced one after the other, and none of the new ones saw a target end.
+
+    News is told a few times when it is new. Nobody told it to those who came later, and they let
+    the request end three more targets each.
+    """
+
+    async def body(world: World) -> None:
+        world.guard.review(["a", "b"])
+        for name in ("a", "b", "c"):
+            await world.cut(name)
+            await asyncio.sleep(0.002)
+        world.others = []
+        assert (
+            world.ledger.standing(CALL, asyncio.get_running_loop().time() + 1.1).value == "refused"
+        )
+        while world.news.load(EMPTY, 0.0).crashes:
+            pass
+        world.guard.review(["a", "b"])
+        assert world.news.load(EMPTY, 0.0) is EMPTY
+        world.guard.review(["b", "newcomer"])
+        told = world.news.load(EMPTY, 0.0).crashes
+        assert {row.target for row in told} == {"a@5", "b@5", "c@5"}
+
+    play(body)
--- a/tests/explain/test_barred.py
+++ b/tests/explain/test_barred.py
@@ -59,7 +59,7 @@
         await asyncio.sleep(0.002)
     guard.standing("r-held", CALL)
     await asyncio.sleep(1.05)
-    guard.review()
+    guard.review([])
     guard.standing("r-again", CALL)
 
 
