A target's load no longer vouches for what the target was before

Callers' work went on to a target for more than 3 s after it had said that it leaves. A node hears loads of targets, a few bytes without the word that it leaves, far more often than rows. A load was taken for the newest word of the target as the node knew it: its row of the same answer, no newer, was passed over, and the target never counted as silent, so that the node did not ask for itself either. A node that stood still for 1.0 to 1.5 s while the row was told, too short to distrust all it knows, believed a target to stay for as long as loads came.

A load now carries a hash of the instance and of whether it takes work, so it counts only for a node that knows as much; any other asks for itself after the usual silence. Test a_load_does_not_vouch_for_what_a_target_was_before failed before (the load was taken, the row passed over).

--- a/samphirecleat/controllers/targets/_target_news.py
+++ b/samphirecleat/controllers/targets/_target_news.py
@@ -69,9 +69,11 @@
             same_instance = known.view.instance == view.instance
             view = view._replace(leaving=view.leaving or (same_instance and known.view.leaving))
         is_news = known is None or _identity(known.view) != _identity(view)
-        key = known.key if known and not is_news else target_key(view.address, view.instance)
+        key = known.key if known and not is_news else load_key(view)
         self._put(Heard(view, polled_at_s, key), now_s)
         if is_news:
+            if known is not None:
+                self._by_key.pop(known.key, None)
             self._by_key[key] = view.address
         if is_news and (known is not None or tell_first):
             self._untold[view.address] = 3 + math.ceil(math.log2(len(self.heard) + 1))
@@ -82,7 +84,7 @@
         return message._replace(targets=self._rows(now_s), loads=self._loads(now_s))
 
     def unload_loads(self, loads: Sequence[TargetLoad], now_s: float) -> None:
-        """Take in loads; one of an instance that this node does not know is passed over."""
+        """Take in loads; one of a target that this node knows otherwise is passed over."""
         for load in loads:
             address = self._by_key.get(load.key)
             known = self.heard.get(address) if address is not None else None
@@ -179,10 +181,14 @@
     )
 
 
-def target_key(address: str, instance: str) -> int:
-    """Return four bytes that stand for one instance at one address."""
-    digest = hashlib.blake2b(f"{address}\0{instance}".encode(), digest_size=4).digest()
-    return int.from_bytes(digest)
+def load_key(view: TargetView) -> int:
+    """Return four bytes that stand for one instance at one address, and whether it takes work.
+
+    A load says nothing of that. Were it taken for one that knows the target as it was before, that
+    one would go on believing so, and pass over the row that says otherwise.
+    """
+    said = f"{view.address}\0{view.instance}\0{view.leaving}\0{view.reachable}"
+    return int.from_bytes(hashlib.blake2b(said.encode(), digest_size=4).digest())
 
 
 def _make_load(heard: Heard, now_s: float) -> TargetLoad:
--- a/samphirecleat/peers/_messages.py
+++ b/samphirecleat/peers/_messages.py
@@ -62,7 +62,7 @@
 
 
 class TargetLoad(NamedTuple):
-    """A target's load in few bytes; ``key`` is a hash of its address and instance."""
+    """A target's load in few bytes; ``key`` is a hash of its instance and whether it takes work."""
 
     key: int
     running: int
--- a/tests/controllers/targets/test_target_watch.py
+++ b/tests/controllers/targets/test_target_watch.py
@@ -8,7 +8,7 @@
 from samphirecleat.blackboard import Blackboard, Identity, MemberView, TargetView
 from samphirecleat.config import read_service_text
 from samphirecleat.controllers.membership._discovery import ListedNews, reading_period_s
-from samphirecleat.controllers.targets._target_news import TargetNews, make_row
+from samphirecleat.controllers.targets._target_news import TargetNews, make_row, view_of_row
 from samphirecleat.controllers.targets._target_watch import (
     FALLBACK_POLLS,
     TargetWatch,
@@ -111,6 +111,24 @@
     assert hearer.heard[ADDRESS].view.running == 1
 
 
+@pytest.mark.parametrize("changes", [{"leaving": True}, {"reachable": False}])
+def test_a_load_does_not_vouch_for_what_a_target_was_before(changes: dict[str, object]) -> None:
+    """A target says that it leaves, and its load of the same answer arrives before its row.
+
+    The load was taken for the newest word of a target that stays: the row, no newer, was passed
+    over, and work went on to the target for as long as loads came.
+    """
+    teller, hearer = news_with(SEEN, 100.0), news_with(SEEN, 100.0)
+    teller.note(SEEN._replace(**changes), 101.0, 101.0)
+    message = teller.load(ping(), 101.0)
+    hearer.unload_loads(message.loads, 101.0)
+    assert hearer.heard[ADDRESS].polled_at_s == 100.0
+    row = make_row(teller.heard[ADDRESS], 101.0)
+    assert hearer.note(view_of_row(row, SEEN, 101.0), 101.0 - row.poll_age_ms / 1000.0, 101.0)
+    view = hearer.heard[ADDRESS].view
+    assert {name: getattr(view, name) for name in changes} == changes
+
+
 def test_the_size_of_the_news_does_not_grow_with_the_targets() -> None:
     news = TargetNews()
     for index in range(600):
