A call counts at its target from the moment it is chosen

Callers whose calls lost their target together were sent on to one and the same next target. All calls that a target cut wake in the same turn of the loop, and each chose its next target before any of them was counted there: the whole lot followed the request that had ended the first one, and was lost with it again. Seen in the new test no_call_runs_beside_a_suspect_while_another_target_is_free: 14 calls of one moment all went to one target of six, although suspects are kept apart. The place is now counted when the target is chosen.

New tests of the forwarder: refused under every id, no second attempt beside a suspect, suspects apart, cleared by an answer.

--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -121,18 +121,30 @@
                 call.request_id, mark_of(call), start_of(target), begun_s, fault.detail
             )
 
+    def place(self, target: Target, *, suspect: bool) -> Callable[[], None]:
+        """Count a call at its target from the moment it is chosen; return what ends that.
+
+        Calls that lost their target together choose the next one together, before any of them is
+        sent. Uncounted until then, they would all choose the same one.
+        """
+        self._targets.started(target, suspect=suspect)
+        placed = [target]
+
+        def release() -> None:
+            if placed:
+                self._targets.ended(placed.pop(), suspect=suspect)
+
+        return release
+
     async def attempt(
-        self, call: Call, target: Target, end_s: float, *, suspect: bool = False
+        self, call: Call, target: Target, end_s: float, release: Callable[[], None]
     ) -> TargetAnswer:
-        """Send the call once and note what was seen of the target.
-
-        A ``suspect`` call may end it.
+        """Send the call once, then ``release`` its place, and note what was seen of the target.
 
         :raises TargetFault: when the target gave no answer.
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        self._targets.started(target, suspect=suspect)
         self._targets.warm.taken(target)
         try:
             answer = await self._channel.exchange(call, target, end_s - started_s)
@@ -145,7 +157,7 @@
             self._targets.left_unanswered(target, now_s - started_s, now_s)
             raise
         finally:
-            self._targets.ended(target, suspect=suspect)
+            release()
         now_s = loop.time()
         self.answered(call)
         self._targets.answered(target, now_s - started_s, now_s)
@@ -237,9 +249,11 @@
         self._tried.append(target.instance)
         self._runs_used += 1
         self._trail.sent(target.instance, now_s)
-        suspect = self._standing is not Standing.CLEAR
-        attempt = self._forwarder.attempt(self._call, target, self._end_s, suspect=suspect)
+        release = self._forwarder.place(target, suspect=self._standing is not Standing.CLEAR)
+        attempt = self._forwarder.attempt(self._call, target, self._end_s, release)
         task = asyncio.ensure_future(attempt)
+        # One that is cancelled before its first step releases nothing itself.
+        task.add_done_callback(lambda _task: release())
         attempts.append(_Attempt(target, task, now_s))
         return True
 
