A stream that broke off within an event counts as cut by its engine; test with real nodes

A stream that ends its engines was seen to end only where its transfer coding broke off; closed within an event it looked like a faulty one. Test a_stream_that_ends_its_engines_is_opened_at_three_more_at_most, resumable and not (it held before for coded streams).

--- a/samphirecleat/platform/_call_stream.py
+++ b/samphirecleat/platform/_call_stream.py
@@ -2,7 +2,8 @@
 
 from collections.abc import AsyncGenerator
 
-from ..serving import Call, StreamEvent, StreamStart, Target, TargetAnswer
+from ..errors import Ran
+from ..serving import Call, StreamEvent, StreamStart, Target, TargetAnswer, TargetFault
 from ._answers import ANSWER_FAULTS
 from ._call_exchange import (
     answer_headers,
@@ -57,5 +58,7 @@
                     event = read_event(block, version)
                     version = event.version
                     yield StreamEvent(event.event_id, version, block)
-        except (EventFormatError, *ANSWER_FAULTS) as error:
+        except EventFormatError as error:
+            raise TargetFault(f"{target.instance}: {error}", Ran.UNKNOWN, cut=True) from error
+        except ANSWER_FAULTS as error:
             raise lost_answer(target, error) from error
--- a/tests/platform/test_crashing_calls.py
+++ b/tests/platform/test_crashing_calls.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import aiohttp
+import pytest
 
 from .nodes import Caller, Nodes, config_document, config_with_keys, running_nodes
 from .standin_ending import EndingTarget, ending_targets
@@ -140,6 +141,28 @@
     asyncio.run(body())
 
 
+@pytest.mark.parametrize("path", ["/run/poison", "/run/once/poison"])
+def test_a_stream_that_ends_its_engines_is_opened_at_three_more_at_most(
+    tmp_path: Path, path: str
+) -> None:
+    """A stream goes on at another engine where one breaks off, and its caller comes again."""
+
+    async def body() -> None:
+        async with (
+            running_nodes(3, tmp_path) as (nodes, caller, store, _),
+            ending_targets(store, 4, path, service="engine") as targets,
+            aiohttp.ClientSession() as session,
+        ):
+            await ready(nodes, caller)
+            await end_three(session, nodes, targets, path=path)
+            before = ended(targets)
+            for number in range(100, 109):
+                assert await send(session, nodes, number, path=path) in (502, 503)
+            assert ended(targets) - before <= RETRIES, nodes.logs()
+
+    asyncio.run(body())
+
+
 def test_a_request_under_way_at_targets_that_end_for_another_reason_is_served(
     tmp_path: Path,
 ) -> None:
