A popular request that begins to end its targets is held until all is calm

After a release that a popular request crashes, it would have ended target after target for good: it was answered in the minute before, so that only ends in a later burst could refuse it, and it came so often that no burst ever ended. Found by reading. Whatever has three ends in turn is now held for the second after its newest end, answered before or not; what is sent then is a burst of its own. One of two checks that a suspect gets no second attempt is gone: each survived the removal of the other.

--- a/samphirecleat/crashes/_suspect.py
+++ b/samphirecleat/crashes/_suspect.py
@@ -67,13 +67,9 @@
     """Whether the ends of a call have the shape of one that ends its targets.
 
     Targets that end together for another reason take a popular call down at several of them at
-    once, but only a call that ends its targets ends the next one too, in turn. One that was
-    answered shortly before has to do so once more when all is calm again.
+    once, but only a call that ends its targets ends the next one too, in turn.
     """
-    if not suspect.fresh or len(suspect.ends) < FREE_ENDS:
-        return False
-    known = suspect.answered_s > -math.inf
-    return len(_bursts(suspect.ends)) > 1 or (not known and _rounds(suspect.ends) > 1)
+    return suspect.fresh and len(suspect.ends) >= FREE_ENDS and _rounds(suspect.ends) > 1
 
 
 def ends_its_targets(
@@ -83,14 +79,18 @@
 ) -> bool:
     """Whether a call that may end its targets, and nothing else, did so.
 
-    ``is_calm`` says whether no target ended without this call near the times of some ends.
-    ``others`` ran beside it; one that ran at each of these ends may as well be the cause.
+    One that was answered shortly before has to do so once more when all is calm again: a popular
+    call is always under way, also at targets that end in turn for another reason. ``is_calm`` says
+    whether no target ended without this call near the times of some ends. ``others`` ran beside
+    it; one that ran at each of these ends may as well be the cause.
     """
     if not may_end_its_targets(suspect):
         return False
     bursts = _bursts(suspect.ends)
     if len(bursts) >= MOST_BURSTS and len(suspect.ends) >= MOST_ENDS:
         return True
+    if len(bursts) == 1 and suspect.answered_s > -math.inf:
+        return False
     telling = bursts[-1]
     names = {end.target for end in telling}
     tied = any(other is not suspect and names <= other.ends.keys() for other in others)
--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -214,11 +214,7 @@
                     f"no answer in time; {self._trail.told(loop.time())}",
                     ran=Ran.UNKNOWN,
                 )
-            may_hedge = (
-                self._repeatable
-                and self._runs_used < self._route.max_attempts
-                and self._standing is Standing.CLEAR
-            )
+            may_hedge = self._repeatable and self._runs_used < self._route.max_attempts
             wait_s = min(left_s, max(0.0, next_hedge_s - loop.time())) if may_hedge else left_s
             done, _ = await asyncio.wait(
                 [a.task for a in attempts], timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
--- a/tests/crashes/test_ledger.py
+++ b/tests/crashes/test_ledger.py
@@ -94,12 +94,32 @@
     ledger.remember_answer(CALL, -0.1)
     put(ledger, CALL, [(f"t{number}", number / 10.0, number / 10.0 + 0.05) for number in range(9)])
     assert ledger.recall_answer(CALL, 1.0)
-    assert later(ledger, CALL, SETTLE_S / 2.0) is Standing.SUSPECT
+    assert later(ledger, CALL, SETTLE_S / 2.0) is Standing.HELD
+    assert ledger.decide(0.85 + LATER_S) == []
     assert later(ledger, CALL) is Standing.SUSPECT
     put(ledger, CALL, [("d", 5.0, 5.1)])
     assert later(ledger, CALL) is Standing.REFUSED
 
 
+def test_a_popular_call_that_begins_to_end_its_targets_is_held_until_all_is_calm() -> None:
+    """After a release each target that runs a popular request ends, and it comes all the time.
+
+    Without the hold, its ends would follow each other without a pause, and nothing would ever
+    tell them from those of a service that loses all its targets.
+    """
+    ledger = CrashLedger()
+    ledger.remember_answer(CALL, -0.1)
+    sent, at_s = 0, 0.0
+    while at_s < 20.0:
+        if ledger.standing(CALL, at_s) in (Standing.CLEAR, Standing.SUSPECT):
+            sent += 1
+            put(ledger, CALL, [(f"t{sent}", at_s, at_s + 0.05)])
+            ledger.recall_answer(CALL, at_s + 0.05)
+        at_s += 0.06
+    assert sent == 4
+    assert ledger.standing(CALL, at_s) is Standing.REFUSED
+
+
 def test_runs_that_two_nodes_saw_are_told_apart_only_beyond_what_a_datagram_takes() -> None:
     ledger = CrashLedger()
     for number, (target, begun_s) in enumerate((("a", 0.0), ("b", 0.11), ("c", 0.12))):
