--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -13,9 +13,7 @@
 from .._boot_clock import boot_time_s
 from ..blackboard import Blackboard, Identity, Member
 from ..controllers.membership import Membership
-from ..crashes import CrashGuard, CrashLedger, CrashNews
 from ..durable import (
-    CrashRecords,
     DutyParts,
     MeetingPoint,
     ProgressJournal,
@@ -36,10 +34,8 @@
     TargetRegistry,
     TargetTable,
     no_meter,
-    others_beside,
-    registration_of,
 )
-from ..targets import is_listening, make_connector
+from ..targets import make_connector
 from ..usage import (
     ClockSample,
     TrueClock,
@@ -49,6 +45,7 @@
 from ._boot_settings import BootSettings
 from ._call_exchange import CallExchange
 from ._call_stream import CallStream
+from ._crash_parts import wire_crash_parts
 from ._duty_api import DutyApi
 from ._engine_orders import EngineOrders
 from ._front import Front
@@ -117,7 +114,9 @@
             self._session, settings.store_address, self._peer_controls, self.observer, self._rng
         )
         self._wire_watches()
-        self._wire_crash_guard()
+        self._crashes = wire_crash_parts(
+            self._store, self.board, self.targets, self.observer, self._rng
+        )
         self._wire_steps()
         self._membership = Membership(
             self.board,
@@ -128,7 +127,7 @@
             heartbeat_s=HEARTBEAT_S,
             suspect_after_s=SUSPECT_AFTER_S,
             rng=self._rng,
-            riders=[self._crash_news],
+            riders=[self._crashes.news],
         )
         await self._listen()
         for work in (
@@ -136,7 +135,7 @@
             self._operator_follower.run(),
             self._meeting_point.run(),
             self._target_follower.run(),
-            self._crash_records.run(),
+            self._crashes.records.run(),
             self.step_log.run(),
             self._duties.run(),
             self._counter.run(),
@@ -220,28 +219,6 @@
             self._store, TOPIC_TARGETS, self.target_watch.take, self.observer, self._rng
         )
 
-    def _wire_crash_guard(self) -> None:
-        ledger = CrashLedger()
-        self._crash_news = CrashNews(ledger, lambda: len(self.board.members))
-        self._crash_records = CrashRecords(
-            self._store,
-            ledger,
-            self.observer,
-            self._rng,
-            lambda: len(self.board.members),
-            lambda: reading_pause_s(len(self.board.members), runs_work=False),
-        )
-        self._crash_guard = CrashGuard(
-            self.settings.node_id,
-            ledger,
-            self._crash_news,
-            is_listening,
-            lambda start: registration_of(self.targets, start),
-            lambda start: others_beside(self.targets, start),
-            self._crash_records,
-            self.observer,
-        )
-
     def _wire_steps(self) -> None:
         exchange = CallExchange(self._sessions)
         self._counter = UsageCounter(
@@ -254,7 +231,7 @@
         )
         meter = self._counter.began if self.settings.reports_usage else no_meter
         forwarder = Forwarder(
-            self.routes, self.targets, exchange, self._rng, meter, self._crash_guard
+            self.routes, self.targets, exchange, self._rng, meter, self._crashes.guard
         )
         self.step_log = StepLog(
             self._store,
@@ -294,7 +271,7 @@
             ProgressJournal(self._store, self.observer),
             self.observer,
             self.operator.named,
-            guard=self._crash_guard,
+            guard=self._crashes.guard,
         )
         self._api = DutyApi(
             self._session, self.settings.api_address, self.settings.api_calls_per_s, self.observer
@@ -336,7 +313,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.target_watch.refresh()
-            self._crash_guard.review([m.incarnation for m in self.board.live_members()])
+            self._crashes.guard.review([m.incarnation for m in self.board.live_members()])
             if self.settings.reports_usage:
                 self._agree_on_time()
             await self._sessions.keep(self.targets.targets)
@@ -359,7 +336,7 @@
         return follower.age_s() <= REGISTRATIONS_FRESH_S and away_ago_s > REGISTRATIONS_BACK_S
 
     def _is_ready(self) -> bool:
-        caught_up = self._target_follower.caught_up and self._crash_records.caught_up
+        caught_up = self._target_follower.caught_up and self._crashes.records.caught_up
         return self.routes.known and caught_up and not self.board.leaving
 
     def _own_row(self) -> Member:
--- a/tests/controllers/admission/test_crash_watch.py
+++ b/tests/controllers/admission/test_crash_watch.py
@@ -8,12 +8,12 @@
 from samphirecleat.config import ServiceKind
 from samphirecleat.controllers.admission import others_beside, registration_of
 from samphirecleat.controllers.admission._crash_watch import mark_of, start_of
-from samphirecleat.crashes import CrashGuard, CrashLedger, CrashNews, Registered, UnkeptEnds
+from samphirecleat.crashes import CrashGuard, CrashLedger, Registered
 from samphirecleat.errors import ErrorKind, Ran, RequestError
-from samphirecleat.observe import Observer
 from samphirecleat.standins import StandInPlainService
 from samphirecleat.targets import is_listening
 
+from ...crashes.guards import make_guard
 from .dispatch_stage import PLAIN_SERVICE, make_bench, make_call, run
 
 SERVER = TargetView("a:1", "svc", "z", "i-1", reachable=True)
@@ -56,16 +56,11 @@
 
 
 def guard_of(board: Blackboard) -> CrashGuard:
-    ledger = CrashLedger()
-    return CrashGuard(
-        "n1",
-        ledger,
-        CrashNews(ledger, lambda: 1),
+    return make_guard(
+        CrashLedger(),
         is_listening,
         lambda start: registration_of(board, start),
         lambda start: others_beside(board, start),
-        UnkeptEnds(),
-        Observer("n1"),
     )
 
 
--- a/tests/crashes/test_guard.py
+++ b/tests/crashes/test_guard.py
@@ -7,7 +7,6 @@
 import pytest
 
 from samphirecleat.crashes import (
-    CrashGuard,
     CrashLedger,
     CrashNews,
     Registered,
@@ -15,8 +14,8 @@
     TargetStart,
 )
 from samphirecleat.crashes import _guard as guard_module
-from samphirecleat.observe import Observer
 
+from .guards import make_guard
 from .test_news import EMPTY
 
 CALL = b"\x01" * 12
@@ -43,15 +42,13 @@
         self.ledger = CrashLedger()
         self.recorder = Recorder()
         self.news = CrashNews(self.ledger, lambda: 3)
-        self.guard = CrashGuard(
-            "n",
+        self.guard = make_guard(
             self.ledger,
-            self.news,
             self._listens,
             lambda start: self.registered.get(start.instance, Registered.READY),
             lambda start: [o for o in self.others if o != start],
-            self.recorder,
-            Observer("n"),
+            news=self.news,
+            recorder=self.recorder,
         )
 
     async def _listens(self, address: str) -> bool:
@@ -143,7 +140,7 @@
         with caplog.at_level(logging.WARNING):
             assert world.guard.standing("again", CALL) is Standing.HELD
         assert "request=again" in caplog.text
-        assert all(f"{name}@5/n/0.0s" in caplog.text for name in ("a", "b", "c"))
+        assert all(f"{name}@5/n1/0.0s" in caplog.text for name in ("a", "b", "c"))
         world.guard.answered("again", CALL)
         assert world.guard.standing("again", CALL) is Standing.CLEAR
 
--- a/tests/durable/test_runner.py
+++ b/tests/durable/test_runner.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from samphirecleat.crashes import CrashGuard, CrashLedger, CrashNews, Registered, UnkeptEnds
+from samphirecleat.crashes import CrashLedger
 from samphirecleat.durable import GenerationEnd
-from samphirecleat.observe import Observer
 
+from ..crashes.guards import make_guard
 from ..fleets import until
 from .runner_stage import EVENTS, RunnerStage, play
 from .steps import finished, step
@@ -302,9 +302,6 @@
     Made anew at the next engine at once, it took all engines of its service down, again and again.
     """
 
-    async def ended(_address: str) -> bool:
-        return False
-
     async def body(stage: RunnerStage) -> None:
         stage.engines.ends_on.add("s1-0")
         await stage.accept(step(items=4))
@@ -315,16 +312,6 @@
         await stage.listed(4)
 
     ledger = CrashLedger()
-    guard = CrashGuard(
-        "n1",
-        ledger,
-        CrashNews(ledger, lambda: 1),
-        ended,
-        lambda _start: Registered.READY,
-        lambda _start: (),
-        UnkeptEnds(),
-        Observer("n1"),
-    )
-    stage = play(["e1", "e2", "e3", "e4"], body, guard=guard)
+    stage = play(["e1", "e2", "e3", "e4"], body, guard=make_guard(ledger))
     assert all(stage.results().values())
     assert not any(suspect.ends for suspect in ledger.suspects.values())
--- a/tests/explain/test_barred.py
+++ b/tests/explain/test_barred.py
@@ -7,17 +7,12 @@
 
 import pytest
 
-from samphirecleat.crashes import (
-    CrashGuard,
-    CrashLedger,
-    CrashNews,
-    Registered,
-    TargetStart,
-    UnkeptEnds,
-)
+from samphirecleat.crashes import CrashLedger, TargetStart
 from samphirecleat.explain import LogLine, read_lines, trace_barred
 from samphirecleat.explain._command import render
-from samphirecleat.observe import JsonFormatter, Observer
+from samphirecleat.observe import JsonFormatter
+
+from ..crashes.guards import make_guard
 
 CALL = b"\x09" * 12
 
@@ -39,20 +34,7 @@
 
 
 async def _end_three() -> None:
-    async def gone(_address: str) -> bool:
-        return False
-
-    ledger = CrashLedger()
-    guard = CrashGuard(
-        "n1",
-        ledger,
-        CrashNews(ledger, lambda: 1),
-        gone,
-        lambda _start: Registered.READY,
-        lambda _start: (),
-        UnkeptEnds(),
-        Observer("n1"),
-    )
+    guard = make_guard(CrashLedger())
     loop = asyncio.get_running_loop()
     for name in ("a", "b", "c"):
         await guard.cut(f"r-{name}", CALL, TargetStart(name, "h:1", 5), loop.time(), "reset")
--- a/tests/serving/test_crash_watch.py
+++ b/tests/serving/test_crash_watch.py
@@ -6,17 +6,8 @@
 
 import pytest
 
-from samphirecleat.crashes import (
-    SETTLE_S,
-    CrashGuard,
-    CrashLedger,
-    CrashNews,
-    Registered,
-    RunEnd,
-    UnkeptEnds,
-)
+from samphirecleat.crashes import SETTLE_S, CrashLedger, Registered, RunEnd
 from samphirecleat.errors import ErrorKind, Ran, RequestError
-from samphirecleat.observe import Observer
 from samphirecleat.serving import (
     Call,
     CallKind,
@@ -34,6 +25,8 @@
     start_of,
 )
 
+from ..crashes.guards import make_guard
+
 OK = TargetAnswer(200, (), b"whole", "sig")
 ROUTE = Route(
     "r", "h", "/", CallKind.IDEMPOTENT, [WeightedService("svc", 1.0)], 5.0, 0.1, max_attempts=2
@@ -68,15 +61,11 @@
         self.table = TargetTable("z")
         names = [f"t{number}" for number in range(6)]
         self.table.replace({n: Target(n, "svc", f"{n}:1", "z", 4, False) for n in names})
-        self.guard = CrashGuard(
-            "n",
+        self.guard = make_guard(
             self.ledger,
-            CrashNews(self.ledger, lambda: 1),
             self._listens,
             lambda start: registration_of(self.table, start),
             lambda start: others_beside(self.table, start),
-            UnkeptEnds(),
-            Observer("n"),
         )
         self.forwarder = Forwarder(
             RouteTable(), self.table, self.channel, random.Random(1), guard=self.guard
