Two requests that end targets at the same times are both refused within the retries that are left

Each makes the other's ends look like those of a lost zone, so that only the last bound refuses them: five ends in three bursts. A client that tries again at another node at once, before that one can know, costs two targets a coming, so the third burst came after four retries of which three are allowed. Found by counting through it; the bound is now five ends of which two came after the first burst.

--- a/samphirecleat/crashes/_suspect.py
+++ b/samphirecleat/crashes/_suspect.py
@@ -8,10 +8,10 @@
 
 # A call that ends its targets may end so many; what follows are retries.
 FREE_ENDS: Final = 3
-# So many, in three bursts, refuse a call whatever else went on: two of the three retries that the
-# bound allows are used by then.
+# So many, of which so many after the first burst, refuse a call whatever else went on. Two of the
+# three retries that the bound allows are used then; the third may be under way at another node.
 MOST_ENDS: Final = 5
-MOST_BURSTS: Final = 3
+MOST_LATER_ENDS: Final = 2
 # Times that two nodes saw are this far apart at most: what a datagram takes between them.
 CLOCK_SLACK_S: Final = 0.03
 # What other nodes saw has arrived this long after it happened. Runs that began so long after the
@@ -87,7 +87,8 @@
     if not may_end_its_targets(suspect):
         return False
     bursts = _bursts(suspect.ends)
-    if len(bursts) >= MOST_BURSTS and len(suspect.ends) >= MOST_ENDS:
+    later_ends = len(suspect.ends) - len(bursts[0])
+    if later_ends >= MOST_LATER_ENDS and len(suspect.ends) >= MOST_ENDS:
         return True
     if len(bursts) == 1 and suspect.answered_s > -math.inf:
         return False
--- a/tests/crashes/test_ledger.py
+++ b/tests/crashes/test_ledger.py
@@ -85,6 +85,22 @@
     assert later(ledger, CALL) is Standing.REFUSED
 
 
+def test_two_requests_that_end_their_targets_at_the_same_times_are_both_refused_in_time() -> None:
+    """Each makes the other's ends look like those of a lost zone, whenever they come.
+
+    Their clients try again at another node at once, before that one can know of the new end: each
+    coming costs two targets, and of the retries three are allowed.
+    """
+    ledger = CrashLedger()
+    put(ledger, CALL, IN_TURN)
+    put(ledger, BESIDE, [(f"{target}'", begun_s, ended_s) for target, begun_s, ended_s in IN_TURN])
+    for number, mark in enumerate((CALL, BESIDE)):
+        assert later(ledger, mark) is Standing.SUSPECT
+        put(ledger, mark, [(f"d{number}", 5.0, 5.1), (f"e{number}", 5.05, 5.2)])
+    assert later(ledger, CALL) is Standing.REFUSED
+    assert later(ledger, BESIDE) is Standing.REFUSED
+
+
 def test_a_popular_call_whose_targets_all_go_one_after_the_other_is_served() -> None:
     """A service loses all targets within a second, and one request is always under way at each.
 
