--- a/samphirecleat/controllers/admission/_dispatcher.py
+++ b/samphirecleat/controllers/admission/_dispatcher.py
@@ -10,7 +10,7 @@
 
 from ...blackboard import Blackboard, TargetView
 from ...config import Service, ServiceKind
-from ...crashes import CrashGuard, Standing
+from ...crashes import CrashGuard, barred_error, is_barred
 from ...errors import ErrorKind, Ran, RequestError
 from ...observe import Observer
 from ...requests import AnswerLine, AnswerLog, Call, WorkClass
@@ -24,7 +24,6 @@
 from ._routing import RoutingView, choose_target
 
 NO_TARGET_RETRY_S: Final = 1.0
-HELD_RETRY_S: Final = 1.0
 PRIORITIES_PER_CLASS: Final = 10
 
 
@@ -174,17 +173,9 @@
         """
         if self._guard is None or not self._guards(call) or not self._guard.suspects_any:
             return
-        match self._guard.standing(call.request_id, mark_of(call)):
-            case Standing.REFUSED:
-                detail = "targets end when they run this request"
-                raise RequestError(ErrorKind.CRASHES_TARGETS, detail)
-            case Standing.HELD:
-                held = RequestError(
-                    ErrorKind.CRASH_SUSPECTED,
-                    "targets ended while they ran this request; whether by it is being found out",
-                    retry_after_s=HELD_RETRY_S,
-                )
-                raise _weaken(held, attempts.may_have_run)
+        standing = self._guard.standing(call.request_id, mark_of(call))
+        if is_barred(standing):
+            raise _weaken(barred_error(standing), attempts.may_have_run)
 
     async def _note_cut(
         self, call: Call, target: TargetView, begun_s: float, error: TargetError
--- a/samphirecleat/crashes/__init__.py
+++ b/samphirecleat/crashes/__init__.py
@@ -1,5 +1,6 @@
 """Calls that end the targets that run them: evidence of all nodes, and a bound on retries."""
 
+from ._barred import barred_error, is_barred
 from ._call_mark import call_mark
 from ._guard import CrashGuard, EndRecorder, Registered, TargetStart, UnkeptEnds
 from ._ledger import CrashLedger
@@ -20,5 +21,7 @@
     "Suspect",
     "TargetStart",
     "UnkeptEnds",
+    "barred_error",
     "call_mark",
+    "is_barred",
 ]
--- /dev/null
+++ b/samphirecleat/crashes/_barred.py
@@ -0,0 +1,30 @@
+"""What the caller of a request is told that is not sent since targets ended under it."""
+
+from typing import Final
+
+from ..errors import ErrorKind, RequestError
+from ._suspect import SETTLE_S, Standing
+
+# What the caller of a held request is told to wait: until what other nodes saw has arrived.
+HELD_RETRY_S: Final = SETTLE_S
+
+
+def is_barred(standing: Standing) -> bool:
+    """Whether a request is not sent for now, or for good."""
+    return standing in (Standing.HELD, Standing.REFUSED)
+
+
+def barred_error(standing: Standing, tried: str = "") -> RequestError:
+    """Return the error of a request that is barred; ``tried`` says what came of earlier attempts.
+
+    One that is held has not run under its id, unless an attempt before may have.
+    """
+    if standing is Standing.REFUSED:
+        told = f": {tried}" if tried else ""
+        detail = f"targets end when they run this request; change it{told}"
+        return RequestError(ErrorKind.CRASHES_TARGETS, detail)
+    return RequestError(
+        ErrorKind.CRASH_SUSPECTED,
+        "targets ended while they ran this request; whether by it is being found out",
+        retry_after_s=HELD_RETRY_S,
+    )
--- a/samphirecleat/crashes/_guard.py
+++ b/samphirecleat/crashes/_guard.py
@@ -6,6 +6,7 @@
 from typing import Final, NamedTuple, Protocol
 
 from ..observe import Observer
+from ._barred import is_barred
 from ._ledger import CrashLedger
 from ._news import NO_CALL, CrashNews
 from ._suspect import RunEnd, Standing
@@ -107,7 +108,7 @@
         """Return what may be done with a call now; what bars it is logged."""
         now_s = asyncio.get_running_loop().time()
         standing = self._ledger.standing(mark, now_s)
-        if standing in (Standing.HELD, Standing.REFUSED):
+        if is_barred(standing):
             self._observer.counters[f"crash_calls_{standing.value}"] += 1
             self._words.warning(
                 "request=%s call=%s %s evidence=%s",
@@ -123,7 +124,7 @@
     def bars(self, mark: bytes) -> bool:
         """Whether a call is held or refused now; nothing is logged or counted."""
         now_s = asyncio.get_running_loop().time()
-        return self._ledger.standing(mark, now_s) in (Standing.HELD, Standing.REFUSED)
+        return is_barred(self._ledger.standing(mark, now_s))
 
     def answered(self, request_id: str, mark: bytes) -> None:
         """Note a target's answer to a call, which may be suspected."""
--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
-from ..crashes import CrashGuard, Standing
+from ..crashes import CrashGuard, Standing, barred_error, is_barred
 from ..errors import ErrorKind, Ran, RequestError
 from ._attempt_trail import AttemptTrail
 from ._crash_watch import mark_of, start_of
@@ -35,8 +35,6 @@
 # Answers to calls with larger bodies are only noted while any call is suspected: a digest of each
 # would cost more than it tells, since hardly two are alike.
 REMEMBERED_BYTES: Final = 65536
-# What the caller of a call that is held is told to wait: until what other nodes saw has arrived.
-HELD_RETRY_S: Final = 1.0
 
 
 UsageMeter = Callable[[str, float], None]
@@ -288,27 +286,14 @@
         raise unanswered(self._ran, self._trail.told(now_s))
 
 
-def is_barred(standing: Standing) -> bool:
-    """Whether a call is not sent for now, or for good."""
-    return standing in (Standing.HELD, Standing.REFUSED)
-
-
 def barred(standing: Standing, ran: Ran, detail: str) -> RequestError:
     """Return the error of a call that is not sent since targets ended under it.
 
     ``ran`` is NO only if no target can have run it under this id.
     """
-    if standing is Standing.REFUSED:
-        return RequestError(
-            ErrorKind.CRASHES_TARGETS, f"targets end when they run this request: {detail}"
-        )
-    if ran is Ran.NO:
-        return RequestError(
-            ErrorKind.CRASH_SUSPECTED,
-            "targets ended while they ran this request; whether by it is being found out",
-            retry_after_s=HELD_RETRY_S,
-        )
-    return unanswered(ran, detail)
+    if standing is Standing.HELD and ran is not Ran.NO:
+        return unanswered(ran, detail)
+    return barred_error(standing, detail)
 
 
 def unanswered(ran: Ran, detail: str) -> RequestError:
--- a/samphirecleat/serving/_stream_relay.py
+++ b/samphirecleat/serving/_stream_relay.py
@@ -10,7 +10,7 @@
 from contextlib import suppress
 from typing import Final
 
-from ..crashes import Standing
+from ..crashes import Standing, is_barred
 from ..errors import ErrorKind, Ran, RequestError
 from ._attempt_trail import AttemptTrail
 from ._forwarder import (
@@ -18,7 +18,6 @@
     RETURN_MARGIN_S,
     Forwarder,
     barred,
-    is_barred,
     unanswered,
 )
 from ._target_table import TargetTable
