A stream's run is counted at its target by the same function as a call's; one question tells whether the guard holds for a call

Found on reading the change once more, no change of behaviour: the relay of streams counted suspects at targets in a way of its own beside Forwarder.place, and the dispatcher asked twice whether there is a guard wherever it used one.

--- a/samphirecleat/controllers/admission/_dispatcher.py
+++ b/samphirecleat/controllers/admission/_dispatcher.py
@@ -134,8 +134,8 @@
             begun_s = asyncio.get_running_loop().time()
             try:
                 await self._attempt(service, target, call, answer)
-                if self._guard is not None and self._guards(call):
-                    self._guard.answered(call.request_id, mark_of(call))
+                if (guard := self._guard_of(call)) is not None:
+                    guard.answered(call.request_id, mark_of(call))
                 return
             except TargetError as error:
                 await self._note_cut(call, target, begun_s, error)
@@ -158,12 +158,12 @@
                         if spends_budget and not budget.take():
                             raise _weaken(final, attempts.may_have_run) from error
 
-    def _guards(self, call: Call) -> bool:
-        """Whether the bound on calls that end their targets holds for a call.
+    def _guard_of(self, call: Call) -> CrashGuard | None:
+        """Return the guard if the bound on calls that end their targets holds for a call.
 
         The samples of a step are made anew elsewhere until they are whole.
         """
-        return self._guard is not None and call.work_class is WorkClass.CALLER
+        return self._guard if call.work_class is WorkClass.CALLER else None
 
     def _check_standing(self, call: Call, attempts: _Attempts) -> None:
         """Return if a call may be sent to a target now.
@@ -171,9 +171,10 @@
         :raises RequestError: CRASHES_TARGETS for one that ends them, CRASH_SUSPECTED while that
             is being found out.
         """
-        if self._guard is None or not self._guards(call) or not self._guard.suspects_any:
+        guard = self._guard_of(call)
+        if guard is None or not guard.suspects_any:
             return
-        standing = self._guard.standing(call.request_id, mark_of(call))
+        standing = guard.standing(call.request_id, mark_of(call))
         if is_barred(standing):
             raise _weaken(barred_error(standing), attempts.may_have_run)
 
@@ -181,12 +182,10 @@
         self, call: Call, target: TargetView, begun_s: float, error: TargetError
     ) -> None:
         """Take a failure of a run, which may have ended with its target."""
-        failure = error.failure
-        if self._guard is None or not self._guards(call):
-            return
-        if isinstance(failure, Lost) and failure.cut:
+        failure, guard = error.failure, self._guard_of(call)
+        if guard is not None and isinstance(failure, Lost) and failure.cut:
             mark, start = mark_of(call), start_of(target)
-            await self._guard.cut(call.request_id, mark, start, begun_s, failure.detail)
+            await guard.cut(call.request_id, mark, start, begun_s, failure.detail)
 
     def _choose(self, service: Service, call: Call, tried: Sequence[str]) -> TargetView | None:
         now_s = asyncio.get_running_loop().time()
--- a/samphirecleat/serving/_stream_relay.py
+++ b/samphirecleat/serving/_stream_relay.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import suppress
 from typing import Final
 
@@ -39,6 +39,10 @@
 _Item = TargetAnswer | StreamStart | StreamEvent
 
 
+def _nothing_placed() -> None:
+    """Release nothing: no run was placed yet."""
+
+
 class StreamBrokenError(Exception):
     """A stream that was passed on in part and can't be ended; the caller must see it cut."""
 
@@ -92,6 +96,7 @@
         self._metered = False
         self._standing = Standing.CLEAR
         self._begun_s = 0.0
+        self._release: Callable[[], None] = _nothing_placed
         self.start = StreamStart(0, (), 0)
 
     async def begin(self) -> TargetAnswer | None:
@@ -151,7 +156,7 @@
             with suppress(TargetFault):
                 await source.aclose()
         if self._target is not None:
-            self._relay.targets.ended(self._target, suspect=self._is_suspect())
+            self._release()
             self._target = None
 
     def _take(self, item: _Item) -> StreamEvent:
@@ -202,7 +207,8 @@
         self._begun_s = loop.time()
         self._target = target
         self._trail.sent(target.instance, loop.time())
-        self._relay.targets.started(target, suspect=self._is_suspect())
+        suspect = self._standing is not Standing.CLEAR
+        self._release = self._relay.forwarder.place(target, suspect=suspect)
         self._source = self._relay.channel.stream(
             self._call, target, self._end_s - loop.time(), self._last_event_id
         )
@@ -238,10 +244,6 @@
             await self._leave(TargetFault("no stream to go on with", Ran.UNKNOWN))
         raise StreamBrokenError(f"after event {self._last_event_id}: {self._told()}")
 
-    def _is_suspect(self) -> bool:
-        """Whether targets ended under this call before its present run."""
-        return self._standing is not Standing.CLEAR
-
     def _note_outcome(self, outcome: str) -> None:
         if self._target is not None:
             now_s = asyncio.get_running_loop().time()
