--- a/samphirecleat/serving/_types.py
+++ b/samphirecleat/serving/_types.py
@@ -146,7 +146,8 @@
 
     ``raw_path`` holds the path and query as sent. ``deadline_s`` is the time on the node's clock at
     which the caller stops waiting. ``workspace`` is the one whose key the caller presented, "" for
-    an anonymous call. ``caller`` identifies the sender as far as it is known.
+    an anonymous call. ``caller`` identifies the sender as far as it is known. ``for_trainer`` marks
+    a call that a trainer waits for and no caller.
     """
 
     request_id: str
@@ -159,6 +160,7 @@
     deadline_s: float
     workspace: str = ""
     caller: str = ""
+    for_trainer: bool = False
 
 
 class TargetAnswer(NamedTuple):
