Add the queue of a service with known capacity

Under several times the load that a service can serve, every call is sent to up to eight targets, which refuse most of them and answer the others late; refused callers are all told the same delay. The pure modules of dispatch/ track the room at each target, book retries, and decide which calls wait, start or are refused. Nothing uses them yet.

--- /dev/null
+++ b/samphirecleat/dispatch/__init__.py
@@ -0,0 +1,5 @@
+"""Queues of services whose targets this node dispatches to, and their known capacity."""
+
+from ._room import MAX_TARGET_BYTES
+
+__all__ = ["MAX_TARGET_BYTES"]
--- /dev/null
+++ b/samphirecleat/dispatch/_line.py
@@ -0,0 +1,452 @@
+"""The queue of one service: which calls wait, in which order they start, at which target.
+
+Load addressed: for seconds, callers send several times as many calls as the targets of a service
+can serve, while targets fail or become slow. If every call is sent at once, the targets refuse most
+of them and answer the others late. Here a call waits only if it can still be answered in time, and
+any other call is refused at once, with a time to retry at which there will be capacity.
+"""
+
+import math
+from collections.abc import Callable, Iterable, Sequence
+from enum import IntEnum
+from typing import Final
+
+from ..serving import SendOutcome, Target
+from ._decisions import Decision, Refusal, RefusalReason, Start, Wait
+from ._recent_starts import RecentStarts
+from ._returns import MAX_DELAY_SHARE, MIN_DELAY_SHARE, ReturnSchedule
+from ._room import RoomTable, TargetRoom
+from ._waiting_calls import LineEntry, WaitingCalls
+
+# Callers' calls that start for each call of a trainer while both wait: trainers get a sixth.
+CALLERS_PER_TRAINER: Final = 5
+# A call is admitted if its wait leaves this many mean times for the answer, because durations vary
+# and the estimate of the wait has errors of a few calls.
+ANSWER_MEANS: Final = 2.0
+# A waiting call is started only if its answer is due after this many expected times: half of the
+# calls take longer than the mean.
+START_MEANS: Final = 1.25
+# Targets that are slower than the fastest one by more than this factor don't count for the wait of
+# a call that has to be answered within its objective: they serve calls that have just arrived.
+SWIFT_FACTOR: Final = 2.0
+# A fall of the service rate by this share is a loss of capacity and not noise of the estimate.
+CAPACITY_LOSS: Final = 0.2
+# A waiting call is replaced only if it has waited for at most this share of its objective, so that
+# its caller still has time to retry.
+MAX_REFUSAL_SHARE: Final = 0.25
+# Time for which a service rate is reused, and between looks for calls that are out of time.
+RATE_TTL_S: Final = 0.005
+SWEEP_S: Final = 0.01
+# Longest time for which the wait is estimated.
+HORIZON_S: Final = 2.0
+
+
+class _Rank(IntEnum):
+    """Order of callers' calls of one priority."""
+
+    RETURNING = 0
+    FRESH = 1
+    LATE = 2
+
+
+def _objective_end(entry: LineEntry) -> float:
+    return min(entry.objective_end_s, entry.deadline_s)
+
+
+def _deadline(entry: LineEntry) -> float:
+    return entry.deadline_s
+
+
+class ServiceLine:
+    """The waiting calls of a service and the rooms of its targets; does no I/O.
+
+    ``offer`` and ``put_back`` decide on one call. ``advance`` has to be called after each change
+    and at least every ``SWEEP_S`` while calls wait; it returns calls that start or are refused.
+    """
+
+    def __init__(
+        self,
+        reach_cost: Callable[[Target, float], float],
+        runs_suspect: Callable[[Target], bool],
+    ) -> None:
+        """Take the cost of reaching a target, in means, and which targets to use last."""
+        self.rooms = RoomTable()
+        self.returns = ReturnSchedule()
+        self._reach_cost = reach_cost
+        self._runs_suspect = runs_suspect
+        self._starts = RecentStarts()
+        self._callers: dict[tuple[int, _Rank], WaitingCalls] = {}
+        self._trainers: dict[int, WaitingCalls] = {}
+        self._caller_count = 0
+        self._trainer_count = 0
+        self._callers_in_row = 0
+        self._rate_per_s = 0.0
+        self._swift_rate_per_s = 0.0
+        self._rate_at_s = -math.inf
+        self._usual_rate_per_s = 0.0
+        self._swept_at_s = -math.inf
+
+    def __len__(self) -> int:
+        """Return the number of waiting calls."""
+        return self._caller_count + self._trainer_count
+
+    def set_targets(self, targets: Iterable[Target]) -> None:
+        """Set the targets that may be used; ``advance`` has to be called afterwards."""
+        self.rooms.replace(targets)
+        self._rate_at_s = self._swept_at_s = -math.inf
+
+    def rate_per_s(self, now_s: float) -> float:
+        """Return the calls per second that the targets can serve."""
+        if not 0.0 <= now_s - self._rate_at_s < RATE_TTL_S:
+            rooms = self.rooms.rooms
+            slowest_s = SWIFT_FACTOR * self.rooms.fastest_s(now_s, for_trainer=False)
+            swift = [
+                instance
+                for instance, room in rooms.items()
+                if self.rooms.mean_s(room, now_s, for_trainer=False) <= slowest_s
+            ]
+            self._rate_per_s = self.rooms.service_rate_per_s(rooms, now_s)
+            self._swift_rate_per_s = self._rate_per_s
+            if len(swift) < len(rooms):
+                self._swift_rate_per_s = self.rooms.service_rate_per_s(swift, now_s)
+            self._rate_at_s = now_s
+        return self._rate_per_s
+
+    def has_room(self, now_s: float) -> bool:
+        """Whether a call could be sent to some target now."""
+        return any(room.has_room(0, now_s) for room in self.rooms.rooms.values())
+
+    def projected_wait_s(self, now_s: float) -> float:
+        """Return the wait of a caller's new call, infinite without targets."""
+        if not self.rooms.rooms:
+            return math.inf
+        if not self._caller_count and self.has_room(now_s):
+            return 0.0
+        return min(HORIZON_S, self._drain_s(self._caller_count + 1, now_s, HORIZON_S))
+
+    def oldest_wait_s(self, now_s: float) -> float:
+        """Return how long the longest waiting call has waited."""
+        lines = [*self._callers.values(), *self._trainers.values()]
+        return max((now_s - entry.arrival_s for line in lines for entry in line), default=0.0)
+
+    def offer(self, entry: LineEntry, now_s: float) -> Decision:
+        """Decide on a new call."""
+        if not self.rooms.rooms:
+            return self._refuse(entry, RefusalReason.NO_TARGET, now_s)
+        if entry.returning and not entry.for_trainer:
+            self.returns.record_return(now_s)
+        if not self._is_outranked(entry):
+            start = self._start_now(entry, now_s)
+            if start is not None:
+                return start
+        if entry.for_trainer:
+            return self._add(entry)
+        reason = self._reason_to_refuse(entry, now_s)
+        if reason is None:
+            return self._add(entry)
+        victim = None
+        if reason is not RefusalReason.CLOSED:
+            victim = self._replaceable(entry, now_s)
+        if victim is None:
+            return self._refuse(entry, reason, now_s)
+        self.remove(victim)
+        self._add(entry)
+        return Wait(entry, self._refuse(victim, RefusalReason.REPLACED, now_s))
+
+    def start_hedge(self, entry: LineEntry, now_s: float) -> Start | None:
+        """Start a second attempt of a call if no call waits and another target has room."""
+        if len(self):
+            return None
+        for room in self._free_rooms(now_s):
+            is_other = room.target.instance not in entry.excluded
+            if is_other and not room.is_closed and room.has_room(entry.body_bytes, now_s):
+                return self._start(entry, room, now_s)
+        return None
+
+    def _start_now(self, entry: LineEntry, now_s: float) -> Start | None:
+        """Start a call that doesn't wait, if a target has free capacity that serves it in time."""
+        rooms = [room for room in self._free_rooms(now_s) if self._fits(entry, room, now_s)]
+        if not rooms:
+            return None
+        due_s = entry.deadline_s if entry.for_trainer else _objective_end(entry)
+        for room in rooms:
+            if now_s + self._expected_s(room, now_s, for_trainer=entry.for_trainer) <= due_s:
+                return self._start(entry, room, now_s)
+        # The call would be late at any free target.
+        if self._is_faster_room_due(entry, due_s, now_s):
+            return None
+        return self._start(entry, rooms[0], now_s)
+
+    def put_back(self, entry: LineEntry, now_s: float) -> Wait | Refusal:
+        """Queue a call again that a target refused, at its old position."""
+        if not self.rooms.rooms:
+            return self._refuse(entry, RefusalReason.NO_TARGET, now_s)
+        return self._add(entry)
+
+    def remove(self, entry: LineEntry) -> None:
+        """Remove a waiting call; nothing happens if it doesn't wait."""
+        if entry.for_trainer:
+            line = self._trainers.get(entry.priority)
+            self._trainer_count -= line is not None and line.remove(entry)
+            return
+        for rank in (_rank_of(entry), _Rank.LATE):
+            line = self._callers.get((entry.priority, rank))
+            if line is not None and line.remove(entry):
+                self._caller_count -= 1
+                return
+
+    def finish(self, start: Start, outcome: SendOutcome, now_s: float) -> None:
+        """End a started call; ``advance`` has to be called afterwards."""
+        entry = start.entry
+        start.room.finish(entry.key, entry.body_bytes, outcome, now_s)
+        if outcome in (SendOutcome.REFUSED, SendOutcome.NOT_SENT):
+            self._starts.undo(entry.workspace, now_s)
+        if outcome is not SendOutcome.ANSWERED:
+            self._rate_at_s = -math.inf
+
+    def advance(self, now_s: float) -> Sequence[Start | Refusal]:
+        """Return the calls that start now and those that can no longer be served in time."""
+        decisions: list[Start | Refusal] = []
+        if len(self) and not 0.0 <= now_s - self._swept_at_s < SWEEP_S:
+            self._swept_at_s = now_s
+            decisions += self._take_late(now_s)
+            decisions += self._shed(now_s)
+        while len(self):
+            start = self._start_next(now_s)
+            if start is None:
+                break
+            decisions.append(start)
+        return decisions
+
+    def _start_next(self, now_s: float) -> Start | None:
+        for room in self._free_rooms(now_s):
+            entry = self._next_for(room, now_s)
+            if entry is not None:
+                self.remove(entry)
+                return self._start(entry, room, now_s)
+        return None
+
+    def _next_for(self, room: TargetRoom, now_s: float) -> LineEntry | None:
+        """Return the call that goes first of those that a target can serve in time."""
+
+        def fits(entry: LineEntry) -> bool:
+            return self._fits(entry, room, now_s)
+
+        def first(lines: Iterable[WaitingCalls], due_from_s: float) -> LineEntry | None:
+            found = (line.first(due_from_s, self._starts, fits) for line in lines)
+            return next((entry for entry in found if entry is not None), None)
+
+        callers = [self._callers[rank] for rank in sorted(self._callers)]
+        callers_due_s = now_s + START_MEANS * self._expected_s(room, now_s, for_trainer=False)
+        trainers = [self._trainers[priority] for priority in sorted(self._trainers)]
+        trainers_due_s = now_s + self._expected_s(room, now_s, for_trainer=True)
+        if self._is_trainers_turn:
+            return first(trainers, trainers_due_s) or first(callers, callers_due_s)
+        return first(callers, callers_due_s) or first(trainers, trainers_due_s)
+
+    @property
+    def _is_trainers_turn(self) -> bool:
+        return self._trainer_count > 0 and self._callers_in_row >= CALLERS_PER_TRAINER
+
+    def _free_rooms(self, now_s: float) -> Sequence[TargetRoom]:
+        """Return the rooms that take another call, the one that would answer first at the front."""
+        free = [room for room in self.rooms.rooms.values() if room.has_room(0, now_s)]
+        if len(free) > 1:
+            free.sort(key=lambda room: self._placement_order(room, now_s))
+        return free
+
+    def _placement_order(self, room: TargetRoom, now_s: float) -> tuple[bool, float, float]:
+        mean_s = self.rooms.mean_s(room, now_s, for_trainer=False)
+        load = (room.in_flight + 1) / room.slots
+        cost_s = (max(1.0, load) + self._reach_cost(room.target, now_s)) * mean_s
+        return self._runs_suspect(room.target), cost_s, load
+
+    def _expected_s(self, room: TargetRoom, now_s: float, *, for_trainer: bool) -> float:
+        """Return the expected time to the answer of a call that is sent to a target now."""
+        load = (room.in_flight + 1) / room.slots
+        return max(1.0, load) * self.rooms.mean_s(room, now_s, for_trainer=for_trainer)
+
+    def _fits(self, entry: LineEntry, room: TargetRoom, now_s: float) -> bool:
+        if not room.has_room(entry.body_bytes, now_s):
+            return False
+        if room.target.instance not in entry.excluded:
+            return True
+        return all(
+            other.is_closed or instance in entry.excluded
+            for instance, other in self.rooms.rooms.items()
+        )
+
+    def _is_faster_room_due(self, entry: LineEntry, due_s: float, now_s: float) -> bool:
+        """Whether a busy target becomes free in time to answer a call when it is due."""
+        for room in self.rooms.rooms.values():
+            if room.is_closed or room.has_room(entry.body_bytes, now_s):
+                continue
+            mean_s = self.rooms.mean_s(room, now_s, for_trainer=entry.for_trainer)
+            if now_s + mean_s * (1.0 / room.slots + 1.0) <= due_s:
+                return True
+        return False
+
+    def _start(self, entry: LineEntry, room: TargetRoom, now_s: float) -> Start:
+        probe = room.start(entry.key, entry.body_bytes, now_s, for_trainer=entry.for_trainer)
+        self.rooms.record_start(for_trainer=entry.for_trainer)
+        self._starts.record(entry.workspace, now_s)
+        if entry.for_trainer:
+            self._callers_in_row = 0
+        elif self._trainer_count:
+            self._callers_in_row += 1
+        return Start(entry, room, probe)
+
+    def _add(self, entry: LineEntry) -> Wait:
+        if entry.for_trainer:
+            line = self._trainers.setdefault(entry.priority, WaitingCalls(_deadline))
+            self._trainer_count += 1
+        else:
+            rank = _rank_of(entry)
+            line = self._callers.setdefault((entry.priority, rank), WaitingCalls(_objective_end))
+            self._caller_count += 1
+        line.add(entry)
+        return Wait(entry)
+
+    def _is_outranked(self, entry: LineEntry) -> bool:
+        """Whether a waiting call ranks before a new one."""
+        if entry.for_trainer:
+            if any(len(line) for p, line in self._trainers.items() if p <= entry.priority):
+                return True
+            return self._caller_count > 0 and self._callers_in_row < CALLERS_PER_TRAINER
+        return self._is_trainers_turn or self._ahead_of(entry.priority, _rank_of(entry)) > 0
+
+    def _ahead_of(self, priority: int, rank: _Rank) -> int:
+        """Return the number of waiting callers' calls up to a priority and rank."""
+        if not self._caller_count:
+            return 0
+        return sum(len(line) for at, line in self._callers.items() if at <= (priority, rank))
+
+    def _reason_to_refuse(self, entry: LineEntry, now_s: float) -> RefusalReason | None:
+        """Return why a caller's call can't wait, None if it can."""
+        answer_s = ANSWER_MEANS * self.rooms.fastest_s(now_s, for_trainer=False)
+        to_deadline_s = entry.deadline_s - now_s - answer_s
+        to_objective_s = _objective_end(entry) - now_s - answer_s
+        if self.rate_per_s(now_s) <= 0.0:
+            allowed_s = to_deadline_s if entry.returning else to_objective_s
+            wait_s = self._drain_s(1, now_s, allowed_s)
+            return RefusalReason.CLOSED if wait_s > allowed_s else None
+        ahead = self._ahead_of(entry.priority, _rank_of(entry)) + 1
+        if not entry.returning:
+            wait_s = self._drain_s(ahead, now_s, to_objective_s, swift=True)
+            return RefusalReason.OBJECTIVE if wait_s > to_objective_s else None
+        if ahead * self._trainers_factor() <= to_objective_s * self._swift_rate_per_s:
+            return None
+        return None if self._can_be_late(entry, now_s) else RefusalReason.DEADLINE
+
+    def _can_be_late(self, entry: LineEntry, now_s: float) -> bool:
+        """Whether a call that misses its objective can be answered before its deadline."""
+        answer_s = ANSWER_MEANS * self.rooms.fastest_s(now_s, for_trainer=False)
+        left_s = entry.deadline_s - now_s - answer_s
+        ahead = self._ahead_of(entry.priority, _Rank.LATE) + 1
+        return self._drain_s(ahead, now_s, left_s) <= left_s
+
+    def _trainers_factor(self) -> float:
+        """Return the starts per start of a caller's call."""
+        return 1.0 + 1.0 / CALLERS_PER_TRAINER if self._trainer_count else 1.0
+
+    def _drain_s(self, calls: int, now_s: float, horizon_s: float, *, swift: bool = False) -> float:
+        """Return the time until a call at a position starts, or until a closed target reopens."""
+        rate_per_s = self.rate_per_s(now_s)
+        if rate_per_s <= 0.0:
+            return max(0.0, self._reopens_at_s() - now_s)
+        if swift:
+            rate_per_s = self._swift_rate_per_s
+        rate_per_s /= self._trainers_factor()
+        return self.returns.drain_s(now_s, calls, rate_per_s, horizon_s)
+
+    def _reopens_at_s(self) -> float:
+        """Return the first time at which a closed target may be probed."""
+        return min((room.probe_due_s for room in self.rooms.rooms.values()), default=math.inf)
+
+    def _replaceable(self, entry: LineEntry, now_s: float) -> LineEntry | None:
+        """Return the call that has to make room for one of a workspace with few calls waiting."""
+        line = self._callers.get((entry.priority, _rank_of(entry)))
+        if line is None or not len(line):
+            return None
+        own = line.count_of(entry.workspace)
+        if own >= len(line) / (line.workspaces + (own == 0)):
+            return None
+        victim = line.last_of_largest()
+        if line.count_of(victim.workspace) <= own + 1:
+            return None
+        objective_s = victim.objective_end_s - victim.arrival_s
+        return victim if now_s - victim.arrival_s <= MAX_REFUSAL_SHARE * objective_s else None
+
+    def _take_late(self, now_s: float) -> Sequence[Refusal]:
+        """Remove calls that even the fastest target can't answer in time.
+
+        Returning calls that can still meet their deadline stay, behind the others.
+        """
+        refusals = []
+        callers_due_s = now_s + START_MEANS * self.rooms.fastest_s(now_s, for_trainer=False)
+        for (priority, rank), line in list(self._callers.items()):
+            for entry in line.take_due_before(callers_due_s):
+                self._caller_count -= 1
+                if rank is _Rank.RETURNING and self._can_be_late(entry, now_s):
+                    late = self._callers.setdefault((priority, _Rank.LATE), WaitingCalls(_deadline))
+                    late.add(entry)
+                    self._caller_count += 1
+                    continue
+                reason = RefusalReason.LATE if rank is _Rank.FRESH else RefusalReason.DEADLINE
+                refusals.append(self._refuse(entry, reason, now_s))
+        trainers_due_s = now_s + self.rooms.fastest_s(now_s, for_trainer=True)
+        for line in self._trainers.values():
+            for entry in line.take_due_before(trainers_due_s):
+                self._trainer_count -= 1
+                refusals.append(self._refuse(entry, RefusalReason.DEADLINE, now_s))
+        return refusals
+
+    def _shed(self, now_s: float) -> Sequence[Refusal]:
+        """Refuse waiting calls that can't be served in time since capacity was lost."""
+        rate_per_s = self.rate_per_s(now_s)
+        if rate_per_s >= (1.0 - CAPACITY_LOSS) * self._usual_rate_per_s:
+            self._usual_rate_per_s = max(rate_per_s, self._usual_rate_per_s)
+            return []
+        self._usual_rate_per_s = rate_per_s
+        refusals = []
+        ahead = 0
+        for (_, rank), line in sorted(self._callers.items(), key=lambda item: item[0]):
+            for entry in list(line):
+                if self._is_in_time(entry, rank, ahead + 1, now_s):
+                    ahead += 1
+                    continue
+                line.remove(entry)
+                self._caller_count -= 1
+                refusals.append(self._refuse(entry, RefusalReason.CAPACITY, now_s))
+        return refusals
+
+    def _is_in_time(self, entry: LineEntry, rank: _Rank, position: int, now_s: float) -> bool:
+        due_s = _objective_end(entry) if rank is _Rank.FRESH else entry.deadline_s
+        left_s = due_s - now_s - self.rooms.fastest_s(now_s, for_trainer=False)
+        if rank is _Rank.RETURNING and self.rate_per_s(now_s) > 0.0:
+            # Callers that are still to return rank behind this one.
+            return position * self._trainers_factor() <= left_s * self.rate_per_s(now_s)
+        return self._drain_s(position, now_s, left_s) <= left_s
+
+    def _refuse(self, entry: LineEntry, reason: RefusalReason, now_s: float) -> Refusal:
+        """Refuse a call with a time to retry.
+
+        Only callers that have not been refused before get a booking, since callers retry once.
+        """
+        left_s = max(0.0, entry.deadline_s - now_s)
+        longest_s = left_s * MAX_DELAY_SHARE
+        rate_per_s = self.rate_per_s(now_s)
+        if rate_per_s <= 0.0:
+            delay_s = max(left_s * MIN_DELAY_SHARE, self._reopens_at_s() - now_s)
+            return Refusal(entry, reason, min(longest_s, delay_s), booked=False)
+        drain_s = self._caller_count / rate_per_s
+        if entry.returning or entry.for_trainer:
+            delay = self.returns.free_delay_s(now_s, left_s, rate_per_s, drain_s)
+            return Refusal(entry, reason, longest_s if delay is None else delay, booked=False)
+        overflows = self.returns.overflows
+        delay_s = self.returns.book(now_s, left_s, rate_per_s, drain_s)
+        return Refusal(entry, reason, delay_s, booked=self.returns.overflows == overflows)
+
+
+def _rank_of(entry: LineEntry) -> _Rank:
+    return _Rank.RETURNING if entry.returning else _Rank.FRESH
--- a/samphirecleat/serving/__init__.py
+++ b/samphirecleat/serving/__init__.py
@@ -12,6 +12,7 @@
     DEFAULT_PRIORITY,
     EMPTY_CONFIG,
     NO_REVISION,
+    RETURN_MARGIN_S,
     Call,
     CallChannel,
     CallerLimits,
@@ -20,6 +21,7 @@
     Route,
     RoutingConfig,
     ScalingSpec,
+    SendOutcome,
     ServiceSpec,
     StreamChannel,
     StreamEvent,
@@ -29,6 +31,7 @@
     TargetFault,
     WeightedService,
     Workspace,
+    effective_deadline_s,
 )
 from ._workspaces import ANONYMOUS, KeyConflict, KeyTable, key_mark
 
@@ -37,6 +40,7 @@
     "EMPTY_CONFIG",
     "DEFAULT_PRIORITY",
     "NO_REVISION",
+    "RETURN_MARGIN_S",
     "Call",
     "CallChannel",
     "CallKind",
@@ -50,6 +54,7 @@
     "Route",
     "RouteTable",
     "RoutingConfig",
+    "SendOutcome",
     "ScalingSpec",
     "ServiceSpec",
     "StreamBrokenError",
@@ -65,6 +70,7 @@
     "UsageMeter",
     "WeightedService",
     "Workspace",
+    "effective_deadline_s",
     "key_mark",
     "call_digest",
     "discard_usage",
--- a/samphirecleat/serving/_target_table.py
+++ b/samphirecleat/serving/_target_table.py
@@ -142,17 +142,25 @@
         def rank(target: Target) -> tuple[bool, bool, bool, float]:
             load = self.in_flight[target.instance] / max(1, target.slots)
             slowness = means_s.get(target.instance, median_s) / median_s
-            zone_cost = 0.0 if target.zone == self._zone else OTHER_ZONE_COST
-            connection_cost = 0.0 if self.warm.has(target, now_s) else NEW_CONNECTION_COST
             return (
                 target.instance in tried,
                 self.is_backing_off(target, now_s),
-                self.suspect_runs[target.instance] > 0,
-                (1.0 + load + zone_cost + connection_cost) * max(1.0, slowness),
+                self.runs_suspect(target),
+                (1.0 + load + self.reach_cost(target, now_s)) * max(1.0, slowness),
             )
 
         return min(candidates, key=rank)
 
+    def runs_suspect(self, target: Target) -> bool:
+        """Whether a call of this node that may crash the target runs there."""
+        return self.suspect_runs[target.instance] > 0
+
+    def reach_cost(self, target: Target, now_s: float) -> float:
+        """Return the cost of another zone and of a new connection, in calls in flight per slot."""
+        zone_cost = 0.0 if target.zone == self._zone else OTHER_ZONE_COST
+        connection_cost = 0.0 if self.warm.has(target, now_s) else NEW_CONNECTION_COST
+        return zone_cost + connection_cost
+
     def _recent_means_s(self, candidates: Sequence[Target], now_s: float) -> Mapping[str, float]:
         """Return the recently observed mean call durations by instance."""
         return {
--- a/samphirecleat/serving/_types.py
+++ b/samphirecleat/serving/_types.py
@@ -163,6 +163,13 @@
     for_trainer: bool = False
 
 
+def effective_deadline_s(call: Call, route: Route) -> float:
+    """Return when a call ends: at its caller's deadline or after the route's timeout."""
+    if route.timeout_s > 0.0:
+        return min(call.deadline_s, call.received_at_s + route.timeout_s)
+    return call.deadline_s
+
+
 class TargetAnswer(NamedTuple):
     """A complete and verified answer of a target."""
 
@@ -199,6 +206,21 @@
         self.connection_closed = connection_closed
 
 
+class SendOutcome(Enum):
+    """How a call's stay at a target ended, from this node's perspective.
+
+    ``REFUSED`` means that the target had no capacity and the call didn't run. ``FAILED`` stands for
+    a closed connection or silence. ``ABANDONED`` calls were cancelled by this node before they were
+    answered, and ``NOT_SENT`` ones before anything was sent.
+    """
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    FAILED = "failed"
+    ABANDONED = "abandoned"
+    NOT_SENT = "not_sent"
+
+
 class CallChannel(Protocol):
     """Sends a call to a target and receives its complete answer."""
 
@@ -241,6 +263,8 @@
         ...
 
 
+# Time reserved for returning the answer to the caller before its deadline.
+RETURN_MARGIN_S: Final = 0.02
 # Priority of a call or item for which neither workspace nor route sets one; 0 is the highest, 9 the
 # lowest.
 DEFAULT_PRIORITY: Final = 5
--- /dev/null
+++ b/tests/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the queue of a service."""
