Forward calls to dispatched services through their queues

SlotQueue grants targets to waiting calls, with one timer for each service and no work that grows with the queue for a refused call. Forwarder uses it for services that are dispatched at this node: refused sends return to the queue at their old position, hedged attempts take spare room only, and a cancelled call frees its slot. Other services are forwarded as before. Estimates are reused for 5 ms, since most calls of an overload arrive in between.

--- a/samphirecleat/dispatch/_line.py
+++ b/samphirecleat/dispatch/_line.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Callable, Iterable, Sequence
 from enum import IntEnum
-from typing import Final
+from typing import Final, NamedTuple
 
 from ..serving import SendOutcome, Target
 from ._decisions import Decision, Refusal, RefusalReason, Start, Wait
@@ -34,13 +34,22 @@
 # A waiting call is replaced only if it has waited for at most this share of its objective, so that
 # its caller still has time to retry.
 MAX_REFUSAL_SHARE: Final = 0.25
-# Time for which a service rate is reused, and between looks for calls that are out of time.
-RATE_TTL_S: Final = 0.005
+# Time for which estimates are reused, and between looks for calls that are out of time.
+ESTIMATE_TTL_S: Final = 0.005
 SWEEP_S: Final = 0.01
 # Longest time for which the wait is estimated.
 HORIZON_S: Final = 2.0
 
 
+class _Estimates(NamedTuple):
+    """The service rate of all targets and of the swift ones, and the smallest mean times."""
+
+    rate_per_s: float
+    swift_rate_per_s: float
+    fastest_s: float
+    fastest_trainer_s: float
+
+
 class _Rank(IntEnum):
     """Order of callers' calls of one priority."""
 
@@ -80,9 +89,8 @@
         self._caller_count = 0
         self._trainer_count = 0
         self._callers_in_row = 0
-        self._rate_per_s = 0.0
-        self._swift_rate_per_s = 0.0
-        self._rate_at_s = -math.inf
+        self._current = _Estimates(0.0, 0.0, 0.0, 0.0)
+        self._estimated_at_s = -math.inf
         self._usual_rate_per_s = 0.0
         self._swept_at_s = -math.inf
 
@@ -93,24 +101,32 @@
     def set_targets(self, targets: Iterable[Target]) -> None:
         """Set the targets that may be used; ``advance`` has to be called afterwards."""
         self.rooms.replace(targets)
-        self._rate_at_s = self._swept_at_s = -math.inf
+        self._estimated_at_s = self._swept_at_s = -math.inf
 
     def rate_per_s(self, now_s: float) -> float:
         """Return the calls per second that the targets can serve."""
-        if not 0.0 <= now_s - self._rate_at_s < RATE_TTL_S:
-            rooms = self.rooms.rooms
-            slowest_s = SWIFT_FACTOR * self.rooms.fastest_s(now_s, for_trainer=False)
-            swift = [
-                instance
-                for instance, room in rooms.items()
-                if self.rooms.mean_s(room, now_s, for_trainer=False) <= slowest_s
-            ]
-            self._rate_per_s = self.rooms.service_rate_per_s(rooms, now_s)
-            self._swift_rate_per_s = self._rate_per_s
-            if len(swift) < len(rooms):
-                self._swift_rate_per_s = self.rooms.service_rate_per_s(swift, now_s)
-            self._rate_at_s = now_s
-        return self._rate_per_s
+        return self._estimates(now_s).rate_per_s
+
+    def _estimates(self, now_s: float) -> _Estimates:
+        if not 0.0 <= now_s - self._estimated_at_s < ESTIMATE_TTL_S:
+            self._estimated_at_s = now_s
+            self._current = self._estimate(now_s)
+        return self._current
+
+    def _estimate(self, now_s: float) -> _Estimates:
+        rooms = self.rooms.rooms
+        fastest_s = self.rooms.fastest_s(now_s, for_trainer=False)
+        swift = [
+            instance
+            for instance, room in rooms.items()
+            if self.rooms.mean_s(room, now_s, for_trainer=False) <= SWIFT_FACTOR * fastest_s
+        ]
+        return _Estimates(
+            self.rooms.service_rate_per_s(rooms, now_s),
+            self.rooms.service_rate_per_s(swift, now_s),
+            fastest_s,
+            self.rooms.fastest_s(now_s, for_trainer=True),
+        )
 
     def has_room(self, now_s: float) -> bool:
         """Whether a call could be sent to some target now."""
@@ -202,7 +218,7 @@
         if outcome in (SendOutcome.REFUSED, SendOutcome.NOT_SENT):
             self._starts.undo(entry.workspace, now_s)
         if outcome is not SendOutcome.ANSWERED:
-            self._rate_at_s = -math.inf
+            self._estimated_at_s = -math.inf
 
     def advance(self, now_s: float) -> Sequence[Start | Refusal]:
         """Return the calls that start now and those that can no longer be served in time."""
@@ -323,7 +339,7 @@
 
     def _reason_to_refuse(self, entry: LineEntry, now_s: float) -> RefusalReason | None:
         """Return why a caller's call can't wait, None if it can."""
-        answer_s = ANSWER_MEANS * self.rooms.fastest_s(now_s, for_trainer=False)
+        answer_s = ANSWER_MEANS * self._estimates(now_s).fastest_s
         to_deadline_s = entry.deadline_s - now_s - answer_s
         to_objective_s = _objective_end(entry) - now_s - answer_s
         if self.rate_per_s(now_s) <= 0.0:
@@ -334,13 +350,16 @@
         if not entry.returning:
             wait_s = self._drain_s(ahead, now_s, to_objective_s, swift=True)
             return RefusalReason.OBJECTIVE if wait_s > to_objective_s else None
-        if ahead * self._trainers_factor() <= to_objective_s * self._swift_rate_per_s:
+        if (
+            ahead * self._trainers_factor()
+            <= to_objective_s * self._estimates(now_s).swift_rate_per_s
+        ):
             return None
         return None if self._can_be_late(entry, now_s) else RefusalReason.DEADLINE
 
     def _can_be_late(self, entry: LineEntry, now_s: float) -> bool:
         """Whether a call that misses its objective can be answered before its deadline."""
-        answer_s = ANSWER_MEANS * self.rooms.fastest_s(now_s, for_trainer=False)
+        answer_s = ANSWER_MEANS * self._estimates(now_s).fastest_s
         left_s = entry.deadline_s - now_s - answer_s
         ahead = self._ahead_of(entry.priority, _Rank.LATE) + 1
         return self._drain_s(ahead, now_s, left_s) <= left_s
@@ -355,7 +374,7 @@
         if rate_per_s <= 0.0:
             return max(0.0, self._reopens_at_s() - now_s)
         if swift:
-            rate_per_s = self._swift_rate_per_s
+            rate_per_s = self._estimates(now_s).swift_rate_per_s
         rate_per_s /= self._trainers_factor()
         return self.returns.drain_s(now_s, calls, rate_per_s, horizon_s)
 
@@ -383,7 +402,7 @@
         Returning calls that can still meet their deadline stay, behind the others.
         """
         refusals = []
-        callers_due_s = now_s + START_MEANS * self.rooms.fastest_s(now_s, for_trainer=False)
+        callers_due_s = now_s + START_MEANS * self._estimates(now_s).fastest_s
         for (priority, rank), line in list(self._callers.items()):
             for entry in line.take_due_before(callers_due_s):
                 self._caller_count -= 1
@@ -394,7 +413,7 @@
                     continue
                 reason = RefusalReason.LATE if rank is _Rank.FRESH else RefusalReason.DEADLINE
                 refusals.append(self._refuse(entry, reason, now_s))
-        trainers_due_s = now_s + self.rooms.fastest_s(now_s, for_trainer=True)
+        trainers_due_s = now_s + self._estimates(now_s).fastest_trainer_s
         for line in self._trainers.values():
             for entry in line.take_due_before(trainers_due_s):
                 self._trainer_count -= 1
@@ -422,7 +441,7 @@
 
     def _is_in_time(self, entry: LineEntry, rank: _Rank, position: int, now_s: float) -> bool:
         due_s = _objective_end(entry) if rank is _Rank.FRESH else entry.deadline_s
-        left_s = due_s - now_s - self.rooms.fastest_s(now_s, for_trainer=False)
+        left_s = due_s - now_s - self._estimates(now_s).fastest_s
         if rank is _Rank.RETURNING and self.rate_per_s(now_s) > 0.0:
             # Callers that are still to return rank behind this one.
             return position * self._trainers_factor() <= left_s * self.rate_per_s(now_s)
--- a/samphirecleat/dispatch/_returns.py
+++ b/samphirecleat/dispatch/_returns.py
@@ -65,7 +65,9 @@
         # Below one call per bucket, several buckets share one call.
         stride = max(1, math.ceil(1.0 / capacity))
         for bucket in range(int(earliest_s / BUCKET_S), int(latest_s / BUCKET_S) + 1):
-            booked = sum(self._booked.get(bucket + n, 0) for n in range(1 - stride, stride))
+            booked = self._booked.get(bucket, 0)
+            if stride > 1:
+                booked = sum(self._booked.get(bucket + n, 0) for n in range(1 - stride, stride))
             if booked + 1 > capacity * stride:
                 continue
             # Numbers are spread evenly over the bucket in the order of booking.
--- /dev/null
+++ b/samphirecleat/dispatch/_slot_queue.py
@@ -0,0 +1,311 @@
+"""Grants calls the targets of services that this node dispatches to; drives their queues.
+
+Load addressed: some 3,000 calls per second reach one node, most of which are refused. A decision on
+a call doesn't look at the waiting ones, and there is one timer for each service with waiting calls.
+"""
+
+import asyncio
+import math
+from collections import Counter
+from collections.abc import Callable, Collection
+from itertools import count
+from typing import Final
+
+from ..errors import ErrorKind, Ran, RequestError
+from ..observe import Observer
+from ..serving import (
+    RETURN_MARGIN_S,
+    Call,
+    Route,
+    SendOutcome,
+    Target,
+    TargetTable,
+    effective_deadline_s,
+)
+from ._decisions import Refusal, RefusalReason, Start, Wait
+from ._line import SWEEP_S, ServiceLine
+from ._time_left import TimeLeft
+from ._waiting_calls import LineEntry
+
+# Mean time of a call before any was answered, as a share of its objective.
+PRIOR_MEAN_SHARE: Final = 1.0 / 6.0
+LOG_INTERVAL_S: Final = 1.0
+OwnedTargets = Callable[[str], Collection[str] | None]
+
+
+class Grant:
+    """The permission to send a call to ``target`` once; it must be finished in any case."""
+
+    def __init__(self, queue: "_ServiceQueue", start: Start) -> None:
+        """Represent a start of a queue."""
+        self.target: Target = start.room.target
+        self.entry = start.entry
+        self._queue = queue
+        self._start: Start | None = start
+
+    def finish(self, outcome: SendOutcome) -> None:
+        """Free the slot and record the outcome; later calls do nothing."""
+        start, self._start = self._start, None
+        if start is not None:
+            self._queue.finish(start, outcome)
+
+    @property
+    def queue(self) -> "_ServiceQueue":
+        """The queue of the target's service."""
+        return self._queue
+
+
+class SlotQueue:
+    """The queues of this node, by service."""
+
+    def __init__(self, targets: TargetTable, owned: OwnedTargets, observer: Observer) -> None:
+        """Grant targets of ``targets``.
+
+        ``owned`` returns the instances of a service that this node dispatches to, an empty
+        collection if it owns none of them (all targets are used then), or None if the service isn't
+        dispatched.
+        """
+        self._targets = targets
+        self._owned = owned
+        self._observer = observer
+        self._queues: dict[str, _ServiceQueue] = {}
+        self._keys = count()
+
+    def applies(self, service: str) -> bool:
+        """Whether calls of a service must be granted a target before they are sent."""
+        return self._owned(service) is not None
+
+    async def acquire(
+        self,
+        service: str,
+        call: Call,
+        route: Route,
+        excluded: Collection[str] = (),
+        *,
+        repeated: bool = False,
+    ) -> Grant:
+        """Wait for a target of a service.
+
+        ``route.priority`` is the call's priority. A target in ``excluded`` is granted only if no
+        other one accepts work. A ``repeated`` attempt waits until the deadline, as a returning
+        call. If the caller is cancelled, the call leaves the queue and nothing is granted.
+
+        :raises RequestError: OVERLOADED or NO_TARGET, with the time after which to retry; the call
+            has not been sent for this grant.
+        """
+        queue = self._queue(service)
+        queue.line.rooms.prior_s = max(0.001, route.objective_s * PRIOR_MEAN_SHARE)
+        returning = queue.is_returning(call, route)
+        entry = self._entry(call, route, excluded, returning=returning or repeated)
+        return await queue.acquire(entry)
+
+    async def acquire_again(self, grant: Grant, excluded: Collection[str] = ()) -> Grant:
+        """Wait again at the old position with a call that its target did not run.
+
+        :raises RequestError: as ``acquire``.
+        """
+        grant.finish(SendOutcome.NOT_SENT)
+        queue = grant.queue
+        queue.refresh()
+        return await queue.acquire(grant.entry._replace(excluded=tuple(excluded)), again=True)
+
+    def try_acquire(
+        self, service: str, call: Call, route: Route, excluded: Collection[str]
+    ) -> Grant | None:
+        """Return a target outside ``excluded`` for a hedged attempt, None without spare room.
+
+        There is none while any call waits.
+        """
+        queue = self._queue(service)
+        entry = self._entry(call, route, excluded, returning=True)
+        start = queue.line.start_hedge(entry, asyncio.get_running_loop().time())
+        return queue.grant(start) if start is not None else None
+
+    def projected_wait_s(self, service: str) -> float:
+        """Return the wait of a new call, ``math.inf`` without targets or off a running loop."""
+        if not self.applies(service):
+            return math.inf
+        queue = self._queue(service)
+        return queue.line.projected_wait_s(asyncio.get_running_loop().time())
+
+    def _queue(self, service: str) -> "_ServiceQueue":
+        """Return a service's queue with its current targets."""
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = _ServiceQueue(service, self._targets, self._owned, self._observer)
+            self._queues[service] = queue
+        queue.refresh()
+        return queue
+
+    def _entry(
+        self, call: Call, route: Route, excluded: Collection[str], *, returning: bool
+    ) -> LineEntry:
+        return LineEntry(
+            next(self._keys),
+            call.received_at_s,
+            effective_deadline_s(call, route) - RETURN_MARGIN_S,
+            call.received_at_s + route.objective_s,
+            call.for_trainer,
+            route.priority,
+            call.workspace,
+            len(call.body),
+            tuple(excluded),
+            returning,
+        )
+
+
+class _ServiceQueue:
+    """The queue of one service, with a future for each waiting call and one timer."""
+
+    def __init__(
+        self, service: str, targets: TargetTable, owned: OwnedTargets, observer: Observer
+    ) -> None:
+        self._service = service
+        self._targets = targets
+        self._owned = owned
+        self._observer = observer
+        self._logger = observer.log("dispatch")
+        self.line = ServiceLine(targets.reach_cost, targets.runs_suspect)
+        self._futures: dict[int, asyncio.Future[Grant]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._time_left: dict[str, TimeLeft] = {}
+        self._seen: tuple[object, frozenset[str]] | None = None
+        self._refused: Counter[str] = Counter()
+        self._logged_at_s = -math.inf
+
+    def is_returning(self, call: Call, route: Route) -> bool:
+        """Return whether a call's caller has been refused before, as far as its time shows."""
+        if call.for_trainer:
+            return False
+        left_s = effective_deadline_s(call, route) - call.received_at_s
+        return self._time_left.setdefault(route.name, TimeLeft()).is_returning(left_s)
+
+    def refresh(self) -> None:
+        """Use the current targets."""
+        mapping = self._targets.targets
+        owned = self._owned(self._service) or ()
+        if (
+            self._seen is not None
+            and self._seen[0] is mapping
+            and len(self._seen[1]) == len(owned)
+            and self._seen[1].issuperset(owned)
+        ):
+            return
+        self._seen = mapping, frozenset(owned)
+        accepting = self._targets.accepting_targets(self._service)
+        self.line.set_targets([t for t in accepting if not owned or t.instance in owned])
+        self._pump()
+
+    async def acquire(self, entry: LineEntry, *, again: bool = False) -> Grant:
+        """Wait for a target; ``again`` returns a call to the queue without a check."""
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        decision = self.line.put_back(entry, now_s) if again else self.line.offer(entry, now_s)
+        match decision:
+            case Start():
+                self._observer.record_s("line_wait", 0.0)
+                return self.grant(decision)
+            case Refusal():
+                raise self._refusal_error(decision, now_s)
+            case Wait():
+                future: asyncio.Future[Grant] = loop.create_future()
+                self._futures[entry.key] = future
+                if decision.replaced is not None:
+                    self._settle(decision.replaced, now_s)
+                self._pump()
+                grant = await self._wait(entry, future)
+                self._observer.record_s("line_wait", loop.time() - now_s)
+                return grant
+
+    async def _wait(self, entry: LineEntry, future: asyncio.Future[Grant]) -> Grant:
+        try:
+            return await future
+        except asyncio.CancelledError:
+            # The task may be cancelled in the loop iteration in which its call was granted.
+            if future.done() and not future.cancelled() and future.exception() is None:
+                future.result().finish(SendOutcome.NOT_SENT)
+            self.line.remove(entry)
+            raise
+        finally:
+            self._futures.pop(entry.key, None)
+
+    def grant(self, start: Start) -> Grant:
+        """Return the grant for a start."""
+        self._observer.counters["line_started"] += 1
+        self._observer.counters["line_probes"] += start.probe
+        return Grant(self, start)
+
+    def finish(self, start: Start, outcome: SendOutcome) -> None:
+        """End a start and pass its slot on."""
+        self.line.finish(start, outcome, asyncio.get_running_loop().time())
+        if len(self.line):
+            self._pump()
+
+    def _pump(self) -> None:
+        """Start and refuse waiting calls; set the timer if some still wait."""
+        now_s = asyncio.get_running_loop().time()
+        # A start whose caller has gone frees its slot for another call.
+        while sum(self._settle(decision, now_s) for decision in self.line.advance(now_s)):
+            pass
+        self._observer.counters[f"line_length_{self._service}"] = len(self.line)
+        if len(self.line) and self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(SWEEP_S, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.refresh()
+        self._pump()
+
+    def _settle(self, decision: Start | Refusal, now_s: float) -> bool:
+        """Tell the waiting task; return whether a start came to nothing and its slot is free."""
+        future = self._futures.get(decision.entry.key)
+        is_waiting = future is not None and not future.done()
+        match decision:
+            case Start():
+                if future is None or not is_waiting:
+                    now_s = asyncio.get_running_loop().time()
+                    self.line.finish(decision, SendOutcome.NOT_SENT, now_s)
+                    return True
+                future.set_result(self.grant(decision))
+            case Refusal():
+                if future is not None and is_waiting:
+                    future.set_exception(self._refusal_error(decision, now_s))
+        return False
+
+    def _refusal_error(self, refusal: Refusal, now_s: float) -> RequestError:
+        """Count a refusal and return its error."""
+        reason = refusal.reason
+        self._observer.counters[f"line_refused_{reason.value}"] += 1
+        self._observer.counters["line_returns_booked"] += refusal.booked
+        self._refused[reason.value] += 1
+        rate_per_s = self.line.rate_per_s(now_s)
+        if now_s - self._logged_at_s >= LOG_INTERVAL_S:
+            self._log(rate_per_s, now_s)
+        rooms = self.line.rooms.rooms.values()
+        has_target = reason is not RefusalReason.NO_TARGET and not all(r.failed for r in rooms)
+        return RequestError(
+            ErrorKind.OVERLOADED if has_target else ErrorKind.NO_TARGET,
+            f"{self._service}: not queued ({reason.value}); {len(self.line)} calls wait, "
+            f"{rate_per_s:.0f} start per second, waited {now_s - refusal.entry.arrival_s:.3f} s",
+            ran=Ran.NO,
+            retry_after_s=refusal.retry_after_s,
+        )
+
+    def _log(self, rate_per_s: float, now_s: float) -> None:
+        """Log the inputs of the decisions and the refusals since the last such line."""
+        self._logged_at_s = now_s
+        rooms = self.line.rooms.rooms.values()
+        self._logger.warning(
+            "service=%s refuses calls: queue=%d in_flight=%d limit=%d targets=%d closed=%d "
+            "rate_per_s=%.0f oldest=%.3f s refused=%s",
+            self._service,
+            len(self.line),
+            sum(room.in_flight for room in rooms),
+            sum(int(room.limit) for room in rooms if not room.is_closed),
+            len(rooms),
+            sum(room.is_closed for room in rooms),
+            rate_per_s,
+            self.line.oldest_wait_s(now_s),
+            dict(self._refused),
+        )
+        self._refused.clear()
--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -4,13 +4,14 @@
 calls take a few tens of milliseconds. An idempotent call gets a hedged attempt if the first one is
 late. Any other call is sent once, and again only after proof that it didn't run. A call under which
 a target crashed is sent to one target at a time, and to none once it is known to crash its targets.
+Calls to services that this node dispatches wait in a queue until a target has room for them.
 """
 
 import asyncio
 import math
 import random
 from collections.abc import Callable, Sequence
-from typing import Final, NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from ..crashes import CrashGuard, CrashVerdict, blocked_error, is_blocked
 from ..errors import ErrorKind, Ran, RequestError
@@ -18,14 +19,26 @@
 from ._crash_watch import call_digest, target_start
 from ._route_table import RouteTable
 from ._target_table import TargetTable, select_services
-from ._types import Call, CallChannel, CallKind, Route, Target, TargetAnswer, TargetFault
+from ._types import (
+    RETURN_MARGIN_S,
+    Call,
+    CallChannel,
+    CallKind,
+    Route,
+    SendOutcome,
+    Target,
+    TargetAnswer,
+    TargetFault,
+    effective_deadline_s,
+)
+
+if TYPE_CHECKING:
+    from ..dispatch import Grant, SlotQueue
 
 # Fraction of the latency objective after which a hedged attempt starts. Calls take a sixth of the
 # objective on average, so a call that is this late has hit a slow or silent target, and the rest of
 # the objective still suffices for another attempt.
 HEDGE_FRACTION: Final = 0.45
-# Time reserved for returning the answer to the caller before its deadline.
-RETURN_MARGIN_S: Final = 0.02
 # Retry delay for a caller whose call every target refused for lack of capacity: the time in which
 # one or two calls finish at each target.
 RETRY_AFTER_S: Final = 0.1
@@ -50,6 +63,13 @@
     target: Target
     task: asyncio.Task[TargetAnswer]
     sent_at_s: float
+    grant: "Grant | None" = None
+
+
+def finish_grant(grant: "Grant | None", outcome: SendOutcome) -> None:
+    """Finish a grant, if there is one that isn't finished."""
+    if grant is not None:
+        grant.finish(outcome)
 
 
 class Forwarder:
@@ -63,12 +83,15 @@
         rng: random.Random,
         meter: UsageMeter = discard_usage,
         guard: CrashGuard | None = None,
+        slots: "SlotQueue | None" = None,
     ) -> None:
         """Select from ``targets`` and send through ``channel``.
 
         ``meter`` is called once for each call of a workspace that began to run. ``guard`` blocks
-        calls that crash their targets; without it, no call is blocked.
+        calls that crash their targets; without it, no call is blocked. ``slots`` grants the targets
+        of the services to which it applies; without it, all calls are sent at once.
         """
+        self.slots = slots
         self._routes = routes
         self._targets = targets
         self._channel = channel
@@ -76,21 +99,26 @@
         self.meter = meter
         self._guard = guard
 
-    async def forward(self, call: Call, route: Route) -> TargetAnswer:
+    async def forward(
+        self, call: Call, route: Route, *, priority: int | None = None
+    ) -> TargetAnswer:
         """Return the target's answer, whatever its status.
 
+        ``priority`` overrides that of the call's workspace or route, for a call that another node
+        received.
+
         :raises RequestError: when there is no answer to return; ``ran`` is NO only if no target can
             have run the call.
         """
         now_s = asyncio.get_running_loop().time()
-        deadline_s = call.deadline_s
-        if route.timeout_s > 0.0:
-            deadline_s = min(deadline_s, call.received_at_s + route.timeout_s)
+        deadline_s = effective_deadline_s(call, route)
         if deadline_s - RETURN_MARGIN_S <= now_s:
             raise RequestError(
                 ErrorKind.DEADLINE_EXCEEDED, "deadline passed before the call was sent", ran=Ran.NO
             )
-        run = _Forwarding(self, call, route, deadline_s)
+        if priority is None:
+            priority = self._routes.call_priority(call.workspace, route)
+        run = _Forwarding(self, call, route._replace(priority=priority), deadline_s)
         return await run.result()
 
     def choose_target(
@@ -141,10 +169,17 @@
         return release
 
     async def attempt(
-        self, call: Call, target: Target, deadline_s: float, release: Callable[[], None]
+        self,
+        call: Call,
+        target: Target,
+        deadline_s: float,
+        release: Callable[[], None],
+        grant: "Grant | None" = None,
     ) -> TargetAnswer:
         """Send the call once, call ``release`` and record how the target behaved.
 
+        ``grant`` is finished with the outcome.
+
         :raises TargetFault: when the target gave no answer.
         """
         loop = asyncio.get_running_loop()
@@ -154,15 +189,19 @@
             answer = await self._channel.exchange(call, target, deadline_s - started_s)
         except TargetFault as fault:
             self._targets.record_failure(target, loop.time(), refused=fault.refused)
+            # Before the target is examined, which takes a while: others mustn't be sent there.
+            finish_grant(grant, SendOutcome.REFUSED if fault.refused else SendOutcome.FAILED)
             await self.record_cut(call, target, started_s, fault)
             raise
         except asyncio.CancelledError:
             now_s = loop.time()
             self._targets.record_abandoned(target, now_s - started_s, now_s)
+            finish_grant(grant, SendOutcome.ABANDONED)
             raise
         finally:
             release()
         now_s = loop.time()
+        finish_grant(grant, SendOutcome.ANSWERED)
         self.record_answer(call)
         self._targets.record_answer(target, now_s - started_s, now_s)
         self._targets.warm.record_returned(target, now_s)
@@ -178,6 +217,11 @@
         self._route = route
         self._deadline_s = deadline_s
         self._services = forwarder.select_services(route)
+        self._slots = forwarder.slots
+        if not self._services or not self._slots or not self._slots.applies(self._services[0]):
+            self._slots = None
+        self._refused_grant: Grant | None = None
+        self._queue_error = ""
         self._tried: list[str] = []
         self._ran = Ran.NO
         self._refusal_count = 0
@@ -209,8 +253,11 @@
         hedge_s = self._route.objective_s * HEDGE_FRACTION
         next_hedge_s = loop.time() + hedge_s
         while True:
-            if not attempts and not self._start_attempt(attempts, loop.time()):
-                return self._give_up(loop.time())
+            if not attempts:
+                if not await self._start_next(attempts):
+                    return self._give_up(loop.time())
+                if self._slots is not None:
+                    next_hedge_s = loop.time() + hedge_s
             left_s = self._deadline_s - RETURN_MARGIN_S - loop.time()
             if left_s <= 0.0:
                 raise RequestError(
@@ -229,37 +276,115 @@
                 if answer is not None:
                     return answer
             if not done and may_hedge and loop.time() >= next_hedge_s:
-                self._start_attempt(attempts, loop.time())
+                self._start_hedge(attempts, loop.time())
                 next_hedge_s = loop.time() + 2.0 * hedge_s
 
-    def _start_attempt(self, attempts: list[_Attempt], now_s: float) -> bool:
-        """Start another attempt; return False if there is no attempt or target left."""
-        if self._attempts_used >= self._route.max_attempts or self._refusal_count >= MAX_REFUSALS:
+    async def _start_next(self, attempts: list[_Attempt]) -> bool:
+        """Start the only attempt; return False if there is no attempt or target left.
+
+        :raises RequestError: if the call is refused by the queue and hasn't run.
+        """
+        loop = asyncio.get_running_loop()
+        if self._slots is None:
+            return self._start_attempt(attempts, loop.time())
+        if not self._may_send(attempts):
+            return False
+        grant = await self._acquire(self._slots)
+        # The call may have become suspect while it waited.
+        if grant is None or not self._may_send(attempts):
+            finish_grant(grant, SendOutcome.NOT_SENT)
+            return False
+        self._send(attempts, grant.target, loop.time(), grant)
+        return True
+
+    async def _acquire(self, slots: "SlotQueue") -> "Grant | None":
+        """Wait for a target; return None if there is none and the call may have run already."""
+        refused, self._refused_grant = self._refused_grant, None
+        try:
+            if refused is not None:
+                return await slots.acquire_again(refused, self._tried_in_vain())
+            return await slots.acquire(
+                self._services[0],
+                self._call,
+                self._route,
+                self._tried_in_vain(),
+                repeated=self._ran is not Ran.NO,
+            )
+        except RequestError as error:
+            if self._ran is not Ran.NO:
+                self._queue_error = error.detail
+                return None
+            if not self._tried:
+                raise
+            log = self._attempt_log.summary(asyncio.get_running_loop().time())
+            raise RequestError(
+                error.kind,
+                f"{error.detail}; {log}",
+                ran=Ran.NO,
+                retry_after_s=error.retry_after_s,
+            ) from error
+
+    def _tried_in_vain(self) -> Sequence[str]:
+        """Return the targets to avoid, those at which the call may have run."""
+        return self._tried if self._ran is not Ran.NO else ()
+
+    def _start_hedge(self, attempts: list[_Attempt], now_s: float) -> None:
+        """Start another attempt beside those that are under way, if there is capacity for it."""
+        if self._slots is None:
+            self._start_attempt(attempts, now_s)
+            return
+        if not self._may_send(attempts):
+            return
+        grant = self._slots.try_acquire(self._services[0], self._call, self._route, self._tried)
+        if grant is not None:
+            self._send(attempts, grant.target, now_s, grant)
+
+    def _may_send(self, attempts: list[_Attempt]) -> bool:
+        """Return whether the call may be sent again, beside the attempts that are under way."""
+        if self._attempts_used >= self._route.max_attempts:
             return False
         if self._ran is not Ran.NO and not self._repeatable:
             return False
         self._crash_verdict = self._forwarder.crash_verdict(self._call)
-        if is_blocked(self._crash_verdict) or (
-            attempts and self._crash_verdict is not CrashVerdict.CLEAR
-        ):
+        if is_blocked(self._crash_verdict):
+            return False
+        return not attempts or self._crash_verdict is CrashVerdict.CLEAR
+
+    def _start_attempt(self, attempts: list[_Attempt], now_s: float) -> bool:
+        """Start another attempt; return False if there is no attempt or target left."""
+        if self._refusal_count >= MAX_REFUSALS or not self._may_send(attempts):
             return False
         target = self._forwarder.choose_target(self._services, self._tried, now_s)
         if target is None:
             return False
         if attempts and target.instance in self._tried:
             return False
+        self._send(attempts, target, now_s)
+        return True
+
+    def _send(
+        self,
+        attempts: list[_Attempt],
+        target: Target,
+        now_s: float,
+        grant: "Grant | None" = None,
+    ) -> None:
         self._tried.append(target.instance)
         self._attempts_used += 1
         self._attempt_log.record_sent(target.instance, now_s)
         release = self._forwarder.reserve(
             target, suspect=self._crash_verdict is not CrashVerdict.CLEAR
         )
-        attempt = self._forwarder.attempt(self._call, target, self._deadline_s, release)
+        attempt = self._forwarder.attempt(self._call, target, self._deadline_s, release, grant)
         task = asyncio.ensure_future(attempt)
+
+        def release_all(_task: asyncio.Task[TargetAnswer]) -> None:
+            release()
+            finish_grant(grant, SendOutcome.NOT_SENT)
+
         # A task that is cancelled before its first step doesn't release the target itself.
-        task.add_done_callback(lambda _task: release())
-        attempts.append(_Attempt(target, task, now_s))
-        return True
+        task.add_done_callback(release_all)
+        attempts.append(_Attempt(target, task, now_s, grant))
 
     def _take_result(self, attempt: _Attempt, now_s: float) -> TargetAnswer | None:
         """Record an attempt's result; return its answer, None if the call needs another attempt."""
@@ -271,6 +396,7 @@
                 # The call didn't run, so this doesn't count as an attempt.
                 self._attempts_used -= 1
                 self._refusal_count += 1
+                self._refused_grant = attempt.grant
             else:
                 self._ran = Ran.UNKNOWN
                 self._record_begin(attempt)
@@ -297,7 +423,10 @@
             raise blocked_call_error(
                 self._crash_verdict, self._ran, self._attempt_log.summary(now_s)
             )
-        raise no_answer_error(self._ran, self._attempt_log.summary(now_s))
+        detail = self._attempt_log.summary(now_s)
+        if self._queue_error:
+            detail = f"{detail}; {self._queue_error}"
+        raise no_answer_error(self._ran, detail)
 
 
 def blocked_call_error(verdict: CrashVerdict, ran: Ran, detail: str) -> RequestError:
--- a/samphirecleat/serving/_route_table.py
+++ b/samphirecleat/serving/_route_table.py
@@ -68,6 +68,10 @@
         """Return the priority of a workspace, the default one if it has none."""
         return self._priorities.get(workspace, DEFAULT_PRIORITY)
 
+    def call_priority(self, workspace: str, route: Route) -> int:
+        """Return the priority of a call: its workspace's, or its route's if that has none."""
+        return self._priorities.get(workspace, route.priority)
+
     def allows_anonymous_steps(self, host: str) -> bool:
         """Whether steps may be submitted to a host without an API key."""
         routes = self._by_host.get(host.lower(), ())
--- a/samphirecleat/serving/_stream_relay.py
+++ b/samphirecleat/serving/_stream_relay.py
@@ -15,13 +15,13 @@
 from ._attempt_log import AttemptLog
 from ._forwarder import (
     MAX_REFUSALS,
-    RETURN_MARGIN_S,
     Forwarder,
     blocked_call_error,
     no_answer_error,
 )
 from ._target_table import TargetTable
 from ._types import (
+    RETURN_MARGIN_S,
     Call,
     Route,
     StreamChannel,
