Bound the calls that wait for closed targets

While all targets of a service were closed, each call that could wait until the next probe was admitted, and most of them were refused after the reopening. The estimate now counts the calls that wait and the rate after the reopening.

--- a/samphirecleat/dispatch/_line.py
+++ b/samphirecleat/dispatch/_line.py
@@ -344,7 +344,7 @@
         to_objective_s = _objective_end(entry) - now_s - answer_s
         if self.rate_per_s(now_s) <= 0.0:
             allowed_s = to_deadline_s if entry.returning else to_objective_s
-            wait_s = self._drain_s(1, now_s, allowed_s)
+            wait_s = self._drain_s(len(self) + 1, now_s, allowed_s)
             return RefusalReason.CLOSED if wait_s > allowed_s else None
         ahead = self._ahead_of(entry.priority, _rank_of(entry)) + 1
         if not entry.returning:
@@ -372,7 +372,9 @@
         """Return the time until a call at a position starts, or until a closed target reopens."""
         rate_per_s = self.rate_per_s(now_s)
         if rate_per_s <= 0.0:
-            return max(0.0, self._reopens_at_s() - now_s)
+            # One call probes each target before the others start.
+            probed_s = max(now_s, self._reopens_at_s()) + self._estimates(now_s).fastest_s
+            return probed_s - now_s + calls / self.rooms.reopened_rate_per_s(now_s)
         if swift:
             rate_per_s = self._estimates(now_s).swift_rate_per_s
         rate_per_s /= self._trainers_factor()
--- a/samphirecleat/dispatch/_room.py
+++ b/samphirecleat/dispatch/_room.py
@@ -206,11 +206,16 @@
 
     def service_rate_per_s(self, instances: Collection[str], now_s: float) -> float:
         """Return the calls per second that the open ones of these targets can serve."""
+        rooms = [self.rooms[instance] for instance in instances if instance in self.rooms]
+        return self._rate_per_s([room for room in rooms if not room.is_closed], now_s)
+
+    def reopened_rate_per_s(self, now_s: float) -> float:
+        """Return the calls per second that all targets can serve once they are open again."""
+        return self._rate_per_s(self.rooms.values(), now_s)
+
+    def _rate_per_s(self, rooms: Iterable[TargetRoom], now_s: float) -> float:
         rate_per_s = 0.0
-        for instance in instances:
-            room = self.rooms.get(instance)
-            if room is None or room.is_closed:
-                continue
+        for room in rooms:
             mean_s = self._trainer_share * self.mean_s(room, now_s, for_trainer=True)
             mean_s += (1.0 - self._trainer_share) * self.mean_s(room, now_s, for_trainer=False)
             rate_per_s += min(room.limit, float(room.slots)) / mean_s
--- a/tests/dispatch/test_line.py
+++ b/tests/dispatch/test_line.py
@@ -168,6 +168,7 @@
 ) -> None:
     """Guards against holding a call until its deadline while no target can take it."""
     line = make_line(target("t0"))
+    line.rooms.prior_s = 0.01
     start = line.offer(entry(), 1.0)
     assert isinstance(start, Start)
     line.finish(start, SendOutcome(outcome), 1.0)
