Admit calls to the queue with a larger margin for the answer

With a margin of two mean times, some calls were refused only after they had waited for most of their objective. The test of a burst first sends one call, because the margin now exceeds its objective while the mean time is only assumed.

--- a/samphirecleat/dispatch/_line.py
+++ b/samphirecleat/dispatch/_line.py
@@ -20,9 +20,10 @@
 
 # Callers' calls that start for each call of a trainer while both wait: trainers get a sixth.
 CALLERS_PER_TRAINER: Final = 5
-# A call is admitted if its wait leaves this many mean times for the answer, because durations vary
-# and the estimate of the wait has errors of a few calls.
-ANSWER_MEANS: Final = 2.0
+# A call is admitted if its wait leaves this many mean times for the answer. Durations vary, and the
+# estimate of the wait has errors of a few calls; with a smaller margin, calls are refused after
+# they have waited.
+ANSWER_MEANS: Final = 2.5
 # A waiting call is started only if its answer is due after this many expected times: half of the
 # calls take longer than the mean.
 START_MEANS: Final = 1.25
--- a/samphirecleat/dispatch/_slot_queue.py
+++ b/samphirecleat/dispatch/_slot_queue.py
@@ -94,7 +94,8 @@
             has not been sent for this grant.
         """
         queue = self._queue(service)
-        queue.line.rooms.prior_s = max(0.001, route.objective_s * PRIOR_MEAN_SHARE)
+        if not call.for_trainer:
+            queue.line.rooms.prior_s = max(0.001, route.objective_s * PRIOR_MEAN_SHARE)
         returning = queue.is_returning(call, route)
         entry = self._entry(call, route, excluded, returning=returning or repeated)
         return await queue.acquire(entry)
--- a/tests/dispatch/test_load_replays.py
+++ b/tests/dispatch/test_load_replays.py
@@ -61,7 +61,7 @@
     twice = [c for c in refused if len(c.refusals) > 1 and first_refused_s[id(c)] < unbooked_s]
     assert not twice
     waits_s = [wait_s for caller in refused for wait_s in caller.waits_s]
-    assert sum(wait_s > 0.25 * 0.151 for wait_s in waits_s) <= 0.02 * len(waits_s)
+    assert sum(wait_s > 0.25 * 0.151 for wait_s in waits_s) <= 0.01 * len(waits_s)
 
 
 def test_load_below_capacity_is_not_refused() -> None:
--- a/tests/serving/test_forwarder_slots.py
+++ b/tests/serving/test_forwarder_slots.py
@@ -91,13 +91,15 @@
     """Guards against a burst that is sent to full targets."""
 
     async def body(fixture: Fixture) -> None:
+        # From this call on, the queue knows how long calls take.
+        assert await fixture.forward(objective_s=2.0) == OK
         calls = [fixture.forward(objective_s=2.0) for _ in range(30)]
         await asyncio.sleep(0.005)
-        assert len(fixture.channel.instances) == 9
+        assert len(fixture.channel.instances) == 1 + 9
         assert await asyncio.gather(*calls) == [OK] * 30
-        assert len(fixture.channel.instances) == 30
+        assert len(fixture.channel.instances) == 1 + 30
 
-    run(lambda: Fixture(*[0.02] * 30), body)
+    run(lambda: Fixture(*[0.02] * 31), body)
 
 
 def test_call_that_may_have_run_is_not_reported_as_refused() -> None:
