--- a/samphirecleat/peers/__init__.py
+++ b/samphirecleat/peers/__init__.py
@@ -15,7 +15,7 @@
     TargetLoad,
     TargetRow,
 )
-from ._rendezvous import RendezvousOwners, rank_members
+from ._rendezvous import RendezvousOwners, rank_members, rendezvous_weight
 
 if TYPE_CHECKING:
     from ._client import PeerClient, PeerUnavailableError
@@ -38,6 +38,7 @@
     "TargetLoad",
     "TargetRow",
     "rank_members",
+    "rendezvous_weight",
 ]
 
 # Loaded lazily, so that nodes that only exchange heartbeats don't import grpclib.
--- a/samphirecleat/peers/_rendezvous.py
+++ b/samphirecleat/peers/_rendezvous.py
@@ -21,7 +21,7 @@
 @lru_cache(maxsize=RANKING_CACHE_SIZE)
 def _rank(node_ids: tuple[str, ...], key: str) -> Sequence[str]:
     """Rank nodes; cached, since controllers ask many times a second and nodes change rarely."""
-    return sorted(node_ids, key=lambda node_id: _weight(node_id, key), reverse=True)
+    return sorted(node_ids, key=lambda node_id: rendezvous_weight(node_id, key), reverse=True)
 
 
 class RendezvousOwners:
@@ -48,9 +48,14 @@
         for key in keys:
             owner = self._owners.get(key)
             if owner is None or owner[1] in left:
-                candidates = [(_weight(node_id, key), node_id) for node_id in self._node_ids]
+                candidates = [
+                    (rendezvous_weight(node_id, key), node_id) for node_id in self._node_ids
+                ]
             else:
-                candidates = [owner, *((_weight(node_id, key), node_id) for node_id in joined)]
+                candidates = [
+                    owner,
+                    *((rendezvous_weight(node_id, key), node_id) for node_id in joined),
+                ]
             if candidates:
                 self._owners[key] = max(candidates)
             else:
@@ -62,7 +67,7 @@
         return self._owners.get(key, (0, ""))[1]
 
 
-def _weight(node_id: str, key: str) -> int:
+def rendezvous_weight(node_id: str, key: str) -> int:
     """Return a node's weight for a key, the same on every node.
 
     The hashes of both names are cached, and each pair is mixed with the SplitMix64
--- /dev/null
+++ b/samphirecleat/platform/_owner_endpoint.py
@@ -0,0 +1,131 @@
+"""Serves calls that other nodes send to this node as the owner of their targets."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from time import monotonic
+from typing import Final
+
+import msgspec
+from aiohttp import StreamReader, web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
+from aiohttp.web_protocol import RequestHandler
+
+from ..dispatch import AttemptGrant, CallReply, CallRequest, HopHeader, SendDelays, hop_scope
+from ..errors import RequestError
+from ..observe import Observer
+from ..serving import CallForwarder
+from ._owner_channel import IDLE_TIMEOUT_S, PATH_ATTEMPTS, PATH_CALLS
+
+# Added to the time for which senders keep idle connections.
+IDLE_MARGIN_S: Final = 30.0
+_REQUEST_DECODER: Final = msgspec.msgpack.Decoder(CallRequest)
+_REPLY_ENCODER: Final = msgspec.msgpack.Encoder()
+
+
+class NodeCallHandler:
+    """Handles requests of other nodes.
+
+    ``POST /calls`` forwards a call, as its request describes it, and returns the answer. ``GET
+    /calls`` does nothing. ``POST /attempts`` asks whether a call of this node may be attempted once
+    more. A sender that disconnects cancels its call.
+    """
+
+    def __init__(
+        self,
+        forwarder: CallForwarder,
+        projected_wait_s: Callable[[str], float],
+        grant_attempt: Callable[[int], bool],
+        ask_attempt: Callable[[str, int], Awaitable[bool]],
+        observer: Observer,
+    ) -> None:
+        """Forward calls through ``forwarder``.
+
+        ``projected_wait_s`` returns the wait of a new call of a service here. ``grant_attempt``
+        answers owners of this node's calls; ``ask_attempt`` asks the sender of a call.
+        ``in_flight`` counts the calls in hand.
+        """
+        self._forwarder = forwarder
+        self._projected_wait_s = projected_wait_s
+        self._grant_attempt = grant_attempt
+        self._ask_attempt = ask_attempt
+        self._counters = observer.counters
+        self._delays = SendDelays()
+        self.in_flight = 0
+
+    def server(self) -> web.Server:
+        """Return the HTTP server of this handler."""
+        return web.Server(
+            self.handle,
+            request_factory=_make_unlimited_request,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=IDLE_TIMEOUT_S + IDLE_MARGIN_S,
+        )
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Return the response to one request of a node."""
+        match request.method, request.raw_path:
+            case "POST", path if path == PATH_CALLS:
+                return await self._handle_call(request)
+            case "GET", path if path == PATH_CALLS:
+                return web.Response(status=204)
+            case "POST", path if path == PATH_ATTEMPTS:
+                granted = self._grant_attempt(int.from_bytes(await request.read()))
+                return web.Response(status=204 if granted else 409)
+        return web.Response(status=404)
+
+    async def _handle_call(self, request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            content = _REQUEST_DECODER.decode(await request.read())
+        except msgspec.MsgspecError:
+            return web.Response(status=400)
+        self._counters["owner_calls_received"] += 1
+        self.in_flight += 1
+        try:
+            reply = await self._run(content)
+        finally:
+            self.in_flight -= 1
+        return web.Response(body=_encode_reply(reply))
+
+    async def _run(self, request: CallRequest) -> CallReply:
+        delay_s = self._delays.delay_s(request.hop.sender, request.hop.sent_at_s, monotonic())
+        call = request.to_call(asyncio.get_running_loop().time(), delay_s)
+        grant = self._grant(request.hop, request.granted_attempts)
+        try:
+            with hop_scope(grant, counts_usage=request.counts_usage):
+                answer = await self._forwarder.forward(call, request.to_route())
+        except RequestError as error:
+            return CallReply.from_error(error, self._projected_wait_s(request.service))
+        return CallReply.from_answer(answer, self._projected_wait_s(request.service))
+
+    def _grant(self, hop: HopHeader, granted: int) -> AttemptGrant:
+        async def ask() -> bool:
+            return await self._ask_attempt(hop.sender_address, hop.number)
+
+        return AttemptGrant(granted, ask)
+
+
+def _encode_reply(reply: CallReply) -> bytes:
+    """Return the encoded reply; header bytes that are no text are replaced by ``?``."""
+    try:
+        return _REPLY_ENCODER.encode(reply)
+    except UnicodeEncodeError:
+        headers = [(_as_text(name), _as_text(value)) for name, value in reply.headers]
+        return _REPLY_ENCODER.encode(msgspec.structs.replace(reply, headers=headers))
+
+
+def _as_text(value: str) -> str:
+    return value.encode("utf-8", "replace").decode()
+
+
+def _make_unlimited_request(
+    message: RawRequestMessage,
+    payload: StreamReader,
+    protocol: RequestHandler,
+    writer: AbstractStreamWriter,
+    task: "asyncio.Task[None]",
+) -> web.BaseRequest:
+    """Return a request of any size; the sender has checked it by the configured limits."""
+    loop = asyncio.get_running_loop()
+    return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=0)
--- a/samphirecleat/serving/_types.py
+++ b/samphirecleat/serving/_types.py
@@ -210,6 +210,18 @@
         ...
 
 
+class CallForwarder(Protocol):
+    """Forwards calls and returns their complete answers."""
+
+    async def forward(self, call: Call, route: Route) -> TargetAnswer:
+        """Return the target's answer, whatever its status.
+
+        :raises RequestError: when there is no answer to return; ``ran`` is NO only if no target can
+            have run the call.
+        """
+        ...
+
+
 class StreamStart(NamedTuple):
     """The head of an event stream; the events come from ``version`` of the model."""
 
--- /dev/null
+++ b/tests/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the dispatch of calls under load."""
