Gateway: send the priority of the workspace, and count every fallback

The priority of a workspace overrides that of a route, and an owner must not look it up in its own configuration. It now goes with the call. Calls that a node takes over from its owners, and refusals that another owner makes up for, are counted; avoided owners are logged once per avoidance. Names of answer headers are plain strings in the reply, since a subclass of str can't be encoded.

--- a/samphirecleat/dispatch/_dispatched_call.py
+++ b/samphirecleat/dispatch/_dispatched_call.py
@@ -148,6 +148,7 @@
         left = self._route.max_attempts - self._used_attempts
         if owner is None or self._gateway.is_own(owner):
             self._asked.append(self._gateway.identity.incarnation)
+            self._gateway.count_taken_over()
             self._used_attempts += left
             hop = Hop(None, now_s, left)
             self._start(hop, self._forward_here(left))
@@ -199,7 +200,7 @@
                 self._record_reply(hop, wait_s, now_s)
                 result = result.answer()
         except HopError as error:
-            self._record_hop_failure(hop, error, now_s)
+            self._record_hop_failure(hop, error)
             return None
         except RequestError as error:
             self._record_error(hop, error, wait_s, now_s)
@@ -215,20 +216,13 @@
             self._gateway.states.record_reply(hop.owner, now_s)
             self._gateway.states.record_wait(hop.owner, self._service, wait_s, now_s)
 
-    def _record_hop_failure(self, hop: Hop, error: HopError, now_s: float) -> None:
+    def _record_hop_failure(self, hop: Hop, error: HopError) -> None:
         """Record a hop without a reply; the owner is avoided."""
         assert hop.owner is not None
         self._gateway.observer.counters[f"owner_hop_failed_{error.reason}"] += 1
         self._details.append(f"owner={hop.owner.node_id}: {error}")
-        if error.avoid_s > 0.0 and not self._gateway.states.is_avoided(hop.owner, now_s):
-            self._gateway.logger.warning(
-                "owner=%s avoided for %.1f s service=%s: %s",
-                hop.owner.node_id,
-                error.avoid_s,
-                self._service,
-                error,
-            )
-        self._gateway.states.avoid(hop.owner, now_s + error.avoid_s)
+        if error.avoid_s > 0.0:
+            self._gateway.avoid(hop.owner, error.avoid_s, self._service, str(error))
         if error.sent:
             # The process that held the connection is gone, and its count of the call with it.
             self._ran = Ran.UNKNOWN
@@ -258,7 +252,10 @@
             return False
         self._tried_other_for_wait = True
         other_wait_s = self._gateway.wait_s(other, self._service, now_s)
-        return other_wait_s <= wait_s * MUCH_SHORTER_WAIT
+        if other_wait_s > wait_s * MUCH_SHORTER_WAIT:
+            return False
+        self._gateway.observer.counters["owner_refusals_passed_over"] += 1
+        return True
 
     def _next_check_s(self) -> float:
         """Return when the silence of an open hop must be looked at next."""
@@ -294,17 +291,10 @@
         """Avoid a silent owner, and send an idempotent call to another one in parallel."""
         assert hop.owner is not None
         hop.silent = True
-        if not self._gateway.states.is_avoided(hop.owner, now_s):
-            self._gateway.observer.counters["owner_hop_failed_silent"] += 1
-            self._gateway.logger.warning(
-                "owner=%s avoided for %.1f s service=%s: silent for %.3f s",
-                hop.owner.node_id,
-                AVOID_S,
-                self._service,
-                silent_s,
-            )
-            self._gateway.states.avoid(hop.owner, now_s + AVOID_S)
-        self._details.append(f"owner={hop.owner.node_id}: silent for {silent_s:.3f} s")
+        self._gateway.observer.counters["owner_hop_failed_silent"] += 1
+        reason = f"silent for {silent_s:.3f} s"
+        self._gateway.avoid(hop.owner, AVOID_S, self._service, reason)
+        self._details.append(f"owner={hop.owner.node_id}: {reason}")
         # A frozen owner counts the call when it wakes and finds its sender gone.
         self._counted_elsewhere = True
         if self._repeatable and self._send_next(now_s):
--- a/samphirecleat/dispatch/_gateway.py
+++ b/samphirecleat/dispatch/_gateway.py
@@ -45,11 +45,13 @@
     """This node as its gateway needs it.
 
     ``projected_wait_s`` returns how long a new call of a service would wait in this node's queue,
-    in seconds, infinite if the node has no target for it.
+    in seconds, infinite if the node has no target for it. ``priority_of_call`` returns the priority
+    of a call, from its workspace and the priority of its route.
     """
 
     identity: Identity
     projected_wait_s: Callable[[str], float]
+    priority_of_call: Callable[[str, int], int]
 
 
 class CallGateway:
@@ -73,10 +75,11 @@
         self.channel = channel
         self.identity = node.identity
         self.observer = observer
-        self.logger = observer.log("gateway")
+        self._logger = observer.log("gateway")
         self.states = OwnerStates()
         self._ownership = ownership
         self._projected_wait_s = node.projected_wait_s
+        self._priority_of_call = node.priority_of_call
         self._rng = rng
         # A random start keeps a restarted process from granting attempts of its predecessor.
         self._last_hop_number = secrets.randbits(48)
@@ -95,9 +98,12 @@
         if not services or self._ownership.owned(services[0]) is None:
             return await self.forwarder.forward(call, route)
         service = services[0]
-        if len(route.services) > 1:
-            route = route._replace(services=(WeightedService(service, 1.0),))
+        priority = self._priority_of_call(call.workspace, route.priority)
+        if len(route.services) > 1 or priority != route.priority:
+            route = route._replace(services=(WeightedService(service, 1.0),), priority=priority)
         owner = self.choose(service, route, (), asyncio.get_running_loop().time())
+        if owner is None and self._ownership.owners(service):
+            self.count_taken_over()
         if owner is None or self.is_own(owner):
             return await self.forwarder.forward(call, route)
         return await DispatchedCall(self, call, route, service).result(owner)
@@ -144,6 +150,23 @@
             return self._projected_wait_s(service)
         return self.states.wait_s(owner, service, now_s)
 
+    def avoid(self, owner: Owner, duration_s: float, service: str, reason: str) -> None:
+        """Send no calls to an owner for a time, and log that once in that time."""
+        now_s = asyncio.get_running_loop().time()
+        if not self.states.is_avoided(owner, now_s):
+            self._logger.warning(
+                "owner=%s avoided for %.1f s service=%s: %s",
+                owner.node_id,
+                duration_s,
+                service,
+                reason,
+            )
+        self.states.avoid(owner, now_s + duration_s)
+
+    def count_taken_over(self) -> None:
+        """Count a call that this node forwards because none of its owners can be asked."""
+        self.observer.counters["owner_calls_taken_over"] += 1
+
     def is_own(self, owner: Owner) -> bool:
         """Whether an owner is this process."""
         return owner.incarnation == self.identity.incarnation
--- a/samphirecleat/dispatch/_messages.py
+++ b/samphirecleat/dispatch/_messages.py
@@ -108,7 +108,9 @@
     @classmethod
     def from_answer(cls, answer: TargetAnswer, wait_s: float) -> "CallReply":
         """Return the reply that carries a target's answer."""
-        return cls(wait_s, answer.status, answer.headers, answer.body, answer.signature)
+        # Names may be of a subclass of str, which can't be encoded.
+        headers = [(str(name), value) for name, value in answer.headers]
+        return cls(wait_s, answer.status, headers, answer.body, answer.signature)
 
     @classmethod
     def from_error(cls, error: RequestError, wait_s: float) -> "CallReply":
--- a/samphirecleat/serving/_route_table.py
+++ b/samphirecleat/serving/_route_table.py
@@ -68,6 +68,10 @@
         """Return the priority of a workspace, the default one if it has none."""
         return self._priorities.get(workspace, DEFAULT_PRIORITY)
 
+    def priority_of_call(self, workspace: str, route_priority: int) -> int:
+        """Return the priority of a workspace's calls, that of their route if it has none."""
+        return self._priorities.get(workspace, route_priority)
+
     def allows_anonymous_steps(self, host: str) -> bool:
         """Whether steps may be submitted to a host without an API key."""
         routes = self._by_host.get(host.lower(), ())
