Connect nodes to the owners of targets

Nodes sent calls to targets without a view of the service. Callers' calls and reward calls use the gateway; reward calls are marked as a trainer's. Drain waits for calls in hand of other nodes. Tests run real nodes whose paths are cut or go silent.

--- a/samphirecleat/durable/_scorer.py
+++ b/samphirecleat/durable/_scorer.py
@@ -10,7 +10,7 @@
 
 from ..errors import RequestError
 from ..observe import Observer
-from ..serving import Call, Forwarder, Route, RouteTable, TargetTable
+from ..serving import Call, CallForwarder, Route, RouteTable, TargetTable
 from ._records import ItemSpec, RewardSpec
 
 # Deadline of one reward call, and the delay before the next attempt.
@@ -35,7 +35,7 @@
         self,
         routes: RouteTable,
         targets: TargetTable,
-        forwarder: Forwarder,
+        forwarder: CallForwarder,
         observer: Observer,
     ) -> None:
         """Send calls through ``forwarder``."""
@@ -85,6 +85,7 @@
             reward.body,
             began_s,
             began_s + REWARD_BUDGET_S,
+            for_trainer=True,
         )
         attempts = max(MIN_ATTEMPTS, min(MAX_ATTEMPTS, route.max_attempts))
         try:
--- a/samphirecleat/platform/_front.py
+++ b/samphirecleat/platform/_front.py
@@ -13,8 +13,8 @@
 from ..serving import (
     ApiKeyAuthenticator,
     Call,
+    CallForwarder,
     CallKind,
-    Forwarder,
     RelayedStream,
     Route,
     RouteTable,
@@ -50,7 +50,7 @@
     def __init__(
         self,
         routes: RouteTable,
-        forwarder: Forwarder,
+        forwarder: CallForwarder,
         relay: StreamRelay,
         steps: StepAccess,
         authenticator: ApiKeyAuthenticator,
--- a/samphirecleat/platform/_listeners.py
+++ b/samphirecleat/platform/_listeners.py
@@ -29,12 +29,12 @@
         await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
         self._runners.append(runner)
 
-    async def open_optional(self, address: str, server: web.Server) -> None:
-        """Listen at an address, or log a warning if it can't be bound."""
+    async def open_optional(self, address: str, server: web.Server, purpose: str) -> None:
+        """Listen at an address, or log a warning with the purpose if it can't be bound."""
         try:
             await self.open(address, server)
         except OSError as error:
-            self._logger.warning("failed to listen for metrics at %s: %s", address, error)
+            self._logger.warning("failed to listen for %s at %s: %s", purpose, address, error)
 
     async def close(self) -> None:
         """Close all servers and their connections."""
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -13,6 +13,14 @@
 from .._boot_clock import boot_time_s
 from ..blackboard import Blackboard, Identity, Member
 from ..controllers.membership import Membership
+from ..dispatch import (
+    MAX_NODES_WITHOUT_OWNERS,
+    CallGateway,
+    GatewayNode,
+    GrantedChannel,
+    OwnershipView,
+    count_usage_in_scope,
+)
 from ..durable import (
     DutyDependencies,
     MemberRegistry,
@@ -55,6 +63,8 @@
 from ._listeners import Listeners
 from ._metadata_store import MetadataStore
 from ._node_duties import NodeDuties, PlatformView
+from ._owner_channel import NodeCallClient
+from ._owner_endpoint import NodeCallHandler
 from ._peer_texts import PeerTextClient
 from ._target_sessions import TargetSessions
 from ._watches import OperatorWatch, TargetWatch
@@ -87,8 +97,15 @@
     Draining before the stop lets requests in flight finish within the grace period.
     """
 
-    def __init__(self, settings: BootSettings) -> None:
-        """Create the components that need no event loop; nothing is sent yet."""
+    def __init__(
+        self,
+        settings: BootSettings,
+        max_nodes_without_owners: int = MAX_NODES_WITHOUT_OWNERS,
+    ) -> None:
+        """Create the components that need no event loop; nothing is sent yet.
+
+        Targets have owners while more than ``max_nodes_without_owners`` nodes are ready.
+        """
         self.settings = settings
         self._rng = random.Random(secrets.randbits(64))
         self._started_at_ms = int(time.time() * 1000)
@@ -106,6 +123,7 @@
         self._logger = self.observer.log("node")
         self.routes = RouteTable()
         self.targets = TargetTable(settings.zone, settings.node_id)
+        self.ownership = OwnershipView(settings.node_id, max_nodes_without_owners)
         self._listeners = Listeners(self.observer)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -118,6 +136,7 @@
         self._clock = TrueClock(asyncio.get_running_loop().time, boot_time_s, time.time)
         self._session = aiohttp.ClientSession(connector=make_connector(STORE_KEEPALIVE_IDLE_S))
         self._sessions = TargetSessions(self.observer)
+        self._node_calls = NodeCallClient(self.observer)
         self.targets.warm.keep_alive_s = self._sessions.idle_timeout_s
         self._store = MetadataStore(
             self._session,
@@ -217,12 +236,14 @@
         await self._listeners.close()
         self._store.close()
         await self._sessions.close()
+        await self._node_calls.close()
         await self._session.close()
         self._logger.info("stopped")
 
     def _has_pending_work(self) -> bool:
         unwritten = self.step_log.unlisted_count + self._counter.unwritten_calls
-        return self.front.in_flight > 0 or unwritten > 0
+        in_flight = self.front.in_flight + self._owned_calls.in_flight
+        return in_flight > 0 or unwritten > 0
 
     def _wire_followers(self) -> None:
         self.operator = OperatorWatch(self.routes, self.observer)
@@ -237,7 +258,7 @@
         )
 
     def _wire_serving(self) -> None:
-        exchange = CallExchange(self._sessions)
+        exchange = GrantedChannel(CallExchange(self._sessions))
         self._counter = UsageCounter(
             self._store,
             self._clock,
@@ -248,8 +269,14 @@
         )
         meter = self._counter.record_start if self.settings.reports_usage else discard_usage
         forwarder = Forwarder(
-            self.routes, self.targets, exchange, self._rng, meter, self._crashes.guard
+            self.routes,
+            self.targets,
+            exchange,
+            self._rng,
+            count_usage_in_scope(meter),
+            self._crashes.guard,
         )
+        gateway = self._wire_dispatch(forwarder)
         self.step_log = StepLog(
             self._store,
             self.board.identity.incarnation,
@@ -272,7 +299,7 @@
         )
         self.front = CallerHandler(
             self.routes,
-            forwarder,
+            gateway,
             relay,
             StepAccess(self.step_log),
             self._authenticator,
@@ -284,7 +311,7 @@
             self.targets,
             GenerationStream(self._sessions),
             EngineOrders(self._sessions),
-            Scorer(self.routes, self.targets, forwarder, self.observer),
+            Scorer(self.routes, self.targets, gateway, self.observer),
             ProgressJournal(self._store, self.observer),
             self.observer,
             self.operator.newest_version,
@@ -300,6 +327,28 @@
             self.board, self.settings, dependencies, self._api, view, self._rng
         )
 
+    def _wire_dispatch(self, forwarder: Forwarder) -> CallGateway:
+        """Connect this node to the owners of targets, and as an owner to the other nodes."""
+        # MERGE: use SlotQueue(self.targets, self.ownership.owned, self.observer).projected_wait_s,
+        # and pass the queue to the Forwarder as ``slots``.
+        projected_wait_s = _no_wait_s
+        self._gateway = CallGateway(
+            forwarder,
+            self.ownership,
+            self._node_calls,
+            GatewayNode(self.board.identity, projected_wait_s, self.routes.priority_of_call),
+            self.observer,
+            self._rng,
+        )
+        self._owned_calls = NodeCallHandler(
+            forwarder,
+            projected_wait_s,
+            self._gateway.grant_attempt,
+            self._node_calls.ask_attempt,
+            self.observer,
+        )
+        return self._gateway
+
     def _reading_pause_s(self) -> float:
         return reading_pause_s(len(self.board.members), runs_work=self._duties.runs_any_service())
 
@@ -323,8 +372,12 @@
         )
         if settings.metrics_port:
             address = f"{settings.ip_address}:{settings.metrics_port}"
-            await listeners.open_optional(address, web.Server(endpoints.metrics, access_log=None))
-        peer_host, _, peer_port = self.board.identity.peer_address.rpartition(":")
+            metrics = web.Server(endpoints.metrics, access_log=None)
+            await listeners.open_optional(address, metrics, "metrics")
+        peer_address = self.board.identity.peer_address
+        # Without this listener, other nodes dispatch the calls of the targets that it owns.
+        await listeners.open_optional(peer_address, self._owned_calls.server(), "calls of nodes")
+        peer_host, _, peer_port = peer_address.rpartition(":")
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self._membership, local_addr=(peer_host, int(peer_port))
         )
@@ -334,11 +387,26 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.target_watch.refresh()
+            self._refresh_ownership()
             self._crashes.guard.review([m.incarnation for m in self.board.live_members()])
             if self.settings.reports_usage:
                 self._correct_clock()
             await self._sessions.close_stale(self.targets.targets)
 
+    def _refresh_ownership(self) -> None:
+        """Compute the owners of targets from the current membership and registrations."""
+        members = self.board.live_members()
+        self._gateway.forget_owners([member.incarnation for member in members])
+        targets = self.targets.targets.values()
+        if not self.ownership.update(members, targets, self.routes.config.services):
+            return
+        owned = self.ownership.owned_by_service()
+        self.observer.counters["owned_targets"] = sum(len(names) for names in owned.values())
+        self._logger.info(
+            "owned targets changed: %s",
+            " ".join(f"{name}={','.join(sorted(owned[name]))}" for name in sorted(owned)) or "none",
+        )
+
     def _correct_clock(self) -> None:
         """Set the clock, which decides the usage window of a call, to the median of the fleet."""
         samples = [
@@ -402,3 +470,9 @@
     def _log_task_failure(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
             self._logger.error("a background task of the node failed", exc_info=task.exception())
+
+
+def _no_wait_s(service: str) -> float:
+    """Return the wait of a node without a queue."""
+    del service
+    return 0.0
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -66,17 +66,23 @@
 
     def stall_connections(self) -> None:
         """Stop forwarding on the open connections; new connections work."""
-        for stalled, _client_writer, _server_writer in self._connections:
-            stalled.set()
+        for passes, _client_writer, _server_writer in self._connections:
+            passes.clear()
 
     def freeze(self) -> None:
         """Accept connections but forward nothing, like a process stopped by SIGSTOP."""
         self._frozen = True
         self.stall_connections()
 
+    def thaw(self) -> None:
+        """Forward again, and first what was received meanwhile, as after SIGCONT."""
+        self._frozen = False
+        for passes, _client_writer, _server_writer in self._connections:
+            passes.set()
+
     def abort_connections(self) -> None:
         """Abort all open connections."""
-        for _stalled, client_writer, server_writer in self._connections:
+        for _passes, client_writer, server_writer in self._connections:
             client_writer.transport.abort()
             server_writer.transport.abort()
 
@@ -85,15 +91,15 @@
     ) -> None:
         host, port = self._target_address.split(":")
         server_reader, server_writer = await asyncio.open_connection(host, int(port))
-        stalled = asyncio.Event()
-        if self._frozen:
-            stalled.set()
-        self._connections.append((stalled, client_writer, server_writer))
+        passes = asyncio.Event()
+        if not self._frozen:
+            passes.set()
+        self._connections.append((passes, client_writer, server_writer))
         for source, sink, to_client in (
             (client_reader, server_writer, False),
             (server_reader, client_writer, True),
         ):
-            task = asyncio.create_task(self._pump(source, sink, stalled, to_client))
+            task = asyncio.create_task(self._pump(source, sink, passes, to_client))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -101,13 +107,12 @@
         self,
         source: asyncio.StreamReader,
         sink: asyncio.StreamWriter,
-        stalled: asyncio.Event,
+        passes: asyncio.Event,
         to_client: bool,
     ) -> None:
         try:
             while data := await source.read(65_536):
-                if stalled.is_set():
-                    await asyncio.Event().wait()
+                await passes.wait()
                 self.bytes_to_client += len(data) if to_client else 0
                 sink.write(data)
         except ConnectionError:
