--- a/samphirecleat/dispatch/_gateway.py
+++ b/samphirecleat/dispatch/_gateway.py
@@ -45,13 +45,13 @@
     """This node as its gateway needs it.
 
     ``projected_wait_s`` returns how long a new call of a service would wait in this node's queue,
-    in seconds, infinite if the node has no target for it. ``priority_of_call`` returns the priority
-    of a call, from its workspace and the priority of its route.
+    in seconds, infinite if the node has no target for it. ``call_priority`` returns the priority of
+    a call, from its workspace and its route.
     """
 
     identity: Identity
     projected_wait_s: Callable[[str], float]
-    priority_of_call: Callable[[str, int], int]
+    call_priority: Callable[[str, Route], int]
 
 
 class CallGateway:
@@ -79,7 +79,7 @@
         self.states = OwnerStates()
         self._ownership = ownership
         self._projected_wait_s = node.projected_wait_s
-        self._priority_of_call = node.priority_of_call
+        self._call_priority = node.call_priority
         self._rng = rng
         # A random start keeps a restarted process from granting attempts of its predecessor.
         self._last_hop_number = secrets.randbits(48)
@@ -98,7 +98,7 @@
         if not services or self._ownership.owned(services[0]) is None:
             return await self.forwarder.forward(call, route)
         service = services[0]
-        priority = self._priority_of_call(call.workspace, route.priority)
+        priority = self._call_priority(call.workspace, route)
         if len(route.services) > 1 or priority != route.priority:
             route = route._replace(services=(WeightedService(service, 1.0),), priority=priority)
         owner = self.choose(service, route, (), asyncio.get_running_loop().time())
--- a/samphirecleat/platform/_owner_endpoint.py
+++ b/samphirecleat/platform/_owner_endpoint.py
@@ -14,7 +14,7 @@
 from ..dispatch import AttemptGrant, CallReply, CallRequest, HopHeader, SendDelays, hop_scope
 from ..errors import RequestError
 from ..observe import Observer
-from ..serving import CallForwarder
+from ..serving import Call, Route, TargetAnswer
 from ._owner_channel import IDLE_TIMEOUT_S, PATH_ATTEMPTS, PATH_CALLS
 
 # Added to the time for which senders keep idle connections.
@@ -33,19 +33,19 @@
 
     def __init__(
         self,
-        forwarder: CallForwarder,
+        forward: Callable[[Call, Route], Awaitable[TargetAnswer]],
         projected_wait_s: Callable[[str], float],
         grant_attempt: Callable[[int], bool],
         ask_attempt: Callable[[str, int], Awaitable[bool]],
         observer: Observer,
     ) -> None:
-        """Forward calls through ``forwarder``.
+        """Forward calls by ``forward``, whose route holds the priority of the call.
 
         ``projected_wait_s`` returns the wait of a new call of a service here. ``grant_attempt``
         answers owners of this node's calls; ``ask_attempt`` asks the sender of a call.
         ``in_flight`` counts the calls in hand.
         """
-        self._forwarder = forwarder
+        self._forward = forward
         self._projected_wait_s = projected_wait_s
         self._grant_attempt = grant_attempt
         self._ask_attempt = ask_attempt
@@ -94,7 +94,7 @@
         grant = self._grant(request.hop, request.granted_attempts)
         try:
             with hop_scope(grant, counts_usage=request.counts_usage):
-                answer = await self._forwarder.forward(call, request.to_route())
+                answer = await self._forward(call, request.to_route())
         except RequestError as error:
             return CallReply.from_error(error, self._projected_wait_s(request.service))
         return CallReply.from_answer(answer, self._projected_wait_s(request.service))
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -329,19 +329,20 @@
 
     def _wire_dispatch(self, forwarder: Forwarder) -> CallGateway:
         """Connect this node to the owners of targets, and as an owner to the other nodes."""
-        # MERGE: use SlotQueue(self.targets, self.ownership.owned, self.observer).projected_wait_s,
-        # and pass the queue to the Forwarder as ``slots``.
-        projected_wait_s = _no_wait_s
+        # MERGE: slots = SlotQueue(self.targets, self.ownership.owned, self.observer), passed to the
+        # Forwarder; projected_wait_s = slots.projected_wait_s; and calls of other nodes by
+        # forwarder.forward(call, route, priority=route.priority).
+        projected_wait_s, forward = _no_wait_s, forwarder.forward
         self._gateway = CallGateway(
             forwarder,
             self.ownership,
             self._node_calls,
-            GatewayNode(self.board.identity, projected_wait_s, self.routes.priority_of_call),
+            GatewayNode(self.board.identity, projected_wait_s, self.routes.call_priority),
             self.observer,
             self._rng,
         )
         self._owned_calls = NodeCallHandler(
-            forwarder,
+            forward,
             projected_wait_s,
             self._gateway.grant_attempt,
             self._node_calls.ask_attempt,
--- a/samphirecleat/serving/_route_table.py
+++ b/samphirecleat/serving/_route_table.py
@@ -68,9 +68,9 @@
         """Return the priority of a workspace, the default one if it has none."""
         return self._priorities.get(workspace, DEFAULT_PRIORITY)
 
-    def priority_of_call(self, workspace: str, route_priority: int) -> int:
-        """Return the priority of a workspace's calls, that of their route if it has none."""
-        return self._priorities.get(workspace, route_priority)
+    def call_priority(self, workspace: str, route: Route) -> int:
+        """Return the priority of a call: its workspace's, or its route's if that has none."""
+        return self._priorities.get(workspace, route.priority)
 
     def allows_anonymous_steps(self, host: str) -> bool:
         """Whether steps may be submitted to a host without an API key."""
--- a/tests/dispatch/test_gateway.py
+++ b/tests/dispatch/test_gateway.py
@@ -53,7 +53,9 @@
             self.ownership,
             self,
             GatewayNode(
-                identity, lambda _service: self.own_wait_s, lambda name, p: 1 if name else p
+                identity,
+                lambda _service: self.own_wait_s,
+                lambda name, to: 1 if name else to.priority,
             ),
             Observer("n"),
             random.Random(1),
--- a/tests/platform/owner_nodes.py
+++ b/tests/platform/owner_nodes.py
@@ -102,7 +102,7 @@
     async def start(self) -> None:
         """Listen for calls of other nodes."""
         self.endpoint = NodeCallHandler(
-            self.forwarder,
+            self.forwarder.forward,
             lambda _service: 0.0,
             lambda number: self.gateway.grant_attempt(number),
             self.client.ask_attempt,
@@ -121,7 +121,7 @@
             GatewayNode(
                 Identity(self.node_id, self.node_id, "z", "a:1", self.path.address),
                 lambda _service: 0.0,
-                lambda _workspace, priority: priority,
+                lambda _workspace, route: route.priority,
             ),
             self.observer,
             random.Random(1),
