--- a/tests/dispatch/__init__.py
+++ b/tests/dispatch/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the queue of a service."""
+"""Tests of the dispatch of calls under load."""
