Add a bench of the queues, and use its replay in the tests

The load replays stood among the tests, so that their figures could not be produced again without them. bench queues plays a surge with no change, one target lost and two slow, against the queue and against sending at once.

--- a/samphirecleat/bench/_registry.py
+++ b/samphirecleat/bench/_registry.py
@@ -15,6 +15,7 @@
     "blame": "_blame",
     "routing": "_routing",
     "limits": "_limits",
+    "queues": "_queues",
     "retries": "_retries",
     "stragglers": "_stragglers",
     "weights": "_weights",
--- a/tests/dispatch/test_room.py
+++ b/tests/dispatch/test_room.py
@@ -5,7 +5,7 @@
 from samphirecleat.dispatch._room import MAX_TARGET_BYTES, TargetRoom
 from samphirecleat.serving import SendOutcome
 
-from .replay import target
+from .fakes import target
 
 
 def room_with(calls: int, now_s: float = 1.0) -> TargetRoom:
