--- a/samphirecleat/dispatch/_room.py
+++ b/samphirecleat/dispatch/_room.py
@@ -172,14 +172,14 @@
         self._trainer_share = 0.0
 
     def replace(self, targets: Iterable[Target]) -> None:
-        """Set the targets; a room is kept unless its target has gone or has other slots.
+        """Set the targets; a room is kept unless its target has restarted or has other slots.
 
         Calls in flight at a target that has gone still finish at their own room.
         """
         rooms = {}
         for target in targets:
             room = self.rooms.get(target.instance)
-            if room is None or room.target.started_at_ms != target.started_at_ms:
+            if room is None or _size(room.target) != _size(target):
                 room = TargetRoom(target)
             room.target = target
             rooms[target.instance] = room
@@ -220,3 +220,7 @@
             mean_s += (1.0 - self._trainer_share) * self.mean_s(room, now_s, for_trainer=False)
             rate_per_s += min(room.limit, float(room.slots)) / mean_s
         return rate_per_s
+
+
+def _size(target: Target) -> tuple[int, int]:
+    return target.started_at_ms, target.slots
