--- a/samphirecleat/dispatch/_room.py
+++ b/samphirecleat/dispatch/_room.py
@@ -179,7 +179,7 @@
         rooms = {}
         for target in targets:
             room = self.rooms.get(target.instance)
-            if room is None or _size(room.target) != _size(target):
+            if room is None or _start_and_slots(room.target) != _start_and_slots(target):
                 room = TargetRoom(target)
             room.target = target
             rooms[target.instance] = room
@@ -222,5 +222,5 @@
         return rate_per_s
 
 
-def _size(target: Target) -> tuple[int, int]:
+def _start_and_slots(target: Target) -> tuple[int, int]:
     return target.started_at_ms, target.slots
