--- a/samphirecleat/dispatch/_dispatched_call.py
+++ b/samphirecleat/dispatch/_dispatched_call.py
@@ -172,7 +172,8 @@
         left = self._route.max_attempts - self._used_attempts
         if owner is None or self._gateway.is_own(owner):
             self._asked.append(self._gateway.identity.incarnation)
-            self._gateway.count_taken_over()
+            if owner is None:
+                self._gateway.count_taken_over()
             self._used_attempts += left
             hop = Hop(None, now_s, left)
             self._start(hop, self._forward_here(left))
