Forwarding: let a superseded attempt end by itself, which keeps its connection

It now ends by itself for up to 0.5 s, if the call was granted a slot and no other call waits; a caller that leaves still cancels every attempt.

--- a/samphirecleat/dispatch/_slot_queue.py
+++ b/samphirecleat/dispatch/_slot_queue.py
@@ -49,6 +49,11 @@
         if start is not None:
             self._queue.finish(start, outcome)
 
+    @property
+    def is_contended(self) -> bool:
+        """Whether other calls wait for a target of the service."""
+        return len(self._queue.line) > 0
+
     @property
     def queue(self) -> "_ServiceQueue":
         """The queue of the target's service."""
--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -45,6 +45,9 @@
 # Refusals after which a call fails. Targets refuse at once, so several attempts are cheap; a call
 # may be sent to the same target twice.
 MAX_REFUSALS: Final = 8
+# Longest time for which an attempt goes on after another one has answered the call. Cancelling it
+# would close its connection, and the next call would have to open a new one.
+SUPERSEDED_ATTEMPT_S: Final = 0.5
 # Calls with larger bodies are hashed only while any call is suspect: hashing is expensive for them,
 # and large bodies are rarely identical.
 MAX_HASHED_BODY_BYTES: Final = 65536
@@ -233,13 +236,16 @@
         self._crash_verdict = CrashVerdict.CLEAR
 
     async def result(self) -> TargetAnswer:
-        """Return the first usable answer and cancel the other attempts."""
+        """Return the first usable answer and end the other attempts."""
         attempts: list[_Attempt] = []
+        answered = False
         try:
-            return await self._run_attempts(attempts)
+            answer = await self._run_attempts(attempts)
+            answered = True
+            return answer
         finally:
             for attempt in attempts:
-                attempt.task.cancel()
+                _end_attempt(attempt, answered=answered)
                 self._record_begin(attempt)
             if self._call.workspace and self._began_at_s < math.inf:
                 self._forwarder.meter(self._call.workspace, self._began_at_s)
@@ -429,6 +435,26 @@
         raise no_answer_error(self._ran, detail)
 
 
+def _end_attempt(attempt: _Attempt, *, answered: bool) -> None:
+    """Cancel an attempt, or let it end by itself if its call is answered and no other call waits.
+
+    A call whose caller has left is cancelled at once, so that targets don't work for nobody.
+    """
+    task = attempt.task
+    if not answered or attempt.grant is None or attempt.grant.is_contended:
+        task.cancel()
+        return
+    timer = asyncio.get_running_loop().call_later(SUPERSEDED_ATTEMPT_S, task.cancel)
+
+    def clean_up(ended: asyncio.Task[TargetAnswer]) -> None:
+        timer.cancel()
+        # The outcome was recorded by the attempt itself; reading it here marks it as retrieved.
+        if not ended.cancelled():
+            ended.exception()
+
+    task.add_done_callback(clean_up)
+
+
 def blocked_call_error(verdict: CrashVerdict, ran: Ran, detail: str) -> RequestError:
     """Return the error for a call that isn't sent because targets crashed under it.
 
