Owner endpoint: keep one copy of a request

aiohttp keeps the bytes of a request that were read with request.read() until its end. A large body was in memory twice at the owner, for as long as the call waited there.

--- a/samphirecleat/platform/_owner_endpoint.py
+++ b/samphirecleat/platform/_owner_endpoint.py
@@ -77,7 +77,8 @@
 
     async def _handle_call(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
-            content = _REQUEST_DECODER.decode(await request.read())
+            # Unlike request.read(), this keeps no second copy of a large body during the call.
+            content = _REQUEST_DECODER.decode(await request.content.read())
         except msgspec.MsgspecError:
             return web.Response(status=400)
         self._counters["owner_calls_received"] += 1
