--- a/samphirecleat/platform/_owner_endpoint.py
+++ b/samphirecleat/platform/_owner_endpoint.py
@@ -6,10 +6,7 @@
 from typing import Final
 
 import msgspec
-from aiohttp import StreamReader, web
-from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import RawRequestMessage
-from aiohttp.web_protocol import RequestHandler
+from aiohttp import web
 
 from ..dispatch import AttemptGrant, CallReply, CallRequest, HopHeader, SendDelays, hop_scope
 from ..errors import RequestError
@@ -57,7 +54,6 @@
         """Return the HTTP server of this handler."""
         return web.Server(
             self.handle,
-            request_factory=_make_unlimited_request,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=IDLE_TIMEOUT_S + IDLE_MARGIN_S,
@@ -77,7 +73,8 @@
 
     async def _handle_call(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
-            # Unlike request.read(), this keeps no second copy of a large body during the call.
+            # Unlike request.read(), this has no limit, which the sender applied to the body, and
+            # keeps no second copy of it during the call.
             content = _REQUEST_DECODER.decode(await request.content.read())
         except msgspec.MsgspecError:
             return web.Response(status=400)
@@ -118,15 +115,3 @@
 
 def _as_text(value: str) -> str:
     return value.encode("utf-8", "replace").decode()
-
-
-def _make_unlimited_request(
-    message: RawRequestMessage,
-    payload: StreamReader,
-    protocol: RequestHandler,
-    writer: AbstractStreamWriter,
-    task: "asyncio.Task[None]",
-) -> web.BaseRequest:
-    """Return a request of any size; the sender has checked it by the configured limits."""
-    loop = asyncio.get_running_loop()
-    return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=0)
