Bound the bytes that a node holds for its callers

Cause: bodies of waiting calls, pages of 1 MB that nobody reads and streams were held without a bound, 64 KB of each answer stayed in the transport, and an idle connection kept its last body and answer. Change: every request has a lease on a budget of an eighth of limits.memoryMb; new work and reads of results beyond it get 503 with a time to retry before anything is sent; answers are counted until the kernel has accepted them; transfers without progress are ended while memory is short or the node drains.

--- a/samphirecleat/durable/_access.py
+++ b/samphirecleat/durable/_access.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
 from ..errors import ErrorKind, Ran, RequestError
@@ -27,6 +27,11 @@
 RESPONSE_BYTES: Final = 800_000
 
 
+def _reserve_nothing(size_bytes: int) -> None:
+    """Allow any size."""
+    del size_bytes
+
+
 class ListedResult(NamedTuple):
     """A result with its text, "" for an item that was given up."""
 
@@ -89,9 +94,19 @@
             )
         return True
 
-    async def read(self, step_id: str, after: int, wait_s: float, workspace: str = "") -> StepPage:
+    async def read(
+        self,
+        step_id: str,
+        after: int,
+        wait_s: float,
+        workspace: str = "",
+        reserve: Callable[[int], None] = _reserve_nothing,
+    ) -> StepPage:
         """Return the results from position ``after``, waiting ``wait_s`` seconds for the first.
 
+        ``reserve`` is called with the size of their texts in bytes before the texts are read. What
+        it raises is passed on, and no text is read.
+
         :raises RequestError: when the step does not exist, or this node cannot tell.
         """
         loop = asyncio.get_running_loop()
@@ -113,6 +128,7 @@
             # The reader has seen more results at another node than this one has folded.
             raise _not_ready("this node lags behind the step log")
         chosen = _select_page(step, after)
+        reserve(sum(result.text.text_bytes for result in chosen if result.text))
         try:
             async with asyncio.timeout(TEXT_READ_TIMEOUT_S):
                 texts = await self._step_log.texts.read([r.text for r in chosen if r.text])
--- a/samphirecleat/platform/_boot_settings.py
+++ b/samphirecleat/platform/_boot_settings.py
@@ -9,6 +9,10 @@
 SETTINGS_VARIABLE: Final = "SAMPHIRECLEAT_BOOT"
 DUTY_USAGE: Final = "usage"
 DUTY_SCALING: Final = "scaling"
+# Memory of a node process whose settings don't tell it, in MB.
+DEFAULT_MEMORY_MB: Final = 512.0
+# Share of a node's memory for the bytes that it holds for callers.
+CALL_BYTES_SHARE: Final = 1 / 8
 
 
 class BootSettings(NamedTuple):
@@ -16,12 +20,12 @@
 
     Addresses are ``IP:PORT``, or ``""`` if the platform provides none. ``peer_ports`` are the first
     and the last port for traffic between nodes. ``metrics_port`` comes from the command line; 0
-    means none. If ``fences_checked`` is set, the receivers of orders reject those of an earlier
-    holder. A revoked API key must stop working within ``key_revocation_s``; if ``keys_fail_closed``
-    is set, a node that can't read revocations accepts no key after that time. ``api_duties`` are
-    the calls of the platform's API at ``api_address`` that one node at a time must make;
-    ``api_calls_per_s`` limits their rate. The usage report of each ``report_window_s`` is due
-    ``report_due_s`` after the end of the window.
+    means none. ``memory_mb`` is the memory that the process may use. If ``fences_checked`` is set,
+    the receivers of orders reject those of an earlier holder. A revoked API key must stop working
+    within ``key_revocation_s``; if ``keys_fail_closed`` is set, a node that can't read revocations
+    accepts no key after that time. ``api_duties`` are the calls of the platform's API at
+    ``api_address`` that one node at a time must make; ``api_calls_per_s`` limits their rate. The
+    usage report of each ``report_window_s`` is due ``report_due_s`` after the end of the window.
     """
 
     node_id: str
@@ -48,12 +52,18 @@
     report_window_s: float = 0.0
     report_due_s: float = 0.0
     metrics_port: int = 0
+    memory_mb: float = DEFAULT_MEMORY_MB
 
     @property
     def reports_usage(self) -> bool:
         """Whether the platform requires usage reports."""
         return DUTY_USAGE in self.api_duties
 
+    @property
+    def call_bytes_limit(self) -> int:
+        """The bytes that the node may hold for callers."""
+        return int(self.memory_mb * CALL_BYTES_SHARE * 1_000_000)
+
     @property
     def orders_targets(self) -> bool:
         """Whether the platform accepts orders of targets."""
@@ -105,6 +115,7 @@
         fences_checked=reader.flag("bounds.fencingEnforced", default=False),
         keys_fail_closed=reader.flag("bounds.revokeFailClosed", default=False),
         key_revocation_s=reader.number("bounds.revocationMs", math.inf) / 1000.0,
+        memory_mb=reader.positive("limits.memoryMb", DEFAULT_MEMORY_MB, finite=True),
         **_api_settings(reader),
     )
 
@@ -170,10 +181,10 @@
         """Whether a key is present."""
         return self._find(key) is not None
 
-    def positive(self, key: str, default: float | None = None) -> float:
+    def positive(self, key: str, default: float | None = None, *, finite: bool = False) -> float:
         """Return a number above zero; a missing key is an error unless there is a default."""
         value = self.number(key, default)
-        if value <= 0.0:
+        if value <= 0.0 or (finite and not math.isfinite(value)):
             raise self._error(key, "a number above zero", value)
         return value
 
--- a/samphirecleat/platform/_front.py
+++ b/samphirecleat/platform/_front.py
@@ -1,7 +1,8 @@
 """Handles the HTTP requests of callers and trainers: routed calls and batch jobs."""
 
 import asyncio
-from collections.abc import Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from functools import partial
 from typing import Final
 from urllib.parse import parse_qs
 
@@ -23,6 +24,8 @@
     StreamRelay,
     TargetAnswer,
 )
+from ._byte_budget import ByteLease
+from ._call_bytes import BytesRefusedError, CallBytes
 from ._job_documents import decode_step, encode_page
 from ._wire_names import (
     CREDENTIALS,
@@ -55,11 +58,13 @@
         steps: StepAccess,
         authenticator: ApiKeyAuthenticator,
         observer: Observer,
+        call_bytes: CallBytes,
     ) -> None:
         """Serve callers that ``authenticator`` accepts, by ``routes``.
 
-        While ``draining`` is set, connections are closed after their response, so that callers
-        reconnect to another node. ``in_flight`` counts the open requests.
+        ``call_bytes`` bounds the memory for bodies and responses. While ``draining`` is set,
+        connections are closed after their response, so that callers reconnect to another node.
+        ``in_flight`` counts the open requests, until the kernel has accepted their response.
         """
         self._routes = routes
         self._forwarder = forwarder
@@ -67,18 +72,25 @@
         self._steps = steps
         self._authenticator = authenticator
         self._observer = observer
+        self._bytes = call_bytes
         self._logger = observer.log("front")
         self.draining = False
         self.in_flight = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Return the response to one request."""
+        """Return the response to one request, after it was written."""
         self.in_flight += 1
         started_at_s = asyncio.get_running_loop().time()
         try:
-            response = await self._dispatch(request, started_at_s)
-        except RequestError as error:
-            response = self._error_response(request, error, started_at_s)
+            with self._bytes.lease() as lease:
+                try:
+                    response = await self._dispatch(request, started_at_s, lease)
+                except RequestError as error:
+                    response = self._error_response(request, error, started_at_s)
+                if self.draining:
+                    response.force_close()
+                await self._bytes.deliver(request, response, lease)
+            return response
         except asyncio.CancelledError:
             self._logger.info(
                 "request=%s caller disconnected after %.3f s",
@@ -88,23 +100,24 @@
             raise
         finally:
             self.in_flight -= 1
-        if self.draining:
-            response.force_close()
-        return response
 
-    async def _dispatch(self, request: web.BaseRequest, started_at_s: float) -> web.StreamResponse:
+    async def _dispatch(
+        self, request: web.BaseRequest, started_at_s: float, lease: ByteLease
+    ) -> web.StreamResponse:
         raw_path = request.raw_path
         if raw_path.startswith(PATH_STEP):
-            return await self._handle_step(request, raw_path)
+            return await self._handle_step(request, raw_path, lease)
         if raw_path.startswith(PATH_ITEM) and request.method == "GET":
-            return await self._handle_item(request, raw_path)
+            return await self._handle_item(request, raw_path, lease)
         host = _host_of(request)
         route = self._find_route(host, raw_path)
         workspace = self._authenticate(request, anonymous=route.allows_anonymous)
-        body = await self._read_body(request)
         request_id = request.headers.get(REQUEST_ID, "")
+        body = await self._bytes.read_body(request, lease, request_id)
         if route.kind in (CallKind.ROLLOUT, CallKind.BATCH):
             step = decode_step(request_id, host, raw_path, body, workspace)
+            # The document is not needed any more; the decoded items are about as large.
+            del body
             return await self._submit_step(step)
         call = Call(
             request_id,
@@ -119,13 +132,13 @@
             self._caller_of(request, workspace),
         )
         if route.kind is CallKind.STREAMING:
-            return await self._relay_stream(request, call, route)
+            return await self._relay_stream(request, call, route, lease)
         answer = await self._forwarder.forward(call, route)
         self._observer.record_s("call", asyncio.get_running_loop().time() - started_at_s)
         return _response_from(answer)
 
     async def _relay_stream(
-        self, request: web.BaseRequest, call: Call, route: Route
+        self, request: web.BaseRequest, call: Call, route: Route, lease: ByteLease
     ) -> web.StreamResponse:
         """Relay a stream; a broken one aborts the connection, so that it never looks complete."""
         last_event_id = request.headers.get(LAST_EVENT_ID, "")
@@ -141,8 +154,9 @@
             response.force_close()
         try:
             await response.prepare(request)
-            await self._write_events(response, opened, call.received_at_s)
-            await response.write_eof()
+            write = partial(self._bytes.write, request, response, lease=lease)
+            await self._write_events(write, opened, call.received_at_s)
+            await self._bytes.deliver(request, response, lease)
         except StreamBrokenError as error:
             self._observer.counters["streams_cut"] += 1
             self._logger.warning("request=%s stream cut: %s", call.request_id, error)
@@ -153,7 +167,10 @@
         return response
 
     async def _write_events(
-        self, response: web.StreamResponse, stream: RelayedStream, received_at_s: float
+        self,
+        write: Callable[[bytes], Awaitable[None]],
+        stream: RelayedStream,
+        received_at_s: float,
     ) -> None:
         announced_version = stream.start.version
         first = True
@@ -164,7 +181,7 @@
                     first = False
                     now_s = asyncio.get_running_loop().time()
                     self._observer.record_s("stream_first_event", now_s - received_at_s)
-                await response.write(_encode_event(event, announced_version))
+                await write(_encode_event(event, announced_version))
                 announced_version = event.version
         finally:
             await events.aclose()
@@ -176,12 +193,6 @@
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, f"no route for {host}{raw_path}")
         return route
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
-        try:
-            return await request.read()
-        except web.HTTPRequestEntityTooLarge as error:
-            raise RequestError(ErrorKind.BODY_TOO_LARGE, str(error)) from error
-
     def _authenticate(self, request: web.BaseRequest, *, anonymous: bool) -> str:
         """Return the name of the caller's workspace, "" for an anonymous caller.
 
@@ -218,7 +229,9 @@
         self._logger.info("step=%s kept after %.3f s", step.step_id, elapsed_s)
         return web.Response(status=202, headers={REQUEST_ID: step.step_id})
 
-    async def _handle_step(self, request: web.BaseRequest, raw_path: str) -> web.StreamResponse:
+    async def _handle_step(
+        self, request: web.BaseRequest, raw_path: str, lease: ByteLease
+    ) -> web.StreamResponse:
         step_id, query = _split_path(raw_path, PATH_STEP)
         workspace = self._authenticate_for_steps(request)
         match request.method:
@@ -226,19 +239,25 @@
                 wait_s = _parse_count(request.headers.get(WAIT_MS, "0"), WAIT_MS) / 1000.0
                 after = _parse_count(query.get("after", "0"), "after")
                 wait_s = min(MAX_WAIT_S, wait_s)
-                page = await self._steps.read(step_id, after, wait_s, workspace)
+                reserve = partial(self._bytes.admit_read, lease, request_id=step_id)
+                reserve(0)
+                page = await self._steps.read(step_id, after, wait_s, workspace, reserve)
                 return _json_response(encode_page(page))
             case "DELETE":
                 await self._steps.end(step_id, workspace)
                 return _json_response(b"{}")
         raise RequestError(ErrorKind.UNKNOWN_METHOD, f"{request.method} {raw_path}")
 
-    async def _handle_item(self, request: web.BaseRequest, raw_path: str) -> web.StreamResponse:
+    async def _handle_item(
+        self, request: web.BaseRequest, raw_path: str, lease: ByteLease
+    ) -> web.StreamResponse:
         step_id, query = _split_path(raw_path, PATH_ITEM)
         workspace = self._authenticate_for_steps(request)
+        self._bytes.admit_read(lease, 0, step_id)
         body = await self._steps.body(step_id, query.get("id", ""), workspace)
         if body is None:
             raise RequestError(ErrorKind.UNKNOWN_STEP, f"step {step_id} has no such item")
+        self._bytes.admit_read(lease, len(body), step_id)
         return web.Response(body=body, content_type="application/octet-stream")
 
     def _error_response(
@@ -246,6 +265,18 @@
     ) -> web.StreamResponse:
         status = status_of(error)
         self._observer.counters[f"refused_{error.kind.value}"] += 1
+        if not isinstance(error, BytesRefusedError):
+            self._log_error(request, error, status, started_at_s)
+        headers = {}
+        if request_id := request.headers.get(REQUEST_ID, ""):
+            headers[REQUEST_ID] = request_id
+        if status in _NOT_RUN_STATUSES and error.retry_after_s > 0.0:
+            headers["Retry-After"] = f"{error.retry_after_s:g}"
+        return web.json_response(error.body(), status=status, headers=headers)
+
+    def _log_error(
+        self, request: web.BaseRequest, error: RequestError, status: int, started_at_s: float
+    ) -> None:
         self._logger.warning(
             "request=%s %s %s status=%d kind=%s ran=%s after=%.3f s detail=%s",
             request.headers.get(REQUEST_ID, ""),
@@ -257,12 +288,6 @@
             asyncio.get_running_loop().time() - started_at_s,
             error.detail,
         )
-        headers = {}
-        if request_id := request.headers.get(REQUEST_ID, ""):
-            headers[REQUEST_ID] = request_id
-        if status in _NOT_RUN_STATUSES and error.retry_after_s > 0.0:
-            headers["Retry-After"] = f"{error.retry_after_s:g}"
-        return web.json_response(error.body(), status=status, headers=headers)
 
 
 def _host_of(request: web.BaseRequest) -> str:
--- a/samphirecleat/platform/_front_server.py
+++ b/samphirecleat/platform/_front_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any, Final
+from typing import Any, Final, cast
 
 from aiohttp import StreamReader, web
 from aiohttp.abc import AbstractStreamWriter
@@ -39,6 +39,16 @@
         self._header_timeout_s = header_timeout_s
         self._header_timer: asyncio.TimerHandle | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Let writes wait until the kernel has accepted their last byte.
+
+        By default, 64 KB stay in memory after a write has returned, for as long as the caller does
+        not read.
+        """
+        super().connection_made(transport)
+        # The transports of uvloop don't inherit from those of asyncio.
+        cast(asyncio.Transport, transport).set_write_buffer_limits(high=0)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the header timer."""
         self._cancel_timer()
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -44,6 +44,7 @@
 )
 from ._auxiliary_endpoints import AuxiliaryEndpoints
 from ._boot_settings import BootSettings
+from ._call_bytes import CallBytes
 from ._call_exchange import CallExchange
 from ._call_stream import CallStream
 from ._crash_parts import wire_crash_parts
@@ -183,6 +184,7 @@
         )
         self._store.set_address(settings.store_address)
         self._api.set_address(settings.api_address)
+        self._call_bytes.budget.limit_bytes = settings.call_bytes_limit
         self._authenticator.set_revocation(
             fails_closed=settings.keys_fail_closed, revocation_s=settings.key_revocation_s
         )
@@ -270,6 +272,9 @@
             fails_closed=self.settings.keys_fail_closed,
             revocation_s=self.settings.key_revocation_s,
         )
+        self._call_bytes = CallBytes(
+            self.settings.call_bytes_limit, self.observer, lambda: self.board.leaving
+        )
         self.front = CallerHandler(
             self.routes,
             forwarder,
@@ -277,6 +282,7 @@
             StepAccess(self.step_log),
             self._authenticator,
             self.observer,
+            self._call_bytes,
         )
         dependencies = DutyDependencies(
             self.step_log,
@@ -334,6 +340,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.target_watch.refresh()
+            self._call_bytes.publish()
             self._crashes.guard.review([m.incarnation for m in self.board.live_members()])
             if self.settings.reports_usage:
                 self._correct_clock()
--- a/tests/durable/test_step_log.py
+++ b/tests/durable/test_step_log.py
@@ -293,6 +293,27 @@
     run_async(body)
 
 
+def test_read_without_space_for_its_texts_reads_none(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against texts that are fetched into memory before the read of them is refused."""
+
+    def refuse(size_bytes: int) -> None:
+        raise MemoryError(size_bytes)
+
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            await step_log.accept(step("s1"))
+            await until(lambda: "s1" in step_log.fold.steps)
+            step_log.list_result(finished("s1", "s1-1"))
+            await until(lambda: len(step_log.fold.steps["s1"].results) == 1)
+            monkeypatch.setattr(step_log.texts, "read", None)
+            with pytest.raises(MemoryError, match="4"):
+                await StepAccess(step_log).read("s1", 0, 0.0, reserve=refuse)
+
+    run_async(body)
+
+
 def test_ending_a_step_twice_appends_one_record() -> None:
     async def body() -> None:
         log = MemoryLog()
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -205,6 +205,13 @@
     assert (settings.node_id, settings.lease_s, settings.peer_ports) == ("n", 3.0, (7720, 7735))
 
 
+def test_callers_bytes_get_an_eighth_of_the_memory() -> None:
+    """Guards against settings without ``limits.memoryMb``, which older platforms write."""
+    small = {**SETTINGS, "limits": {"memoryMb": 80}}
+    assert decode_boot_settings(small, "boot.toml").call_bytes_limit == 10_000_000
+    assert decode_boot_settings(SETTINGS, "boot.toml").call_bytes_limit == 64_000_000
+
+
 @pytest.mark.parametrize(
     ("change", "where"),
     [
@@ -213,6 +220,10 @@
         ({"internalPortRange": [1]}, "internalPortRange"),
         ({"bounds": {}}, "bounds.gracePeriodS"),
         ({"seedNodes": "x"}, "seedNodes"),
+        ({"limits": {"memoryMb": 0}}, "limits.memoryMb"),
+        ({"limits": {"memoryMb": float("nan")}}, "limits.memoryMb"),
+        ({"limits": {"memoryMb": float("inf")}}, "limits.memoryMb"),
+        ({"limits": {"memoryMb": "512"}}, "limits.memoryMb"),
     ],
 )
 def test_invalid_settings_are_rejected_with_their_key(
