Save drafts again after a failed append of them

Cause: ProgressJournal marked events as saved before the append, so after a failed append they were missing from the log and all later parts of the run were ignored when it was restored. Change: events of an append without success are saved again with the next one, and restoring accepts parts that repeat events, as after a lost response.

--- a/samphirecleat/durable/_drafts.py
+++ b/samphirecleat/durable/_drafts.py
@@ -46,11 +46,15 @@
         return cls(part.run_id, part.resumed_after, part.first_event_id)
 
     def extend(self, part: DraftPart) -> None:
-        """Append a part; ignored unless it directly follows the parts before it."""
-        if part.first_event_id != self.first_event_id + len(self.event_data):
+        """Append the new events of a part; ignored if events before it are missing.
+
+        A part may repeat events: it is saved again if its append got no response.
+        """
+        repeated = self.first_event_id + len(self.event_data) - part.first_event_id
+        if not 0 <= repeated <= len(part.event_data):
             return
-        self.event_data.extend(part.event_data)
-        self.versions.extend(part.versions)
+        self.event_data.extend(part.event_data[repeated:])
+        self.versions.extend(part.versions[repeated:])
         self.complete = part.complete
 
 
@@ -133,6 +137,12 @@
         self._saved_complete = self.complete
         return parts
 
+    def put_back(self, parts: Sequence[DraftPart]) -> None:
+        """Mark parts of this draft as not saved, after an append of them failed."""
+        if parts:
+            self._saved = min(self._saved, parts[0].first_event_id - 1)
+            self._saved_complete = False
+
     def adopt(self, run: SavedRun) -> bool:
         """Adopt the events of a run if that makes the text longer or complete.
 
--- a/samphirecleat/durable/_journal.py
+++ b/samphirecleat/durable/_journal.py
@@ -51,16 +51,24 @@
             await self._trim()
 
     async def save(self, drafts: Sequence[Draft]) -> None:
-        """Append the events since the last save; after a failure they are not saved again."""
-        parts = [part for draft in drafts for part in draft.take_unsaved()]
+        """Append the events since the last save that succeeded."""
+        taken = [(draft, draft.take_unsaved()) for draft in drafts]
+        parts = [part for _, unsaved in taken for part in unsaved]
         if not parts:
             return
+        if not await self._append(parts):
+            for draft, unsaved in taken:
+                draft.put_back(unsaved)
+
+    async def _append(self, parts: Sequence[DraftPart]) -> bool:
+        """Append parts; return False if they are not known to be saved."""
         result = await self._log.append_plain(PROGRESS_TOPIC, _pack(parts))
-        if result.outcome is AppendOutcome.APPENDED:
-            self._observer.counters["progress_parts"] += len(parts)
-            self._saved.append((asyncio.get_running_loop().time(), result.offset))
-        else:
+        if result.outcome is not AppendOutcome.APPENDED:
             self._logger.warning("parts=%d not saved: %s", len(parts), result.detail)
+            return False
+        self._observer.counters["progress_parts"] += len(parts)
+        self._saved.append((asyncio.get_running_loop().time(), result.offset))
+        return True
 
     async def _trim(self) -> None:
         """Drop expired records, up to the newest expired one written by this node."""
