Recognize takeovers in the log lines that nodes write

Cause: explain looked for the key service= in the lines of duties, which have subject=, so it saw no takeover; its test used a line that no node writes. Change: the pattern matches subject=, without duties that run no service, and a test feeds it the lines of a real duty keeper.

--- a/samphirecleat/explain/_trace.py
+++ b/samphirecleat/explain/_trace.py
@@ -148,6 +148,7 @@
     ),
     (re.compile(r"^\[steps\] step=(?P<step>\S+) ended .*new=True"), _on_step_ended),
     (re.compile(r"^\[orders\] .*outcome=accepted"), _on_order_accepted),
-    (re.compile(r"^\[duty\] service=\S+ taken"), _on_runner_changed),
+    # Duties other than running a service have a prefix, and delay no step.
+    (re.compile(r"^\[duty\] subject=(?!duty:)\S+ taken"), _on_runner_changed),
     (re.compile(r"^\[store\] direct=lost"), _on_store_lost),
 ]
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -1,13 +1,24 @@
 """Finding the delays of steps and their causes in node logs."""
 
+import asyncio
 import io
 import json
+import random
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 
+from samphirecleat.blackboard import Blackboard, Identity, Member, MemberView
+from samphirecleat.durable import Duty, DutyKeeper, Holder, StepLog
 from samphirecleat.explain import GapCause, explain_command, gaps_of, read_lines, trace_steps
 from samphirecleat.explain._command import render
+from samphirecleat.observe import Observer
+from samphirecleat.observe._logs import JsonFormatter
+from samphirecleat.usage._reporter import REPORT_SUBJECT
+
+from ..durable.memory_log import MemoryLog
+from ..fleets import until
 
 STEP_ACCEPTED = (0.0, "[steps] step=s1 number=3 items=2 min_version=2 offset=7 new=True")
 STEP_ENDED = (9.0, "[steps] step=s1 ended offset=19 new=True")
@@ -32,7 +43,7 @@
     return time_s, f"[runner] item={item} step=s1 completed=True versions=[2]"
 
 
-RUNNER_CHANGED = "[duty] service=svc taken fencing=9 follows=n2"
+RUNNER_CHANGED = "[duty] subject=svc taken fencing=9 follows=n2"
 ORDER_ACCEPTED = "[orders] target=e1 model=m version=3 fencing=9 expected=0 outcome=accepted"
 RUN_BROKEN = "[runner] item=a target=e1 ended=broken at_event=4 detail=reset"
 RUN_SILENT = "[runner] item=a target=e1 ended=silent at_event=4 detail=no event for 1.5 s; moved"
@@ -124,6 +135,56 @@
     assert got == expected
 
 
+class IdleDuty:
+    """A duty without work."""
+
+    out_of_reach = False
+
+    def start(self, on_failure: Callable[[BaseException], None]) -> None:
+        del on_failure
+
+    def stop(self) -> None:
+        """Nothing to stop."""
+
+    async def save(self) -> None:
+        """Nothing to save."""
+
+
+def test_takeover_is_recognized_in_the_lines_that_a_node_logs(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a change of the log line, after which no takeover would be seen any more.
+
+    The usage report has a holder too, but delays no step.
+    """
+
+    async def make(subject: str, holder: Holder) -> Duty:
+        del subject, holder
+        return IdleDuty()
+
+    async def body() -> None:
+        observer = Observer("n1")
+        step_log = StepLog(MemoryLog(), "inc00001", observer, random.Random(1))
+        row = Member("n1", "inc00001", 1, "z", "", "", 1, False, True, 1, 0, 0)
+        board = Blackboard(
+            Identity("n1", "inc00001", "z", "", ""), members={"n1": MemberView(row, 0.0, True)}
+        )
+        duties = {"svc": make, REPORT_SUBJECT: make}
+        keeper = DutyKeeper(
+            board, step_log, lambda: duties, observer, random.Random(1), lease_s=3.0
+        )
+        tasks = [asyncio.ensure_future(step_log.run()), asyncio.ensure_future(keeper.run())]
+        await until(lambda: len(keeper.held_duties()) == 2)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    with caplog.at_level("INFO"):
+        asyncio.run(body())
+    lines = [JsonFormatter().format(record) for record in caplog.records]
+    assert len(trace_steps(read_lines([("log", lines)]).lines).runner_changes_s) == 1
+
+
 def test_listing_gap_mentions_lost_store() -> None:
     rows = [
         STEP_ACCEPTED,
