Refuse bodies above the limit of their request before they arrive

Cause: nothing tested that an announced size above the limit holds no bytes, and a request without a limit was refused. Change: a test of the former; a limit of 0 means none, as in aiohttp. Result: servers for other nodes, which set no limit, can use CallBytes too.

--- a/samphirecleat/platform/_call_bytes.py
+++ b/samphirecleat/platform/_call_bytes.py
@@ -1,6 +1,7 @@
 """Reads the bodies of requests and writes responses within the memory for callers' bytes."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -73,11 +74,13 @@
     async def read_body(self, request: web.BaseRequest, lease: ByteLease, request_id: str) -> bytes:
         """Return the body of a request, which the lease then holds.
 
+        The limit of the request is its ``client_max_size``, 0 for none.
+
         :raises BytesRefusedError: if it doesn't fit, or arrives slowly while memory is short.
         :raises RequestError: if it exceeds the limit of the request.
         """
         announced_bytes = request.content_length or 0
-        max_bytes = request.client_max_size
+        max_bytes = request.client_max_size or math.inf
         if announced_bytes > max_bytes:
             raise _too_large(max_bytes)
         self.admit(lease, announced_bytes, request_id)
@@ -91,7 +94,7 @@
         return await self._read_slow_body(content, lease, request_id, max_bytes)
 
     async def _read_slow_body(
-        self, content: StreamReader, lease: ByteLease, request_id: str, max_bytes: int
+        self, content: StreamReader, lease: ByteLease, request_id: str, max_bytes: float
     ) -> bytes:
         """Return a body that has not arrived completely yet; see :meth:`read_body`."""
         chunks: list[bytes] = []
@@ -111,7 +114,7 @@
         return b"".join(chunks)
 
     def _admit_arrived(
-        self, lease: ByteLease, size_bytes: int, request_id: str, max_bytes: int
+        self, lease: ByteLease, size_bytes: int, request_id: str, max_bytes: float
     ) -> None:
         """Hold what has arrived of a body beyond its announced size.
 
@@ -202,5 +205,5 @@
         return is_slow
 
 
-def _too_large(max_bytes: int) -> RequestError:
+def _too_large(max_bytes: float) -> RequestError:
     return RequestError(ErrorKind.BODY_TOO_LARGE, f"the body exceeds {max_bytes} bytes")
--- a/tests/platform/test_call_bytes.py
+++ b/tests/platform/test_call_bytes.py
@@ -10,9 +10,11 @@
 import uvloop
 from aiohttp import web
 
+from samphirecleat.errors import RequestError
 from samphirecleat.observe import Observer
 from samphirecleat.platform._byte_budget import ByteLease
-from samphirecleat.platform._call_bytes import BytesRefusedError, CallBytes
+from samphirecleat.platform._call_bytes import CallBytes
+from samphirecleat.platform._front import status_of
 from samphirecleat.platform._front_server import CallerServer
 from samphirecleat.serving import RouteTable
 
@@ -79,10 +81,9 @@
         with self.bytes.lease() as lease:
             try:
                 response = await self._respond(request, lease)
-            except BytesRefusedError as error:
-                response = web.Response(
-                    status=503, headers={"Retry-After": f"{error.retry_after_s}"}
-                )
+            except RequestError as error:
+                after = {"Retry-After": f"{error.retry_after_s}"}
+                response = web.Response(status=status_of(error), headers=after)
             await self.bytes.deliver(request, response, lease)
         return response
 
@@ -249,6 +250,17 @@
     run(body)
 
 
+def test_body_above_the_limit_of_its_request_gets_no_space() -> None:
+    """Guards against a body that is received although it will be refused for its size."""
+
+    async def body(site: Site) -> None:
+        slow = await Caller(site.port).send("/call/0", b"x", length=40_000_000)
+        assert (await slow.read()).startswith(b"HTTP/1.1 413")
+        assert site.bytes.budget.held_bytes == 0
+
+    run(body)
+
+
 def test_refusals_are_summarized_in_the_log(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against a log line for each refused call, which costs most when load is highest."""
 
