--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -339,8 +339,8 @@
         """Refresh periodically what no event updates."""
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
-            self.target_watch.refresh()
             self._call_bytes.publish()
+            self.target_watch.refresh()
             self._crashes.guard.review([m.incarnation for m in self.board.live_members()])
             if self.settings.reports_usage:
                 self._correct_clock()
