--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -56,6 +56,7 @@
 )
 from ._auxiliary_endpoints import AuxiliaryEndpoints
 from ._boot_settings import BootSettings
+from ._call_bytes import CallBytes
 from ._call_exchange import CallExchange
 from ._call_stream import CallStream
 from ._crash_parts import wire_crash_parts
@@ -206,6 +207,7 @@
         )
         self._store.set_address(settings.store_address)
         self._api.set_address(settings.api_address)
+        self._call_bytes.budget.limit_bytes = settings.call_bytes_limit
         self._authenticator.set_revocation(
             fails_closed=settings.keys_fail_closed, revocation_s=settings.key_revocation_s
         )
@@ -303,6 +305,9 @@
             fails_closed=self.settings.keys_fail_closed,
             revocation_s=self.settings.key_revocation_s,
         )
+        self._call_bytes = CallBytes(
+            self.settings.call_bytes_limit, self.observer, lambda: self.board.leaving
+        )
         self.front = CallerHandler(
             self.routes,
             gateway,
@@ -310,6 +315,7 @@
             StepAccess(self.step_log),
             self._authenticator,
             self.observer,
+            self._call_bytes,
         )
         dependencies = DutyDependencies(
             self.step_log,
@@ -393,6 +399,7 @@
         """Refresh periodically what no event updates."""
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
+            self._call_bytes.publish()
             self.target_watch.refresh()
             self._refresh_ownership()
             self._crashes.guard.review([m.incarnation for m in self.board.live_members()])
