Keep one request from crashing all targets of a small service

A request that crashes its targets ended a service of three within 0.11 s: the second attempt and the caller's retry at another node were sent at once, and a call was refused only after three crashes.

A call under which a target crashed is now sent only while two other targets of its service accept work (one of two, none of one), one such call at a time; otherwise it waits until a target is back. Reports of crashes in small services are sent to several members at once, and the caller of a failed call has its error only when they have arrived. Two crashes in sequence, each with the call alone on its target, prove it at fault if the service has three targets or fewer. Services with four targets left behave as before.

--- a/samphirecleat/controllers/admission/_crash_watch.py
+++ b/samphirecleat/controllers/admission/_crash_watch.py
@@ -46,3 +46,27 @@
         for other in same_service
         if other.address != start.address and other.usable
     ]
+
+
+class BoardServiceView:
+    """The configured services and their targets on the blackboard, as the crash guard sees them."""
+
+    def __init__(self, board: Blackboard) -> None:
+        """Read from ``board``."""
+        self._board = board
+
+    def service_of(self, start_name: str) -> tuple[str, TargetStart] | None:
+        """Return the service and the start of that name, None if no target has it."""
+        for target in self._board.targets.values():
+            if target_start(target).name == start_name:
+                return target.service, target_start(target)
+        return None
+
+    def accepting(self, service: str) -> Sequence[TargetStart]:
+        """Return the targets of a service that can be reached and don't leave."""
+        return [target_start(target) for target in self._board.targets_of(service) if target.usable]
+
+    def is_avoided(self, start: TargetStart, now_s: float) -> bool:
+        """Return False: a target that refuses connections counts as unreachable already."""
+        del start, now_s
+        return False
--- a/samphirecleat/controllers/admission/_dispatcher.py
+++ b/samphirecleat/controllers/admission/_dispatcher.py
@@ -10,7 +10,7 @@
 
 from ...blackboard import Blackboard, TargetView
 from ...config import Service, ServiceKind
-from ...crashes import CrashGuard, blocked_error, is_blocked
+from ...crashes import CrashGuard, CrashVerdict, blocked_error, is_blocked
 from ...errors import ErrorKind, Ran, RequestError
 from ...observe import Observer
 from ...requests import AnswerLine, AnswerLog, Call, WorkClass
@@ -25,6 +25,8 @@
 
 NO_TARGET_RETRY_S: Final = 1.0
 PRIORITIES_PER_CLASS: Final = 10
+# A call that starts later than this before its deadline could rarely be answered.
+LAST_START_MARGIN_S: Final = 0.07
 
 
 @dataclass
@@ -81,6 +83,7 @@
         except TimeoutError:
             answer.close(_deadline_exceeded(attempts))
         except RequestError as error:
+            await self._await_announcement(call)
             answer.close(error)
         except asyncio.CancelledError:
             answer.close(RequestError(ErrorKind.OUTCOME_UNKNOWN, "the request was cancelled"))
@@ -125,6 +128,7 @@
         budget = self._budgets.setdefault(service.name, RetryBudget(limit.ratio, limit.cap))
         budget.record_first_attempt()
         while True:
+            await self._wait_for_turn(service, call, attempts)
             self._refuse_if_blocked(call, attempts)
             target = self._choose(service, call, attempts.addresses)
             if target is None:
@@ -134,14 +138,10 @@
             attempts.addresses.append(target.address)
             earlier_may_have_run = attempts.may_have_run
             attempts.may_have_run = True
-            started_at_s = asyncio.get_running_loop().time()
             try:
-                await self._attempt(service, target, call, answer)
-                if (guard := self._guard_of(call)) is not None:
-                    guard.record_answer(call.request_id, call_digest(call))
+                await self._guarded_attempt(service, target, call, answer)
                 return
             except TargetError as error:
-                await self._report_lost_run(call, target, started_at_s, error)
                 attempts.may_have_run = earlier_may_have_run or error.may_have_run
                 self._observer.counters[f"attempts_{type(error.failure).__name__.lower()}"] += 1
                 if isinstance(error.failure, NotSent):
@@ -169,6 +169,56 @@
         """
         return self._guard if call.work_class is WorkClass.CALLER else None
 
+    async def _wait_for_turn(self, service: Service, call: Call, attempts: _Attempts) -> None:
+        """Wait while the call is suspect and its service can't afford to lose another target.
+
+        :raises RequestError: if that can't end before the call's deadline.
+        """
+        guard = self._guard_of(call)
+        if guard is None or not guard.has_suspects:
+            return
+        last_start_s = call.deadline_at_s - LAST_START_MARGIN_S
+        if not await guard.wait_for_turn(
+            call.request_id, call_digest(call), service.name, last_start_s
+        ):
+            retry_after_s = guard.retry_after_s(service.name)
+            error = blocked_error(CrashVerdict.HELD, retry_after_s=retry_after_s)
+            raise _downgrade_not_run(error, attempts.may_have_run)
+
+    async def _await_announcement(self, call: Call) -> None:
+        """Wait until other nodes know of a crash under the call, if its service is small.
+
+        The caller may send the call again to another node as soon as it has this node's error.
+        """
+        guard = self._guard_of(call)
+        if guard is None or not guard.has_suspects:
+            return
+        left_s = call.deadline_at_s - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, min(guard.announcing_left_s(call_digest(call)), left_s)))
+
+    async def _guarded_attempt(
+        self, service: Service, target: TargetView, call: Call, answer: AnswerLog
+    ) -> None:
+        """Run the call at a target and report an answer or a cut connection to the crash guard.
+
+        :raises TargetError: if the target gave no complete answer.
+        """
+        guard = self._guard_of(call)
+        digest = call_digest(call) if guard is not None else b""
+        is_suspect = guard is not None and guard.is_suspect(digest)
+        end_suspect = guard.start_suspect(service.name) if guard and is_suspect else None
+        started_at_s = asyncio.get_running_loop().time()
+        try:
+            await self._attempt(service, target, call, answer)
+            if guard is not None:
+                guard.record_answer(call.request_id, digest)
+        except TargetError as error:
+            await self._report_lost_run(call, target, started_at_s, error)
+            raise
+        finally:
+            if end_suspect is not None:
+                end_suspect()
+
     def _refuse_if_blocked(self, call: Call, attempts: _Attempts) -> None:
         """Check that the crash guard lets the call be sent to a target now.
 
--- a/samphirecleat/controllers/membership/_gossip.py
+++ b/samphirecleat/controllers/membership/_gossip.py
@@ -96,6 +96,14 @@
         self._queue_update(own.incarnation)
         return self._probe_next(ANNOUNCE_FAN_OUT, now_s)
 
+    def bare_update(self) -> Message:
+        """Return a message that carries this node's own row only."""
+        return Message(MessageKind.UPDATE, 0, "", self.table.alive_count, [MemberRow(self.own, 0)])
+
+    def address_to_some(self, message: Message, count: int) -> Sequence[Outgoing]:
+        """Address a message to ``count`` live members, drawn at random."""
+        return [Outgoing(k.member.peer_address, message) for k in self._random_alive(count)]
+
     def announce_exit(self, now_s: float) -> Sequence[Outgoing]:
         """Return the messages that tell members of this process's exit."""
         peers = self._random_alive(ANNOUNCE_FAN_OUT)
--- a/samphirecleat/controllers/membership/_membership.py
+++ b/samphirecleat/controllers/membership/_membership.py
@@ -113,6 +113,15 @@
         now_s = asyncio.get_running_loop().time()
         self._send(self.gossip.announce_exit(now_s), now_s)
 
+    def bare_message(self) -> Message:
+        """Return a message to which updates can be added for :meth:`send_to_some`."""
+        return self.gossip.bare_update()
+
+    def send_to_some(self, message: Message, count: int) -> None:
+        """Send a message as it is to ``count`` live members, without waiting for a heartbeat."""
+        for address, copy in self.gossip.address_to_some(message, count):
+            self._send_datagram(address, copy)
+
     def _write_members(self) -> None:
         table = self.gossip.table
         joined: list[str] = []
@@ -135,14 +144,22 @@
             )
 
     def _send(self, outgoing: Sequence[Outgoing], now_s: float) -> None:
-        transport = self._transport
-        if transport is None or transport.is_closing():
+        if self._is_closed():
             return
         for address, message in outgoing:
             for source in self._piggyback_sources:
                 message = source.add_updates(message, now_s)
-            datagram = self._codec.pack(message)
-            self._observer.counters["member_bytes_sent"] += len(datagram)
-            self._observer.counters["member_datagrams_sent"] += 1
-            host, port = address.rsplit(":", 1)
-            transport.sendto(datagram, (host.strip("[]"), int(port)))
+            self._send_datagram(address, message)
+
+    def _is_closed(self) -> bool:
+        return self._transport is None or self._transport.is_closing()
+
+    def _send_datagram(self, address: str, message: Message) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        datagram = self._codec.pack(message)
+        self._observer.counters["member_bytes_sent"] += len(datagram)
+        self._observer.counters["member_datagrams_sent"] += 1
+        host, port = address.rsplit(":", 1)
+        transport.sendto(datagram, (host.strip("[]"), int(port)))
--- a/samphirecleat/crashes/__init__.py
+++ b/samphirecleat/crashes/__init__.py
@@ -2,12 +2,12 @@
 
 from ._blocked import blocked_error, is_blocked
 from ._crash_gossip import CrashGossip
+from ._crashed_services import ServiceView
 from ._guard import (
     CrashGuard,
     EvidenceRecorder,
     NullEvidenceRecorder,
     RegistrationState,
-    TargetStart,
 )
 from ._ledger import CrashLedger
 from ._request_digest import request_digest
@@ -19,6 +19,8 @@
     CrashVerdict,
     Suspect,
 )
+from ._target_start import TargetStart
+from ._urgent_reports import ReportSender, UrgentReports
 
 __all__ = [
     "MIN_CRASHES_TO_REFUSE",
@@ -29,10 +31,13 @@
     "CrashGossip",
     "EvidenceRecorder",
     "RegistrationState",
+    "ReportSender",
+    "ServiceView",
     "CrashedRun",
     "CrashVerdict",
     "Suspect",
     "TargetStart",
+    "UrgentReports",
     "NullEvidenceRecorder",
     "blocked_error",
     "request_digest",
--- a/samphirecleat/crashes/_blocked.py
+++ b/samphirecleat/crashes/_blocked.py
@@ -14,9 +14,13 @@
     return verdict in (CrashVerdict.HELD, CrashVerdict.REFUSED)
 
 
-def blocked_error(verdict: CrashVerdict, attempts_summary: str = "") -> RequestError:
+def blocked_error(
+    verdict: CrashVerdict, attempts_summary: str = "", retry_after_s: float = HELD_RETRY_S
+) -> RequestError:
     """Return the error for a blocked request; ``attempts_summary`` describes earlier attempts.
 
+    ``retry_after_s`` is the time after which a held request may be sent again.
+
     The error for a held request says that it hasn't run. Don't return it if an earlier attempt may
     have run the request.
     """
@@ -27,5 +31,5 @@
     return RequestError(
         ErrorKind.CRASH_SUSPECTED,
         "targets crashed while running this request; the cause is still being determined",
-        retry_after_s=HELD_RETRY_S,
+        retry_after_s=retry_after_s,
     )
--- a/samphirecleat/crashes/_crash_gossip.py
+++ b/samphirecleat/crashes/_crash_gossip.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from ..peers import CrashRow, Message
@@ -31,6 +31,7 @@
         self._ledger = ledger
         self._node_count = node_count
         self._pending: OrderedDict[tuple[bytes, str], int] = OrderedDict()
+        self.on_new_crash: Callable[[bytes, str], None] = _ignore_report
 
     def announce(self, digest: bytes, target: str = ANSWERED) -> None:
         """Queue a report of a crashed run or of an answer for the next datagrams."""
@@ -75,21 +76,33 @@
             run = CrashedRun(row.target, begun_s, ended_s, row.node)
             if self._ledger.record_crash(row.digest, run, now_s):
                 self.announce_crash(row.digest, row.target, now_s)
+                self.on_new_crash(row.digest, row.target)
+
+    def rows_of(self, reports: Sequence[tuple[bytes, str]], now_s: float) -> Sequence[CrashRow]:
+        """Return the rows of reports that are still valid, those on the worst suspects first.
+
+        They don't count as sent on heartbeats.
+        """
+        ranked = sorted(reports, key=lambda report: -self._crash_count(report[0]))
+        rows = (self._row(digest, target, now_s) for digest, target in ranked)
+        return [row for row in rows if row is not None]
 
     def _next_reports(self) -> list[tuple[bytes, str]]:
         """Return the next reports: calls with the most crashes first, then the least sent ones."""
-        suspects = self._ledger.suspects
 
         def rank(key: tuple[bytes, str]) -> tuple[int, int]:
-            suspect = suspects.get(key[0])
-            # A report without a known call follows only those on calls that may be refused.
-            crash_count = (
-                len(suspect.crashed_runs) if suspect is not None else MIN_CRASHES_TO_REFUSE - 1
-            )
-            return (-crash_count, -self._pending[key])
+            return (-self._crash_count(key[0]), -self._pending[key])
 
         return sorted(self._pending, key=rank)[:ROWS_PER_MESSAGE]
 
+    def _crash_count(self, digest: bytes) -> int:
+        """Return the crashes under a call by which its reports are ranked.
+
+        A report without a known call follows only those on calls that may be refused.
+        """
+        suspect = self._ledger.suspects.get(digest)
+        return len(suspect.crashed_runs) if suspect is not None else MIN_CRASHES_TO_REFUSE - 1
+
     def _row(self, digest: bytes, target: str, now_s: float) -> CrashRow | None:
         """Return the row of a report, None if the report is obsolete."""
         if digest == NO_CALL:
@@ -111,5 +124,9 @@
         return CrashRow(digest, target, run.node, begun_ms, ended_ms)
 
 
+def _ignore_report(_digest: bytes, _target: str) -> None:
+    """Ignore a report; the default of ``on_new_crash``."""
+
+
 def _age_ms(at_s: float, now_s: float) -> int:
     return max(0, round((now_s - at_s) * 1000.0)) if at_s > -math.inf else 0
--- a/samphirecleat/crashes/_guard.py
+++ b/samphirecleat/crashes/_guard.py
@@ -3,13 +3,18 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Collection, Sequence
 from enum import Enum
+from functools import partial
 from typing import Final, NamedTuple, Protocol
 
 from ..observe import Observer
-from ._blocked import is_blocked
+from ._blocked import HELD_RETRY_S, is_blocked
 from ._crash_gossip import NO_CALL, CrashGossip
+from ._crashed_services import CrashedServices, EmptyServiceView, ServiceView
 from ._ledger import CrashLedger
 from ._suspect import CrashedRun, CrashVerdict
+from ._suspect_gate import SuspectGate
+from ._target_start import TargetStart
+from ._urgent_reports import UrgentReports
 
 # A target that still listens right after it cut a connection may have crashed and restarted at
 # once. Its registration shows this within three of its heartbeats plus the latency to this node.
@@ -19,19 +24,8 @@
 MAX_PROBED_TARGETS: Final = 3
 # Calls whose connections a target cut within this time share one probe of the target.
 PROBE_REUSE_S: Final = 0.25
-
-
-class TargetStart(NamedTuple):
-    """One start of a target; the time distinguishes two starts of one instance."""
-
-    instance: str
-    address: str
-    started_at_ms: int
-
-    @property
-    def name(self) -> str:
-        """Name of this start in logs and in reports to other nodes."""
-        return f"{self.instance}@{self.started_at_ms}"
+# Time within which nearly all nodes have an urgent report: about two hops of a datagram each.
+ANNOUNCED_WITHIN_S: Final = 0.1
 
 
 class RegistrationState(Enum):
@@ -85,11 +79,16 @@
         siblings: Callable[[TargetStart], Sequence[TargetStart]],
         recorder: EvidenceRecorder,
         observer: Observer,
+        services: ServiceView | None = None,
+        urgent: UrgentReports | None = None,
     ) -> None:
         """Take the node's view of its targets.
 
         ``listens`` tells whether anything accepts connections at an address. ``registration_state``
         returns the state of a target's start, and ``siblings`` the other targets of its service.
+        ``services`` tells the size of services; without it, every service counts as large.
+        ``urgent`` sends reports of crashes in small services at once; without it, they are sent on
+        heartbeats only.
         """
         self._node_id = node_id
         self._ledger = ledger
@@ -103,6 +102,12 @@
         self._known_incarnations: frozenset[str] = frozenset()
         self._probes: dict[TargetStart, tuple[float, asyncio.Task[bool]]] = {}
         self._recorder = recorder
+        self._services = CrashedServices(services or EmptyServiceView())
+        self._gate = SuspectGate(self._services)
+        self._urgent = urgent or UrgentReports(gossip)
+        ledger.on_crashed_target = self._services.record_crash
+        ledger.has_no_spare = self._has_no_spare
+        gossip.on_new_crash = partial(self._send_urgently, observed=False)
 
     @property
     def has_suspects(self) -> bool:
@@ -131,6 +136,108 @@
         now_s = asyncio.get_running_loop().time()
         return is_blocked(self._ledger.verdict(digest, now_s))
 
+    def may_send_suspect(self, digest: bytes, service: str) -> bool:
+        """Whether the service can afford that this call, if it is suspect, is sent to it now."""
+        now_s = asyncio.get_running_loop().time()
+        return not self._has_to_wait(digest) or self._gate.is_free(service, now_s)
+
+    def is_suspect(self, digest: bytes) -> bool:
+        """Whether a target crashed under a call since its last answer."""
+        now_s = asyncio.get_running_loop().time()
+        return self._ledger.verdict(digest, now_s) is not CrashVerdict.CLEAR
+
+    def must_stop_suspect(self, digest: bytes, service: str) -> bool:
+        """Whether a call became suspect whose service can't afford another lost target."""
+        now_s = asyncio.get_running_loop().time()
+        size = self._services.size(service, now_s)
+        return not size.is_large and not size.can_lose_one and self._has_to_wait(digest)
+
+    def may_risk_target(self, digest: bytes, service: str) -> bool:
+        """Whether a call that has to be sent again, even if refused, may be sent now."""
+        now_s = asyncio.get_running_loop().time()
+        is_clear = self._ledger.verdict(digest, now_s) is CrashVerdict.CLEAR
+        return is_clear or self._gate.is_free(service, now_s)
+
+    async def wait_for_turn(
+        self, request_id: str, digest: bytes, service: str, last_start_s: float
+    ) -> bool:
+        """Wait until a call may be sent to a service, which is at once unless it is suspect.
+
+        Return False if a suspect can't be sent before ``last_start_s``, on the loop's clock. The
+        caller asks for the verdict and sends the call without yielding in between.
+        """
+        if self.may_send_suspect(digest, service):
+            return True
+        began_s = asyncio.get_running_loop().time()
+        self._observer.counters["crash_suspects_waited"] += 1
+        may_send = await self._gate.wait(
+            service, last_start_s, lambda: not self._has_to_wait(digest)
+        )
+        now_s = asyncio.get_running_loop().time()
+        size = self._services.size(service, now_s)
+        if not may_send:
+            self._observer.counters["crash_suspects_not_sent"] += 1
+        self._logger.info(
+            "request=%s call=%s service=%s suspect waited=%.3f s may_send=%s time_left=%.3f s "
+            "accepting=%d required=%d targets=%d",
+            request_id,
+            digest.hex(),
+            service,
+            now_s - began_s,
+            may_send,
+            last_start_s - now_s,
+            size.accepting,
+            size.required,
+            size.total,
+        )
+        return may_send
+
+    def start_suspect(self, service: str) -> Callable[[], None]:
+        """Count a suspect that is sent to a service; return a function that ends this."""
+        return self._gate.start(service)
+
+    def retry_after_s(self, service: str) -> float:
+        """Return the time after which a suspect that wasn't sent may be sent again."""
+        now_s = asyncio.get_running_loop().time()
+        return max(HELD_RETRY_S, self._services.earliest_restart_s(service, now_s) - now_s)
+
+    def announcing_left_s(self, digest: bytes) -> float:
+        """Return the time until other nodes know of a crash under the call that was seen here.
+
+        It is 0 for crashes in large services.
+        """
+        now_s = asyncio.get_running_loop().time()
+        suspect = self._ledger.suspects.get(digest)
+        runs = suspect.crashed_runs.values() if suspect is not None else ()
+        own_s = [
+            run.ended_s
+            for run in runs
+            if run.node == self._node_id and self._is_in_small_service(run.target)
+        ]
+        return max(0.0, max(own_s) + ANNOUNCED_WITHIN_S - now_s) if own_s else 0.0
+
+    def _has_to_wait(self, digest: bytes) -> bool:
+        """Whether a call is suspect, and no recent answer speaks for it."""
+        now_s = asyncio.get_running_loop().time()
+        return self._ledger.verdict(
+            digest, now_s
+        ) is CrashVerdict.SUSPECT and not self._ledger.was_answered_recently(digest, now_s)
+
+    def _has_no_spare(self, target: str) -> bool:
+        service = self._services.service_of_crashed(target)
+        now_s = asyncio.get_running_loop().time()
+        return service is not None and self._services.size(service, now_s).has_no_spare
+
+    def _is_in_small_service(self, target: str) -> bool:
+        service = self._services.service_of_crashed(target)
+        now_s = asyncio.get_running_loop().time()
+        return service is not None and not self._services.size(service, now_s).is_large
+
+    def _send_urgently(self, digest: bytes, target: str, *, observed: bool) -> None:
+        """Report a crash to several members at once if its service has few targets left."""
+        if self._is_in_small_service(target):
+            self._urgent.add(digest, target, observed=observed)
+
     def record_answer(self, request_id: str, digest: bytes) -> None:
         """Record a target's answer to a call, which may be suspect."""
         now_s = asyncio.get_running_loop().time()
@@ -189,6 +296,7 @@
         if not self._known_incarnations.issuperset(live_incarnations):
             self._announce_refused()
         self._known_incarnations = frozenset(live_incarnations)
+        self._services.refresh(now_s)
         unconfirmed_cuts, self._unconfirmed_cuts = self._unconfirmed_cuts, []
         for cut in unconfirmed_cuts:
             match self._registration_state(cut.start):
@@ -240,6 +348,7 @@
             return
         self._observer.counters["crash_ends_seen"] += 1
         self._gossip.announce_crash(cut.digest, name, now_s)
+        self._send_urgently(cut.digest, name, observed=True)
         self._recorder.record(cut.digest, own=True)
 
     async def _probe_siblings(self, digest: bytes, start: TargetStart) -> None:
--- a/samphirecleat/crashes/_ledger.py
+++ b/samphirecleat/crashes/_ledger.py
@@ -8,8 +8,9 @@
 Pure: performs no I/O and uses neither clock nor randomness.
 """
 
+import math
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from ._suspect import (
@@ -17,6 +18,7 @@
     CrashedRun,
     CrashVerdict,
     Suspect,
+    crashes_alone,
     crashes_targets,
     may_crash_targets,
 )
@@ -37,17 +39,26 @@
 # Suspects are evicted in batches, since ranking them requires a scan of all.
 EVICTION_BATCH: Final = 128
 MAX_CRASHES_PER_CALL: Final = 16
+CALLS_KEPT_PER_TARGET: Final = 2
 
 
 class CrashLedger:
     """Suspects by the digest of their call."""
 
     def __init__(self) -> None:
-        """Start without suspects."""
+        """Start without suspects.
+
+        ``on_crashed_target`` is called with the name and the time of each new crashed target.
+        ``has_no_spare`` tells whether the service of a crashed target can't lose three targets.
+        """
         self.suspects: OrderedDict[bytes, Suspect] = OrderedDict()
         self.crashed_targets: OrderedDict[str, float] = OrderedDict()
         self._answered: OrderedDict[bytes, float] = OrderedDict()
         self._undecided: set[bytes] = set()
+        # Calls that ran at each crashed target; two suffice to know that none was alone.
+        self._calls_at: OrderedDict[str, set[bytes]] = OrderedDict()
+        self.on_crashed_target: Callable[[str, float], None] = _ignore_crashed_target
+        self.has_no_spare: Callable[[str], bool] = _assume_spare
 
     def record_crash(
         self, digest: bytes, run: CrashedRun, now_s: float, *, fresh: bool = True
@@ -58,6 +69,7 @@
         such crashes alone.
         """
         self.record_crashed_target(run.target, run.ended_s, now_s)
+        self._record_call_at(run.target, digest)
         suspect = self._get_or_add(digest)
         if run.target in suspect.crashed_runs or run.begun_s <= suspect.answered_s:
             return False
@@ -66,7 +78,7 @@
         suspect.crashed_runs[run.target] = run
         suspect.seen_at_s = max(suspect.seen_at_s, now_s)
         suspect.fresh = suspect.fresh or fresh
-        if may_crash_targets(suspect):
+        if self._fits_pattern(suspect):
             self._undecided.add(digest)
         return True
 
@@ -75,6 +87,7 @@
         if now_s - at_s > CRASHED_TARGET_TTL_S or target in self.crashed_targets:
             return False
         self.crashed_targets[target] = at_s
+        self.on_crashed_target(target, at_s)
         if len(self.crashed_targets) > MAX_SUSPECTS:
             self.crashed_targets.popitem(last=False)
         return True
@@ -137,7 +150,7 @@
             return CrashVerdict.REFUSED
         if not suspect.crashed_runs:
             return CrashVerdict.CLEAR
-        if not may_crash_targets(suspect):
+        if not self._fits_pattern(suspect):
             return CrashVerdict.SUSPECT
         if self._is_settling(suspect, now_s):
             return CrashVerdict.HELD
@@ -146,7 +159,7 @@
     def awaits_verdict(self, digest: bytes) -> bool:
         """Whether a call fits the crash pattern and isn't refused yet."""
         suspect = self.suspects.get(digest)
-        return suspect is not None and not suspect.refused and may_crash_targets(suspect)
+        return suspect is not None and not suspect.refused and self._fits_pattern(suspect)
 
     def refuse_proven_calls(self, now_s: float) -> Sequence[bytes]:
         """Refuse each call whose evidence is complete and sufficient; return the refused calls.
@@ -184,10 +197,48 @@
     def _is_settling(self, suspect: Suspect, now_s: float) -> bool:
         return now_s - suspect.last_crash_s() < SETTLE_S
 
+    def was_answered_recently(self, digest: bytes, now_s: float) -> bool:
+        """Whether a target answered the call within the last minute."""
+        suspect = self.suspects.get(digest)
+        reported_s = suspect.answered_s if suspect is not None else -math.inf
+        answered_s = max(reported_s, self._answered.get(digest, -math.inf))
+        return now_s - answered_s <= ANSWER_TTL_S
+
     def _refuse_if_proven(self, suspect: Suspect) -> bool:
-        suspect.refused = crashes_targets(suspect, self.suspects.values(), self._is_isolated)
+        alone = self._runs_alone(suspect)
+        suspect.refused = crashes_targets(suspect, self.suspects.values(), self._is_isolated) or (
+            self._crashes_small_service(suspect, alone) and self._is_isolated(suspect, alone)
+        )
         return suspect.refused
 
+    def _fits_pattern(self, suspect: Suspect) -> bool:
+        return may_crash_targets(suspect) or self._crashes_small_service(
+            suspect, self._runs_alone(suspect)
+        )
+
+    def _crashes_small_service(self, suspect: Suspect, alone: Sequence[CrashedRun]) -> bool:
+        """Whether crashes prove a call at fault in a service that can't lose three targets.
+
+        ``alone`` are the crashed runs of the call that had their target to themselves.
+        """
+        return crashes_alone(suspect, alone, ANSWER_TTL_S) and any(
+            self.has_no_spare(run.target) for run in alone
+        )
+
+    def _runs_alone(self, suspect: Suspect) -> Sequence[CrashedRun]:
+        return [
+            run
+            for target, run in suspect.crashed_runs.items()
+            if len(self._calls_at.get(target, ())) == 1
+        ]
+
+    def _record_call_at(self, target: str, digest: bytes) -> None:
+        calls = self._calls_at.setdefault(target, set())
+        if len(calls) < CALLS_KEPT_PER_TARGET:
+            calls.add(digest)
+        if len(self._calls_at) > MAX_SUSPECTS:
+            self._calls_at.popitem(last=False)
+
     def _is_isolated(self, suspect: Suspect, runs: Sequence[CrashedRun]) -> bool:
         """Whether no target that didn't run the call crashed at about the time of any of ``runs``.
 
@@ -218,6 +269,15 @@
             del self.suspects[digest]
 
 
+def _ignore_crashed_target(_target: str, _at_s: float) -> None:
+    """Ignore a crashed target; the default of ``on_crashed_target``."""
+
+
+def _assume_spare(_target: str) -> bool:
+    """Return False, the default of ``has_no_spare``: any service can lose three targets."""
+    return False
+
+
 def _is_expired(suspect: Suspect, now_s: float) -> bool:
     if suspect.refused:
         return now_s - suspect.seen_at_s > REFUSED_TTL_S
--- a/samphirecleat/crashes/_suspect.py
+++ b/samphirecleat/crashes/_suspect.py
@@ -8,6 +8,8 @@
 
 # Crashes that are needed before a call can be refused; each send after them counts as a retry.
 MIN_CRASHES_TO_REFUSE: Final = 3
+# Crashes that are enough in a service that can't lose three targets, if the call was alone at each.
+MIN_CRASHES_ALONE: Final = 2
 # A call with MAX_CRASHES crashes, of which MAX_LATER_CRASHES came after the first burst, is refused
 # even if the crashes may have another cause. At that point two of the three allowed retries are
 # used, and the third may be in progress at another node.
@@ -80,6 +82,19 @@
     )
 
 
+def crashes_alone(suspect: Suspect, alone: Sequence[CrashedRun], answer_ttl_s: float) -> bool:
+    """Whether two targets crashed one after the other while each ran this call alone.
+
+    ``alone`` are the crashed runs of the call that had their target to themselves. This is enough
+    where a third crash would leave the service without targets. A call that was answered less than
+    ``answer_ttl_s`` before is a popular one, which may be running alone at any crash.
+    """
+    runs = {run.target: run for run in alone}
+    if not suspect.fresh or _count_sequential_crashes(runs) < MIN_CRASHES_ALONE:
+        return False
+    return min(run.begun_s for run in alone) - suspect.answered_s > answer_ttl_s
+
+
 def crashes_targets(
     suspect: Suspect,
     others: Iterable[Suspect],
--- a/samphirecleat/durable/_crash_backoff.py
+++ b/samphirecleat/durable/_crash_backoff.py
@@ -5,13 +5,14 @@
 crash all engines of the service and end every other run on them.
 """
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Final
 
 from ..crashes import CrashGuard, request_digest
 from ..serving import target_start
 from ._item_decisions import ItemName
 from ._item_run import ItemRun
+from ._open_item import OpenItem
 from ._ports import GenerationError
 
 # Minimum time between runs of an item that is blocked for crashing engines. Kept short, because the
@@ -22,9 +23,10 @@
 class CrashBackoff:
     """Tracks the items of one runner whose runs were cut off by their engine."""
 
-    def __init__(self, guard: CrashGuard | None) -> None:
-        """Report evidence to ``guard``; without a guard, no item backs off."""
+    def __init__(self, guard: CrashGuard | None, service: str) -> None:
+        """Report evidence on items of ``service`` to ``guard``; without it, no item backs off."""
         self._guard = guard
+        self._service = service
         self._cut_runs: dict[ItemName, tuple[bytes, float]] = {}
 
     async def record_cut(
@@ -33,7 +35,7 @@
         """Record a run that was cut off, possibly because its engine crashed."""
         if self._guard is None or not error.connection_closed:
             return
-        digest = _item_digest(run)
+        digest = _item_digest(run.open_item)
         self._cut_runs[run.name] = (digest, now_s)
         item_id, start = run.open_item.item.item_id, target_start(run.target)
         await self._guard.record_cut(item_id, digest, start, begun_s, error.detail)
@@ -41,15 +43,38 @@
     def record_completion(self, run: ItemRun) -> None:
         """Record that an engine completed the item's text, which clears the suspicion."""
         if self._guard is not None and self._cut_runs.pop(run.name, None) is not None:
-            self._guard.record_answer(run.open_item.item.item_id, _item_digest(run))
+            self._guard.record_answer(run.open_item.item.item_id, _item_digest(run.open_item))
 
-    def is_backing_off(self, name: ItemName, now_s: float) -> bool:
-        """Return whether an item is blocked and its backoff has not passed yet."""
-        known = self._cut_runs.get(name)
-        if self._guard is None or known is None:
+    def is_backing_off(self, open_item: OpenItem, now_s: float) -> bool:
+        """Return whether an item must not run yet.
+
+        It is blocked and its backoff has not passed, or its service can't afford to lose another
+        engine to it.
+        """
+        if self._guard is None or not self._guard.has_suspects:
             return False
-        digest, cut_s = known
-        return now_s - cut_s < BLOCKED_ITEM_BACKOFF_S and self._guard.is_blocked(digest)
+        known = self._cut_runs.get(open_item.name)
+        if known is not None:
+            digest, cut_s = known
+            if now_s - cut_s < BLOCKED_ITEM_BACKOFF_S and self._guard.is_blocked(digest):
+                return True
+        return not self.may_start(open_item)
+
+    def may_start(self, open_item: OpenItem) -> bool:
+        """Return whether the service can afford to lose an engine to the item, if it is suspect.
+
+        At most one suspect runs in a small service at a time.
+        """
+        if self._guard is None or not self._guard.has_suspects:
+            return True
+        return self._guard.may_risk_target(_item_digest(open_item), self._service)
+
+    def record_start(self, open_item: OpenItem) -> Callable[[], None]:
+        """Count a run if its item is suspect; return a function to call at the end of the run."""
+        guard = self._guard
+        if guard is None or not guard.has_suspects or not guard.is_suspect(_item_digest(open_item)):
+            return _end_nothing
+        return guard.start_suspect(self._service)
 
     def keep_only(self, wanted_steps: Collection[str]) -> None:
         """Drop the records of items of other steps."""
@@ -58,8 +83,12 @@
         }
 
 
-def _item_digest(run: ItemRun) -> bytes:
+def _end_nothing() -> None:
+    """Do nothing; the run wasn't counted."""
+
+
+def _item_digest(open_item: OpenItem) -> bytes:
     """Return the digest that identifies an item to the crash guard; it covers the item ID too."""
-    spec, item = run.open_item.step.spec, run.open_item.item
+    spec, item = open_item.step.spec, open_item.item
     owner = f"{spec.workspace}/{item.item_id}"
     return request_digest("POST", spec.host, item.raw_path, owner, item.body)
--- a/samphirecleat/durable/_run_pool.py
+++ b/samphirecleat/durable/_run_pool.py
@@ -1,7 +1,7 @@
 """Runs of a service's items on its engines, and the backoff after failed runs."""
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from ..crashes import CrashGuard
 from ..observe import Observer
@@ -40,16 +40,20 @@
         self._logger = observer.log("runner")
         self._backoff_until_s: dict[ItemName, float] = {}
         self._failures: dict[ItemName, int] = {}
-        self._crash_backoff = CrashBackoff(guard)
+        self._crash_backoff = CrashBackoff(guard, work.service)
 
-    def is_backing_off(self, name: ItemName, now_s: float) -> bool:
+    def is_backing_off(self, open_item: OpenItem, now_s: float) -> bool:
         """Return whether an item is still backing off after a failed run."""
-        return self._backoff_until_s.get(name, 0.0) > now_s or self._crash_backoff.is_backing_off(
-            name, now_s
-        )
+        backoff_until_s = self._backoff_until_s.get(open_item.name, 0.0)
+        return backoff_until_s > now_s or self._crash_backoff.is_backing_off(open_item, now_s)
 
     def start(self, open_item: OpenItem, placement: Placement) -> None:
-        """Start an item on the engine of its placement."""
+        """Start an item on the engine of its placement.
+
+        An item that may crash engines isn't started beside another one in a small service.
+        """
+        if not self._crash_backoff.may_start(open_item):
+            return
         target = self._work.targets.targets[placement.instance]
         plan = placement.item
         item, step = open_item.item, open_item.step
@@ -66,7 +70,14 @@
             plan.expected_tokens,
             self._work.version_of(target, step.spec.model),
         )
+        end_suspect = self._crash_backoff.record_start(open_item)
         run.task = asyncio.ensure_future(self._run(run))
+        run.task.add_done_callback(lambda _task: self._end_suspect(end_suspect))
+
+    def _end_suspect(self, end_suspect: Callable[[], None]) -> None:
+        """Let the next suspect item start, also if the run was cancelled before its first step."""
+        end_suspect()
+        self._work.changed.set()
 
     def move(self, name: ItemName) -> None:
         """Request that a run ends at its next event, to be resumed on another engine."""
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -121,7 +121,7 @@
         status = ItemStatus(
             now_s - step.folded_at_s,
             route.retention_s,
-            self._runs.is_backing_off(open_item.name, now_s),
+            self._runs.is_backing_off(open_item, now_s),
             fits,
             draft.complete,
         )
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -12,14 +12,26 @@
 from grpclib.server import Server
 
 from .blackboard import Blackboard, Identity, Member
-from .controllers.admission import Dispatcher, Limiter, registration_state, sibling_targets
+from .controllers.admission import (
+    BoardServiceView,
+    Dispatcher,
+    Limiter,
+    registration_state,
+    sibling_targets,
+)
 from .controllers.configuration import ConfigFollower, ConfigReader
 from .controllers.membership import Discovery, Drain, Membership
 from .controllers.policies import Policies
 from .controllers.steps import StepRegistry, StepRunner
 from .controllers.targets import TargetWatch
 from .controllers.weights import LeaseManager, WeightCoordinator
-from .crashes import CrashGossip, CrashGuard, CrashLedger, NullEvidenceRecorder
+from .crashes import (
+    CrashGossip,
+    CrashGuard,
+    CrashLedger,
+    NullEvidenceRecorder,
+    UrgentReports,
+)
 from .entry import CallerHandlers, OperatorHandlers, TrainerHandlers, build_app, build_node_report
 from .observe import Observer
 from .peers import HeartbeatCodec, PeerClient, PeerServer
@@ -200,6 +212,7 @@
             rng=self._rng,
             piggyback_sources=[self.target_watch, self.discovery, self._crash_gossip],
         )
+        self._urgent_reports.sender = self.membership
         self.weights = WeightCoordinator(
             board,
             self.leases,
@@ -217,6 +230,7 @@
         board = self.board
         ledger = CrashLedger()
         self._crash_gossip = CrashGossip(ledger, lambda: len(board.members))
+        self._urgent_reports = UrgentReports(self._crash_gossip)
         self.crash_guard = CrashGuard(
             self.settings.node_id,
             ledger,
@@ -226,6 +240,8 @@
             lambda start: sibling_targets(board, start),
             NullEvidenceRecorder(),
             self.observer,
+            BoardServiceView(board),
+            self._urgent_reports,
         )
 
     async def _review_crashes(self) -> None:
--- a/samphirecleat/platform/_crash_parts.py
+++ b/samphirecleat/platform/_crash_parts.py
@@ -4,18 +4,22 @@
 from typing import NamedTuple
 
 from ..blackboard import Blackboard
-from ..crashes import CrashGossip, CrashGuard, CrashLedger
+from ..crashes import CrashGossip, CrashGuard, CrashLedger, UrgentReports
 from ..durable import CrashRecords, KeyedLog, reading_pause_s
 from ..observe import Observer
-from ..serving import TargetTable, registration_state, sibling_targets
+from ..serving import TableServiceView, TargetTable, registration_state, sibling_targets
 from ..targets import is_listening
 
 
 class CrashParts(NamedTuple):
-    """Components that detect target crashes, share them by heartbeat and keep them in the log."""
+    """Components that detect target crashes, share them by heartbeat and keep them in the log.
+
+    ``urgent`` sends nothing until its sender is set.
+    """
 
     guard: CrashGuard
     gossip: CrashGossip
+    urgent: UrgentReports
     records: CrashRecords
 
 
@@ -29,6 +33,7 @@
 
     ledger = CrashLedger()
     gossip = CrashGossip(ledger, node_count)
+    urgent = UrgentReports(gossip)
     records = CrashRecords(
         log,
         ledger,
@@ -46,5 +51,7 @@
         lambda start: sibling_targets(targets, start),
         records,
         observer,
+        TableServiceView(targets),
+        urgent,
     )
-    return CrashParts(guard, gossip, records)
+    return CrashParts(guard, gossip, urgent, records)
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -142,6 +142,7 @@
             rng=self._rng,
             piggyback_sources=[self._crashes.gossip],
         )
+        self._crashes.urgent.sender = self._membership
         await self._listen()
         for coroutine in (
             self._membership.drive(),
--- a/samphirecleat/serving/__init__.py
+++ b/samphirecleat/serving/__init__.py
@@ -2,7 +2,13 @@
 
 from ._advertised_members import advertised_members
 from ._authenticator import ApiKeyAuthenticator
-from ._crash_watch import call_digest, registration_state, sibling_targets, target_start
+from ._crash_watch import (
+    TableServiceView,
+    call_digest,
+    registration_state,
+    sibling_targets,
+    target_start,
+)
 from ._forwarder import Forwarder, UsageMeter, discard_usage
 from ._registry import TargetRegistry
 from ._route_table import RouteTable
@@ -61,6 +67,7 @@
     "TargetAnswer",
     "TargetFault",
     "TargetRegistry",
+    "TableServiceView",
     "TargetTable",
     "UsageMeter",
     "WeightedService",
--- a/samphirecleat/serving/_crash_watch.py
+++ b/samphirecleat/serving/_crash_watch.py
@@ -30,3 +30,27 @@
     target = table.targets.get(start.instance)
     accepting = table.accepting_targets(target.service) if target is not None else ()
     return [target_start(other) for other in accepting if other.instance != start.instance]
+
+
+class TableServiceView:
+    """The services of a target table, as the crash guard sees them."""
+
+    def __init__(self, table: TargetTable) -> None:
+        """Read from ``table``."""
+        self._table = table
+
+    def service_of(self, start_name: str) -> tuple[str, TargetStart] | None:
+        """Return the service and the start of that name, None if it isn't registered."""
+        target = self._table.targets.get(start_name.rpartition("@")[0])
+        if target is None or target_start(target).name != start_name:
+            return None
+        return target.service, target_start(target)
+
+    def accepting(self, service: str) -> Sequence[TargetStart]:
+        """Return the targets of a service that are registered and don't drain."""
+        return [target_start(target) for target in self._table.accepting_targets(service)]
+
+    def is_avoided(self, start: TargetStart, now_s: float) -> bool:
+        """Whether a target failed or refused a call just before."""
+        target = self._table.targets.get(start.instance)
+        return target is not None and self._table.is_backing_off(target, now_s)
--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -17,6 +17,7 @@
 from ._attempt_log import AttemptLog
 from ._crash_watch import call_digest, target_start
 from ._route_table import RouteTable
+from ._suspect_wait import SuspectWait
 from ._target_table import TargetTable, select_services
 from ._types import Call, CallChannel, CallKind, Route, Target, TargetAnswer, TargetFault
 
@@ -116,6 +117,10 @@
         if self._guard.has_suspects or len(call.body) <= MAX_HASHED_BODY_BYTES:
             self._guard.record_answer(call.request_id, call_digest(call))
 
+    def suspect_wait(self, call: Call, services: Sequence[str], deadline_s: float) -> SuspectWait:
+        """Return the waits of a call in case that a target crashes under it."""
+        return SuspectWait(self._guard, call, services, deadline_s)
+
     async def record_cut(
         self, call: Call, target: Target, begun_s: float, fault: TargetFault
     ) -> None:
@@ -133,10 +138,14 @@
         """
         self._targets.record_start(target, suspect=suspect)
         reserved = [target]
+        end_suspect = (
+            self._guard.start_suspect(target.service) if self._guard and suspect else _end_nothing
+        )
 
         def release() -> None:
             if reserved:
                 self._targets.record_end(reserved.pop(), suspect=suspect)
+                end_suspect()
 
         return release
 
@@ -169,6 +178,10 @@
         return answer
 
 
+def _end_nothing() -> None:
+    """Do nothing; the run isn't counted as a suspect's."""
+
+
 class _Forwarding:
     """Runs the attempts of one call."""
 
@@ -187,6 +200,7 @@
         self._began_at_s = math.inf
         self._repeatable = route.kind is CallKind.IDEMPOTENT
         self._crash_verdict = CrashVerdict.CLEAR
+        self._suspect_wait = forwarder.suspect_wait(call, self._services, deadline_s)
 
     async def result(self) -> TargetAnswer:
         """Return the first usable answer and cancel the other attempts."""
@@ -209,7 +223,8 @@
         hedge_s = self._route.objective_s * HEDGE_FRACTION
         next_hedge_s = loop.time() + hedge_s
         while True:
-            if not attempts and not self._start_attempt(attempts, loop.time()):
+            if not attempts and not await self._start_only_attempt(attempts):
+                await self._suspect_wait.await_announcement()
                 return self._give_up(loop.time())
             left_s = self._deadline_s - RETURN_MARGIN_S - loop.time()
             if left_s <= 0.0:
@@ -228,15 +243,40 @@
                 answer = self._take_result(attempt, loop.time())
                 if answer is not None:
                     return answer
+            if done and attempts and self._suspect_wait.must_stop_others():
+                self._stop(attempts, loop.time())
             if not done and may_hedge and loop.time() >= next_hedge_s:
                 self._start_attempt(attempts, loop.time())
                 next_hedge_s = loop.time() + 2.0 * hedge_s
 
-    def _start_attempt(self, attempts: list[_Attempt], now_s: float) -> bool:
-        """Start another attempt; return False if there is no attempt or target left."""
+    async def _start_only_attempt(self, attempts: list[_Attempt]) -> bool:
+        """Start an attempt, after a wait if the call is suspect; return False if it can't be."""
+        if not self._has_attempt_left():
+            return False
+        if not await self._suspect_wait.may_send():
+            self._crash_verdict = CrashVerdict.HELD
+            return False
+        return self._start_attempt(attempts, asyncio.get_running_loop().time())
+
+    def _stop(self, attempts: list[_Attempt], now_s: float) -> None:
+        """Cancel attempts that may crash further targets; the call may have run there."""
+        for attempt in attempts:
+            attempt.task.cancel()
+            self._record_begin(attempt)
+            self._attempt_log.record_outcome(
+                attempt.target.instance, "cancelled, another target crashed under the call", now_s
+            )
+        self._ran = Ran.UNKNOWN
+        attempts.clear()
+
+    def _has_attempt_left(self) -> bool:
         if self._attempts_used >= self._route.max_attempts or self._refusal_count >= MAX_REFUSALS:
             return False
-        if self._ran is not Ran.NO and not self._repeatable:
+        return self._ran is Ran.NO or self._repeatable
+
+    def _start_attempt(self, attempts: list[_Attempt], now_s: float) -> bool:
+        """Start another attempt; return False if there is no attempt or target left."""
+        if not self._has_attempt_left():
             return False
         self._crash_verdict = self._forwarder.crash_verdict(self._call)
         if is_blocked(self._crash_verdict) or (
@@ -295,19 +335,24 @@
             return self._failure_answer
         if is_blocked(self._crash_verdict):
             raise blocked_call_error(
-                self._crash_verdict, self._ran, self._attempt_log.summary(now_s)
+                self._crash_verdict,
+                self._ran,
+                self._attempt_log.summary(now_s),
+                self._suspect_wait.retry_after_s(),
             )
         raise no_answer_error(self._ran, self._attempt_log.summary(now_s))
 
 
-def blocked_call_error(verdict: CrashVerdict, ran: Ran, detail: str) -> RequestError:
+def blocked_call_error(
+    verdict: CrashVerdict, ran: Ran, detail: str, retry_after_s: float
+) -> RequestError:
     """Return the error for a call that isn't sent because targets crashed under it.
 
     ``ran`` is NO only if no target can have run the call under its ID.
     """
     if verdict is CrashVerdict.HELD and ran is not Ran.NO:
         return no_answer_error(ran, detail)
-    return blocked_error(verdict, detail)
+    return blocked_error(verdict, detail, retry_after_s)
 
 
 def no_answer_error(ran: Ran, detail: str) -> RequestError:
--- a/samphirecleat/serving/_stream_relay.py
+++ b/samphirecleat/serving/_stream_relay.py
@@ -95,6 +95,7 @@
         self._repeatable = route.resumable
         self._metered = False
         self._crash_verdict = CrashVerdict.CLEAR
+        self._suspect_wait = relay.forwarder.suspect_wait(call, self._services, self._deadline_s)
         self._run_started_s = 0.0
         self._release: Callable[[], None] = _release_nothing
         self.start = StreamStart(0, (), 0)
@@ -106,7 +107,8 @@
         """
         while True:
             self._require_time_left()
-            if not self._start_run():
+            if not await self._start_run_in_turn():
+                await self._suspect_wait.await_announcement()
                 return self._give_up()
             try:
                 first = await self._next_item()
@@ -189,13 +191,20 @@
         except TimeoutError as error:
             raise TargetFault(f"silent for {wait_s:.2f} s", Ran.UNKNOWN) from error
 
-    def _start_run(self) -> bool:
-        """Start a run at the next target; return False if there is no attempt or target left."""
-        loop = asyncio.get_running_loop()
+    async def _start_run_in_turn(self) -> bool:
+        """Start a run, after a wait if the call is suspect; return False if it can't be."""
         if self._attempts_used >= self._route.max_attempts or self._refusal_count >= MAX_REFUSALS:
             return False
         if self._ran is not Ran.NO and not self._repeatable:
             return False
+        if not await self._suspect_wait.may_send():
+            self._crash_verdict = CrashVerdict.HELD
+            return False
+        return self._start_run()
+
+    def _start_run(self) -> bool:
+        """Start a run at the next target; return False if the call is blocked or none is left."""
+        loop = asyncio.get_running_loop()
         self._crash_verdict = self._relay.forwarder.crash_verdict(self._call)
         if is_blocked(self._crash_verdict):
             return False
@@ -235,7 +244,7 @@
 
         :raises StreamBrokenError: when the stream may not be resumed or no target resumes it.
         """
-        while self._repeatable and self._has_time_left() and self._start_run():
+        while self._repeatable and self._has_time_left() and await self._start_run_in_turn():
             try:
                 first = await self._next_item()
             except TargetFault as fault:
@@ -273,5 +282,10 @@
         if self._failure_answer is not None:
             return self._failure_answer
         if is_blocked(self._crash_verdict):
-            raise blocked_call_error(self._crash_verdict, self._ran, self._attempt_summary())
+            raise blocked_call_error(
+                self._crash_verdict,
+                self._ran,
+                self._attempt_summary(),
+                self._suspect_wait.retry_after_s(),
+            )
         raise no_answer_error(self._ran, self._attempt_summary())
--- a/tests/crashes/guards.py
+++ b/tests/crashes/guards.py
@@ -9,7 +9,9 @@
     EvidenceRecorder,
     NullEvidenceRecorder,
     RegistrationState,
+    ServiceView,
     TargetStart,
+    UrgentReports,
 )
 from samphirecleat.observe import Observer
 
@@ -37,15 +39,20 @@
     *,
     gossip: CrashGossip | None = None,
     recorder: EvidenceRecorder | None = None,
+    services: ServiceView | None = None,
+    urgent: UrgentReports | None = None,
+    node_id: str = "n1",
 ) -> CrashGuard:
-    """Return the guard of node n1; by default each cut means that the target crashed."""
+    """Return the guard of a node; by default each cut means that the target crashed."""
     return CrashGuard(
-        "n1",
+        node_id,
         ledger,
         gossip or CrashGossip(ledger, lambda: 1),
         listens,
         registration_state,
         siblings,
         recorder or NullEvidenceRecorder(),
-        Observer("n1"),
+        Observer(node_id),
+        services,
+        urgent,
     )
--- a/tests/crashes/test_ledger.py
+++ b/tests/crashes/test_ledger.py
@@ -246,3 +246,41 @@
     now_s = 3 * MAX_DECISIONS_PER_REVIEW * 10.0 + SETTLED_S
     counts = [len(ledger.refuse_proven_calls(now_s)) for _ in range(4)]
     assert counts == [MAX_DECISIONS_PER_REVIEW] * 3 + [0]
+
+
+@pytest.mark.parametrize(
+    ("runs", "beside", "answered_s", "has_no_spare", "verdict"),
+    [
+        (SEQUENTIAL[:2], [], None, True, CrashVerdict.REFUSED),
+        (SEQUENTIAL[:2], [], None, False, CrashVerdict.SUSPECT),
+        (SEQUENTIAL[:2], SEQUENTIAL[:1], None, True, CrashVerdict.SUSPECT),
+        (CONCURRENT[:2], [], None, True, CrashVerdict.SUSPECT),
+        (SEQUENTIAL[:2], [], -30.0, True, CrashVerdict.SUSPECT),
+    ],
+    ids=["alone", "large service", "beside another call", "at once", "answered before"],
+)
+def test_two_crashes_alone_refuse_a_call_where_three_targets_cannot_be_lost(
+    runs: Sequence[Run],
+    beside: Sequence[Run],
+    answered_s: float | None,
+    has_no_spare: bool,
+    verdict: CrashVerdict,
+) -> None:
+    """Guards against a third crash in a small service, and against blaming innocent calls."""
+    ledger = CrashLedger()
+    ledger.has_no_spare = lambda _target: has_no_spare
+    if answered_s is not None:
+        ledger.record_answer(CALL, answered_s)
+    record_crashes(ledger, CALL, runs)
+    record_crashes(ledger, OTHER_CALL, beside)
+    assert settled_verdict(ledger, CALL) is verdict
+    assert settled_verdict(ledger, OTHER_CALL) is not CrashVerdict.REFUSED
+
+
+def test_other_crashes_at_the_same_time_speak_for_a_call_that_was_alone() -> None:
+    """A zone fails. Guards against refusing a call that ran alone on two of its targets."""
+    ledger = CrashLedger()
+    ledger.has_no_spare = lambda _target: True
+    record_crashes(ledger, CALL, SEQUENTIAL[:2])
+    ledger.record_crashed_target("c", 0.15, 0.3)
+    assert settled_verdict(ledger, CALL) is CrashVerdict.SUSPECT
