--- a/tests/controllers/admission/test_crash_watch.py
+++ b/tests/controllers/admission/test_crash_watch.py
@@ -6,7 +6,11 @@
 
 from samphirecleat.blackboard import Blackboard, Identity, TargetView
 from samphirecleat.config import ServiceKind
-from samphirecleat.controllers.admission import registration_state, sibling_targets
+from samphirecleat.controllers.admission import (
+    BoardServiceView,
+    registration_state,
+    sibling_targets,
+)
 from samphirecleat.controllers.admission._crash_watch import call_digest, target_start
 from samphirecleat.crashes import CrashGuard, CrashLedger, RegistrationState
 from samphirecleat.errors import ErrorKind, Ran, RequestError
@@ -64,6 +68,7 @@
         is_listening,
         lambda start: registration_state(board, start),
         lambda start: sibling_targets(board, start),
+        services=BoardServiceView(board),
     )
 
 
@@ -98,3 +103,29 @@
             assert sum(len(server.ends) for server in servers) == 3
 
     asyncio.run(scenario())
+
+
+def test_a_call_that_crashes_servers_of_a_small_service_leaves_two() -> None:
+    """Guards against a service of three that loses all servers to one call and its repetition."""
+
+    async def scenario() -> None:
+        servers = [StandInPlainService(PLAIN_SERVICE, "z", call_s=0.005) for _ in range(3)]
+        async with make_setup(servers, ServiceKind.PLAIN) as setup:
+            setup.dispatcher._guard = make_crash_guard(setup.board)
+            now_s = asyncio.get_running_loop().time()
+            call = make_call(PLAIN_SERVICE, idempotent=True)._replace(deadline_at_s=now_s + 0.8)
+            for server in servers:
+                server.ends_on.add(str(call.body["prompt"]))
+            first, again = (
+                await run(setup, call),
+                await run(setup, call._replace(deadline_at_s=now_s + 1.2)),
+            )
+            assert isinstance(first, RequestError)
+            assert isinstance(again, RequestError)
+            assert (first.kind, first.ran) == (ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+            assert (again.kind, again.ran) == (ErrorKind.CRASH_SUSPECTED, Ran.NO)
+            assert sum(len(server.ends) for server in servers) == 1
+            other = call._replace(body={**call.body, "prompt": "another"}, deadline_at_s=now_s + 3)
+            assert not isinstance(await run(setup, other), RequestError)
+
+    asyncio.run(scenario())
--- a/tests/controllers/membership/test_membership.py
+++ b/tests/controllers/membership/test_membership.py
@@ -149,6 +149,18 @@
     seconds_until(network, known_everywhere, 2.5)
 
 
+def test_a_bare_update_goes_to_different_live_members_and_is_not_answered() -> None:
+    """Guards against urgent reports that cost acknowledgements or all go to one member."""
+    network = build_network(9)
+    network.run(5.0)
+    sender, *others = network.nodes.values()
+    for count, sent_count in ((3, 3), (12, 8)):
+        outgoing = sender.gossip.address_to_some(sender.gossip.bare_update(), count)
+        assert len({out.address for out in outgoing}) == len(outgoing) == sent_count
+    message = sender.gossip.bare_update()
+    assert not any(other.gossip.receive(message, network.now_s) for other in others)
+
+
 def test_the_loss_of_a_zone_is_detected() -> None:
     """A third of the hosts loses power at the same time."""
     network = build_network(30)
--- a/tests/crashes/test_crashed_services.py
+++ b/tests/crashes/test_crashed_services.py
@@ -9,17 +9,18 @@
 
 
 class FakeView:
-    """A service ``s`` whose targets are named by their address; ``starts`` counts restarts."""
+    """A service ``svc`` whose targets are named by their address; ``starts`` counts restarts."""
 
     def __init__(self, count: int) -> None:
         self.starts = {f"t{number}": 1 for number in range(count)}
         self.avoided: set[str] = set()
 
     def service_of(self, start_name: str) -> tuple[str, TargetStart] | None:
-        return next((("s", s) for s in self.accepting("s") if s.name == start_name), None)
+        found = (("svc", s) for s in self.accepting("svc") if s.name == start_name)
+        return next(found, None)
 
     def accepting(self, service: str) -> Sequence[TargetStart]:
-        assert service == "s"
+        assert service == "svc"
         return [TargetStart(f"{a}-{n}", a, n) for a, n in self.starts.items()]
 
     def is_avoided(self, start: TargetStart, now_s: float) -> bool:
@@ -28,7 +29,7 @@
 
 
 def name_of(view: FakeView, address: str) -> str:
-    return next(s.name for s in view.accepting("s") if s.address == address)
+    return next(s.name for s in view.accepting("svc") if s.address == address)
 
 
 @pytest.mark.parametrize(
@@ -41,7 +42,7 @@
     services = CrashedServices(view)
     for number in range(crashed):
         services.record_crash(name_of(view, f"t{number}"), 0.0)
-    size = services.size("s", 1.0)
+    size = services.size("svc", 1.0)
     assert (size.can_lose_one, size.total) == (may_send, count)
 
 
@@ -51,12 +52,12 @@
     services = CrashedServices(view)
     services.record_crash(name_of(view, "t0"), 0.0)
     del view.starts["t0"]
-    assert services.size("s", CRASHED_TARGET_COUNTS_S - 0.1)[:] == (2, 3)
-    assert services.size("s", CRASHED_TARGET_COUNTS_S)[:] == (2, 2)
+    assert services.size("svc", CRASHED_TARGET_COUNTS_S - 0.1)[:] == (2, 3)
+    assert services.size("svc", CRASHED_TARGET_COUNTS_S)[:] == (2, 2)
     view.starts["t0"] = 2
-    assert services.size("s", CRASHED_TARGET_COUNTS_S)[:] == (3, 3)
+    assert services.size("svc", CRASHED_TARGET_COUNTS_S)[:] == (3, 3)
     view.avoided.add("t1")
-    assert services.size("s", CRASHED_TARGET_COUNTS_S)[:] == (2, 3)
+    assert services.size("svc", CRASHED_TARGET_COUNTS_S)[:] == (2, 3)
 
 
 def test_earliest_restart_follows_from_earlier_restarts() -> None:
@@ -64,9 +65,9 @@
     view = FakeView(3)
     services = CrashedServices(view)
     services.record_crash(name_of(view, "t0"), 1.0)
-    assert services.earliest_restart_s("s", 2.0) == 2.0
+    assert services.earliest_restart_s("svc", 2.0) == 2.0
     view.starts["t0"] = 2
     services.refresh(4.0)
     services.record_crash(name_of(view, "t1"), 5.0)
-    assert services.earliest_restart_s("s", 5.0) == pytest.approx(5.0 + 0.8 * 3.0)
-    assert services.earliest_restart_s("s", 9.0) == 9.0
+    assert services.earliest_restart_s("svc", 5.0) == pytest.approx(5.0 + 0.8 * 3.0)
+    assert services.earliest_restart_s("svc", 9.0) == 9.0
--- a/tests/platform/standin_crashing.py
+++ b/tests/platform/standin_crashing.py
@@ -17,6 +17,8 @@
 
     Each start registers a new instance at the same address. ``crash_request_ids`` holds the id of
     each call that crashed it. A call to ``/plain/slow`` runs until ``resume`` is set.
+    ``least_up`` is the smallest number of targets of ``service_targets`` that a crash of this one
+    left.
     """
 
     def __init__(
@@ -30,6 +32,9 @@
         self.starts = 1
         self.crash_request_ids: list[str] = []
         self.slow_calls = 0
+        self.is_up = True
+        self.service_targets: Sequence[CrashingTarget] = ()
+        self.least_up = 1
         self._tasks: list[asyncio.Task[None]] = []
 
     async def register(self) -> None:
@@ -75,12 +80,16 @@
         return await super()._call(request)
 
     async def _restart_later(self) -> None:
+        self.is_up = False
+        left = sum(target.is_up for target in self.service_targets)
+        self.least_up = min(self.least_up, left)
         await self.stop()
         await asyncio.sleep(RESTART_DELAY_S)
         self.store.put("keyed.servers", self.instance, None)
         self.starts += 1
         self.instance = f"{self.name}-{self.starts}"
         await self.register()
+        self.is_up = True
 
 
 @asynccontextmanager
@@ -93,6 +102,7 @@
     ]
     store.put("keyed.servers", "p-1" if service == "plain" else "e-1", None)
     for target in targets:
+        target.service_targets, target.least_up = targets, count
         await target.register()
     try:
         yield targets
--- a/tests/platform/test_crashing_calls.py
+++ b/tests/platform/test_crashing_calls.py
@@ -97,6 +97,30 @@
     asyncio.run(body())
 
 
+def test_request_leaves_a_service_of_three_two_targets(tmp_path: Path) -> None:
+    """The caller resends a request that crashes targets to other nodes, 20 ms after each error.
+
+    Guards against a small service that loses all targets before heartbeats report the first crash.
+    """
+
+    async def body() -> None:
+        async with (
+            running_nodes(3, tmp_path) as (nodes, caller, store, _),
+            crashing_targets(store, 3, CRASH_PATH) as targets,
+            aiohttp.ClientSession() as session,
+        ):
+            await await_ready(nodes, caller)
+            for number in range(8):
+                assert await send(session, nodes, number) in GATEWAY_ERRORS
+                await asyncio.sleep(0.02)
+            assert crash_count(targets) <= 2, nodes.logs()
+            assert min(target.least_up for target in targets) == 2, nodes.logs()
+            answer = await caller.call("POST", "/plain/1", headers={"X-Request-Id": "after"})
+            assert answer == b"answer to after"
+
+    asyncio.run(body())
+
+
 def test_refused_request_stays_refused_after_all_nodes_restart(tmp_path: Path) -> None:
     """All nodes restart, and none of them has seen a target crash.
 
