Don't count crashes from before a restart as those of a call alone

Records in the log keep calls with two crashes or more, so the calls beside them are unknown after a restart and an innocent call looked alone. A crash that is read back no longer counts as alone. A broken stream's caller has the end of its stream once other nodes know of the crash, as other callers do.

--- a/samphirecleat/crashes/_ledger.py
+++ b/samphirecleat/crashes/_ledger.py
@@ -40,6 +40,7 @@
 EVICTION_BATCH: Final = 128
 MAX_CRASHES_PER_CALL: Final = 16
 CALLS_KEPT_PER_TARGET: Final = 2
+UNKNOWN_CALL: Final = b""
 
 
 class CrashLedger:
@@ -70,6 +71,9 @@
         """
         self.record_crashed_target(run.target, run.ended_s, now_s)
         self._record_call_at(run.target, digest)
+        if not fresh:
+            # Calls with one crash aren't kept over a restart, so another call may have run there.
+            self._record_call_at(run.target, UNKNOWN_CALL)
         suspect = self._get_or_add(digest)
         if run.target in suspect.crashed_runs or run.begun_s <= suspect.answered_s:
             return False
--- a/samphirecleat/serving/_stream_relay.py
+++ b/samphirecleat/serving/_stream_relay.py
@@ -253,6 +253,7 @@
             if isinstance(first, StreamStart):
                 return
             await self._fail_run(TargetFault("target didn't resume the stream", Ran.UNKNOWN))
+        await self._suspect_wait.await_announcement()
         raise StreamBrokenError(f"after event {self._last_event_id}: {self._attempt_summary()}")
 
     def _record_outcome(self, outcome: str) -> None:
--- a/tests/crashes/test_ledger.py
+++ b/tests/crashes/test_ledger.py
@@ -277,6 +277,16 @@
     assert settled_verdict(ledger, OTHER_CALL) is not CrashVerdict.REFUSED
 
 
+def test_crashes_before_a_restart_do_not_count_as_alone() -> None:
+    """Guards against refusing an innocent call, as the calls beside it are forgotten."""
+    ledger = CrashLedger()
+    ledger.has_no_spare = lambda _target: True
+    for (target, begun_s, ended_s), fresh in zip(SEQUENTIAL[:2], (False, True), strict=True):
+        run = CrashedRun(target, begun_s, ended_s, "n")
+        ledger.record_crash(CALL, run, ended_s, fresh=fresh)
+    assert settled_verdict(ledger, CALL) is CrashVerdict.SUSPECT
+
+
 def test_other_crashes_at_the_same_time_speak_for_a_call_that_was_alone() -> None:
     """A zone fails. Guards against refusing a call that ran alone on two of its targets."""
     ledger = CrashLedger()
