Ignore late reports of crashes that the log has dropped

An answered call is dropped from the log, and with it went the time of its answer. A node that had missed the answer still reported the old crashes, and they were counted as new evidence. The time of the drop is kept, and runs that began before it are ignored.

--- a/samphirecleat/crashes/_ledger.py
+++ b/samphirecleat/crashes/_ledger.py
@@ -55,6 +55,8 @@
         self.suspects: OrderedDict[bytes, Suspect] = OrderedDict()
         self.crashed_targets: OrderedDict[str, float] = OrderedDict()
         self._answered: OrderedDict[bytes, float] = OrderedDict()
+        # A node that hasn't read that a call was dropped from the log still reports its crashes.
+        self._dropped: OrderedDict[bytes, float] = OrderedDict()
         self._undecided: set[bytes] = set()
         # Calls that ran at each crashed target; two suffice to know that none was alone.
         self._calls_at: OrderedDict[str, set[bytes]] = OrderedDict()
@@ -74,6 +76,8 @@
         if not fresh:
             # Calls with one crash aren't kept over a restart, so another call may have run there.
             self._record_call_at(run.target, UNKNOWN_CALL)
+        if run.begun_s <= self._dropped.get(digest, -math.inf):
+            return False
         suspect = self._get_or_add(digest)
         if run.target in suspect.crashed_runs or run.begun_s <= suspect.answered_s:
             return False
@@ -140,9 +144,13 @@
         was_refused, suspect.refused = suspect.refused, True
         return not was_refused
 
-    def drop(self, digest: bytes) -> None:
-        """Forget a call."""
+    def drop(self, digest: bytes, now_s: float) -> None:
+        """Forget a call; reports on its runs that began before ``now_s`` are ignored later."""
         self.suspects.pop(digest, None)
+        self._dropped[digest] = now_s
+        self._dropped.move_to_end(digest)
+        if len(self._dropped) > MAX_ANSWERS:
+            self._dropped.popitem(last=False)
 
     def verdict(self, digest: bytes, now_s: float) -> CrashVerdict:
         """Return whether a call may be sent now."""
--- a/samphirecleat/durable/_crash_records.py
+++ b/samphirecleat/durable/_crash_records.py
@@ -186,7 +186,7 @@
         """
         if not value:
             self._written.pop(digest, None)
-            self._ledger.drop(digest)
+            self._ledger.drop(digest, now_s)
             return
         body: Mapping[str, Any] = msgspec.json.decode(value)
         wall_to_loop_s = now_s - time.time()
--- a/tests/crashes/test_crash_gossip.py
+++ b/tests/crashes/test_crash_gossip.py
@@ -73,3 +73,19 @@
     """During a rolling upgrade, older nodes must still read the messages of newer ones."""
     codec = HeartbeatCodec("key")
     assert codec.pack(EMPTY)[16:] == codec._encoder.encode(EMPTY[:-1])
+
+
+def test_late_report_does_not_restore_a_crash_that_the_log_has_dropped() -> None:
+    """The log drops an answered call, while a node that missed the answer reports on.
+
+    Guards against an innocent call that collects crashes from before its answers.
+    """
+    observer, node = Node(), Node()
+    for number in range(2):
+        observer.observe_crash(CALL, f"t{number}", number * 1.0, number + 0.1)
+    message = observer.gossip.add_updates(EMPTY, 1.2)
+    node.gossip.apply_updates(message, 1.2)
+    node.ledger.record_answer(CALL, 1.5)
+    node.ledger.drop(CALL, 1.6)
+    node.gossip.apply_updates(message, 1.2)
+    assert node.ledger.verdict(CALL, 2.0) is CrashVerdict.CLEAR
