Count a full target as one that accepts work

In a service at its limit, suspects would have waited until their deadline. Only targets that failed a call are left out now.

--- a/samphirecleat/controllers/admission/_crash_watch.py
+++ b/samphirecleat/controllers/admission/_crash_watch.py
@@ -66,7 +66,7 @@
         """Return the targets of a service that can be reached and don't leave."""
         return [target_start(target) for target in self._board.targets_of(service) if target.usable]
 
-    def is_avoided(self, start: TargetStart, now_s: float) -> bool:
+    def has_failed(self, start: TargetStart, now_s: float) -> bool:
         """Return False: a target that refuses connections counts as unreachable already."""
         del start, now_s
         return False
--- a/samphirecleat/crashes/_crashed_services.py
+++ b/samphirecleat/crashes/_crashed_services.py
@@ -39,8 +39,8 @@
         """Return the targets of a service that are registered and don't drain."""
         ...
 
-    def is_avoided(self, start: TargetStart, now_s: float) -> bool:
-        """Whether a target failed or refused a call just before."""
+    def has_failed(self, start: TargetStart, now_s: float) -> bool:
+        """Whether a target failed a call just before, other than by refusing it."""
         ...
 
 
@@ -57,7 +57,7 @@
         del service
         return ()
 
-    def is_avoided(self, start: TargetStart, now_s: float) -> bool:
+    def has_failed(self, start: TargetStart, now_s: float) -> bool:
         """Return False."""
         del start, now_s
         return False
@@ -126,7 +126,7 @@
         crashes = self._recent_crashes(service, starts, now_s)
         left = [s for s in starts if s.name not in crashes]
         if len(left) < MIN_LARGE_SERVICE:
-            left = [s for s in left if not self._view.is_avoided(s, now_s)]
+            left = [s for s in left if not self._view.has_failed(s, now_s)]
         addresses = {start.address for start in starts}
         addresses.update(crash.start.address for crash in crashes.values())
         return ServiceSize(len(left), len(addresses))
--- a/samphirecleat/serving/_crash_watch.py
+++ b/samphirecleat/serving/_crash_watch.py
@@ -50,7 +50,7 @@
         """Return the targets of a service that are registered and don't drain."""
         return [target_start(target) for target in self._table.accepting_targets(service)]
 
-    def is_avoided(self, start: TargetStart, now_s: float) -> bool:
-        """Whether a target failed or refused a call just before."""
+    def has_failed(self, start: TargetStart, now_s: float) -> bool:
+        """Whether a target failed a call just before, other than by refusing it."""
         target = self._table.targets.get(start.instance)
-        return target is not None and self._table.is_backing_off(target, now_s)
+        return target is not None and self._table.has_failed(target, now_s)
--- a/samphirecleat/serving/_suspect_wait.py
+++ b/samphirecleat/serving/_suspect_wait.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from functools import cached_property
 from typing import Final
 
 from ..crashes import CrashGuard
@@ -27,6 +28,10 @@
         self._service = services[0] if services else ""
         self._deadline_s = deadline_s
 
+    @cached_property
+    def _digest(self) -> bytes:
+        return call_digest(self._call)
+
     async def may_send(self) -> bool:
         """Wait until the call may be sent; return False if that isn't possible in time.
 
@@ -37,7 +42,7 @@
             return True
         return await guard.wait_for_turn(
             self._call.request_id,
-            call_digest(self._call),
+            self._digest,
             self._service,
             self._deadline_s - LAST_START_MARGIN_S,
         )
@@ -47,7 +52,7 @@
         guard = self._guard
         if guard is None or not guard.has_suspects:
             return False
-        return guard.must_stop_suspect(call_digest(self._call), self._service)
+        return guard.must_stop_suspect(self._digest, self._service)
 
     async def await_announcement(self) -> None:
         """Wait until other nodes know of a crash under the call, if its service is small.
@@ -58,7 +63,7 @@
         if guard is None or not guard.has_suspects:
             return
         now_s = asyncio.get_running_loop().time()
-        announcing_s = guard.announcing_left_s(call_digest(self._call))
+        announcing_s = guard.announcing_left_s(self._digest)
         left_s = self._deadline_s - ERROR_MARGIN_S - now_s
         await asyncio.sleep(max(0.0, min(announcing_s, left_s)))
 
--- a/samphirecleat/serving/_target_table.py
+++ b/samphirecleat/serving/_target_table.py
@@ -49,6 +49,7 @@
         self.in_flight: Counter[str] = Counter()
         self.suspect_runs: Counter[str] = Counter()
         self._backoff_until_s: dict[str, float] = {}
+        self._failed_until_s: dict[str, float] = {}
         self._durations: dict[str, _CallDuration] = {}
         self.warm = WarmConnections()
 
@@ -65,7 +66,7 @@
             # targets, it would be overloaded while the others are idle.
             for service_targets in self._by_service.values():
                 service_targets.sort(key=self._node_rank)
-        for observations in (self._backoff_until_s, self._durations):
+        for observations in (self._backoff_until_s, self._failed_until_s, self._durations):
             for instance in [name for name in observations if name not in targets]:
                 del observations[instance]
 
@@ -91,6 +92,7 @@
         """Record the duration of a complete answer."""
         self._record_duration(target, duration_s, now_s)
         self._backoff_until_s.pop(target.instance, None)
+        self._failed_until_s.pop(target.instance, None)
 
     def record_abandoned(self, target: Target, waited_s: float, now_s: float) -> None:
         """Record that a call was abandoned after ``waited_s`` without an answer.
@@ -118,6 +120,12 @@
         """Avoid a target for a while after a failure or a refusal."""
         backoff_s = REFUSAL_BACKOFF_S if refused else FAILURE_BACKOFF_S
         self._backoff_until_s[target.instance] = now_s + backoff_s
+        if not refused:
+            self._failed_until_s[target.instance] = now_s + backoff_s
+
+    def has_failed(self, target: Target, now_s: float) -> bool:
+        """Whether the target failed just before; a refusal for lack of capacity is no failure."""
+        return self._failed_until_s.get(target.instance, 0.0) > now_s
 
     def is_backing_off(self, target: Target, now_s: float) -> bool:
         """Whether the target is currently avoided."""
--- a/tests/crashes/test_crashed_services.py
+++ b/tests/crashes/test_crashed_services.py
@@ -13,7 +13,7 @@
 
     def __init__(self, count: int) -> None:
         self.starts = {f"t{number}": 1 for number in range(count)}
-        self.avoided: set[str] = set()
+        self.failed: set[str] = set()
 
     def service_of(self, start_name: str) -> tuple[str, TargetStart] | None:
         found = (("svc", s) for s in self.accepting("svc") if s.name == start_name)
@@ -23,9 +23,9 @@
         assert service == "svc"
         return [TargetStart(f"{a}-{n}", a, n) for a, n in self.starts.items()]
 
-    def is_avoided(self, start: TargetStart, now_s: float) -> bool:
+    def has_failed(self, start: TargetStart, now_s: float) -> bool:
         del now_s
-        return start.address in self.avoided
+        return start.address in self.failed
 
 
 def name_of(view: FakeView, address: str) -> str:
@@ -56,7 +56,7 @@
     assert services.size("svc", CRASHED_TARGET_COUNTS_S)[:] == (2, 2)
     view.starts["t0"] = 2
     assert services.size("svc", CRASHED_TARGET_COUNTS_S)[:] == (3, 3)
-    view.avoided.add("t1")
+    view.failed.add("t1")
     assert services.size("svc", CRASHED_TARGET_COUNTS_S)[:] == (2, 3)
 
 
--- a/tests/serving/test_suspect_wait.py
+++ b/tests/serving/test_suspect_wait.py
@@ -147,6 +147,27 @@
     asyncio.run(body())
 
 
+@pytest.mark.parametrize("refused", [True, False])
+def test_full_targets_count_and_failed_ones_do_not(refused: bool) -> None:
+    """Guards against suspects held while targets are full, and sent while others are down."""
+
+    async def body() -> None:
+        service = SmallService(3, restart_s=0.1, nodes=1)
+        node = service.nodes[0]
+        await node.send("/crash", deadline_s=0.1)
+        await asyncio.sleep(0.2)
+        target = next(iter(node.table.targets.values()))
+        node.table.record_failure(target, asyncio.get_running_loop().time(), refused=refused)
+        service.run_s = 0.3
+        began = len(service.asked)
+        call = asyncio.ensure_future(node.send("/crash", deadline_s=0.2))
+        await asyncio.sleep(0.03)
+        assert (len(service.asked) > began) == refused
+        await call
+
+    asyncio.run(body())
+
+
 def test_recently_answered_call_is_not_held() -> None:
     """Guards against a popular call that waits since one of its copies ran at a crashed target."""
 
