--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -18,6 +18,7 @@
 from ._attempt_log import AttemptLog
 from ._crash_watch import call_digest, target_start
 from ._route_table import RouteTable
+from ._suspect_wait import SuspectWait
 from ._target_table import TargetTable, select_services
 from ._types import (
     RETURN_MARGIN_S,
@@ -147,6 +148,10 @@
         if self._guard.has_suspects or len(call.body) <= MAX_HASHED_BODY_BYTES:
             self._guard.record_answer(call.request_id, call_digest(call))
 
+    def suspect_wait(self, call: Call, services: Sequence[str], deadline_s: float) -> SuspectWait:
+        """Return the waits of a call in case that a target crashes under it."""
+        return SuspectWait(self._guard, call, services, deadline_s)
+
     async def record_cut(
         self, call: Call, target: Target, begun_s: float, fault: TargetFault
     ) -> None:
@@ -164,10 +169,14 @@
         """
         self._targets.record_start(target, suspect=suspect)
         reserved = [target]
+        end_suspect = (
+            self._guard.start_suspect(target.service) if self._guard and suspect else _end_nothing
+        )
 
         def release() -> None:
             if reserved:
                 self._targets.record_end(reserved.pop(), suspect=suspect)
+                end_suspect()
 
         return release
 
@@ -211,6 +220,10 @@
         return answer
 
 
+def _end_nothing() -> None:
+    """Do nothing; the run isn't counted as a suspect's."""
+
+
 class _Forwarding:
     """Runs the attempts of one call."""
 
@@ -234,6 +247,7 @@
         self._began_at_s = math.inf
         self._repeatable = route.kind is CallKind.IDEMPOTENT
         self._crash_verdict = CrashVerdict.CLEAR
+        self._suspect_wait = forwarder.suspect_wait(call, self._services, deadline_s)
 
     async def result(self) -> TargetAnswer:
         """Return the first usable answer and end the other attempts."""
@@ -261,6 +275,7 @@
         while True:
             if not attempts:
                 if not await self._start_next(attempts):
+                    await self._suspect_wait.await_announcement()
                     return self._give_up(loop.time())
                 if self._slots is not None:
                     next_hedge_s = loop.time() + hedge_s
@@ -281,27 +296,38 @@
                 answer = self._take_result(attempt, loop.time())
                 if answer is not None:
                     return answer
+            if done and attempts and self._suspect_wait.must_stop_others():
+                self._stop(attempts, loop.time())
             if not done and may_hedge and loop.time() >= next_hedge_s:
                 self._start_hedge(attempts, loop.time())
                 next_hedge_s = loop.time() + 2.0 * hedge_s
 
     async def _start_next(self, attempts: list[_Attempt]) -> bool:
-        """Start the only attempt; return False if there is no attempt or target left.
+        """Start the only attempt, after a wait if the call is suspect; return False if it can't be.
 
         :raises RequestError: if the call is refused by the queue and hasn't run.
         """
         loop = asyncio.get_running_loop()
-        if self._slots is None:
-            return self._start_attempt(attempts, loop.time())
-        if not self._may_send(attempts):
-            return False
-        grant = await self._acquire(self._slots)
-        # The call may have become suspect while it waited.
-        if grant is None or not self._may_send(attempts):
+        while self._has_attempt_left():
+            if not await self._suspect_wait.may_send():
+                self._crash_verdict = CrashVerdict.HELD
+                return False
+            if self._slots is None:
+                return self._start_attempt(attempts, loop.time())
+            if not self._may_send(attempts):
+                return False
+            grant = await self._acquire(self._slots)
+            if grant is None:
+                return False
+            # The call may have become suspect while it waited.
+            may_send = self._may_send(attempts)
+            if may_send and self._suspect_wait.may_send_now():
+                self._send(attempts, grant.target, loop.time(), grant)
+                return True
             finish_grant(grant, SendOutcome.NOT_SENT)
-            return False
-        self._send(attempts, grant.target, loop.time(), grant)
-        return True
+            if not may_send:
+                return False
+        return False
 
     async def _acquire(self, slots: "SlotQueue") -> "Grant | None":
         """Wait for a target; return None if there is none and the call may have run already."""
@@ -345,17 +371,31 @@
         if grant is not None:
             self._send(attempts, grant.target, now_s, grant)
 
+    def _stop(self, attempts: list[_Attempt], now_s: float) -> None:
+        """Cancel attempts that may crash further targets; the call may have run there."""
+        for attempt in attempts:
+            attempt.task.cancel()
+            self._record_begin(attempt)
+            self._attempt_log.record_outcome(
+                attempt.target.instance, "cancelled, another target crashed under the call", now_s
+            )
+        self._ran = Ran.UNKNOWN
+        attempts.clear()
+
     def _may_send(self, attempts: list[_Attempt]) -> bool:
         """Return whether the call may be sent again, beside the attempts that are under way."""
-        if self._attempts_used >= self._route.max_attempts:
-            return False
-        if self._ran is not Ran.NO and not self._repeatable:
+        if not self._has_attempt_left():
             return False
         self._crash_verdict = self._forwarder.crash_verdict(self._call)
         if is_blocked(self._crash_verdict):
             return False
         return not attempts or self._crash_verdict is CrashVerdict.CLEAR
 
+    def _has_attempt_left(self) -> bool:
+        if self._attempts_used >= self._route.max_attempts:
+            return False
+        return self._ran is Ran.NO or self._repeatable
+
     def _start_attempt(self, attempts: list[_Attempt], now_s: float) -> bool:
         """Start another attempt; return False if there is no attempt or target left."""
         if self._refusal_count >= MAX_REFUSALS or not self._may_send(attempts):
@@ -427,7 +467,10 @@
             return self._failure_answer
         if is_blocked(self._crash_verdict):
             raise blocked_call_error(
-                self._crash_verdict, self._ran, self._attempt_log.summary(now_s)
+                self._crash_verdict,
+                self._ran,
+                self._attempt_log.summary(now_s),
+                self._suspect_wait.retry_after_s(),
             )
         detail = self._attempt_log.summary(now_s)
         if self._queue_error:
@@ -455,14 +498,16 @@
     task.add_done_callback(clean_up)
 
 
-def blocked_call_error(verdict: CrashVerdict, ran: Ran, detail: str) -> RequestError:
+def blocked_call_error(
+    verdict: CrashVerdict, ran: Ran, detail: str, retry_after_s: float
+) -> RequestError:
     """Return the error for a call that isn't sent because targets crashed under it.
 
     ``ran`` is NO only if no target can have run the call under its ID.
     """
     if verdict is CrashVerdict.HELD and ran is not Ran.NO:
         return no_answer_error(ran, detail)
-    return blocked_error(verdict, detail)
+    return blocked_error(verdict, detail, retry_after_s)
 
 
 def no_answer_error(ran: Ran, detail: str) -> RequestError:
