Move a text once, with a reason, and choose needed groups by evidence

Cause: a text could move several times, a nearly complete one too; a moved text whose hint was exceeded was planned as the shortest; groups that nobody needs were chosen by poor hints at the step's start, and never after a loss, when few groups are left. Change: runs_to_move returns moves with a reason, at most one per text except from an engine that leaves; moves are logged and counted; a resumed text is planned with its expected remainder; groups are optional once half of the needed ones are complete, or if the queue takes a third of the time.

--- a/samphirecleat/bench/_loads.py
+++ b/samphirecleat/bench/_loads.py
@@ -249,7 +249,7 @@
     def _place_items(self) -> None:
         waiting = {i.item_id: i for s in self._open_steps() for i in s.items if not i.engine}
         pending = [self._pending_item(item) for item in waiting.values()]
-        ordered = order_items(pending, {}, SECONDS_PER_TOKEN)
+        ordered = order_items(pending, frozenset(), SECONDS_PER_TOKEN)
         placements = place_items(ordered, self._engine_views(), SECONDS_PER_TOKEN)
         self._shortages = shortages(ordered, placements, SECONDS_PER_TOKEN)
         for placement in placements:
--- a/samphirecleat/bench/_planning.py
+++ b/samphirecleat/bench/_planning.py
@@ -7,11 +7,22 @@
 """
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
-from ..durable import EngineView, PendingItem, Placement, order_items, place_items, planned_tokens
+from ..durable import (
+    EngineView,
+    GroupNeed,
+    PendingItem,
+    Placement,
+    UnfinishedItem,
+    is_long_queue,
+    optional_groups,
+    order_items,
+    place_items,
+    planned_tokens,
+)
 from ._harness import BenchResult, BenchRow, run_repeats
 from ._uneven_engines import UNEVEN_WORKLOADS, Planner, UnevenReplay, UnevenWorkload
 
@@ -80,21 +91,21 @@
 def plan_by_slack(
     pending: Sequence[PendingItem],
     engines: Sequence[EngineView],
-    shares: Mapping[str, float],
+    optional: Set[tuple[str, str]],
     token_s: float,
 ) -> Sequence[Placement]:
     """Plan as a service's runner does: the items with the least slack first."""
-    return place_items(order_items(pending, shares, token_s), engines, token_s)
+    return place_items(order_items(pending, optional, token_s), engines, token_s)
 
 
 def plan_in_arrival_order(
     pending: Sequence[PendingItem],
     engines: Sequence[EngineView],
-    shares: Mapping[str, float],
+    optional: Set[tuple[str, str]],
     token_s: float,
 ) -> Sequence[Placement]:
     """Start items in order of arrival, each on the engine with fewest runs; ignore memory."""
-    del shares, token_s
+    del optional, token_s
     views = {engine.instance: engine for engine in engines if engine.accepts}
     placements = []
     for item in pending:
@@ -110,12 +121,12 @@
 def plan_shortest_first(
     pending: Sequence[PendingItem],
     engines: Sequence[EngineView],
-    shares: Mapping[str, float],
+    optional: Set[tuple[str, str]],
     token_s: float,
 ) -> Sequence[Placement]:
     """Start the items with the fewest expected tokens first."""
     by_length = sorted(pending, key=lambda item: item.expected_tokens)
-    return plan_in_arrival_order(by_length, engines, shares, token_s)
+    return plan_in_arrival_order(by_length, engines, optional, token_s)
 
 
 VARIANTS: Final[Mapping[str, Planner]] = {
@@ -222,11 +233,30 @@
         if not waiting:
             return
         pending = [self._pending_item(item) for item in waiting.values()]
-        shares = {step.step_id: REQUIRED_GROUP_SHARE for step in open_steps}
-        placements = self._plan(pending, self._engine_views(), shares, SECONDS_PER_TOKEN)
+        engines = self._engine_views()
+        long_queue = is_long_queue(pending, engines, SECONDS_PER_TOKEN)
+        optional = self._optional_groups(open_steps, long_queue=long_queue)
+        placements = self._plan(pending, engines, optional, SECONDS_PER_TOKEN)
         for placement in placements:
             waiting[placement.item.item_id].engine = int(placement.instance)
 
+    def _optional_groups(self, steps: Sequence[_Step], *, long_queue: bool) -> Set[tuple[str, str]]:
+        needs = {
+            step.step_id: GroupNeed(len(step.remaining), step.required_groups) for step in steps
+        }
+        unfinished = (
+            UnfinishedItem(
+                step.step_id,
+                item.group,
+                item.hint_tokens - item.events_done * TOKENS_PER_EVENT,
+                carried=False,
+            )
+            for step in steps
+            for item in step.items
+            if item.events_done < item.events
+        )
+        return optional_groups(unfinished, needs, long_queue=long_queue)
+
     def _pending_item(self, item: _Item) -> PendingItem:
         tokens_done = item.events_done * TOKENS_PER_EVENT
         due_in_s = item.step.requested_at_s + STEP_DEADLINE_S - self.now_s
--- a/samphirecleat/bench/_uneven_engines.py
+++ b/samphirecleat/bench/_uneven_engines.py
@@ -10,17 +10,22 @@
 import math
 import random
 from collections import Counter, defaultdict
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
 from ..durable import (
     EngineStatsTable,
     EngineView,
+    GroupNeed,
+    MoveReason,
     PendingItem,
     Placement,
     RunView,
+    UnfinishedItem,
     expected_remaining_events,
+    is_long_queue,
+    optional_groups,
     runs_to_move,
 )
 
@@ -62,11 +67,13 @@
 LEAVING_S: Final = 2.0
 PLAN_INTERVAL_S: Final = 0.02
 MOVE_CHECK_INTERVAL_S: Final = 0.1
-MOVE_BACKOFF_S: Final = 0.05
+# An engine that a run left gets no items for this long.
+MOVE_BACKOFF_S: Final = 0.1
 DURATION_S: Final = 60.0
 
 Planner = Callable[
-    [Sequence[PendingItem], Sequence[EngineView], Mapping[str, float], float], Sequence[Placement]
+    [Sequence[PendingItem], Sequence[EngineView], Set[tuple[str, str]], float],
+    Sequence[Placement],
 ]
 
 
@@ -112,8 +119,12 @@
     hint_events: int
     made: int = 0
     done: bool = False
-    ready_at_s: float = 0.0
     run: "_Run | None" = None
+    moved: bool = False
+
+    @property
+    def remaining_events(self) -> int:
+        return expected_remaining_events(self.made, self.hint_events, MAX_EVENTS)
 
 
 @dataclass
@@ -245,21 +256,37 @@
             text.name: text
             for step in steps
             for text in step.texts
-            if not text.done and text.run is None and text.ready_at_s <= self._now_s
+            if not text.done and text.run is None
         }
         placed = 0
         if waiting:
             pending = [self._pending_item(text) for text in waiting.values()]
-            shares = {step.step_id: REQUIRED_GROUP_SHARE for step in steps}
             token_s = self._stats.median_event_interval_s() / TOKENS_PER_EVENT
-            placements = self._plan(pending, self._engine_views(), shares, token_s)
+            engines = self._engine_views()
+            long_queue = is_long_queue(pending, engines, token_s)
+            optional = self._optional_groups(steps, long_queue=long_queue)
+            placements = self._plan(pending, engines, optional, token_s)
             placed = len(placements)
             for placement in placements:
                 text = waiting[(placement.item.step_id, placement.item.item_id)]
                 self._start(text, int(placement.instance), placement.planned_tokens)
         if placed == len(waiting) and self._now_s >= self._next_move_check_s:
             self._next_move_check_s = self._now_s + MOVE_CHECK_INTERVAL_S
-            self._move_runs()
+            self._move_runs(self._optional_groups(steps, long_queue=False))
+
+    def _optional_groups(
+        self, steps: Sequence[_OpenStep], *, long_queue: bool
+    ) -> Set[tuple[str, str]]:
+        needs = {step.step_id: GroupNeed(len(step.left), step.required_groups) for step in steps}
+        unfinished = (
+            UnfinishedItem(
+                step.step_id, text.group, text.remaining_events * TOKENS_PER_EVENT, carried=False
+            )
+            for step in steps
+            for text in step.texts
+            if not text.done
+        )
+        return optional_groups(unfinished, needs, long_queue=long_queue)
 
     def _pending_item(self, text: _Text) -> PendingItem:
         return PendingItem(
@@ -268,7 +295,7 @@
             text.group,
             text.step.requested_at_s + STEP_DEADLINE_S - self._now_s,
             False,
-            max(1, text.hint_events - text.made) * TOKENS_PER_EVENT,
+            max(1, text.remaining_events) * TOKENS_PER_EVENT,
             PROMPT_TOKENS + text.made * TOKENS_PER_EVENT,
             1,
             "m",
@@ -337,8 +364,7 @@
             self._complete(run, at_s)
         elif run.moving:
             self._end_run(run)
-            text.ready_at_s = at_s + MOVE_BACKOFF_S
-            self._stats.of(str(run.engine)).backoff_until_s = at_s + 0.1
+            self._stats.of(str(run.engine)).backoff_until_s = at_s + MOVE_BACKOFF_S
         else:
             self._push(run, at_s)
 
@@ -356,29 +382,32 @@
         run.text.run = None
         self._runs[run.engine].remove(run)
 
-    def _move_runs(self) -> None:
+    def _move_runs(self, optional: Set[tuple[str, str]]) -> None:
         engines = self._engine_views()
-        slowness = {engine.instance: engine.slowness for engine in engines}
-        event_s = self._stats.median_event_interval_s()
+        accepting = {engine.instance for engine in engines}
         by_name = {run.text.name: run for runs in self._runs.values() for run in runs}
-        views = [self._run_view(run, slowness, event_s) for run in by_name.values()]
-        for name in runs_to_move(views, engines):
-            by_name[name].moving = True
-            self.moves["any"] += 1
-
-    def _run_view(self, run: _Run, slowness: Mapping[str, float], event_s: float) -> RunView:
+        views = [self._run_view(run, accepting, optional) for run in by_name.values()]
+        for move in runs_to_move(views, engines):
+            run = by_name[move.run.name]
+            run.moving = True
+            run.text.moved |= move.reason is not MoveReason.LEAVING
+            self.moves[move.reason.value] += 1
+
+    def _run_view(self, run: _Run, accepting: Set[str], optional: Set[tuple[str, str]]) -> RunView:
         text, instance = run.text, str(run.engine)
-        left = expected_remaining_events(text.made, text.hint_events, MAX_EVENTS)
+        event_s = self._stats.median_event_interval_s()
         return RunView(
             text.name,
-            slowness.get(instance, 1.0),
+            self._stats.slowness(instance, event_s),
             run.events,
             run.moving,
-            left * event_s,
+            text.remaining_events * event_s,
             text.step.requested_at_s + STEP_DEADLINE_S - self._now_s,
-            math.inf if instance in slowness else LEAVING_S,
+            math.inf if instance in accepting else LEAVING_S,
             "m",
             1,
+            text.moved,
+            (text.step.step_id, text.group) not in optional,
         )
 
     def _factor(self, engine: int) -> float:
--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -10,16 +10,18 @@
 from ._engine_stats import EngineStats, EngineStatsTable
 from ._fold import Claim, StepFold, StepState
 from ._follower import TopicFollower
-from ._item_decisions import RunView, expected_remaining_events, runs_to_move
+from ._item_decisions import expected_remaining_events
 from ._journal import ProgressJournal
 from ._listing import WriteResult
 from ._member_registry import MemberRegistry
+from ._needed_groups import GroupNeed, UnfinishedItem, optional_groups
 from ._orderer import EngineReport, Order, OrderChannel, OrderOutcome
 from ._planner import (
     EngineView,
     PendingItem,
     Placement,
     Shortage,
+    is_long_queue,
     order_items,
     place_items,
     planned_tokens,
@@ -56,6 +58,7 @@
     StepRequest,
     TextRef,
 )
+from ._run_moves import MoveReason, RunView, runs_to_move
 from ._scorer import Scorer
 from ._server_orders import ScaleChannel, ScaleOutcome
 from ._server_plan import ZoneCapacity, plan_spot_targets, targets_for_wave
@@ -88,6 +91,7 @@
     "GenerationError",
     "GenerationEvent",
     "GenerationFailure",
+    "GroupNeed",
     "HistoryGoneError",
     "Holder",
     "ItemListed",
@@ -100,6 +104,7 @@
     "LogUnavailableError",
     "MemberRegistry",
     "ModelDemand",
+    "MoveReason",
     "Order",
     "OrderChannel",
     "OrderOutcome",
@@ -130,12 +135,15 @@
     "TextRef",
     "TextStore",
     "TopicFollower",
+    "UnfinishedItem",
     "WriteResult",
     "ZoneCapacity",
     "decide_loads",
     "engines_for",
     "expected_remaining_events",
+    "is_long_queue",
     "model_demand",
+    "optional_groups",
     "order_items",
     "place_items",
     "plan_spot_targets",
--- a/samphirecleat/durable/_item_run.py
+++ b/samphirecleat/durable/_item_run.py
@@ -32,7 +32,8 @@
 class ItemRun:
     """One run, at the priority of its workspace.
 
-    Setting ``move_requested`` ends the run at its next event.
+    Setting ``move_requested`` ends the run at its next event. ``moved`` tells whether the text
+    already moved from a slow engine.
     """
 
     open_item: OpenItem
@@ -43,6 +44,7 @@
     task: asyncio.Task[None] | None = None
     events: int = 0
     move_requested: bool = False
+    moved: bool = False
 
     @property
     def name(self) -> ItemName:
@@ -75,7 +77,7 @@
             last_s = now_s
             wait_s = EVENT_TIMEOUT_S
             if run.move_requested:
-                raise GenerationError("moved to a faster engine", GenerationFailure.REFUSED)
+                raise GenerationError("moved to another engine", GenerationFailure.MOVED)
         if not run.draft.event_data:
             raise GenerationError("stream ended without an event", GenerationFailure.BROKEN)
         run.draft.complete = True
--- a/samphirecleat/durable/_planner.py
+++ b/samphirecleat/durable/_planner.py
@@ -12,6 +12,7 @@
 from typing import Final, NamedTuple
 
 from ..serving import DEFAULT_PRIORITY
+from ._needed_groups import GroupName
 
 # Share of a text's expected growth that is reserved in engine memory. All texts grow at the same
 # speed, so short ones complete before long ones need their full memory. An engine that runs out of
@@ -26,6 +27,8 @@
 URGENT_SLACK_S: Final = 2.5
 # Long texts are the last to complete, so most of their growth is reserved.
 LONG_GROWTH_SHARE: Final = 0.8
+# A queue is long if its items take more than this share of the time until the last one is due.
+LONG_QUEUE_SHARE: Final = 1 / 3
 # Each priority rank of a workspace counts as this much less slack. Its items start before equally
 # urgent ones of lower rank, and no workspace can starve another.
 SLACK_PER_RANK_S: Final = 0.5
@@ -80,22 +83,13 @@
 
 
 def order_items(
-    items: Sequence[PendingItem], wanted_share: Mapping[str, float], token_s: float
+    items: Sequence[PendingItem], optional: Set[GroupName], token_s: float
 ) -> Sequence[PendingItem]:
     """Return the items in start order, least slack first.
 
-    ``token_s`` is the generation time of a token. ``wanted_share`` gives, by step, the share of
-    groups that the trainer waits for; the longest groups beyond that share start last. Groups
-    carried over from an earlier step are always waited for.
+    ``token_s`` is the generation time of a token on the median engine. Items of ``optional`` groups
+    start last.
     """
-    longest: dict[tuple[str, str], int] = {}
-    carried: set[tuple[str, str]] = set()
-    for item in items:
-        name = (item.step_id, item.group)
-        longest[name] = max(longest.get(name, 0), item.expected_tokens)
-        if item.carried:
-            carried.add(name)
-    optional = _optional_groups(longest, carried, wanted_share)
 
     def rank(item: PendingItem) -> tuple[bool, float]:
         slack_s = item.due_in_s - item.expected_tokens * token_s
@@ -105,20 +99,13 @@
     return sorted(items, key=rank)
 
 
-def _optional_groups(
-    longest: Mapping[tuple[str, str], int],
-    carried: set[tuple[str, str]],
-    wanted_share: Mapping[str, float],
-) -> set[tuple[str, str]]:
-    optional: set[tuple[str, str]] = set()
-    for step_id, share in wanted_share.items():
-        groups = sorted(
-            (name for name in longest if name[0] == step_id and name not in carried),
-            key=lambda name: longest[name],
-            reverse=True,
-        )
-        optional.update(groups[: int(len(groups) * (1.0 - share))])
-    return optional
+def is_long_queue(
+    items: Sequence[PendingItem], engines: Sequence[EngineView], token_s: float
+) -> bool:
+    """Return whether the queue is so long that some steps will be late unless groups wait."""
+    slots = sum(engine.slots for engine in engines)
+    waiting_s = sum(item.expected_tokens for item in items) * token_s / max(1, slots)
+    return waiting_s > LONG_QUEUE_SHARE * max((item.due_in_s for item in items), default=0.0)
 
 
 def place_items(
--- a/samphirecleat/durable/_ports.py
+++ b/samphirecleat/durable/_ports.py
@@ -155,8 +155,9 @@
 
 
 class GenerationFailure(Enum):
-    """Why a run ended before its text was complete."""
+    """Why a run ended before its text was complete; MOVED if its runner ended it."""
 
+    MOVED = "moved"
     REFUSED = "refused"
     FAILED = "failed"
     IMPOSSIBLE = "impossible"
--- a/samphirecleat/durable/_run_pool.py
+++ b/samphirecleat/durable/_run_pool.py
@@ -1,6 +1,7 @@
 """Runs of a service's items on its engines, and the backoff after failed runs."""
 
 import asyncio
+import logging
 from collections.abc import Collection
 
 from ..crashes import CrashGuard
@@ -13,6 +14,7 @@
 from ._open_item import OpenItem
 from ._planner import Placement
 from ._ports import GenerationChannel, GenerationError, GenerationFailure
+from ._run_moves import Move, MoveReason
 from ._service_work import ServiceWork
 
 
@@ -40,6 +42,7 @@
         self._logger = observer.log("runner")
         self._backoff_until_s: dict[ItemName, float] = {}
         self._failures: dict[ItemName, int] = {}
+        self._moved: set[ItemName] = set()
         self._crash_backoff = CrashBackoff(guard)
 
     def is_backing_off(self, name: ItemName, now_s: float) -> bool:
@@ -55,6 +58,7 @@
         item, step = open_item.item, open_item.step
         draft = self._drafts.get(item.item_id)
         run = ItemRun(open_item, target, draft, placement.planned_tokens, plan.priority)
+        run.moved = run.name in self._moved
         self._work.engine_stats.of(target.instance).groups.add(item.group)
         self._work.runs[run.name] = run
         self._logger.info(
@@ -68,9 +72,28 @@
         )
         run.task = asyncio.ensure_future(self._run(run))
 
-    def move(self, name: ItemName) -> None:
+    def move(self, move: Move) -> None:
         """Request that a run ends at its next event, to be resumed on another engine."""
-        self._work.runs[name].move_requested = True
+        run = self._work.runs[move.run.name]
+        run.move_requested = True
+        if move.reason is not MoveReason.LEAVING:
+            self._moved.add(run.name)
+        self._observer.counters[f"moves_{move.reason.value}"] += 1
+        stats = self._work.engine_stats
+        self._logger.info(
+            "item=%s step=%s target=%s moves reason=%s lasting_slowness=%.2f current_slowness=%.2f"
+            " destination_slowness=%.2f events=%d expected_remaining_s=%.2f due_in_s=%.2f",
+            run.open_item.item.item_id,
+            run.open_item.step.spec.step_id,
+            run.target.instance,
+            move.reason.value,
+            move.run.slowness,
+            stats.current_slowness(run.target.instance),
+            move.destination_slowness,
+            run.draft.last_event_id,
+            move.run.remaining_s,
+            move.run.due_in_s,
+        )
 
     def keep_only(self, wanted_steps: Collection[str]) -> None:
         """Cancel runs of other steps and of listed items; drop failure records of other steps."""
@@ -79,6 +102,7 @@
             listed = item_id not in run.open_item.step.unlisted
             if (step_id not in wanted_steps or listed) and run.task is not None:
                 run.task.cancel()
+        self._moved = {name for name in self._moved if name[0] in wanted_steps}
         for by_name in (self._failures, self._backoff_until_s):
             for name in [name for name in by_name if name[0] not in wanted_steps]:
                 del by_name[name]
@@ -121,7 +145,8 @@
 
     def _record_failure(self, run: ItemRun, error: GenerationError) -> None:
         now_s = asyncio.get_running_loop().time()
-        self._logger.warning(
+        self._logger.log(
+            logging.INFO if error.reason is GenerationFailure.MOVED else logging.WARNING,
             "item=%s target=%s ended=%s at_event=%d detail=%s",
             run.open_item.item.item_id,
             run.target.instance,
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -2,25 +2,28 @@
 
 import asyncio
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping, Sequence, Set
 from typing import Final
 
 from ..observe import Observer
+from ..serving import Route
 from ._drafts import Draft, DraftStore
 from ._finisher import Finisher
+from ._fold import StepState
 from ._item_decisions import (
     ItemAction,
     ItemName,
     ItemStatus,
-    RunView,
     expected_remaining_events,
     next_action,
-    runs_to_move,
 )
 from ._item_loader import ItemLoader
 from ._item_run import ItemRun
+from ._needed_groups import GroupName, GroupNeed, UnfinishedItem, optional_groups
 from ._open_item import OpenItem
-from ._planner import PendingItem, order_items, place_items, shortages
+from ._planner import PendingItem, is_long_queue, order_items, place_items, shortages
+from ._records import ItemSpec
+from ._run_moves import RunView, runs_to_move
 from ._run_pool import RunPool
 from ._service_work import ServiceWork
 
@@ -107,11 +110,12 @@
                     by_name[name] = open_item
                     pending.append(self._pending_item(open_item, now_s))
         if pending:
-            self._place_items(pending, by_name, now_s)
+            self._place_items(pending, by_name, steps, now_s)
         else:
             self._work.shortages = {}
-        if not self._work.shortages:
-            self._move_runs(now_s)
+        if not self._work.shortages and now_s >= self._next_move_check_s:
+            self._next_move_check_s = now_s + MOVE_CHECK_INTERVAL_S
+            self._move_runs(self._optional_groups(steps, long_queue=False), now_s)
 
     def _needs_slot(self, open_item: OpenItem, now_s: float) -> bool:
         """Perform an item's next action; return whether the item needs an engine slot."""
@@ -143,13 +147,14 @@
     def _pending_item(self, open_item: OpenItem, now_s: float) -> PendingItem:
         step, item, route = open_item
         generated = self._drafts.get(item.item_id).last_event_id * self._work.view.tokens_per_event
+        remaining = self._remaining_events(item) * self._work.view.tokens_per_event
         return PendingItem(
             step.spec.step_id,
             item.item_id,
             item.group,
             step.folded_at_s + route.result_deadline_s - now_s,
             item.item_id in step.carried,
-            max(MIN_EXPECTED_TOKENS, item.expected_tokens - generated),
+            max(MIN_EXPECTED_TOKENS, item.expected_tokens - generated, remaining),
             item.prompt_tokens + generated,
             step.spec.min_version,
             step.spec.model,
@@ -160,54 +165,90 @@
         self,
         pending: Sequence[PendingItem],
         by_name: Mapping[ItemName, OpenItem],
+        steps: Sequence[tuple[StepState, Route]],
         now_s: float,
     ) -> None:
         """Start the items that get a slot; record the others as shortages for weight loading."""
-        shares = {
-            open_item.step.spec.step_id: _wanted_group_share(open_item)
-            for open_item in by_name.values()
-        }
         token_s = self._work.token_s()
-        ordered = order_items(pending, shares, token_s)
-        placements = place_items(ordered, self._work.engine_views(now_s), token_s)
+        engines = self._work.engine_views(now_s)
+        long_queue = is_long_queue(pending, engines, token_s)
+        optional = self._optional_groups(steps, long_queue=long_queue)
+        ordered = order_items(pending, optional, token_s)
+        placements = place_items(ordered, engines, token_s)
         self._work.shortages = shortages(ordered, placements, token_s)
         for placement in placements:
             name = (placement.item.step_id, placement.item.item_id)
             self._runs.start(by_name[name], placement)
 
-    def _move_runs(self, now_s: float) -> None:
-        """Move runs to faster engines; only called while no item waits for a slot."""
-        if now_s < self._next_move_check_s:
-            return
-        self._next_move_check_s = now_s + MOVE_CHECK_INTERVAL_S
+    def _optional_groups(
+        self, steps: Sequence[tuple[StepState, Route]], *, long_queue: bool
+    ) -> Set[GroupName]:
+        """Return the groups of open steps that no trainer waits for."""
+        needs = {
+            step.spec.step_id: GroupNeed(step.group_count, step.spec.target_groups)
+            for step, _route in steps
+            if step.group_count > step.spec.target_groups
+        }
+        tokens_per_event = self._work.view.tokens_per_event
+        unfinished = (
+            UnfinishedItem(
+                step.spec.step_id,
+                step.items[item_id].group,
+                self._remaining_events(step.items[item_id]) * tokens_per_event,
+                item_id in step.carried,
+            )
+            for step, _route in steps
+            if step.spec.step_id in needs
+            for item_id in step.unlisted
+        )
+        return optional_groups(unfinished, needs, long_queue=long_queue)
+
+    def _remaining_events(self, item: ItemSpec) -> int:
+        """Return how many more events an item's text is expected to have."""
+        draft = self._drafts.find(item.item_id)
+        if draft is not None and draft.complete:
+            return 0
+        tokens_per_event = self._work.view.tokens_per_event
+        return expected_remaining_events(
+            draft.last_event_id if draft is not None else 0,
+            item.estimated_tokens // tokens_per_event,
+            item.max_tokens // tokens_per_event,
+        )
+
+    def _move_runs(self, optional: Set[GroupName], now_s: float) -> None:
+        """Move runs to other engines; only called while no item waits for a slot."""
         engines = self._work.engine_views(now_s)
-        slowness = {engine.instance: engine.slowness for engine in engines}
         event_s = self._work.engine_stats.median_event_interval_s()
-        runs = [self._run_view(run, slowness, event_s, now_s) for run in self._work.runs.values()]
-        for name in runs_to_move(runs, engines):
-            self._runs.move(name)
+        accepting = {engine.instance for engine in engines}
+        runs = [
+            self._run_view(run, accepting, optional, event_s, now_s)
+            for run in self._work.runs.values()
+        ]
+        for move in runs_to_move(runs, engines):
+            self._runs.move(move)
 
     def _run_view(
-        self, run: ItemRun, slowness: Mapping[str, float], event_s: float, now_s: float
+        self,
+        run: ItemRun,
+        accepting: Set[str],
+        optional: Set[GroupName],
+        event_s: float,
+        now_s: float,
     ) -> RunView:
         step, item, route = run.open_item
-        tokens_per_event = self._work.view.tokens_per_event
-        remaining_events = expected_remaining_events(
-            run.draft.last_event_id,
-            item.estimated_tokens // tokens_per_event,
-            item.max_tokens // tokens_per_event,
-        )
         instance = run.target.instance
         return RunView(
             run.name,
-            slowness.get(instance, 1.0),
+            self._work.engine_stats.slowness(instance, event_s),
             run.events,
             run.move_requested,
-            remaining_events * event_s,
+            self._remaining_events(item) * event_s,
             step.folded_at_s + route.result_deadline_s - now_s,
-            math.inf if instance in slowness else LEAVING_ENGINE_REMAINING_S,
+            math.inf if instance in accepting else LEAVING_ENGINE_REMAINING_S,
             step.spec.model,
             step.spec.min_version,
+            run.moved,
+            (step.spec.step_id, item.group) not in optional,
         )
 
     async def _wait_for_change(self) -> None:
@@ -223,9 +264,3 @@
         finally:
             for wait in waits:
                 wait.cancel()
-
-
-def _wanted_group_share(open_item: OpenItem) -> float:
-    """Return the share of a step's groups that its trainer waits for."""
-    step = open_item.step
-    return min(1.0, step.spec.target_groups / max(1, step.group_count))
--- /dev/null
+++ b/tests/durable/test_needed_groups.py
@@ -0,0 +1,34 @@
+"""Tests of the choice of groups that a trainer does not need."""
+
+import pytest
+
+from samphirecleat.durable._needed_groups import GroupNeed, UnfinishedItem, optional_groups
+
+
+def item(group: str, tokens: int, *, carried: bool = False) -> UnfinishedItem:
+    return UnfinishedItem("s1", group, tokens, carried)
+
+
+@pytest.mark.parametrize(
+    ("items", "need", "long_queue", "want"),
+    [
+        # Six of nine needed groups are complete: the group expected last is not needed.
+        ([item("a", 500), item("b", 9000), item("c", 3000)], GroupNeed(9, 8), False, {"b"}),
+        # The longest of all waits until the others are complete, also if it is the last one.
+        ([item("b", 9000)], GroupNeed(9, 8), False, {"b"}),
+        # A group takes as long as its longest item.
+        ([item("a", 1), item("a", 9000), item("b", 8000)], GroupNeed(9, 8), False, {"a"}),
+        # At a step's start hints decide only if the queue is long.
+        ([item("a", 1), item("b", 9000)], GroupNeed(2, 1), False, set()),
+        ([item("a", 1), item("b", 9000)], GroupNeed(2, 1), True, {"b"}),
+        # A carried-over group is never optional.
+        ([item("a", 1), item("b", 9000, carried=True)], GroupNeed(9, 8), False, {"a"}),
+        ([item("a", 500), item("b", 9000)], GroupNeed(9, 9), False, set()),
+    ],
+)
+def test_optional_groups(
+    items: list[UnfinishedItem], need: GroupNeed, long_queue: bool, want: set[str]
+) -> None:
+    """Guards against a step whose last needed group waits for one that nobody needs."""
+    optional = optional_groups(items, {"s1": need}, long_queue=long_queue)
+    assert {group for _step, group in optional} == want
--- a/tests/durable/test_planner.py
+++ b/tests/durable/test_planner.py
@@ -5,6 +5,7 @@
 from samphirecleat.durable._planner import (
     EngineView,
     PendingItem,
+    is_long_queue,
     order_items,
     place_items,
     shortages,
@@ -31,26 +32,14 @@
     The group that the trainer does not need may be the longest of all.
     """
     items = [pending("a", 500), pending("b", 3000), pending("c", 9000), pending("d", 5000)]
-    ordered = order_items(items, {"s1": 0.75}, TOKEN_S)
+    ordered = order_items(items, {("s1", "c")}, TOKEN_S)
     assert [i.item_id for i in ordered] == ["d", "b", "a", "c"]
 
 
-def test_a_carried_over_group_is_never_optional() -> None:
-    items = [
-        pending("a", 500),
-        pending("b", 9000, carried=True),
-        pending("c", 3000),
-        pending("d", 1),
-    ]
-    ordered = order_items(items, {"s1": 0.5}, TOKEN_S)
-    assert ordered[0].item_id == "b"
-    assert ordered[-1].item_id == "c"
-
-
 def test_a_long_text_of_the_next_step_starts_before_a_short_one_of_this_step() -> None:
     """Steps overlap: the next step's longest texts must start while this step completes."""
     items = [pending("short", 500, due=3.5), pending("long", 6500, due=7.5)]
-    ordered = order_items(items, {}, TOKEN_S)
+    ordered = order_items(items, set(), TOKEN_S)
     assert [i.item_id for i in ordered] == ["long", "short"]
 
 
@@ -93,6 +82,13 @@
     assert [p.instance for p in placed] == ["a"]
 
 
+@pytest.mark.parametrize(("items", "want"), [(10, False), (40, True)])
+def test_a_queue_that_takes_a_third_of_the_time_left_is_long(items: int, want: bool) -> None:
+    """Guards against steps that are all late because groups nobody needs take slots."""
+    queue = [pending(f"i{n}", 1000) for n in range(items)]
+    assert is_long_queue(queue, [engine("a")], TOKEN_S) is want
+
+
 def test_a_burst_fills_exactly_the_available_slots() -> None:
     items = [pending(f"i{n}", 600) for n in range(40)]
     placed = place_items(items, [engine("a"), engine("b"), engine("c")], TOKEN_S)
@@ -139,6 +135,6 @@
     low = pending("low", 500)._replace(priority=7)
     high = pending("high", 500)._replace(priority=1)
     late = pending("late", 500)._replace(priority=9, due_in_s=low.due_in_s - 6.0)
-    order = [item.item_id for item in order_items([low, high, late], {}, TOKEN_S)]
+    order = [item.item_id for item in order_items([low, high, late], set(), TOKEN_S)]
     assert order.index("high") < order.index("low")
     assert order[0] == "late"
--- a/tests/durable/test_runner.py
+++ b/tests/durable/test_runner.py
@@ -83,6 +83,9 @@
     assert moved
     assert all(stage.engines.engines_of(call.item_id)[0] == "e1" for call in moved)
     assert all(stage.engines.engines_of(call.item_id)[-1] != "e1" for call in moved)
+    assert all(len(stage.engines.engines_of(call.item_id)) == 2 for call in moved)
+    counters = stage.observer.counters
+    assert counters["moves_slow"] + counters["moves_late"] == len(moved)
 
 
 @pytest.fixture
