Rank engines once per plan, and reserve slots of fast engines for long texts

Cause: each item looked at every engine and copied its set of groups, so a plan of 300 items took 10 ms on 24 engines and 50 ms on 100; short texts filled the fast engines before long ones came. Change: engines are kept sorted in a plan; texts done in a quarter of their time even on the slowest engine leave a quarter of the slots of faster engines free while another engine has a slot.

--- a/samphirecleat/bench/_uneven_engines.py
+++ b/samphirecleat/bench/_uneven_engines.py
@@ -91,19 +91,24 @@
 
 
 class UnevenWorkload(NamedTuple):
-    """A workload: engine speeds in turn, whether trainers start together, and faults."""
+    """A workload: engine speeds in turn, whether trainers start together, and faults.
+
+    Steps have ``scale`` times the usual size and are due after ``deadline_s``.
+    """
 
     name: str
     speeds: Sequence[float] = UNEVEN_SPEEDS
     together: bool = False
     scale: float = 1.0
     faults: Sequence[LongFault] = ()
+    deadline_s: float = STEP_DEADLINE_S
 
 
 UNEVEN_WORKLOADS: Final[Sequence[UnevenWorkload]] = (
     UnevenWorkload("in turn"),
     UnevenWorkload("waves", together=True),
     UnevenWorkload("waves x2", together=True, scale=2.0),
+    UnevenWorkload("waves due in 5.5 s", together=True, deadline_s=5.5),
     UnevenWorkload("4x slow for 8 s", faults=[LongFault(10.0, 8.0, 0, 5, 4.0)], together=True),
     UnevenWorkload("a sixth leaves", faults=[LongFault(9.0, 10.0, 2, 4, 0.0)], together=True),
     UnevenWorkload("even engines", speeds=(1.0,), together=True),
@@ -194,7 +199,7 @@
         in_time: dict[int, list[bool]] = defaultdict(list)
         late_groups = required = late_texts = 0
         for step in self.steps:
-            due_s = step.requested_at_s + STEP_DEADLINE_S
+            due_s = step.requested_at_s + self._workload.deadline_s
             done = sum(done_s <= due_s for done_s in step.group_done_s.values())
             late_groups += max(0, step.required_groups - done)
             required += step.required_groups
@@ -293,7 +298,7 @@
             text.step.step_id,
             text.name[1],
             text.group,
-            text.step.requested_at_s + STEP_DEADLINE_S - self._now_s,
+            text.step.requested_at_s + self._workload.deadline_s - self._now_s,
             False,
             max(1, text.remaining_events) * TOKENS_PER_EVENT,
             PROMPT_TOKENS + text.made * TOKENS_PER_EVENT,
@@ -402,7 +407,7 @@
             run.events,
             run.moving,
             text.remaining_events * event_s,
-            text.step.requested_at_s + STEP_DEADLINE_S - self._now_s,
+            text.step.requested_at_s + self._workload.deadline_s - self._now_s,
             math.inf if instance in accepting else LEAVING_S,
             "m",
             1,
--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -7,6 +7,7 @@
 from ._crash_records import CrashRecords
 from ._duty import Duty, DutyFactory, DutyKeeper, Holder
 from ._duty_tasks import DutyTasks
+from ._engine_ranking import EngineView, PendingItem
 from ._engine_stats import EngineStats, EngineStatsTable
 from ._fold import Claim, StepFold, StepState
 from ._follower import TopicFollower
@@ -17,8 +18,6 @@
 from ._needed_groups import GroupNeed, UnfinishedItem, optional_groups
 from ._orderer import EngineReport, Order, OrderChannel, OrderOutcome
 from ._planner import (
-    EngineView,
-    PendingItem,
     Placement,
     Shortage,
     is_long_queue,
--- a/samphirecleat/durable/_planner.py
+++ b/samphirecleat/durable/_planner.py
@@ -5,21 +5,22 @@
 with one, so a step takes as long as its longest text, and the next step arrives while those texts
 are still being generated. Therefore items start in order of least slack, except for groups that
 the trainer does not need; items of a group prefer engines that already processed their shared
-prompt; slow engines are used last.
+prompt; slow engines are used last. Engines may differ in speed by a factor of two or more: items
+with little slack take the fastest, and short texts leave some of their slots to the long texts that
+come next.
 """
 
 from collections.abc import Mapping, Sequence, Set
 from typing import Final, NamedTuple
 
 from ..serving import DEFAULT_PRIORITY
+from ._engine_ranking import EngineRanking, EngineView, PendingItem
 from ._needed_groups import GroupName
 
 # Share of a text's expected growth that is reserved in engine memory. All texts grow at the same
 # speed, so short ones complete before long ones need their full memory. An engine that runs out of
 # memory preempts its newest run, which costs a few milliseconds of reprocessing.
 GROWTH_SHARE: Final = 0.5
-# Run counts are compared in steps of this size; engines within one step count as equally busy.
-RUN_COUNT_STEP: Final = 2
 # Texts expected to take longer than this count as long.
 LONG_TEXT_S: Final = 2.0
 # An item without a slot is urgent when its slack is below this: loading weights takes about a
@@ -27,6 +28,9 @@
 URGENT_SLACK_S: Final = 2.5
 # Long texts are the last to complete, so most of their growth is reserved.
 LONG_GROWTH_SHARE: Final = 0.8
+# A text that takes at most this share of the time until it is due is done well before that, even
+# if it is twice as long as its hint.
+EARLY_SHARE: Final = 0.25
 # A queue is long if its items take more than this share of the time until the last one is due.
 LONG_QUEUE_SHARE: Final = 1 / 3
 # Each priority rank of a workspace counts as this much less slack. Its items start before equally
@@ -34,46 +38,6 @@
 SLACK_PER_RANK_S: Final = 0.5
 
 
-class PendingItem(NamedTuple):
-    """An item that waits for a slot and is due to be listed within ``due_in_s``.
-
-    ``expected_tokens`` are still to be generated; the engine processes ``context_tokens`` before
-    that. ``priority`` is the rank of its workspace, 0 being the highest.
-    """
-
-    step_id: str
-    item_id: str
-    group: str
-    due_in_s: float
-    carried: bool
-    expected_tokens: int
-    context_tokens: int
-    min_version: int
-    model: str
-    priority: int = DEFAULT_PRIORITY
-
-
-class EngineView(NamedTuple):
-    """An engine as the runner sees it.
-
-    ``slowness`` is the ratio of its lasting event interval to that of the median engine: below 1.0
-    for a faster one, and exactly 1.0 for one of about the same speed. ``warm`` tells whether an
-    idle connection to the engine is open. ``versions`` contains the models that are not being
-    loaded.
-    """
-
-    instance: str
-    versions: Mapping[str, int]
-    slots: int
-    memory_tokens: int
-    running: int
-    planned_tokens: int
-    slowness: float
-    accepts: bool
-    groups: Set[str]
-    warm: bool = False
-
-
 class Placement(NamedTuple):
     """An item, its engine, and the engine memory reserved for it in tokens."""
 
@@ -111,56 +75,28 @@
 def place_items(
     ordered: Sequence[PendingItem], engines: Sequence[EngineView], token_s: float
 ) -> Sequence[Placement]:
-    """Return the placements to start now, in order; items without a slot keep waiting."""
+    """Return the placements to start now, in order; items without a slot keep waiting.
+
+    A text that is done well before it is due, even on the slowest engine, leaves the reserved slots
+    of fast engines free if another engine has one.
+    """
     long_tokens = int(LONG_TEXT_S / token_s)
     placements: list[Placement] = []
-    views = {engine.instance: engine for engine in engines if engine.accepts}
-    if not any(engine.running < engine.slots for engine in views.values()):
-        return []
+    ranking = EngineRanking(engines)
     for item in ordered:
-        is_long = item.expected_tokens > long_tokens
-        best = _best_engine(item, list(views.values()), is_long=is_long)
-        if best is None:
-            if not any(engine.running < engine.slots for engine in views.values()):
-                break
-            continue
-        tokens = planned_tokens(item, is_long=is_long)
-        placements.append(Placement(item, best.instance, tokens))
-        views[best.instance] = best._replace(
-            running=best.running + 1,
-            planned_tokens=best.planned_tokens + tokens,
-            groups=best.groups | {item.group},
-        )
+        if ranking.is_full:
+            break
+        tokens = planned_tokens(item, is_long=item.expected_tokens > long_tokens)
+        keeps_reserve = _is_done_early(item, ranking.slowest, token_s)
+        instance = ranking.take_slot(item, tokens, keeps_reserve=keeps_reserve)
+        if instance is not None:
+            placements.append(Placement(item, instance, tokens))
     return placements
 
 
-def _best_engine(
-    item: PendingItem, engines: Sequence[EngineView], *, is_long: bool
-) -> EngineView | None:
-    fitting = [engine for engine in engines if _fits(item, engine, is_long=is_long)]
-    if not fitting:
-        return None
-
-    def cost(engine: EngineView) -> tuple[int, int, bool, bool]:
-        # Speed first, in coarse steps. Then few concurrent runs, since each slows the others a
-        # little. Then an idle connection, since with more engines than runs every run would open
-        # a new one. Then an already processed prompt, which saves a millisecond.
-        return (
-            round(engine.slowness * 2.0),
-            engine.running // RUN_COUNT_STEP,
-            not engine.warm,
-            item.group not in engine.groups,
-        )
-
-    return min(fitting, key=cost)
-
-
-def _fits(item: PendingItem, engine: EngineView, *, is_long: bool) -> bool:
-    version = engine.versions.get(item.model, -1)
-    if version < item.min_version or engine.running >= engine.slots:
-        return False
-    free_tokens = engine.memory_tokens - engine.planned_tokens
-    return planned_tokens(item, is_long=is_long) <= free_tokens or engine.running == 0
+def _is_done_early(item: PendingItem, slowness: float, token_s: float) -> bool:
+    """Return whether a text is done well before it is due on an engine of this slowness."""
+    return item.expected_tokens * token_s * slowness < EARLY_SHARE * item.due_in_s
 
 
 def planned_tokens(item: PendingItem, *, is_long: bool) -> int:
--- a/samphirecleat/durable/_run_moves.py
+++ b/samphirecleat/durable/_run_moves.py
@@ -11,8 +11,8 @@
 from enum import Enum
 from typing import Final, NamedTuple
 
+from ._engine_ranking import EngineView
 from ._item_decisions import ItemName
-from ._planner import EngineView
 
 # A run leaves an engine that is lastingly slower than MIN_SLOWNESS_TO_MOVE, relative to the median
 # engine, if one faster than MAX_DESTINATION_SLOWNESS has a free slot.
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -8,6 +8,7 @@
 from ..observe import Observer
 from ..serving import Route
 from ._drafts import Draft, DraftStore
+from ._engine_ranking import PendingItem
 from ._finisher import Finisher
 from ._fold import StepState
 from ._item_decisions import (
@@ -21,7 +22,7 @@
 from ._item_run import ItemRun
 from ._needed_groups import GroupName, GroupNeed, UnfinishedItem, optional_groups
 from ._open_item import OpenItem
-from ._planner import PendingItem, is_long_queue, order_items, place_items, shortages
+from ._planner import is_long_queue, order_items, place_items, shortages
 from ._records import ItemSpec
 from ._run_moves import RunView, runs_to_move
 from ._run_pool import RunPool
--- a/samphirecleat/durable/_service_work.py
+++ b/samphirecleat/durable/_service_work.py
@@ -9,11 +9,12 @@
 from collections.abc import Mapping, Sequence
 
 from ..serving import Route, RouteTable, Target, TargetTable
+from ._engine_ranking import EngineView
 from ._engine_stats import EngineStatsTable
 from ._fold import StepState
 from ._item_decisions import ItemName
 from ._item_run import ItemRun
-from ._planner import EngineView, Shortage
+from ._planner import Shortage
 from ._run_moves import MAX_DESTINATION_SLOWNESS
 from ._service_view import ServiceView
 from ._step_log import StepLog
--- a/tests/durable/test_planner.py
+++ b/tests/durable/test_planner.py
@@ -2,9 +2,8 @@
 
 import pytest
 
+from samphirecleat.durable import EngineView, PendingItem
 from samphirecleat.durable._planner import (
-    EngineView,
-    PendingItem,
     is_long_queue,
     order_items,
     place_items,
--- a/tests/durable/test_runner.py
+++ b/tests/durable/test_runner.py
@@ -1,6 +1,7 @@
 """Tests of a service's runner: runs, scoring and listing with failing engines."""
 
 import asyncio
+import logging
 
 import pytest
 
@@ -63,11 +64,15 @@
     assert {engine for engine, _call in stage.engines.calls} == {"e1", "e2"}
 
 
-def test_a_run_moves_away_from_an_engine_that_became_slow() -> None:
+def test_a_run_moves_away_from_an_engine_that_became_slow(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     """An engine becomes ten times slower during a run.
 
-    The step would wait for that text unless the run is resumed on an engine with a free slot.
+    The step would wait for that text unless the run is resumed on an engine with a free slot. Each
+    move is logged with its inputs and counted.
     """
+    caplog.set_level(logging.INFO)
 
     async def body(stage: RunnerStage) -> None:
         stage.engines.events = 60
@@ -86,6 +91,9 @@
     assert all(len(stage.engines.engines_of(call.item_id)) == 2 for call in moved)
     counters = stage.observer.counters
     assert counters["moves_slow"] + counters["moves_late"] == len(moved)
+    lines = [record.getMessage() for record in caplog.records if "moves reason" in record.msg]
+    assert len(lines) == len(moved)
+    assert all(" lasting_slowness=" in line and " expected_remaining_s=" in line for line in lines)
 
 
 @pytest.fixture
