--- a/tests/durable/test_runner.py
+++ b/tests/durable/test_runner.py
@@ -96,6 +96,25 @@
     assert all(" lasting_slowness=" in line and " expected_remaining_s=" in line for line in lines)
 
 
+def test_a_run_moves_before_its_engine_leaves(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a text that is cut off with its engine, and loses time until it is resumed."""
+    monkeypatch.setattr("samphirecleat.durable._runner.LEAVING_ENGINE_REMAINING_S", 0.001)
+
+    async def body(stage: RunnerStage) -> None:
+        stage.engines.events = 100
+        stage.engines.event_s["e1"] = 0.01
+        await stage.accept(step(items=1))
+        await until(lambda: bool(stage.work.runs))
+        stage.register_engines(["e1", "e2"])
+        leaving = stage.targets.targets["e1"]._replace(draining=True)
+        stage.targets.replace({**stage.targets.targets, "e1": leaving})
+        await stage.wait_until_listed(1)
+
+    stage = run_service(["e1"], body)
+    assert stage.engines.engines_of("s1-0") == ["e1", "e2"]
+    assert stage.observer.counters["moves_leaving"] == 1
+
+
 @pytest.fixture
 def no_first_event_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
     """Disable the timeout for the first event of a run."""
