--- a/samphirecleat/bench/_planning.py
+++ b/samphirecleat/bench/_planning.py
@@ -2,19 +2,33 @@
 
 The planner of a service's runner places the steps of trainers on engines. The workloads are taken
 from simulated days of the whole system; the baselines are the two simplest planners. No nodes,
-sockets or clocks are involved, so the figures depend on the seed alone.
+sockets or clocks are involved, so the figures depend on the seed alone. Workloads on engines of
+different speed are replayed by :mod:`._uneven_engines`.
 """
 
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
-from ..durable import EngineView, PendingItem, Placement, order_items, place_items, planned_tokens
+from ..durable import (
+    EngineView,
+    GroupNeed,
+    PendingItem,
+    Placement,
+    UnfinishedItem,
+    is_long_queue,
+    optional_groups,
+    order_items,
+    place_items,
+    planned_tokens,
+)
 from ._harness import BenchResult, BenchRow, run_repeats
+from ._uneven_engines import UNEVEN_WORKLOADS, Planner, UnevenReplay, UnevenWorkload
 
 DEFAULT_SEED: Final = 7
 REPEATS: Final = 6
+UNEVEN_REPEATS: Final = 3
 # One current site: engines, slots and memory of each, and its trainer's steps.
 ENGINE_COUNT: Final = 5
 SLOTS_PER_ENGINE: Final = 12
@@ -71,24 +85,27 @@
     Workload("everything restarts", 1.0, faults=[EngineFault(14.0, 1.5, ENGINE_COUNT, 0.0)]),
 )
 
-Planner = Callable[
-    [Sequence[PendingItem], Sequence[EngineView], Mapping[str, float]], Sequence[Placement]
-]
 SECONDS_PER_TOKEN: Final = SECONDS_PER_EVENT / TOKENS_PER_EVENT
 
 
 def plan_by_slack(
-    pending: Sequence[PendingItem], engines: Sequence[EngineView], shares: Mapping[str, float]
+    pending: Sequence[PendingItem],
+    engines: Sequence[EngineView],
+    optional: Set[tuple[str, str]],
+    token_s: float,
 ) -> Sequence[Placement]:
     """Plan as a service's runner does: the items with the least slack first."""
-    return place_items(order_items(pending, shares, SECONDS_PER_TOKEN), engines, SECONDS_PER_TOKEN)
+    return place_items(order_items(pending, optional, token_s), engines, token_s)
 
 
 def plan_in_arrival_order(
-    pending: Sequence[PendingItem], engines: Sequence[EngineView], shares: Mapping[str, float]
+    pending: Sequence[PendingItem],
+    engines: Sequence[EngineView],
+    optional: Set[tuple[str, str]],
+    token_s: float,
 ) -> Sequence[Placement]:
     """Start items in order of arrival, each on the engine with fewest runs; ignore memory."""
-    del shares
+    del optional, token_s
     views = {engine.instance: engine for engine in engines if engine.accepts}
     placements = []
     for item in pending:
@@ -102,10 +119,14 @@
 
 
 def plan_shortest_first(
-    pending: Sequence[PendingItem], engines: Sequence[EngineView], shares: Mapping[str, float]
+    pending: Sequence[PendingItem],
+    engines: Sequence[EngineView],
+    optional: Set[tuple[str, str]],
+    token_s: float,
 ) -> Sequence[Placement]:
     """Start the items with the fewest expected tokens first."""
-    return plan_in_arrival_order(sorted(pending, key=lambda i: i.expected_tokens), engines, shares)
+    by_length = sorted(pending, key=lambda item: item.expected_tokens)
+    return plan_in_arrival_order(by_length, engines, optional, token_s)
 
 
 VARIANTS: Final[Mapping[str, Planner]] = {
@@ -212,10 +233,30 @@
         if not waiting:
             return
         pending = [self._pending_item(item) for item in waiting.values()]
-        shares = {step.step_id: REQUIRED_GROUP_SHARE for step in open_steps}
-        for placement in self._plan(pending, self._engine_views(), shares):
+        engines = self._engine_views()
+        long_queue = is_long_queue(pending, engines, SECONDS_PER_TOKEN)
+        optional = self._optional_groups(open_steps, long_queue=long_queue)
+        placements = self._plan(pending, engines, optional, SECONDS_PER_TOKEN)
+        for placement in placements:
             waiting[placement.item.item_id].engine = int(placement.instance)
 
+    def _optional_groups(self, steps: Sequence[_Step], *, long_queue: bool) -> Set[tuple[str, str]]:
+        needs = {
+            step.step_id: GroupNeed(len(step.remaining), step.required_groups) for step in steps
+        }
+        unfinished = (
+            UnfinishedItem(
+                step.step_id,
+                item.group,
+                item.hint_tokens - item.events_done * TOKENS_PER_EVENT,
+                carried=False,
+            )
+            for step in steps
+            for item in step.items
+            if item.events_done < item.events
+        )
+        return optional_groups(unfinished, needs, long_queue=long_queue)
+
     def _pending_item(self, item: _Item) -> PendingItem:
         tokens_done = item.events_done * TOKENS_PER_EVENT
         due_in_s = item.step.requested_at_s + STEP_DEADLINE_S - self.now_s
@@ -340,4 +381,18 @@
         f"{SLOTS_PER_ENGINE} slots; in time: share of steps with {REQUIRED_GROUP_SHARE:.0%} of "
         f"their groups complete within {STEP_DEADLINE_S} s"
     )
-    return BenchResult("planning", seed, rows, note)
+    parts = [await _run_uneven(workload, seed) for workload in UNEVEN_WORKLOADS]
+    return BenchResult("planning", seed, rows, note, parts)
+
+
+async def _run_uneven(workload: UnevenWorkload, seed: int) -> BenchResult:
+    """Simulate a workload on engines of different speed with every planner."""
+    rows = []
+    for name, plan in VARIANTS.items():
+
+        async def run_once(run_seed: int, plan: Planner = plan) -> Mapping[str, float]:
+            return UnevenReplay(workload, plan, run_seed).run()
+
+        rows.append(await run_repeats(name, run_once, seed, UNEVEN_REPEATS))
+    note = "late: share of the needed groups that are late; moves and connections in a minute"
+    return BenchResult(f"planning, engines of different speed: {workload.name}", seed, rows, note)
--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -7,17 +7,20 @@
 from ._crash_records import CrashRecords
 from ._duty import Duty, DutyFactory, DutyKeeper, Holder
 from ._duty_tasks import DutyTasks
+from ._engine_ranking import EngineView, PendingItem
+from ._engine_stats import EngineStats, EngineStatsTable
 from ._fold import Claim, StepFold, StepState
 from ._follower import TopicFollower
+from ._item_decisions import expected_remaining_events
 from ._journal import ProgressJournal
 from ._listing import WriteResult
 from ._member_registry import MemberRegistry
+from ._needed_groups import GroupNeed, UnfinishedItem, optional_groups
 from ._orderer import EngineReport, Order, OrderChannel, OrderOutcome
 from ._planner import (
-    EngineView,
-    PendingItem,
     Placement,
     Shortage,
+    is_long_queue,
     order_items,
     place_items,
     planned_tokens,
@@ -54,6 +57,7 @@
     StepRequest,
     TextRef,
 )
+from ._run_moves import MoveReason, RunView, runs_to_move
 from ._scorer import Scorer
 from ._server_orders import ScaleChannel, ScaleOutcome
 from ._server_plan import ZoneCapacity, plan_spot_targets, targets_for_wave
@@ -77,6 +81,8 @@
     "DutyKeeper",
     "DutyTasks",
     "EngineReport",
+    "EngineStats",
+    "EngineStatsTable",
     "EngineView",
     "FinishedItem",
     "GenerationCall",
@@ -84,6 +90,7 @@
     "GenerationError",
     "GenerationEvent",
     "GenerationFailure",
+    "GroupNeed",
     "HistoryGoneError",
     "Holder",
     "ItemListed",
@@ -96,6 +103,7 @@
     "LogUnavailableError",
     "MemberRegistry",
     "ModelDemand",
+    "MoveReason",
     "Order",
     "OrderChannel",
     "OrderOutcome",
@@ -108,6 +116,7 @@
     "ResultsListed",
     "RewardSpec",
     "RunnerClaimed",
+    "RunView",
     "ScaleChannel",
     "ScaleOutcome",
     "Scorer",
@@ -125,16 +134,21 @@
     "TextRef",
     "TextStore",
     "TopicFollower",
+    "UnfinishedItem",
     "WriteResult",
     "ZoneCapacity",
     "decide_loads",
     "engines_for",
+    "expected_remaining_events",
+    "is_long_queue",
     "model_demand",
+    "optional_groups",
     "order_items",
     "place_items",
     "plan_spot_targets",
     "planned_tokens",
     "reading_pause_s",
+    "runs_to_move",
     "shortages",
     "stores_items_separately",
     "targets_for_wave",
--- a/tests/durable/test_runner.py
+++ b/tests/durable/test_runner.py
@@ -1,6 +1,7 @@
 """Tests of a service's runner: runs, scoring and listing with failing engines."""
 
 import asyncio
+import logging
 
 import pytest
 
@@ -63,17 +64,21 @@
     assert {engine for engine, _call in stage.engines.calls} == {"e1", "e2"}
 
 
-def test_a_run_moves_away_from_an_engine_that_became_slow() -> None:
+def test_a_run_moves_away_from_an_engine_that_became_slow(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     """An engine becomes ten times slower during a run.
 
-    The step would wait for that text unless the run is resumed on an engine with a free slot.
+    The step would wait for that text unless the run is resumed on an engine with a free slot. Each
+    move is logged with its inputs and counted.
     """
+    caplog.set_level(logging.INFO)
 
     async def body(stage: RunnerStage) -> None:
         stage.engines.events = 60
         for name in ("e1", "e2", "e3"):
             for _ in range(8):
-                stage.work.engine_stats.of(name).record_event_interval(0.002)
+                stage.work.engine_stats.of(name).record_event_interval(0.002, 0.0)
         stage.engines.event_s["e1"] = 0.04
         await stage.accept(step(items=6))
         await stage.wait_until_listed(6)
@@ -83,6 +88,31 @@
     assert moved
     assert all(stage.engines.engines_of(call.item_id)[0] == "e1" for call in moved)
     assert all(stage.engines.engines_of(call.item_id)[-1] != "e1" for call in moved)
+    assert all(len(stage.engines.engines_of(call.item_id)) == 2 for call in moved)
+    counters = stage.observer.counters
+    assert counters["moves_slow"] + counters["moves_late"] == len(moved)
+    lines = [record.getMessage() for record in caplog.records if "moves reason" in record.msg]
+    assert len(lines) == len(moved)
+    assert all(" lasting_slowness=" in line and " expected_remaining_s=" in line for line in lines)
+
+
+def test_a_run_moves_before_its_engine_leaves(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a text that is cut off with its engine, and loses time until it is resumed."""
+    monkeypatch.setattr("samphirecleat.durable._runner.LEAVING_ENGINE_REMAINING_S", 0.001)
+
+    async def body(stage: RunnerStage) -> None:
+        stage.engines.events = 100
+        stage.engines.event_s["e1"] = 0.01
+        await stage.accept(step(items=1))
+        await until(lambda: bool(stage.work.runs))
+        stage.register_engines(["e1", "e2"])
+        leaving = stage.targets.targets["e1"]._replace(draining=True)
+        stage.targets.replace({**stage.targets.targets, "e1": leaving})
+        await stage.wait_until_listed(1)
+
+    stage = run_service(["e1"], body)
+    assert stage.engines.engines_of("s1-0") == ["e1", "e2"]
+    assert stage.observer.counters["moves_leaving"] == 1
 
 
 @pytest.fixture
@@ -279,7 +309,7 @@
 
     async def body(stage: RunnerStage) -> None:
         for name, pause_s in (("e1", 0.12), ("e2", 0.04), ("e3", 0.04)):
-            stage.work.engine_stats.of(name).record_event_interval(pause_s)
+            stage.work.engine_stats.of(name).record_event_interval(pause_s, 0.0)
         assert [stage.work.is_slow(name) for name in ("e1", "e2", "e3")] == [True, False, False]
         await asyncio.sleep(0.0)
 
