Report a crash also if its call is cancelled meanwhile

A caller that left, or an attempt that was stopped, while the crash of its target was being confirmed took the report with it. The report is completed now. The test fails without this.

--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -124,10 +124,14 @@
     async def record_cut(
         self, call: Call, target: Target, begun_s: float, fault: TargetFault
     ) -> None:
-        """Report a failed run to the guard if the target closed the connection."""
+        """Report a failed run to the guard if the target closed the connection.
+
+        The report is completed also if the call is cancelled meanwhile.
+        """
         if self._guard is not None and fault.connection_closed:
-            await self._guard.record_cut(
-                call.request_id, call_digest(call), target_start(target), begun_s, fault.detail
+            digest, start = call_digest(call), target_start(target)
+            await asyncio.shield(
+                self._guard.record_cut(call.request_id, digest, start, begun_s, fault.detail)
             )
 
     def reserve(self, target: Target, *, suspect: bool) -> Callable[[], None]:
--- a/tests/serving/small_service.py
+++ b/tests/serving/small_service.py
@@ -86,6 +86,7 @@
         self, count: int, *, restart_s: float, nodes: int = 2, knows_sizes: bool = True
     ) -> None:
         self.run_s = RUN_S
+        self.look_s = 0.0
         self.restart_s = restart_s
         self.starts = dict.fromkeys((f"t{number}" for number in range(count)), 1)
         self.down: set[str] = set()
@@ -108,6 +109,7 @@
             )
 
     async def listens(self, address: str) -> bool:
+        await asyncio.sleep(self.look_s)
         return address not in self.down
 
     async def exchange(self, call: Call, target: Target, budget_s: float) -> TargetAnswer:
--- a/tests/serving/test_suspect_wait.py
+++ b/tests/serving/test_suspect_wait.py
@@ -126,6 +126,23 @@
     asyncio.run(body())
 
 
+def test_crash_is_reported_if_the_caller_leaves_meanwhile() -> None:
+    """Guards against a crash that no node knows of, as its call ended while it was confirmed."""
+
+    async def body() -> None:
+        service = SmallService(3, restart_s=9.0)
+        service.look_s = 0.02
+        call = asyncio.ensure_future(service.nodes[0].send("/crash"))
+        while not service.crashes:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.005)
+        call.cancel()
+        await asyncio.sleep(0.05)
+        assert all(node.ledger.suspects for node in service.nodes)
+
+    asyncio.run(body())
+
+
 def test_loss_of_all_targets_refuses_no_call() -> None:
     """A zone with the whole service fails twice. Guards against calls that are blamed for it."""
 
