--- a/samphirecleat/platform/_owner_endpoint.py
+++ b/samphirecleat/platform/_owner_endpoint.py
@@ -1,6 +1,7 @@
 """Serves calls that other nodes send to this node as the owner of their targets."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from time import monotonic
 from typing import Final
@@ -12,6 +13,7 @@
 from ..errors import RequestError
 from ..observe import Observer
 from ..serving import Call, Route, TargetAnswer
+from ._call_bytes import BytesRefusedError, CallBytes
 from ._owner_channel import IDLE_TIMEOUT_S, PATH_ATTEMPTS, PATH_CALLS
 
 # Added to the time for which senders keep idle connections.
@@ -34,18 +36,21 @@
         projected_wait_s: Callable[[str], float],
         grant_attempt: Callable[[int], bool],
         ask_attempt: Callable[[str, int], Awaitable[bool]],
+        call_bytes: CallBytes,
         observer: Observer,
     ) -> None:
         """Forward calls by ``forward``, whose route holds the priority of the call.
 
         ``projected_wait_s`` returns the wait of a new call of a service here. ``grant_attempt``
         answers owners of this node's calls; ``ask_attempt`` asks the sender of a call.
+        ``call_bytes`` bounds the bodies that wait here.
         ``in_flight`` counts the calls in hand.
         """
         self._forward = forward
         self._projected_wait_s = projected_wait_s
         self._grant_attempt = grant_attempt
         self._ask_attempt = ask_attempt
+        self._call_bytes = call_bytes
         self._counters = observer.counters
         self._delays = SendDelays()
         self.in_flight = 0
@@ -72,18 +77,20 @@
         return web.Response(status=404)
 
     async def _handle_call(self, request: web.BaseRequest) -> web.StreamResponse:
-        try:
-            # Unlike request.read(), this has no limit, which the sender applied to the body, and
-            # keeps no second copy of it during the call.
-            content = _REQUEST_DECODER.decode(await request.content.read())
-        except msgspec.MsgspecError:
-            return web.Response(status=400)
-        self._counters["owner_calls_received"] += 1
-        self.in_flight += 1
-        try:
-            reply = await self._run(content)
-        finally:
-            self.in_flight -= 1
+        with self._call_bytes.lease() as lease:
+            try:
+                body = await self._call_bytes.read_body(request, lease, "")
+                content = _REQUEST_DECODER.decode(body)
+            except BytesRefusedError as error:
+                return web.Response(body=_encode_reply(CallReply.from_error(error, math.inf)))
+            except msgspec.MsgspecError:
+                return web.Response(status=400)
+            self._counters["owner_calls_received"] += 1
+            self.in_flight += 1
+            try:
+                reply = await self._run(content)
+            finally:
+                self.in_flight -= 1
         return web.Response(body=_encode_reply(reply))
 
     async def _run(self, request: CallRequest) -> CallReply:
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -285,6 +285,9 @@
             self._crashes.guard,
             slots,
         )
+        self._call_bytes = CallBytes(
+            self.settings.call_bytes_limit, self.observer, lambda: self.board.leaving
+        )
         gateway = self._wire_dispatch(forwarder, slots)
         self.step_log = StepLog(
             self._store,
@@ -306,9 +309,6 @@
             fails_closed=self.settings.keys_fail_closed,
             revocation_s=self.settings.key_revocation_s,
         )
-        self._call_bytes = CallBytes(
-            self.settings.call_bytes_limit, self.observer, lambda: self.board.leaving
-        )
         self.front = CallerHandler(
             self.routes,
             gateway,
@@ -359,6 +359,7 @@
             slots.projected_wait_s,
             self._gateway.grant_attempt,
             self._node_calls.ask_attempt,
+            self._call_bytes,
             self.observer,
         )
         return self._gateway
--- a/tests/platform/owner_nodes.py
+++ b/tests/platform/owner_nodes.py
@@ -18,6 +18,7 @@
     count_usage_in_scope,
 )
 from samphirecleat.observe import Observer
+from samphirecleat.platform._call_bytes import CallBytes
 from samphirecleat.platform._call_exchange import CallExchange
 from samphirecleat.platform._owner_channel import NodeCallClient
 from samphirecleat.platform._owner_endpoint import NodeCallHandler
@@ -106,6 +107,7 @@
             lambda _service: 0.0,
             lambda number: self.gateway.grant_attempt(number),
             self.client.ask_attempt,
+            CallBytes(1 << 24, self.observer),
             self.observer,
         )
         self.server = self.endpoint.server()
