--- a/samphirecleat/dispatch/_line.py
+++ b/samphirecleat/dispatch/_line.py
@@ -195,7 +195,12 @@
 
     def _start_now(self, entry: LineEntry, now_s: float) -> Start | None:
         """Start a call that doesn't wait, if a target has free capacity that serves it in time."""
-        rooms = [room for room in self._free_rooms(now_s) if self._fits(entry, room, now_s)]
+        rooms = [
+            room
+            for room in self._free_rooms(now_s)
+            if self._fits(entry, room, now_s)
+            and (not entry.for_trainer or self._is_swift(room, now_s))
+        ]
         if not rooms:
             return None
         due_s = entry.deadline_s if entry.for_trainer else _objective_end(entry)
@@ -270,10 +275,18 @@
         callers_due_s = now_s + START_MEANS * self._expected_s(room, now_s, for_trainer=False)
         trainers = [self._trainers[priority] for priority in sorted(self._trainers)]
         trainers_due_s = now_s + self._expected_s(room, now_s, for_trainer=True)
+        if not self._is_swift(room, now_s):
+            # Trainers' calls are long, and one that starts at a slow target holds up its step.
+            return first(callers, callers_due_s)
         if self._is_trainers_turn:
             return first(trainers, trainers_due_s) or first(callers, callers_due_s)
         return first(callers, callers_due_s) or first(trainers, trainers_due_s)
 
+    def _is_swift(self, room: TargetRoom, now_s: float) -> bool:
+        """Whether a target is about as fast as the fastest one."""
+        mean_s = self.rooms.mean_s(room, now_s, for_trainer=False)
+        return mean_s <= SWIFT_FACTOR * self._estimates(now_s).fastest_s
+
     @property
     def _is_trainers_turn(self) -> bool:
         return self._trainer_count > 0 and self._callers_in_row >= CALLERS_PER_TRAINER
