--- a/tests/dispatch/test_line.py
+++ b/tests/dispatch/test_line.py
@@ -130,6 +130,11 @@
     waiting = entry(1.1, for_trainer=True)
     assert isinstance(line.offer(waiting, 1.1), Wait)
     assert next_start(line, fast[0], 1.12).entry == waiting  # type: ignore[arg-type]
+    # After a failure at the fast target, the slow one is all that is left.
+    excluding = entry(1.12, for_trainer=True, repeated=True, excluded=("fast",))
+    start = line.offer(excluding, 1.12)
+    assert isinstance(start, Start)
+    assert start.room.target.instance == "slow"
 
 
 def test_refused_call_returns_to_its_old_position() -> None:
