--- a/samphirecleat/dispatch/_owner_states.py
+++ b/samphirecleat/dispatch/_owner_states.py
@@ -39,6 +39,9 @@
         """Record that an owner replied to anything; it is avoided no longer."""
         state = self._state(owner)
         state.replied_at_s = now_s
+        # The loop's clock has a resolution of a millisecond, and a reply may come within it, so the
+        # time of the probe doesn't tell whether it was sent before or after the reply.
+        state.probed_at_s = -math.inf
         state.avoided_until_s = -math.inf
 
     def record_wait(self, owner: Owner, service: str, wait_s: float, now_s: float) -> None:
