--- a/samphirecleat/serving/_stream_relay.py
+++ b/samphirecleat/serving/_stream_relay.py
@@ -13,12 +13,8 @@
 from ..crashes import CrashVerdict, is_blocked
 from ..errors import ErrorKind, Ran, RequestError
 from ._attempt_log import AttemptLog
-from ._forwarder import (
-    MAX_REFUSALS,
-    Forwarder,
-    blocked_call_error,
-    no_answer_error,
-)
+from ._call_attempts import MAX_REFUSALS, blocked_call_error, no_answer_error
+from ._forwarder import Forwarder
 from ._target_table import TargetTable
 from ._types import (
     RETURN_MARGIN_S,
--- a/tests/serving/test_forwarder_slots.py
+++ b/tests/serving/test_forwarder_slots.py
@@ -19,7 +19,7 @@
     TargetTable,
     Workspace,
 )
-from samphirecleat.serving._forwarder import SUPERSEDED_ATTEMPT_S
+from samphirecleat.serving._call_attempts import SUPERSEDED_ATTEMPT_S
 
 from ..dispatch.fakes import target
 from .test_forwarder import LOST, OK, REFUSED, Reply, ScriptedChannel, route
