--- a/samphirecleat/dispatch/_line.py
+++ b/samphirecleat/dispatch/_line.py
@@ -195,11 +195,7 @@
 
     def _start_now(self, entry: LineEntry, now_s: float) -> Start | None:
         """Start a call that doesn't wait, if a target has free capacity that serves it in time."""
-        rooms = [
-            room
-            for room in self._free_rooms(now_s)
-            if self._fits(entry, room, now_s) and self._is_swift_enough(entry, room, now_s)
-        ]
+        rooms = [room for room in self._free_rooms(now_s) if self._fits(entry, room, now_s)]
         if not rooms:
             return None
         due_s = entry.deadline_s if entry.for_trainer else _objective_end(entry)
@@ -264,7 +260,7 @@
         """Return the call that goes first of those that a target can serve in time."""
 
         def fits(entry: LineEntry) -> bool:
-            return self._fits(entry, room, now_s) and self._is_swift_enough(entry, room, now_s)
+            return self._fits(entry, room, now_s)
 
         def first(lines: Iterable[WaitingCalls], due_from_s: float) -> LineEntry | None:
             found = (line.first(due_from_s, self._starts, fits) for line in lines)
@@ -278,25 +274,6 @@
             return first(trainers, trainers_due_s) or first(callers, callers_due_s)
         return first(callers, callers_due_s) or first(trainers, trainers_due_s)
 
-    def _is_swift_enough(self, entry: LineEntry, room: TargetRoom, now_s: float) -> bool:
-        """Whether a call needn't wait for a faster target.
-
-        Trainers' calls are long, and one at a slow target holds up its step. They wait for a target
-        that is not slow, unless all of those are closed or excluded for the call.
-        """
-        if not entry.for_trainer or self._is_swift(room, now_s):
-            return True
-        return not any(
-            self._is_swift(other, now_s)
-            for instance, other in self.rooms.rooms.items()
-            if not other.is_closed and instance not in entry.excluded
-        )
-
-    def _is_swift(self, room: TargetRoom, now_s: float) -> bool:
-        """Whether a target is about as fast as the fastest one."""
-        mean_s = self.rooms.mean_s(room, now_s, for_trainer=False)
-        return mean_s <= SWIFT_FACTOR * self._estimates(now_s).fastest_s
-
     @property
     def _is_trainers_turn(self) -> bool:
         return self._trainer_count > 0 and self._callers_in_row >= CALLERS_PER_TRAINER
