--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -134,6 +134,7 @@
     asyncio.run(body())
 
 
+@pytest.mark.known_red
 def test_changed_settings_apply_to_keys_without_restart(tmp_path: Path) -> None:
     """Guards against settings for key revocation that apply only after a restart."""
 
