Queue: refuse the waiting calls once the last target is gone

The estimate of their wait divided by the service rate of no targets (ZeroDivisionError, shown by the new test): they were never answered and the queue's timer stopped. Found by reading.

--- a/samphirecleat/dispatch/_line.py
+++ b/samphirecleat/dispatch/_line.py
@@ -236,6 +236,8 @@
 
     def advance(self, now_s: float) -> Sequence[Start | Refusal]:
         """Return the calls that start now and those that can no longer be served in time."""
+        if not self.rooms.rooms:
+            return self._refuse_all(now_s)
         decisions: list[Start | Refusal] = []
         if len(self) and not 0.0 <= now_s - self._swept_at_s < SWEEP_S:
             self._swept_at_s = now_s
@@ -445,6 +447,14 @@
                 refusals.append(self._refuse(entry, RefusalReason.DEADLINE, now_s))
         return refusals
 
+    def _refuse_all(self, now_s: float) -> Sequence[Refusal]:
+        """Refuse every waiting call, since the service has no target left."""
+        lines = [*self._callers.values(), *self._trainers.values()]
+        waiting = [entry for line in lines for entry in line]
+        for entry in waiting:
+            self.remove(entry)
+        return [self._refuse(entry, RefusalReason.NO_TARGET, now_s) for entry in waiting]
+
     def _shed(self, now_s: float) -> Sequence[Refusal]:
         """Refuse waiting calls that can't be served in time since capacity was lost."""
         rate_per_s = self.rate_per_s(now_s)
--- a/tests/dispatch/test_line.py
+++ b/tests/dispatch/test_line.py
@@ -101,6 +101,18 @@
     assert line.projected_wait_s(1.003) == float("inf")
 
 
+def test_calls_that_wait_are_refused_once_the_last_target_is_gone() -> None:
+    """Guards against calls that wait for ever, and a queue that stops, without any target."""
+    line, _ = full_line()
+    waiting = [entry(), entry(returning=True, objective_end_s=1.5), entry(for_trainer=True)]
+    assert all(isinstance(line.offer(call, 1.0), Wait) for call in waiting)
+    line.set_targets([])
+    refused = [d for d in line.advance(1.02) if isinstance(d, Refusal)]
+    assert {r.entry.key for r in refused} == {call.key for call in waiting}
+    assert {r.reason for r in refused} == {RefusalReason.NO_TARGET}
+    assert not len(line)
+
+
 def test_call_waits_for_a_fast_target_unless_a_slow_one_suffices() -> None:
     """Guards against late answers of a slow target while a fast one is about to become free."""
     line = make_line(target("slow", 2), target("fast", 2))
