Forwarding: a call whose attempt failed goes first, also after its hedge was refused

It went back to the place of the refused hedge, which ranks as a returning call: behind all fresh ones, or refused in a surge (502). The new test fails without the change. Found by reading.

--- a/samphirecleat/serving/_call_attempts.py
+++ b/samphirecleat/serving/_call_attempts.py
@@ -160,7 +160,8 @@
         """Wait for a target; return None if there is none and the call may have run already."""
         refused, self._refused_grant = self._refused_grant, None
         try:
-            if refused is not None:
+            # After an attempt that may have run, the call is queued as a repeated one.
+            if refused is not None and self._ran is Ran.NO:
                 return await slots.acquire_again(refused, self._tried_in_vain())
             return await slots.acquire(
                 self._services[0],
--- a/tests/serving/test_forwarder_slots.py
+++ b/tests/serving/test_forwarder_slots.py
@@ -16,6 +16,8 @@
     CallKind,
     Forwarder,
     RouteTable,
+    Target,
+    TargetAnswer,
     TargetTable,
     Workspace,
 )
@@ -142,6 +144,35 @@
     run(lambda: Fixture(0.1, OK), body)
 
 
+def test_second_attempt_after_a_refused_hedge_goes_first() -> None:
+    """Guards against a failed call that waits behind new ones since its hedge was refused."""
+
+    async def body(fixture: Fixture) -> None:
+        again: list[bool] = []
+        acquire = fixture.slots.acquire
+
+        async def record(*args: object, repeated: bool = False) -> object:
+            again.append(repeated)
+            return await acquire(*args, repeated=repeated)  # type: ignore[arg-type]
+
+        fixture.slots.acquire = record  # type: ignore[method-assign, assignment]
+        exchange = fixture.channel.exchange
+
+        async def fail_late(call: Call, to: Target, budget_s: float) -> TargetAnswer:
+            first = not fixture.channel.instances
+            try:
+                return await exchange(call, to, budget_s)
+            finally:
+                if first:
+                    await asyncio.sleep(0.15)
+
+        fixture.channel.exchange = fail_late  # type: ignore[method-assign]
+        assert await fixture.forward() == OK
+        assert again == [False, True]
+
+    run(lambda: Fixture(LOST, REFUSED, OK), body)
+
+
 def test_disconnected_callers_free_their_slots() -> None:
     """Guards against slots that stay taken by calls whose callers have gone."""
 
