--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -20,7 +20,13 @@
 )
 from ._item_loader import ItemLoader
 from ._item_run import ItemRun
-from ._needed_groups import GroupName, GroupNeed, UnfinishedItem, optional_groups
+from ._needed_groups import (
+    GroupName,
+    GroupNeed,
+    UnfinishedItem,
+    longest_groups,
+    optional_groups,
+)
 from ._open_item import OpenItem
 from ._planner import is_long_queue, order_items, place_items, shortages
 from ._records import ItemSpec
@@ -172,8 +178,11 @@
         """Start the items that get a slot; record the others as shortages for weight loading."""
         token_s = self._work.token_s()
         engines = self._work.engine_views(now_s)
-        long_queue = is_long_queue(pending, engines, token_s)
-        optional = self._optional_groups(steps, long_queue=long_queue)
+        if all(engine.slowness == 1.0 for engine in engines):
+            optional = longest_groups(pending, _group_needs(steps))
+        else:
+            long_queue = is_long_queue(pending, engines, token_s)
+            optional = self._optional_groups(steps, long_queue=long_queue)
         ordered = order_items(pending, optional, token_s)
         placements = place_items(ordered, engines, token_s)
         self._work.shortages = shortages(ordered, placements, token_s)
@@ -185,11 +194,7 @@
         self, steps: Sequence[tuple[StepState, Route]], *, long_queue: bool
     ) -> Set[GroupName]:
         """Return the groups of open steps that no trainer waits for."""
-        needs = {
-            step.spec.step_id: GroupNeed(step.group_count, step.spec.target_groups)
-            for step, _route in steps
-            if step.group_count > step.spec.target_groups
-        }
+        needs = _group_needs(steps)
         tokens_per_event = self._work.view.tokens_per_event
         unfinished = (
             UnfinishedItem(
@@ -265,3 +270,12 @@
         finally:
             for wait in waits:
                 wait.cancel()
+
+
+def _group_needs(steps: Sequence[tuple[StepState, Route]]) -> Mapping[str, GroupNeed]:
+    """Return how many groups trainers wait for, by step, where that isn't all of them."""
+    return {
+        step.spec.step_id: GroupNeed(step.group_count, step.spec.target_groups)
+        for step, _route in steps
+        if step.group_count > step.spec.target_groups
+    }
--- a/tests/durable/test_needed_groups.py
+++ b/tests/durable/test_needed_groups.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from samphirecleat.durable._needed_groups import GroupNeed, UnfinishedItem, optional_groups
+from samphirecleat.durable import PendingItem
+from samphirecleat.durable._needed_groups import (
+    GroupNeed,
+    UnfinishedItem,
+    longest_groups,
+    optional_groups,
+)
 
 
 def item(group: str, tokens: int, *, carried: bool = False) -> UnfinishedItem:
@@ -32,3 +38,32 @@
     """Guards against a step whose last needed group waits for one that nobody needs."""
     optional = optional_groups(items, {"s1": need}, long_queue=long_queue)
     assert {group for _step, group in optional} == want
+
+
+def pending(group: str, tokens: int, *, carried: bool = False) -> PendingItem:
+    return PendingItem("s1", f"{group}{tokens}", group, 5.0, carried, tokens, 10, 1, "m")
+
+
+@pytest.mark.parametrize(
+    ("items", "need", "want"),
+    [
+        # A quarter of the groups is not waited for: the longest, by its longest item.
+        (
+            [
+                pending("a", 1),
+                pending("a", 9000),
+                pending("b", 8000),
+                pending("c", 5),
+                pending("d", 6),
+            ],
+            GroupNeed(4, 3),
+            {"a"},
+        ),
+        ([pending("a", 1), pending("b", 9000, carried=True)], GroupNeed(2, 1), set()),
+        ([pending("a", 1), pending("b", 9000)], GroupNeed(2, 2), set()),
+    ],
+)
+def test_longest_groups(items: list[PendingItem], need: GroupNeed, want: set[str]) -> None:
+    """Guards against a change of the order of items on engines of the same speed."""
+    optional = longest_groups(items, {"s1": need})
+    assert {group for _step, group in optional} == want
