--- a/samphirecleat/bench/_planning.py
+++ b/samphirecleat/bench/_planning.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Mapping, Sequence, Set
+from collections.abc import Iterator, Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
@@ -17,8 +17,7 @@
     PendingItem,
     Placement,
     UnfinishedItem,
-    is_long_queue,
-    optional_groups,
+    groups_to_start_last,
     order_items,
     place_items,
     planned_tokens,
@@ -234,29 +233,13 @@
             return
         pending = [self._pending_item(item) for item in waiting.values()]
         engines = self._engine_views()
-        long_queue = is_long_queue(pending, engines, SECONDS_PER_TOKEN)
-        optional = self._optional_groups(open_steps, long_queue=long_queue)
+        needs = _group_needs(open_steps)
+        unfinished = _unfinished_items(open_steps)
+        optional = groups_to_start_last(pending, unfinished, needs, engines, SECONDS_PER_TOKEN)
         placements = self._plan(pending, engines, optional, SECONDS_PER_TOKEN)
         for placement in placements:
             waiting[placement.item.item_id].engine = int(placement.instance)
 
-    def _optional_groups(self, steps: Sequence[_Step], *, long_queue: bool) -> Set[tuple[str, str]]:
-        needs = {
-            step.step_id: GroupNeed(len(step.remaining), step.required_groups) for step in steps
-        }
-        unfinished = (
-            UnfinishedItem(
-                step.step_id,
-                item.group,
-                item.hint_tokens - item.events_done * TOKENS_PER_EVENT,
-                carried=False,
-            )
-            for step in steps
-            for item in step.items
-            if item.events_done < item.events
-        )
-        return optional_groups(unfinished, needs, long_queue=long_queue)
-
     def _pending_item(self, item: _Item) -> PendingItem:
         tokens_done = item.events_done * TOKENS_PER_EVENT
         due_in_s = item.step.requested_at_s + STEP_DEADLINE_S - self.now_s
@@ -396,3 +379,21 @@
         rows.append(await run_repeats(name, run_once, seed, UNEVEN_REPEATS))
     note = "late: share of the needed groups that are late; moves and connections in a minute"
     return BenchResult(f"planning, engines of different speed: {workload.name}", seed, rows, note)
+
+
+def _group_needs(steps: Sequence[_Step]) -> Mapping[str, GroupNeed]:
+    return {step.step_id: GroupNeed(len(step.remaining), step.required_groups) for step in steps}
+
+
+def _unfinished_items(steps: Sequence[_Step]) -> Iterator[UnfinishedItem]:
+    return (
+        UnfinishedItem(
+            step.step_id,
+            item.group,
+            item.hint_tokens - item.events_done * TOKENS_PER_EVENT,
+            carried=False,
+        )
+        for step in steps
+        for item in step.items
+        if item.events_done < item.events
+    )
--- a/samphirecleat/bench/_uneven_engines.py
+++ b/samphirecleat/bench/_uneven_engines.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections import Counter, defaultdict
-from collections.abc import Callable, Mapping, Sequence, Set
+from collections.abc import Callable, Iterator, Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
@@ -24,7 +24,7 @@
     RunView,
     UnfinishedItem,
     expected_remaining_events,
-    is_long_queue,
+    groups_to_start_last,
     optional_groups,
     runs_to_move,
 )
@@ -268,8 +268,9 @@
             pending = [self._pending_item(text) for text in waiting.values()]
             token_s = self._stats.median_event_interval_s() / TOKENS_PER_EVENT
             engines = self._engine_views()
-            long_queue = is_long_queue(pending, engines, token_s)
-            optional = self._optional_groups(steps, long_queue=long_queue)
+            needs = _group_needs(steps)
+            unfinished = _unfinished_items(steps)
+            optional = groups_to_start_last(pending, unfinished, needs, engines, token_s)
             placements = self._plan(pending, engines, optional, token_s)
             placed = len(placements)
             for placement in placements:
@@ -277,21 +278,8 @@
                 self._start(text, int(placement.instance), placement.planned_tokens)
         if placed == len(waiting) and self._now_s >= self._next_move_check_s:
             self._next_move_check_s = self._now_s + MOVE_CHECK_INTERVAL_S
-            self._move_runs(self._optional_groups(steps, long_queue=False))
-
-    def _optional_groups(
-        self, steps: Sequence[_OpenStep], *, long_queue: bool
-    ) -> Set[tuple[str, str]]:
-        needs = {step.step_id: GroupNeed(len(step.left), step.required_groups) for step in steps}
-        unfinished = (
-            UnfinishedItem(
-                step.step_id, text.group, text.remaining_events * TOKENS_PER_EVENT, carried=False
-            )
-            for step in steps
-            for text in step.texts
-            if not text.done
-        )
-        return optional_groups(unfinished, needs, long_queue=long_queue)
+            needs, unfinished = _group_needs(steps), _unfinished_items(steps)
+            self._move_runs(optional_groups(unfinished, needs, long_queue=False))
 
     def _pending_item(self, text: _Text) -> PendingItem:
         return PendingItem(
@@ -456,3 +444,18 @@
     if rng.random() < TAIL_SHARE:
         events *= TAIL_FACTOR
     return max(1, min(MAX_EVENTS, round(events)))
+
+
+def _group_needs(steps: Sequence[_OpenStep]) -> Mapping[str, GroupNeed]:
+    return {step.step_id: GroupNeed(len(step.left), step.required_groups) for step in steps}
+
+
+def _unfinished_items(steps: Sequence[_OpenStep]) -> Iterator[UnfinishedItem]:
+    return (
+        UnfinishedItem(
+            step.step_id, text.group, text.remaining_events * TOKENS_PER_EVENT, carried=False
+        )
+        for step in steps
+        for text in step.texts
+        if not text.done
+    )
--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -20,7 +20,7 @@
 from ._planner import (
     Placement,
     Shortage,
-    is_long_queue,
+    groups_to_start_last,
     order_items,
     place_items,
     planned_tokens,
@@ -140,7 +140,7 @@
     "decide_loads",
     "engines_for",
     "expected_remaining_events",
-    "is_long_queue",
+    "groups_to_start_last",
     "model_demand",
     "optional_groups",
     "order_items",
--- a/samphirecleat/durable/_planner.py
+++ b/samphirecleat/durable/_planner.py
@@ -10,12 +10,18 @@
 come next.
 """
 
-from collections.abc import Mapping, Sequence, Set
+from collections.abc import Iterable, Mapping, Sequence, Set
 from typing import Final, NamedTuple
 
 from ..serving import DEFAULT_PRIORITY
 from ._engine_ranking import EngineRanking, EngineView, PendingItem
-from ._needed_groups import GroupName
+from ._needed_groups import (
+    GroupName,
+    GroupNeed,
+    UnfinishedItem,
+    longest_groups,
+    optional_groups,
+)
 
 # Share of a text's expected growth that is reserved in engine memory. All texts grow at the same
 # speed, so short ones complete before long ones need their full memory. An engine that runs out of
@@ -63,6 +69,24 @@
     return sorted(items, key=rank)
 
 
+def groups_to_start_last(
+    pending: Sequence[PendingItem],
+    unfinished: Iterable[UnfinishedItem],
+    needs: Mapping[str, GroupNeed],
+    engines: Sequence[EngineView],
+    token_s: float,
+) -> Set[GroupName]:
+    """Return the groups whose items start after all others.
+
+    ``unfinished`` are the pending items and those that run or are being scored. On engines of the
+    same speed the choice rests on the pending ones only.
+    """
+    if all(engine.slowness == 1.0 for engine in engines):
+        return longest_groups(pending, needs)
+    long_queue = is_long_queue(pending, engines, token_s)
+    return optional_groups(unfinished, needs, long_queue=long_queue)
+
+
 def is_long_queue(
     items: Sequence[PendingItem], engines: Sequence[EngineView], token_s: float
 ) -> bool:
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Mapping, Sequence, Set
+from collections.abc import Iterator, Mapping, Sequence, Set
 from typing import Final
 
 from ..observe import Observer
@@ -24,11 +24,10 @@
     GroupName,
     GroupNeed,
     UnfinishedItem,
-    longest_groups,
     optional_groups,
 )
 from ._open_item import OpenItem
-from ._planner import is_long_queue, order_items, place_items, shortages
+from ._planner import groups_to_start_last, order_items, place_items, shortages
 from ._records import ItemSpec
 from ._run_moves import RunView, runs_to_move
 from ._run_pool import RunPool
@@ -122,7 +121,9 @@
             self._work.shortages = {}
         if not self._work.shortages and now_s >= self._next_move_check_s:
             self._next_move_check_s = now_s + MOVE_CHECK_INTERVAL_S
-            self._move_runs(self._optional_groups(steps, long_queue=False), now_s)
+            needs = _group_needs(steps)
+            unfinished = self._unfinished_items(steps, needs)
+            self._move_runs(optional_groups(unfinished, needs, long_queue=False), now_s)
 
     def _needs_slot(self, open_item: OpenItem, now_s: float) -> bool:
         """Perform an item's next action; return whether the item needs an engine slot."""
@@ -178,11 +179,9 @@
         """Start the items that get a slot; record the others as shortages for weight loading."""
         token_s = self._work.token_s()
         engines = self._work.engine_views(now_s)
-        if all(engine.slowness == 1.0 for engine in engines):
-            optional = longest_groups(pending, _group_needs(steps))
-        else:
-            long_queue = is_long_queue(pending, engines, token_s)
-            optional = self._optional_groups(steps, long_queue=long_queue)
+        needs = _group_needs(steps)
+        unfinished = self._unfinished_items(steps, needs)
+        optional = groups_to_start_last(pending, unfinished, needs, engines, token_s)
         ordered = order_items(pending, optional, token_s)
         placements = place_items(ordered, engines, token_s)
         self._work.shortages = shortages(ordered, placements, token_s)
@@ -190,13 +189,12 @@
             name = (placement.item.step_id, placement.item.item_id)
             self._runs.start(by_name[name], placement)
 
-    def _optional_groups(
-        self, steps: Sequence[tuple[StepState, Route]], *, long_queue: bool
-    ) -> Set[GroupName]:
-        """Return the groups of open steps that no trainer waits for."""
-        needs = _group_needs(steps)
+    def _unfinished_items(
+        self, steps: Sequence[tuple[StepState, Route]], needs: Mapping[str, GroupNeed]
+    ) -> Iterator[UnfinishedItem]:
+        """Yield the unlisted items of the steps in ``needs``."""
         tokens_per_event = self._work.view.tokens_per_event
-        unfinished = (
+        return (
             UnfinishedItem(
                 step.spec.step_id,
                 step.items[item_id].group,
@@ -207,7 +205,6 @@
             if step.spec.step_id in needs
             for item_id in step.unlisted
         )
-        return optional_groups(unfinished, needs, long_queue=long_queue)
 
     def _remaining_events(self, item: ItemSpec) -> int:
         """Return how many more events an item's text is expected to have."""
