--- a/samphirecleat/bench/_queue_replay.py
+++ b/samphirecleat/bench/_queue_replay.py
@@ -64,7 +64,10 @@
 
 @dataclass
 class ReplayedTarget:
-    """A target; it is ``slowness`` times slower than usual, and closes connections if ``lost``."""
+    """A target; it is ``slowness`` times slower than usual, and closes connections if ``lost``.
+
+    With an infinite slowness it is silent.
+    """
 
     slowness: float = 1.0
     lost: bool = False
@@ -216,7 +219,7 @@
         else:
             # Idempotent calls are sent again also after a failure.
             failed = outcome is SendOutcome.FAILED
-            again = entry._replace(returning=entry.returning or failed)
+            again = entry._replace(repeated=entry.repeated or failed)
             decision = line.put_back(again, self.now_s)
             if not isinstance(decision, Wait):
                 self._settle(owner, decision)
--- a/samphirecleat/bench/_queues.py
+++ b/samphirecleat/bench/_queues.py
@@ -1,10 +1,11 @@
-"""Bench of a service's queue: surges of several times the capacity, with targets lost or slow.
+"""Bench of a service's queue: surges beyond its capacity, with targets lost, silent or slow.
 
 The first row is the product's queue. The baseline sends every call at once, to one target after the
 other while they refuse it, and tells all refused callers the same delay. Figures are the parts of
 the capacity that are answered within the objective, and the sends per answered call.
 """
 
+import math
 from collections.abc import Mapping, Sequence
 from typing import Final
 
@@ -35,6 +36,7 @@
 CHANGES: Final[Mapping[str, float]] = {
     "none": 1.0,
     "one lost": 2.0 / 3.0,
+    "one silent": 2.0 / 3.0,
     "two slow": (1.0 + 2.0 / SLOWNESS) / 3.0,
 }
 MAX_SENDS: Final = 8
@@ -83,8 +85,11 @@
 
     def change_targets() -> None:
         replay.targets["t0"].lost = change == "one lost"
-        for name in ("t0", "t1"):
-            replay.targets[name].slowness = SLOWNESS if change == "two slow" else 1.0
+        match change:
+            case "one silent":
+                replay.targets["t0"].slowness = math.inf
+            case "two slow":
+                replay.targets["t0"].slowness = replay.targets["t1"].slowness = SLOWNESS
 
     replay = Replay(seed, lines)
     replay.load(USUAL_PER_S, 1.0, START_S)
--- a/tests/dispatch/test_slot_queue.py
+++ b/tests/dispatch/test_slot_queue.py
@@ -160,3 +160,44 @@
         assert not fixture.slots.applies("svc")
 
     run(body, "t0", "t1")
+
+
+@pytest.mark.parametrize("owned", [(), None, ("t1",)], ids=["none owned", "no owners", "another"])
+def test_waiting_call_goes_to_the_targets_that_are_left_to_this_node(
+    owned: Collection[str] | None,
+) -> None:
+    """Guards against calls that wait for ever once another node owns their targets."""
+
+    async def body(fixture: Fixture) -> None:
+        fixture.owned = ("t0",)
+        running = [await fixture.acquire() for _ in range(2)]
+        waiting = asyncio.ensure_future(fixture.acquire())
+        await asyncio.sleep(0)
+        assert not waiting.done()
+        fixture.owned = owned
+        grant = await asyncio.wait_for(waiting, 1.0)
+        assert grant.target.instance == "t1"
+        for held in [*running, grant]:
+            held.finish(SendOutcome.ANSWERED)
+
+    run(body, "t0", "t1")
+
+
+def test_waiting_calls_are_refused_once_all_targets_are_gone() -> None:
+    """Guards against calls that wait for ever without any target, and a queue that then stops."""
+
+    async def body(fixture: Fixture) -> None:
+        await fixture.fill()
+        waiting = [
+            asyncio.ensure_future(fixture.acquire(for_trainer=kind)) for kind in (False, True)
+        ]
+        await asyncio.sleep(0)
+        fixture.table.replace({})
+        results = await asyncio.wait_for(asyncio.gather(*waiting, return_exceptions=True), 1.0)
+        assert all(isinstance(r, RequestError) and r.ran is Ran.NO for r in results)
+        assert {r.kind for r in results if isinstance(r, RequestError)} == {ErrorKind.NO_TARGET}
+        fixture.table.replace({"t1": target("t1", 1)})
+        grant = await asyncio.wait_for(fixture.acquire(), 1.0)
+        grant.finish(SendOutcome.ANSWERED)
+
+    run(body)
