--- a/samphirecleat/dispatch/_line.py
+++ b/samphirecleat/dispatch/_line.py
@@ -9,14 +9,15 @@
 import math
 from collections.abc import Callable, Iterable, Sequence
 from enum import IntEnum
-from typing import Final, NamedTuple
+from typing import Final
 
 from ..serving import SendOutcome, Target
-from ._arrivals import ArrivalRate
+from ._capacity import ServiceCapacity
 from ._decisions import Decision, Refusal, RefusalReason, Start, Wait
+from ._placement import Placement
 from ._recent_starts import RecentStarts
 from ._returns import MAX_DELAY_SHARE, MIN_DELAY_SHARE, ReturnSchedule
-from ._room import RoomTable, TargetRoom
+from ._room import TargetRoom
 from ._waiting_calls import LineEntry, WaitingCalls
 
 # Callers' calls that start for each call of a trainer while both wait: trainers get a sixth.
@@ -28,30 +29,17 @@
 # A waiting call is started only if its answer is due after this many expected times: half of the
 # calls take longer than the mean.
 START_MEANS: Final = 1.25
-# Targets that are slower than the fastest one by more than this factor don't count for the wait of
-# a call that has to be answered within its objective: they serve calls that have just arrived.
-SWIFT_FACTOR: Final = 2.0
 # A fall of the service rate by this share is a loss of capacity and not noise of the estimate.
 CAPACITY_LOSS: Final = 0.2
 # A waiting call is replaced only if it has waited for at most this share of its objective, so that
 # its caller still has time to retry.
 MAX_REFUSAL_SHARE: Final = 0.25
-# Time for which estimates are reused, and between looks for calls that are out of time.
-ESTIMATE_TTL_S: Final = 0.005
+# Time between two checks for calls that are out of time.
 SWEEP_S: Final = 0.01
 # Longest time for which the wait is estimated.
 HORIZON_S: Final = 2.0
 
 
-class _Estimates(NamedTuple):
-    """The service rate of all targets and of the swift ones, and the smallest mean times."""
-
-    rate_per_s: float
-    swift_rate_per_s: float
-    fastest_s: float
-    fastest_trainer_s: float
-
-
 class _Rank(IntEnum):
     """Order of callers' calls of one priority.
 
@@ -86,19 +74,16 @@
         runs_suspect: Callable[[Target], bool],
     ) -> None:
         """Take the cost of reaching a target, in means, and which targets to use last."""
-        self.rooms = RoomTable()
+        self.capacity = ServiceCapacity()
+        self.rooms = self.capacity.rooms
         self.returns = ReturnSchedule()
-        self._reach_cost = reach_cost
-        self._runs_suspect = runs_suspect
+        self._placement = Placement(self.rooms, reach_cost, runs_suspect)
         self._starts = RecentStarts()
-        self._arrivals = ArrivalRate()
         self._callers: dict[tuple[int, _Rank], WaitingCalls] = {}
         self._trainers: dict[int, WaitingCalls] = {}
         self._caller_count = 0
         self._trainer_count = 0
         self._callers_in_row = 0
-        self._current = _Estimates(0.0, 0.0, 0.0, 0.0)
-        self._estimated_at_s = -math.inf
         self._usual_rate_per_s = 0.0
         self._swept_at_s = -math.inf
 
@@ -108,51 +93,17 @@
 
     def set_targets(self, targets: Iterable[Target]) -> None:
         """Set the targets that may be used; ``advance`` has to be called afterwards."""
-        self.rooms.replace(targets)
-        self._estimated_at_s = self._swept_at_s = -math.inf
-
-    def rate_per_s(self, now_s: float) -> float:
-        """Return the calls per second that the targets can serve."""
-        return self._estimates(now_s).rate_per_s
-
-    def _estimates(self, now_s: float) -> _Estimates:
-        if not 0.0 <= now_s - self._estimated_at_s < ESTIMATE_TTL_S:
-            self._estimated_at_s = now_s
-            self._current = self._estimate(now_s)
-        return self._current
-
-    def _estimate(self, now_s: float) -> _Estimates:
-        rooms = self.rooms.rooms
-        fastest_s = self.rooms.fastest_s(now_s, for_trainer=False)
-        swift = [
-            instance
-            for instance, room in rooms.items()
-            if self.rooms.mean_s(room, now_s, for_trainer=False) <= SWIFT_FACTOR * fastest_s
-        ]
-        return _Estimates(
-            self.rooms.service_rate_per_s(rooms, now_s),
-            self.rooms.service_rate_per_s(swift, now_s),
-            fastest_s,
-            self.rooms.fastest_s(now_s, for_trainer=True),
-        )
-
-    def has_room(self, now_s: float) -> bool:
-        """Whether a call could be sent to some target now."""
-        return any(room.has_room(0, now_s) for room in self.rooms.rooms.values())
+        self.capacity.set_targets(targets)
+        self._swept_at_s = -math.inf
 
     def projected_wait_s(self, now_s: float) -> float:
         """Return the wait of a caller's new call, infinite without targets."""
         if not self.rooms.rooms:
             return math.inf
-        if not self._caller_count and self.has_room(now_s):
+        if not self._caller_count and self.capacity.has_room(now_s):
             return 0.0
         ahead = sum(len(line) for (_, rank), line in self._callers.items() if rank <= _Rank.FRESH)
-        return min(HORIZON_S, self._drain_s(ahead + 1, now_s))
-
-    def spare_rate_per_s(self, now_s: float) -> float:
-        """Return the calls per second that can be served beside those that arrive now."""
-        usable_per_s = self.rate_per_s(now_s) / self._trainers_factor()
-        return max(0.0, usable_per_s - self._arrivals.per_s(now_s))
+        return min(HORIZON_S, self.capacity.drain_s(ahead + 1, now_s, self._starts_per_call()))
 
     def oldest_wait_s(self, now_s: float) -> float:
         """Return how long the longest waiting call has waited."""
@@ -164,7 +115,7 @@
         if not self.rooms.rooms:
             return self._refuse(entry, RefusalReason.NO_TARGET, now_s)
         if not entry.for_trainer and _rank_of(entry) is _Rank.FRESH:
-            self._arrivals.record(now_s)
+            self.capacity.arrivals.record(now_s)
         if not self._is_outranked(entry):
             start = self._start_now(entry, now_s)
             if start is not None:
@@ -187,25 +138,14 @@
         """Start a second attempt of a call if no call waits and another target has room."""
         if len(self):
             return None
-        for room in self._free_rooms(now_s):
-            is_other = room.target.instance not in entry.excluded
-            if is_other and not room.is_closed and room.has_room(entry.body_bytes, now_s):
-                return self._start(entry, room, now_s)
-        return None
+        room = self._placement.other_room_for(entry, now_s)
+        return self._start(entry, room, now_s) if room is not None else None
 
     def _start_now(self, entry: LineEntry, now_s: float) -> Start | None:
         """Start a call that doesn't wait, if a target has free capacity that serves it in time."""
-        rooms = [room for room in self._free_rooms(now_s) if self._fits(entry, room, now_s)]
-        if not rooms:
-            return None
         due_s = entry.deadline_s if entry.for_trainer else _objective_end(entry)
-        for room in rooms:
-            if now_s + self._expected_s(room, now_s, for_trainer=entry.for_trainer) <= due_s:
-                return self._start(entry, room, now_s)
-        # The call would be late at any free target.
-        if self._is_faster_room_due(entry, due_s, now_s):
-            return None
-        return self._start(entry, rooms[0], now_s)
+        room = self._placement.room_for(entry, due_s, now_s)
+        return self._start(entry, room, now_s) if room is not None else None
 
     def put_back(self, entry: LineEntry, now_s: float) -> Wait | Refusal:
         """Queue a call again that a target refused, at its old position."""
@@ -232,7 +172,7 @@
         if outcome in (SendOutcome.REFUSED, SendOutcome.NOT_SENT):
             self._starts.undo(entry.workspace, now_s)
         if outcome is not SendOutcome.ANSWERED:
-            self._estimated_at_s = -math.inf
+            self.capacity.expire()
 
     def advance(self, now_s: float) -> Sequence[Start | Refusal]:
         """Return the calls that start now and those that can no longer be served in time."""
@@ -251,7 +191,7 @@
         return decisions
 
     def _start_next(self, now_s: float) -> Start | None:
-        for room in self._free_rooms(now_s):
+        for room in self._placement.free_rooms(now_s):
             entry = self._next_for(room, now_s)
             if entry is not None:
                 self.remove(entry)
@@ -262,16 +202,18 @@
         """Return the call that goes first of those that a target can serve in time."""
 
         def fits(entry: LineEntry) -> bool:
-            return self._fits(entry, room, now_s)
+            return self._placement.fits(entry, room, now_s)
 
         def first(lines: Iterable[WaitingCalls], due_from_s: float) -> LineEntry | None:
             found = (line.first(due_from_s, self._starts, fits) for line in lines)
             return next((entry for entry in found if entry is not None), None)
 
         callers = [self._callers[rank] for rank in sorted(self._callers)]
-        callers_due_s = now_s + START_MEANS * self._expected_s(room, now_s, for_trainer=False)
+        callers_due_s = now_s + START_MEANS * self._placement.expected_s(
+            room, now_s, for_trainer=False
+        )
         trainers = [self._trainers[priority] for priority in sorted(self._trainers)]
-        trainers_due_s = now_s + self._expected_s(room, now_s, for_trainer=True)
+        trainers_due_s = now_s + self._placement.expected_s(room, now_s, for_trainer=True)
         if self._is_trainers_turn:
             return first(trainers, trainers_due_s) or first(callers, callers_due_s)
         return first(callers, callers_due_s) or first(trainers, trainers_due_s)
@@ -280,44 +222,6 @@
     def _is_trainers_turn(self) -> bool:
         return self._trainer_count > 0 and self._callers_in_row >= CALLERS_PER_TRAINER
 
-    def _free_rooms(self, now_s: float) -> Sequence[TargetRoom]:
-        """Return the rooms that take another call, the one that would answer first at the front."""
-        free = [room for room in self.rooms.rooms.values() if room.has_room(0, now_s)]
-        if len(free) > 1:
-            free.sort(key=lambda room: self._placement_order(room, now_s))
-        return free
-
-    def _placement_order(self, room: TargetRoom, now_s: float) -> tuple[bool, float, float]:
-        mean_s = self.rooms.mean_s(room, now_s, for_trainer=False)
-        load = (room.in_flight + 1) / room.slots
-        cost_s = (max(1.0, load) + self._reach_cost(room.target, now_s)) * mean_s
-        return self._runs_suspect(room.target), cost_s, load
-
-    def _expected_s(self, room: TargetRoom, now_s: float, *, for_trainer: bool) -> float:
-        """Return the expected time to the answer of a call that is sent to a target now."""
-        load = (room.in_flight + 1) / room.slots
-        return max(1.0, load) * self.rooms.mean_s(room, now_s, for_trainer=for_trainer)
-
-    def _fits(self, entry: LineEntry, room: TargetRoom, now_s: float) -> bool:
-        if not room.has_room(entry.body_bytes, now_s):
-            return False
-        if room.target.instance not in entry.excluded:
-            return True
-        return all(
-            other.is_closed or instance in entry.excluded
-            for instance, other in self.rooms.rooms.items()
-        )
-
-    def _is_faster_room_due(self, entry: LineEntry, due_s: float, now_s: float) -> bool:
-        """Whether a busy target becomes free in time to answer a call when it is due."""
-        for room in self.rooms.rooms.values():
-            if room.is_closed or room.has_room(entry.body_bytes, now_s):
-                continue
-            mean_s = self.rooms.mean_s(room, now_s, for_trainer=entry.for_trainer)
-            if now_s + mean_s * (1.0 / room.slots + 1.0) <= due_s:
-                return True
-        return False
-
     def _start(self, entry: LineEntry, room: TargetRoom, now_s: float) -> Start:
         probe = room.start(entry.key, entry.body_bytes, now_s, for_trainer=entry.for_trainer)
         self.rooms.record_start(for_trainer=entry.for_trainer)
@@ -356,59 +260,37 @@
 
     def _reason_to_refuse(self, entry: LineEntry, now_s: float) -> RefusalReason | None:
         """Return why a caller's call can't wait, None if it can."""
-        answer_s = ANSWER_MEANS * self._estimates(now_s).fastest_s
+        answer_s = ANSWER_MEANS * self.capacity.estimates(now_s).fastest_s
         to_deadline_s = entry.deadline_s - now_s - answer_s
         to_objective_s = _objective_end(entry) - now_s - answer_s
         rank = _rank_of(entry)
-        if self.rate_per_s(now_s) <= 0.0:
+        if self.capacity.rate_per_s(now_s) <= 0.0:
             allowed_s = to_objective_s if rank is _Rank.FRESH else to_deadline_s
-            wait_s = self._drain_s(len(self) + 1, now_s)
+            wait_s = self.capacity.drain_s(len(self) + 1, now_s, self._starts_per_call())
             return RefusalReason.CLOSED if wait_s > allowed_s else None
         ahead = self._ahead_of(entry.priority, rank) + 1
         match rank:
             case _Rank.FRESH:
-                wait_s = self._drain_s(ahead, now_s, swift=True)
+                wait_s = self.capacity.drain_s(ahead, now_s, self._starts_per_call(), swift=True)
                 return RefusalReason.OBJECTIVE if wait_s > to_objective_s else None
             case _Rank.REPEATED:
-                wait_s = self._drain_s(ahead, now_s)
+                wait_s = self.capacity.drain_s(ahead, now_s, self._starts_per_call())
                 return RefusalReason.DEADLINE if wait_s > to_deadline_s else None
-        if self._spare_drain_s(ahead, now_s) <= to_objective_s:
+        if self.capacity.spare_drain_s(ahead, now_s, self._starts_per_call()) <= to_objective_s:
             return None
         return None if self._can_be_late(entry, now_s) else RefusalReason.DEADLINE
 
     def _can_be_late(self, entry: LineEntry, now_s: float) -> bool:
         """Whether a call that misses its objective can be answered before its deadline."""
-        answer_s = ANSWER_MEANS * self._estimates(now_s).fastest_s
+        answer_s = ANSWER_MEANS * self.capacity.estimates(now_s).fastest_s
         left_s = entry.deadline_s - now_s - answer_s
         ahead = self._ahead_of(entry.priority, _Rank.LATE) + 1
-        return self._spare_drain_s(ahead, now_s) <= left_s
+        return self.capacity.spare_drain_s(ahead, now_s, self._starts_per_call()) <= left_s
 
-    def _trainers_factor(self) -> float:
+    def _starts_per_call(self) -> float:
         """Return the starts per start of a caller's call."""
         return 1.0 + 1.0 / CALLERS_PER_TRAINER if self._trainer_count else 1.0
 
-    def _drain_s(self, calls: int, now_s: float, *, swift: bool = False) -> float:
-        """Return the time until a call at a position starts, or until a closed target reopens."""
-        rate_per_s = self.rate_per_s(now_s)
-        if rate_per_s <= 0.0:
-            # One call probes each target before the others start.
-            probed_s = max(now_s, self._reopens_at_s()) + self._estimates(now_s).fastest_s
-            return probed_s - now_s + calls / self.rooms.reopened_rate_per_s(now_s)
-        if swift:
-            rate_per_s = self._estimates(now_s).swift_rate_per_s
-        return calls * self._trainers_factor() / rate_per_s
-
-    def _spare_drain_s(self, calls: int, now_s: float) -> float:
-        """Return the time until a call starts that ranks behind all calls that arrive now."""
-        if self.rate_per_s(now_s) <= 0.0:
-            return self._drain_s(calls, now_s)
-        spare_per_s = self.spare_rate_per_s(now_s)
-        return calls / spare_per_s if spare_per_s > 0.0 else math.inf
-
-    def _reopens_at_s(self) -> float:
-        """Return the first time at which a closed target may be probed."""
-        return min((room.probe_due_s for room in self.rooms.rooms.values()), default=math.inf)
-
     def _replaceable(self, entry: LineEntry, now_s: float) -> LineEntry | None:
         """Return the call that has to make room for one of a workspace with few calls waiting."""
         line = self._callers.get((entry.priority, _rank_of(entry)))
@@ -429,7 +311,7 @@
         Returning calls that can still meet their deadline stay, behind the others.
         """
         refusals = []
-        callers_due_s = now_s + START_MEANS * self._estimates(now_s).fastest_s
+        callers_due_s = now_s + START_MEANS * self.capacity.estimates(now_s).fastest_s
         for (priority, rank), line in list(self._callers.items()):
             for entry in line.take_due_before(callers_due_s):
                 self._caller_count -= 1
@@ -440,7 +322,7 @@
                     continue
                 reason = RefusalReason.LATE if rank is _Rank.FRESH else RefusalReason.DEADLINE
                 refusals.append(self._refuse(entry, reason, now_s))
-        trainers_due_s = now_s + self._estimates(now_s).fastest_trainer_s
+        trainers_due_s = now_s + self.capacity.estimates(now_s).fastest_trainer_s
         for line in self._trainers.values():
             for entry in line.take_due_before(trainers_due_s):
                 self._trainer_count -= 1
@@ -457,7 +339,7 @@
 
     def _shed(self, now_s: float) -> Sequence[Refusal]:
         """Refuse waiting calls that can't be served in time since capacity was lost."""
-        rate_per_s = self.rate_per_s(now_s)
+        rate_per_s = self.capacity.rate_per_s(now_s)
         if rate_per_s >= (1.0 - CAPACITY_LOSS) * self._usual_rate_per_s:
             self._usual_rate_per_s = max(rate_per_s, self._usual_rate_per_s)
             return []
@@ -476,10 +358,10 @@
 
     def _is_in_time(self, entry: LineEntry, rank: _Rank, position: int, now_s: float) -> bool:
         due_s = _objective_end(entry) if rank is _Rank.FRESH else entry.deadline_s
-        left_s = due_s - now_s - self._estimates(now_s).fastest_s
+        left_s = due_s - now_s - self.capacity.estimates(now_s).fastest_s
         if rank <= _Rank.FRESH:
-            return self._drain_s(position, now_s) <= left_s
-        return self._spare_drain_s(position, now_s) <= left_s
+            return self.capacity.drain_s(position, now_s, self._starts_per_call()) <= left_s
+        return self.capacity.spare_drain_s(position, now_s, self._starts_per_call()) <= left_s
 
     def _refuse(self, entry: LineEntry, reason: RefusalReason, now_s: float) -> Refusal:
         """Refuse a call with a time to retry.
@@ -489,11 +371,11 @@
         """
         left_s = max(0.0, entry.deadline_s - now_s)
         longest_s = left_s * MAX_DELAY_SHARE
-        if self.rate_per_s(now_s) <= 0.0:
-            delay_s = max(left_s * MIN_DELAY_SHARE, self._reopens_at_s() - now_s)
+        if self.capacity.rate_per_s(now_s) <= 0.0:
+            delay_s = max(left_s * MIN_DELAY_SHARE, self.capacity.reopens_at_s() - now_s)
             return Refusal(entry, reason, min(longest_s, delay_s), booked=False)
-        spare_per_s = self.spare_rate_per_s(now_s)
-        drain_s = self._spare_drain_s(self._caller_count, now_s)
+        spare_per_s = self.capacity.spare_rate_per_s(now_s, self._starts_per_call())
+        drain_s = self.capacity.spare_drain_s(self._caller_count, now_s, self._starts_per_call())
         if entry.returning or entry.for_trainer:
             delay = self.returns.free_delay_s(now_s, left_s, spare_per_s, drain_s)
             return Refusal(entry, reason, longest_s if delay is None else delay, booked=False)
--- a/samphirecleat/dispatch/_slot_queue.py
+++ b/samphirecleat/dispatch/_slot_queue.py
@@ -291,7 +291,7 @@
         self._observer.counters[f"line_refused_{reason.value}"] += 1
         self._observer.counters["line_returns_booked"] += refusal.booked
         self._refused[reason.value] += 1
-        rate_per_s = self.line.rate_per_s(now_s)
+        rate_per_s = self.line.capacity.rate_per_s(now_s)
         if now_s - self._logged_at_s >= LOG_INTERVAL_S:
             self._log(rate_per_s, now_s)
         rooms = self.line.rooms.rooms.values()
--- a/tests/dispatch/test_line.py
+++ b/tests/dispatch/test_line.py
@@ -24,7 +24,7 @@
     line = make_line(*(target(name, slots) for name in names or ("t0",)))
     line.rooms.prior_s = 0.02
     starts = []
-    while line.has_room(1.0):
+    while line.capacity.has_room(1.0):
         start = line.offer(entry(for_trainer=True, workspace="x"), 1.0)
         assert isinstance(start, Start)
         starts.append(start)
