Queue: say queue and limiter, not line and room

Two words stood for one thing, and both were the users' ones. Counters are queue_* now; no deployment has had the others.

--- a/samphirecleat/dispatch/_capacity.py
+++ b/samphirecleat/dispatch/_capacity.py
@@ -10,7 +10,7 @@
 
 from ..serving import Target
 from ._arrivals import ArrivalRate
-from ._room import RoomTable
+from ._target_limiter import LimiterTable
 
 # Targets that are slower than the fastest one by more than this factor don't count for the wait of
 # a call that has to be answered within its objective: they serve calls that have just arrived.
@@ -29,7 +29,7 @@
 
 
 class ServiceCapacity:
-    """The rooms of a service's targets, the rates at which they serve calls, and the waits.
+    """The limiters of a service's targets, the rates at which they serve calls, and the waits.
 
     ``starts_per_call`` is how many calls start for each of the calls that are asked about, because
     others take turns with them.
@@ -37,14 +37,14 @@
 
     def __init__(self) -> None:
         """Start without targets and arrivals."""
-        self.rooms = RoomTable()
+        self.limiters = LimiterTable()
         self.arrivals = ArrivalRate()
         self._current = Estimates(0.0, 0.0, 0.0, 0.0)
         self._estimated_at_s = -math.inf
 
     def set_targets(self, targets: Iterable[Target]) -> None:
         """Set the targets that may be used."""
-        self.rooms.replace(targets)
+        self.limiters.replace(targets)
         self.expire()
 
     def expire(self) -> None:
@@ -63,23 +63,23 @@
         return self._current
 
     def _estimate(self, now_s: float) -> Estimates:
-        rooms = self.rooms.rooms
-        fastest_s = self.rooms.fastest_s(now_s, for_trainer=False)
+        limiters = self.limiters.by_instance
+        fastest_s = self.limiters.fastest_s(now_s, for_trainer=False)
         swift = [
             instance
-            for instance, room in rooms.items()
-            if self.rooms.mean_s(room, now_s, for_trainer=False) <= SWIFT_FACTOR * fastest_s
+            for instance, limiter in limiters.items()
+            if self.limiters.mean_s(limiter, now_s, for_trainer=False) <= SWIFT_FACTOR * fastest_s
         ]
         return Estimates(
-            self.rooms.service_rate_per_s(rooms, now_s),
-            self.rooms.service_rate_per_s(swift, now_s),
+            self.limiters.service_rate_per_s(limiters, now_s),
+            self.limiters.service_rate_per_s(swift, now_s),
             fastest_s,
-            self.rooms.fastest_s(now_s, for_trainer=True),
+            self.limiters.fastest_s(now_s, for_trainer=True),
         )
 
-    def has_room(self, now_s: float) -> bool:
+    def accepts(self, now_s: float) -> bool:
         """Whether a call could be sent to some target now."""
-        return any(room.has_room(0, now_s) for room in self.rooms.rooms.values())
+        return any(limiter.accepts(0, now_s) for limiter in self.limiters.by_instance.values())
 
     def spare_rate_per_s(self, now_s: float, starts_per_call: float) -> float:
         """Return the calls per second that can be served beside those that arrive now."""
@@ -97,7 +97,7 @@
         if rate_per_s <= 0.0:
             # One call probes each target before the others start.
             probed_s = max(now_s, self.reopens_at_s()) + self.estimates(now_s).fastest_s
-            return probed_s - now_s + calls / self.rooms.reopened_rate_per_s(now_s)
+            return probed_s - now_s + calls / self.limiters.reopened_rate_per_s(now_s)
         if swift:
             rate_per_s = self.estimates(now_s).swift_rate_per_s
         return calls * starts_per_call / rate_per_s
@@ -111,4 +111,7 @@
 
     def reopens_at_s(self) -> float:
         """Return the first time at which a closed target may be probed."""
-        return min((room.probe_due_s for room in self.rooms.rooms.values()), default=math.inf)
+        return min(
+            (limiter.probe_due_s for limiter in self.limiters.by_instance.values()),
+            default=math.inf,
+        )
--- a/samphirecleat/dispatch/_decisions.py
+++ b/samphirecleat/dispatch/_decisions.py
@@ -3,8 +3,8 @@
 from enum import Enum
 from typing import NamedTuple
 
-from ._room import TargetRoom
-from ._waiting_calls import LineEntry
+from ._target_limiter import TargetLimiter
+from ._waiting_calls import QueuedCall
 
 
 class RefusalReason(Enum):
@@ -12,7 +12,7 @@
 
     ``NO_TARGET``: the service has no target. ``CLOSED``: all its targets are closed for longer than
     the call can wait. ``OBJECTIVE``: the queue is too long for its latency objective. ``DEADLINE``:
-    it cannot be answered before its deadline. ``REPLACED``: it made room for a call of a workspace
+    it cannot be answered before its deadline. ``REPLACED``: it gave way to a call of a workspace
     that has fewer calls waiting. ``CAPACITY``: the service lost capacity while it waited.
     ``LATE``: it waited longer than estimated.
     """
@@ -29,15 +29,15 @@
 class Start(NamedTuple):
     """A call that is counted at a target and may be sent there; ``probe`` if that was closed."""
 
-    entry: LineEntry
-    room: TargetRoom
+    entry: QueuedCall
+    limiter: TargetLimiter
     probe: bool
 
 
 class Wait(NamedTuple):
     """A call that waits; ``replaced`` is the refusal of the call that gave up its place."""
 
-    entry: LineEntry
+    entry: QueuedCall
     replaced: "Refusal | None" = None
 
 
@@ -47,7 +47,7 @@
     ``booked`` says that the capacity for the retry is reserved.
     """
 
-    entry: LineEntry
+    entry: QueuedCall
     reason: RefusalReason
     retry_after_s: float
     booked: bool
--- a/samphirecleat/dispatch/_line.py
+++ b/samphirecleat/dispatch/_service_queue.py
@@ -17,8 +17,8 @@
 from ._placement import Placement
 from ._recent_starts import RecentStarts
 from ._returns import MAX_DELAY_SHARE, MIN_DELAY_SHARE, ReturnSchedule
-from ._room import TargetRoom
-from ._waiting_calls import LineEntry, WaitingCalls
+from ._target_limiter import TargetLimiter
+from ._waiting_calls import QueuedCall, WaitingCalls
 
 # Callers' calls that start for each call of a trainer while both wait: trainers get a sixth.
 CALLERS_PER_TRAINER: Final = 5
@@ -53,16 +53,16 @@
     LATE = 3
 
 
-def _objective_end(entry: LineEntry) -> float:
+def _objective_end(entry: QueuedCall) -> float:
     return min(entry.objective_end_s, entry.deadline_s)
 
 
-def _deadline(entry: LineEntry) -> float:
+def _deadline(entry: QueuedCall) -> float:
     return entry.deadline_s
 
 
-class ServiceLine:
-    """The waiting calls of a service and the rooms of its targets; does no I/O.
+class ServiceQueue:
+    """The waiting calls of a service and the limiters of its targets; does no I/O.
 
     ``offer`` and ``put_back`` decide on one call. ``advance`` has to be called after each change
     and at least every ``SWEEP_S`` while calls wait; it returns calls that start or are refused.
@@ -75,9 +75,9 @@
     ) -> None:
         """Take the cost of reaching a target, in means, and which targets to use last."""
         self.capacity = ServiceCapacity()
-        self.rooms = self.capacity.rooms
+        self.limiters = self.capacity.limiters
         self.returns = ReturnSchedule()
-        self._placement = Placement(self.rooms, reach_cost, runs_suspect)
+        self._placement = Placement(self.limiters, reach_cost, runs_suspect)
         self._starts = RecentStarts()
         self._callers: dict[tuple[int, _Rank], WaitingCalls] = {}
         self._trainers: dict[int, WaitingCalls] = {}
@@ -98,21 +98,25 @@
 
     def projected_wait_s(self, now_s: float) -> float:
         """Return the wait of a caller's new call, infinite without targets."""
-        if not self.rooms.rooms:
+        if not self.limiters.by_instance:
             return math.inf
-        if not self._caller_count and self.capacity.has_room(now_s):
+        if not self._caller_count and self.capacity.accepts(now_s):
             return 0.0
-        ahead = sum(len(line) for (_, rank), line in self._callers.items() if rank <= _Rank.FRESH)
+        ahead = sum(
+            len(waiting) for (_, rank), waiting in self._callers.items() if rank <= _Rank.FRESH
+        )
         return min(HORIZON_S, self.capacity.drain_s(ahead + 1, now_s, self._starts_per_call()))
 
     def oldest_wait_s(self, now_s: float) -> float:
         """Return how long the longest waiting call has waited."""
-        lines = [*self._callers.values(), *self._trainers.values()]
-        return max((now_s - entry.arrival_s for line in lines for entry in line), default=0.0)
+        queues = [*self._callers.values(), *self._trainers.values()]
+        return max(
+            (now_s - entry.arrival_s for waiting in queues for entry in waiting), default=0.0
+        )
 
-    def offer(self, entry: LineEntry, now_s: float) -> Decision:
+    def offer(self, entry: QueuedCall, now_s: float) -> Decision:
         """Decide on a new call."""
-        if not self.rooms.rooms:
+        if not self.limiters.by_instance:
             return self._refuse(entry, RefusalReason.NO_TARGET, now_s)
         if not entry.for_trainer and _rank_of(entry) is _Rank.FRESH:
             self.capacity.arrivals.record(now_s)
@@ -134,41 +138,41 @@
         self._add(entry)
         return Wait(entry, self._refuse(victim, RefusalReason.REPLACED, now_s))
 
-    def start_hedge(self, entry: LineEntry, now_s: float) -> Start | None:
-        """Start a second attempt of a call if no call waits and another target has room."""
+    def start_hedge(self, entry: QueuedCall, now_s: float) -> Start | None:
+        """Start a second attempt of a call if no call waits and another target has a free slot."""
         if len(self):
             return None
-        room = self._placement.other_room_for(entry, now_s)
-        return self._start(entry, room, now_s) if room is not None else None
+        limiter = self._placement.other_target_for(entry, now_s)
+        return self._start(entry, limiter, now_s) if limiter is not None else None
 
-    def _start_now(self, entry: LineEntry, now_s: float) -> Start | None:
+    def _start_now(self, entry: QueuedCall, now_s: float) -> Start | None:
         """Start a call that doesn't wait, if a target has free capacity that serves it in time."""
         due_s = entry.deadline_s if entry.for_trainer else _objective_end(entry)
-        room = self._placement.room_for(entry, due_s, now_s)
-        return self._start(entry, room, now_s) if room is not None else None
+        limiter = self._placement.target_for(entry, due_s, now_s)
+        return self._start(entry, limiter, now_s) if limiter is not None else None
 
-    def put_back(self, entry: LineEntry, now_s: float) -> Wait | Refusal:
+    def put_back(self, entry: QueuedCall, now_s: float) -> Wait | Refusal:
         """Queue a call again that a target refused, at its old position."""
-        if not self.rooms.rooms:
+        if not self.limiters.by_instance:
             return self._refuse(entry, RefusalReason.NO_TARGET, now_s)
         return self._add(entry)
 
-    def remove(self, entry: LineEntry) -> None:
+    def remove(self, entry: QueuedCall) -> None:
         """Remove a waiting call; nothing happens if it doesn't wait."""
         if entry.for_trainer:
-            line = self._trainers.get(entry.priority)
-            self._trainer_count -= line is not None and line.remove(entry)
+            waiting = self._trainers.get(entry.priority)
+            self._trainer_count -= waiting is not None and waiting.remove(entry)
             return
         for rank in (_rank_of(entry), _Rank.LATE):
-            line = self._callers.get((entry.priority, rank))
-            if line is not None and line.remove(entry):
+            waiting = self._callers.get((entry.priority, rank))
+            if waiting is not None and waiting.remove(entry):
                 self._caller_count -= 1
                 return
 
     def finish(self, start: Start, outcome: SendOutcome, now_s: float) -> None:
         """End a started call; ``advance`` has to be called afterwards."""
         entry = start.entry
-        start.room.finish(entry.key, entry.body_bytes, outcome, now_s)
+        start.limiter.finish(entry.key, entry.body_bytes, outcome, now_s)
         if outcome in (SendOutcome.REFUSED, SendOutcome.NOT_SENT):
             self._starts.undo(entry.workspace, now_s)
         if outcome is not SendOutcome.ANSWERED:
@@ -176,7 +180,7 @@
 
     def advance(self, now_s: float) -> Sequence[Start | Refusal]:
         """Return the calls that start now and those that can no longer be served in time."""
-        if not self.rooms.rooms:
+        if not self.limiters.by_instance:
             return self._refuse_all(now_s)
         decisions: list[Start | Refusal] = []
         if len(self) and not 0.0 <= now_s - self._swept_at_s < SWEEP_S:
@@ -191,29 +195,29 @@
         return decisions
 
     def _start_next(self, now_s: float) -> Start | None:
-        for room in self._placement.free_rooms(now_s):
-            entry = self._next_for(room, now_s)
+        for limiter in self._placement.free_targets(now_s):
+            entry = self._next_for(limiter, now_s)
             if entry is not None:
                 self.remove(entry)
-                return self._start(entry, room, now_s)
+                return self._start(entry, limiter, now_s)
         return None
 
-    def _next_for(self, room: TargetRoom, now_s: float) -> LineEntry | None:
+    def _next_for(self, limiter: TargetLimiter, now_s: float) -> QueuedCall | None:
         """Return the call that goes first of those that a target can serve in time."""
 
-        def fits(entry: LineEntry) -> bool:
-            return self._placement.fits(entry, room, now_s)
+        def fits(entry: QueuedCall) -> bool:
+            return self._placement.fits(entry, limiter, now_s)
 
-        def first(lines: Iterable[WaitingCalls], due_from_s: float) -> LineEntry | None:
-            found = (line.first(due_from_s, self._starts, fits) for line in lines)
+        def first(queues: Iterable[WaitingCalls], due_from_s: float) -> QueuedCall | None:
+            found = (waiting.first(due_from_s, self._starts, fits) for waiting in queues)
             return next((entry for entry in found if entry is not None), None)
 
         callers = [self._callers[rank] for rank in sorted(self._callers)]
         callers_due_s = now_s + START_MEANS * self._placement.expected_s(
-            room, now_s, for_trainer=False
+            limiter, now_s, for_trainer=False
         )
         trainers = [self._trainers[priority] for priority in sorted(self._trainers)]
-        trainers_due_s = now_s + self._placement.expected_s(room, now_s, for_trainer=True)
+        trainers_due_s = now_s + self._placement.expected_s(limiter, now_s, for_trainer=True)
         if self._is_trainers_turn:
             return first(trainers, trainers_due_s) or first(callers, callers_due_s)
         return first(callers, callers_due_s) or first(trainers, trainers_due_s)
@@ -222,32 +226,32 @@
     def _is_trainers_turn(self) -> bool:
         return self._trainer_count > 0 and self._callers_in_row >= CALLERS_PER_TRAINER
 
-    def _start(self, entry: LineEntry, room: TargetRoom, now_s: float) -> Start:
-        probe = room.start(entry.key, entry.body_bytes, now_s, for_trainer=entry.for_trainer)
-        self.rooms.record_start(for_trainer=entry.for_trainer)
+    def _start(self, entry: QueuedCall, limiter: TargetLimiter, now_s: float) -> Start:
+        probe = limiter.start(entry.key, entry.body_bytes, now_s, for_trainer=entry.for_trainer)
+        self.limiters.record_start(for_trainer=entry.for_trainer)
         self._starts.record(entry.workspace, now_s)
         if entry.for_trainer:
             self._callers_in_row = 0
         elif self._trainer_count:
             self._callers_in_row += 1
-        return Start(entry, room, probe)
+        return Start(entry, limiter, probe)
 
-    def _add(self, entry: LineEntry) -> Wait:
+    def _add(self, entry: QueuedCall) -> Wait:
         if entry.for_trainer:
-            line = self._trainers.setdefault(entry.priority, WaitingCalls(_deadline))
+            waiting = self._trainers.setdefault(entry.priority, WaitingCalls(_deadline))
             self._trainer_count += 1
         else:
             rank = _rank_of(entry)
             due_s = _deadline if rank is _Rank.REPEATED else _objective_end
-            line = self._callers.setdefault((entry.priority, rank), WaitingCalls(due_s))
+            waiting = self._callers.setdefault((entry.priority, rank), WaitingCalls(due_s))
             self._caller_count += 1
-        line.add(entry)
+        waiting.add(entry)
         return Wait(entry)
 
-    def _is_outranked(self, entry: LineEntry) -> bool:
+    def _is_outranked(self, entry: QueuedCall) -> bool:
         """Whether a waiting call ranks before a new one."""
         if entry.for_trainer:
-            if any(len(line) for p, line in self._trainers.items() if p <= entry.priority):
+            if any(len(waiting) for p, waiting in self._trainers.items() if p <= entry.priority):
                 return True
             return self._caller_count > 0 and self._callers_in_row < CALLERS_PER_TRAINER
         return self._is_trainers_turn or self._ahead_of(entry.priority, _rank_of(entry)) > 0
@@ -256,9 +260,9 @@
         """Return the number of waiting callers' calls up to a priority and rank."""
         if not self._caller_count:
             return 0
-        return sum(len(line) for at, line in self._callers.items() if at <= (priority, rank))
+        return sum(len(waiting) for at, waiting in self._callers.items() if at <= (priority, rank))
 
-    def _reason_to_refuse(self, entry: LineEntry, now_s: float) -> RefusalReason | None:
+    def _reason_to_refuse(self, entry: QueuedCall, now_s: float) -> RefusalReason | None:
         """Return why a caller's call can't wait, None if it can."""
         answer_s = ANSWER_MEANS * self.capacity.estimates(now_s).fastest_s
         to_deadline_s = entry.deadline_s - now_s - answer_s
@@ -280,7 +284,7 @@
             return None
         return None if self._can_be_late(entry, now_s) else RefusalReason.DEADLINE
 
-    def _can_be_late(self, entry: LineEntry, now_s: float) -> bool:
+    def _can_be_late(self, entry: QueuedCall, now_s: float) -> bool:
         """Whether a call that misses its objective can be answered before its deadline."""
         answer_s = ANSWER_MEANS * self.capacity.estimates(now_s).fastest_s
         left_s = entry.deadline_s - now_s - answer_s
@@ -291,16 +295,16 @@
         """Return the starts per start of a caller's call."""
         return 1.0 + 1.0 / CALLERS_PER_TRAINER if self._trainer_count else 1.0
 
-    def _replaceable(self, entry: LineEntry, now_s: float) -> LineEntry | None:
-        """Return the call that has to make room for one of a workspace with few calls waiting."""
-        line = self._callers.get((entry.priority, _rank_of(entry)))
-        if line is None or not len(line):
+    def _replaceable(self, entry: QueuedCall, now_s: float) -> QueuedCall | None:
+        """Return the call that has to give way to one of a workspace with few calls waiting."""
+        waiting = self._callers.get((entry.priority, _rank_of(entry)))
+        if waiting is None or not len(waiting):
             return None
-        own = line.count_of(entry.workspace)
-        if own >= len(line) / (line.workspaces + (own == 0)):
+        own = waiting.count_of(entry.workspace)
+        if own >= len(waiting) / (waiting.workspaces + (own == 0)):
             return None
-        victim = line.last_of_largest()
-        if line.count_of(victim.workspace) <= own + 1:
+        victim = waiting.last_of_largest()
+        if waiting.count_of(victim.workspace) <= own + 1:
             return None
         objective_s = victim.objective_end_s - victim.arrival_s
         return victim if now_s - victim.arrival_s <= MAX_REFUSAL_SHARE * objective_s else None
@@ -312,8 +316,8 @@
         """
         refusals = []
         callers_due_s = now_s + START_MEANS * self.capacity.estimates(now_s).fastest_s
-        for (priority, rank), line in list(self._callers.items()):
-            for entry in line.take_due_before(callers_due_s):
+        for (priority, rank), waiting in list(self._callers.items()):
+            for entry in waiting.take_due_before(callers_due_s):
                 self._caller_count -= 1
                 if rank is _Rank.RETURNING and self._can_be_late(entry, now_s):
                     late = self._callers.setdefault((priority, _Rank.LATE), WaitingCalls(_deadline))
@@ -323,16 +327,16 @@
                 reason = RefusalReason.LATE if rank is _Rank.FRESH else RefusalReason.DEADLINE
                 refusals.append(self._refuse(entry, reason, now_s))
         trainers_due_s = now_s + self.capacity.estimates(now_s).fastest_trainer_s
-        for line in self._trainers.values():
-            for entry in line.take_due_before(trainers_due_s):
+        for waiting in self._trainers.values():
+            for entry in waiting.take_due_before(trainers_due_s):
                 self._trainer_count -= 1
                 refusals.append(self._refuse(entry, RefusalReason.DEADLINE, now_s))
         return refusals
 
     def _refuse_all(self, now_s: float) -> Sequence[Refusal]:
         """Refuse every waiting call, since the service has no target left."""
-        lines = [*self._callers.values(), *self._trainers.values()]
-        waiting = [entry for line in lines for entry in line]
+        queues = [*self._callers.values(), *self._trainers.values()]
+        waiting = [entry for waiting in queues for entry in waiting]
         for entry in waiting:
             self.remove(entry)
         return [self._refuse(entry, RefusalReason.NO_TARGET, now_s) for entry in waiting]
@@ -346,24 +350,24 @@
         self._usual_rate_per_s = rate_per_s
         refusals = []
         ahead = 0
-        for (_, rank), line in sorted(self._callers.items(), key=lambda item: item[0]):
-            for entry in list(line):
+        for (_, rank), waiting in sorted(self._callers.items(), key=lambda item: item[0]):
+            for entry in list(waiting):
                 if self._is_in_time(entry, rank, ahead + 1, now_s):
                     ahead += 1
                     continue
-                line.remove(entry)
+                waiting.remove(entry)
                 self._caller_count -= 1
                 refusals.append(self._refuse(entry, RefusalReason.CAPACITY, now_s))
         return refusals
 
-    def _is_in_time(self, entry: LineEntry, rank: _Rank, position: int, now_s: float) -> bool:
+    def _is_in_time(self, entry: QueuedCall, rank: _Rank, position: int, now_s: float) -> bool:
         due_s = _objective_end(entry) if rank is _Rank.FRESH else entry.deadline_s
         left_s = due_s - now_s - self.capacity.estimates(now_s).fastest_s
         if rank <= _Rank.FRESH:
             return self.capacity.drain_s(position, now_s, self._starts_per_call()) <= left_s
         return self.capacity.spare_drain_s(position, now_s, self._starts_per_call()) <= left_s
 
-    def _refuse(self, entry: LineEntry, reason: RefusalReason, now_s: float) -> Refusal:
+    def _refuse(self, entry: QueuedCall, reason: RefusalReason, now_s: float) -> Refusal:
         """Refuse a call with a time to retry.
 
         It is booked in the capacity that is left beside the calls that arrive now. Only callers
@@ -384,7 +388,7 @@
         return Refusal(entry, reason, delay_s, booked=self.returns.overflows == overflows)
 
 
-def _rank_of(entry: LineEntry) -> _Rank:
+def _rank_of(entry: QueuedCall) -> _Rank:
     if entry.repeated:
         return _Rank.REPEATED
     return _Rank.RETURNING if entry.returning else _Rank.FRESH
--- a/samphirecleat/dispatch/_slot_queue.py
+++ b/samphirecleat/dispatch/_slot_queue.py
@@ -23,9 +23,9 @@
     effective_deadline_s,
 )
 from ._decisions import Refusal, RefusalReason, Start, Wait
-from ._line import SWEEP_S, ServiceLine
+from ._service_queue import SWEEP_S, ServiceQueue
 from ._time_left import TimeLeft
-from ._waiting_calls import LineEntry
+from ._waiting_calls import QueuedCall
 
 # Mean time of a call before any was answered, as a share of its objective.
 PRIOR_MEAN_SHARE: Final = 1.0 / 6.0
@@ -36,28 +36,28 @@
 class Grant:
     """The permission to send a call to ``target`` once; it must be finished in any case."""
 
-    def __init__(self, queue: "_ServiceQueue", start: Start) -> None:
+    def __init__(self, driver: "_QueueDriver", start: Start) -> None:
         """Represent a start of a queue."""
-        self.target: Target = start.room.target
+        self.target: Target = start.limiter.target
         self.entry = start.entry
-        self._queue = queue
+        self._driver = driver
         self._start: Start | None = start
 
     def finish(self, outcome: SendOutcome) -> None:
         """Free the slot and record the outcome; later calls do nothing."""
         start, self._start = self._start, None
         if start is not None:
-            self._queue.finish(start, outcome)
+            self._driver.finish(start, outcome)
 
     @property
     def is_contended(self) -> bool:
         """Whether other calls wait for a target of the service."""
-        return len(self._queue.line) > 0
+        return len(self._driver.queue) > 0
 
     @property
-    def queue(self) -> "_ServiceQueue":
+    def driver(self) -> "_QueueDriver":
         """The queue of the target's service."""
-        return self._queue
+        return self._driver
 
 
 class SlotQueue:
@@ -73,7 +73,7 @@
         self._targets = targets
         self._owned = owned
         self._observer = observer
-        self._queues: dict[str, _ServiceQueue] = {}
+        self._drivers: dict[str, _QueueDriver] = {}
         self._keys = count()
 
     def applies(self, service: str) -> bool:
@@ -98,12 +98,12 @@
         :raises RequestError: OVERLOADED or NO_TARGET, with the time after which to retry; the call
             has not been sent for this grant.
         """
-        queue = self._queue(service)
+        driver = self._driver(service)
         if not call.for_trainer:
-            queue.line.rooms.prior_s = max(0.001, route.objective_s * PRIOR_MEAN_SHARE)
-        returning = queue.is_returning(call, route)
+            driver.queue.limiters.prior_s = max(0.001, route.objective_s * PRIOR_MEAN_SHARE)
+        returning = driver.is_returning(call, route)
         entry = self._entry(call, route, excluded, returning=returning, repeated=repeated)
-        return await queue.acquire(entry)
+        return await driver.acquire(entry)
 
     async def acquire_again(self, grant: Grant, excluded: Collection[str] = ()) -> Grant:
         """Wait again at the old position with a call that its target did not run.
@@ -111,37 +111,37 @@
         :raises RequestError: as ``acquire``.
         """
         grant.finish(SendOutcome.NOT_SENT)
-        queue = grant.queue
-        queue.refresh()
-        return await queue.acquire(grant.entry._replace(excluded=tuple(excluded)), again=True)
+        driver = grant.driver
+        driver.refresh()
+        return await driver.acquire(grant.entry._replace(excluded=tuple(excluded)), again=True)
 
     def try_acquire(
         self, service: str, call: Call, route: Route, excluded: Collection[str]
     ) -> Grant | None:
-        """Return a target outside ``excluded`` for a hedged attempt, None without spare room.
+        """Return a target outside ``excluded`` for a hedged attempt, None without a free slot.
 
         There is none while any call waits.
         """
-        queue = self._queue(service)
+        driver = self._driver(service)
         entry = self._entry(call, route, excluded, returning=True)
-        start = queue.line.start_hedge(entry, asyncio.get_running_loop().time())
-        return queue.grant(start) if start is not None else None
+        start = driver.queue.start_hedge(entry, asyncio.get_running_loop().time())
+        return driver.grant(start) if start is not None else None
 
     def projected_wait_s(self, service: str) -> float:
         """Return the wait of a new call, ``math.inf`` without targets or off a running loop."""
         if not self.applies(service):
             return math.inf
-        queue = self._queue(service)
-        return queue.line.projected_wait_s(asyncio.get_running_loop().time())
+        driver = self._driver(service)
+        return driver.queue.projected_wait_s(asyncio.get_running_loop().time())
 
-    def _queue(self, service: str) -> "_ServiceQueue":
+    def _driver(self, service: str) -> "_QueueDriver":
         """Return a service's queue with its current targets."""
-        queue = self._queues.get(service)
-        if queue is None:
-            queue = _ServiceQueue(service, self._targets, self._owned, self._observer)
-            self._queues[service] = queue
-        queue.refresh()
-        return queue
+        driver = self._drivers.get(service)
+        if driver is None:
+            driver = _QueueDriver(service, self._targets, self._owned, self._observer)
+            self._drivers[service] = driver
+        driver.refresh()
+        return driver
 
     def _entry(
         self,
@@ -151,8 +151,8 @@
         *,
         returning: bool,
         repeated: bool = False,
-    ) -> LineEntry:
-        return LineEntry(
+    ) -> QueuedCall:
+        return QueuedCall(
             next(self._keys),
             call.received_at_s,
             effective_deadline_s(call, route) - RETURN_MARGIN_S,
@@ -167,7 +167,7 @@
         )
 
 
-class _ServiceQueue:
+class _QueueDriver:
     """The queue of one service, with a future for each waiting call and one timer."""
 
     def __init__(
@@ -178,7 +178,7 @@
         self._owned = owned
         self._observer = observer
         self._logger = observer.log("dispatch")
-        self.line = ServiceLine(targets.reach_cost, targets.runs_suspect)
+        self.queue = ServiceQueue(targets.reach_cost, targets.runs_suspect)
         self._futures: dict[int, asyncio.Future[Grant]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._time_left: dict[str, TimeLeft] = {}
@@ -206,17 +206,17 @@
             return
         self._seen = mapping, frozenset(owned)
         accepting = self._targets.accepting_targets(self._service)
-        self.line.set_targets([t for t in accepting if not owned or t.instance in owned])
+        self.queue.set_targets([t for t in accepting if not owned or t.instance in owned])
         self._pump()
 
-    async def acquire(self, entry: LineEntry, *, again: bool = False) -> Grant:
+    async def acquire(self, entry: QueuedCall, *, again: bool = False) -> Grant:
         """Wait for a target; ``again`` returns a call to the queue without a check."""
         loop = asyncio.get_running_loop()
         now_s = loop.time()
-        decision = self.line.put_back(entry, now_s) if again else self.line.offer(entry, now_s)
+        decision = self.queue.put_back(entry, now_s) if again else self.queue.offer(entry, now_s)
         match decision:
             case Start():
-                self._observer.record_s("line_wait", 0.0)
+                self._observer.record_s("queue_wait", 0.0)
                 return self.grant(decision)
             case Refusal():
                 raise self._refusal_error(decision, now_s)
@@ -227,41 +227,41 @@
                     self._settle(decision.replaced, now_s)
                 self._pump()
                 grant = await self._wait(entry, future)
-                self._observer.record_s("line_wait", loop.time() - now_s)
+                self._observer.record_s("queue_wait", loop.time() - now_s)
                 return grant
 
-    async def _wait(self, entry: LineEntry, future: asyncio.Future[Grant]) -> Grant:
+    async def _wait(self, entry: QueuedCall, future: asyncio.Future[Grant]) -> Grant:
         try:
             return await future
         except asyncio.CancelledError:
             # The task may be cancelled in the loop iteration in which its call was granted.
             if future.done() and not future.cancelled() and future.exception() is None:
                 future.result().finish(SendOutcome.NOT_SENT)
-            self.line.remove(entry)
+            self.queue.remove(entry)
             raise
         finally:
             self._futures.pop(entry.key, None)
 
     def grant(self, start: Start) -> Grant:
         """Return the grant for a start."""
-        self._observer.counters["line_started"] += 1
-        self._observer.counters["line_probes"] += start.probe
+        self._observer.counters["queue_started"] += 1
+        self._observer.counters["queue_probes"] += start.probe
         return Grant(self, start)
 
     def finish(self, start: Start, outcome: SendOutcome) -> None:
         """End a start and pass its slot on."""
-        self.line.finish(start, outcome, asyncio.get_running_loop().time())
-        if len(self.line):
+        self.queue.finish(start, outcome, asyncio.get_running_loop().time())
+        if len(self.queue):
             self._pump()
 
     def _pump(self) -> None:
         """Start and refuse waiting calls; set the timer if some still wait."""
         now_s = asyncio.get_running_loop().time()
         # A start whose caller has gone frees its slot for another call.
-        while sum(self._settle(decision, now_s) for decision in self.line.advance(now_s)):
+        while sum(self._settle(decision, now_s) for decision in self.queue.advance(now_s)):
             pass
-        self._observer.counters[f"line_length_{self._service}"] = len(self.line)
-        if len(self.line) and self._timer is None:
+        self._observer.counters[f"queue_length_{self._service}"] = len(self.queue)
+        if len(self.queue) and self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(SWEEP_S, self._tick)
 
     def _tick(self) -> None:
@@ -277,7 +277,7 @@
             case Start():
                 if future is None or not is_waiting:
                     now_s = asyncio.get_running_loop().time()
-                    self.line.finish(decision, SendOutcome.NOT_SENT, now_s)
+                    self.queue.finish(decision, SendOutcome.NOT_SENT, now_s)
                     return True
                 future.set_result(self.grant(decision))
             case Refusal():
@@ -288,17 +288,17 @@
     def _refusal_error(self, refusal: Refusal, now_s: float) -> RequestError:
         """Count a refusal and return its error."""
         reason = refusal.reason
-        self._observer.counters[f"line_refused_{reason.value}"] += 1
-        self._observer.counters["line_returns_booked"] += refusal.booked
+        self._observer.counters[f"queue_refused_{reason.value}"] += 1
+        self._observer.counters["queue_returns_booked"] += refusal.booked
         self._refused[reason.value] += 1
-        rate_per_s = self.line.capacity.rate_per_s(now_s)
+        rate_per_s = self.queue.capacity.rate_per_s(now_s)
         if now_s - self._logged_at_s >= LOG_INTERVAL_S:
             self._log(rate_per_s, now_s)
-        rooms = self.line.rooms.rooms.values()
-        has_target = reason is not RefusalReason.NO_TARGET and not all(r.failed for r in rooms)
+        limiters = self.queue.limiters.by_instance.values()
+        has_target = reason is not RefusalReason.NO_TARGET and not all(r.failed for r in limiters)
         return RequestError(
             ErrorKind.OVERLOADED if has_target else ErrorKind.NO_TARGET,
-            f"{self._service}: not queued ({reason.value}); {len(self.line)} calls wait, "
+            f"{self._service}: not queued ({reason.value}); {len(self.queue)} calls wait, "
             f"{rate_per_s:.0f} start per second, waited {now_s - refusal.entry.arrival_s:.3f} s",
             ran=Ran.NO,
             retry_after_s=refusal.retry_after_s,
@@ -307,18 +307,18 @@
     def _log(self, rate_per_s: float, now_s: float) -> None:
         """Log the inputs of the decisions and the refusals since the last such line."""
         self._logged_at_s = now_s
-        rooms = self.line.rooms.rooms.values()
+        limiters = self.queue.limiters.by_instance.values()
         self._logger.warning(
             "service=%s refuses calls: queue=%d in_flight=%d limit=%d targets=%d closed=%d "
             "rate_per_s=%.0f oldest=%.3f s refused=%s",
             self._service,
-            len(self.line),
-            sum(room.in_flight for room in rooms),
-            sum(int(room.limit) for room in rooms if not room.is_closed),
-            len(rooms),
-            sum(room.is_closed for room in rooms),
+            len(self.queue),
+            sum(limiter.in_flight for limiter in limiters),
+            sum(int(limiter.limit) for limiter in limiters if not limiter.is_closed),
+            len(limiters),
+            sum(limiter.is_closed for limiter in limiters),
             rate_per_s,
-            self.line.oldest_wait_s(now_s),
+            self.queue.oldest_wait_s(now_s),
             dict(self._refused),
         )
         self._refused.clear()
--- a/samphirecleat/dispatch/_room.py
+++ b/samphirecleat/dispatch/_target_limiter.py
@@ -1,4 +1,4 @@
-"""Tracks how many calls each target of a service has room for, and how fast it serves them.
+"""Tracks how many calls each target of a service can take, and how fast it serves them.
 
 Load addressed: a target has a few slots, queues about as many calls as it has slots a few times
 over, and refuses the rest. Calls that are sent beyond the slots are answered late or refused. A
@@ -37,7 +37,7 @@
 SHARE_WEIGHT: Final = 0.005
 
 
-class TargetRoom:
+class TargetLimiter:
     """One target: its calls in flight, its limit, and its mean time of a call.
 
     ``failed`` says that it is closed because of a failure and not because of refusals.
@@ -74,7 +74,7 @@
         """Time from which a closed target may be probed."""
         return self._closed_until_s
 
-    def has_room(self, body_bytes: int, now_s: float) -> bool:
+    def accepts(self, body_bytes: int, now_s: float) -> bool:
         """Whether a call with a body of this size may be sent now; for a closed one, as probe."""
         if self.is_closed:
             return self._probe is None and now_s >= self._closed_until_s
@@ -162,63 +162,65 @@
         self._closed_until_s = now_s + close_s
 
 
-class RoomTable:
-    """The rooms of a service's targets by instance."""
+class LimiterTable:
+    """The limiters of a service's targets by instance."""
 
     def __init__(self) -> None:
         """Start without targets."""
-        self.rooms: dict[str, TargetRoom] = {}
+        self.by_instance: dict[str, TargetLimiter] = {}
         self.prior_s = 0.03
         self._trainer_share = 0.0
 
     def replace(self, targets: Iterable[Target]) -> None:
-        """Set the targets; a room is kept unless its target has restarted or has other slots.
+        """Set the targets; a limiter is kept unless its target has restarted or has other slots.
 
-        Calls in flight at a target that has gone still finish at their own room.
+        Calls in flight at a target that has gone still finish at their own limiter.
         """
-        rooms = {}
+        limiters = {}
         for target in targets:
-            room = self.rooms.get(target.instance)
-            if room is None or _start_and_slots(room.target) != _start_and_slots(target):
-                room = TargetRoom(target)
-            room.target = target
-            rooms[target.instance] = room
-        self.rooms = rooms
+            limiter = self.by_instance.get(target.instance)
+            if limiter is None or _start_and_slots(limiter.target) != _start_and_slots(target):
+                limiter = TargetLimiter(target)
+            limiter.target = target
+            limiters[target.instance] = limiter
+        self.by_instance = limiters
 
     def record_start(self, *, for_trainer: bool) -> None:
         """Count a start, for the share of trainers' calls."""
         self._trainer_share += SHARE_WEIGHT * (float(for_trainer) - self._trainer_share)
 
-    def mean_s(self, room: TargetRoom, now_s: float, *, for_trainer: bool) -> float:
+    def mean_s(self, limiter: TargetLimiter, now_s: float, *, for_trainer: bool) -> float:
         """Return the mean time of a call at a target."""
-        return room.mean_s(self.prior_s, now_s, for_trainer=for_trainer)
+        return limiter.mean_s(self.prior_s, now_s, for_trainer=for_trainer)
 
     def fastest_s(self, now_s: float, *, for_trainer: bool) -> float:
         """Return the smallest mean time among the open targets, the prior if there is none."""
         return min(
             (
-                self.mean_s(room, now_s, for_trainer=for_trainer)
-                for room in self.rooms.values()
-                if not room.is_closed
+                self.mean_s(limiter, now_s, for_trainer=for_trainer)
+                for limiter in self.by_instance.values()
+                if not limiter.is_closed
             ),
             default=self.prior_s,
         )
 
     def service_rate_per_s(self, instances: Collection[str], now_s: float) -> float:
         """Return the calls per second that the open ones of these targets can serve."""
-        rooms = [self.rooms[instance] for instance in instances if instance in self.rooms]
-        return self._rate_per_s([room for room in rooms if not room.is_closed], now_s)
+        limiters = [
+            self.by_instance[instance] for instance in instances if instance in self.by_instance
+        ]
+        return self._rate_per_s([limiter for limiter in limiters if not limiter.is_closed], now_s)
 
     def reopened_rate_per_s(self, now_s: float) -> float:
         """Return the calls per second that all targets can serve once they are open again."""
-        return self._rate_per_s(self.rooms.values(), now_s)
+        return self._rate_per_s(self.by_instance.values(), now_s)
 
-    def _rate_per_s(self, rooms: Iterable[TargetRoom], now_s: float) -> float:
+    def _rate_per_s(self, limiters: Iterable[TargetLimiter], now_s: float) -> float:
         rate_per_s = 0.0
-        for room in rooms:
-            mean_s = self._trainer_share * self.mean_s(room, now_s, for_trainer=True)
-            mean_s += (1.0 - self._trainer_share) * self.mean_s(room, now_s, for_trainer=False)
-            rate_per_s += min(room.limit, float(room.slots)) / mean_s
+        for limiter in limiters:
+            mean_s = self._trainer_share * self.mean_s(limiter, now_s, for_trainer=True)
+            mean_s += (1.0 - self._trainer_share) * self.mean_s(limiter, now_s, for_trainer=False)
+            rate_per_s += min(limiter.limit, float(limiter.slots)) / mean_s
         return rate_per_s
 
 
--- a/samphirecleat/dispatch/_waiting_calls.py
+++ b/samphirecleat/dispatch/_waiting_calls.py
@@ -12,7 +12,7 @@
 from ._recent_starts import RecentStarts
 
 
-class LineEntry(NamedTuple):
+class QueuedCall(NamedTuple):
     """A call that waits, or asks to wait, for a target of a service.
 
     ``key`` grows with each call and so keeps the order of arrival. ``objective_end_s`` is the end
@@ -37,7 +37,7 @@
 class _Waiting(NamedTuple):
     due_s: float
     key: int
-    entry: LineEntry
+    entry: QueuedCall
 
 
 def _due(waiting: _Waiting) -> float:
@@ -51,7 +51,7 @@
 class WaitingCalls:
     """Calls of one rank; of each workspace, the call that is due first comes first."""
 
-    def __init__(self, due_s: Callable[[LineEntry], float]) -> None:
+    def __init__(self, due_s: Callable[[QueuedCall], float]) -> None:
         """Order by ``due_s``, the time by which a call is to be answered."""
         self._due_s = due_s
         self._by_workspace: dict[str, list[_Waiting]] = {}
@@ -61,7 +61,7 @@
         """Return the number of calls."""
         return self._count
 
-    def __iter__(self) -> Iterator[LineEntry]:
+    def __iter__(self) -> Iterator[QueuedCall]:
         """Iterate over the calls in the order in which they are due."""
         calls = sorted(w for waiting in self._by_workspace.values() for w in waiting)
         return iter([w.entry for w in calls])
@@ -75,13 +75,13 @@
         """Return the number of waiting calls of a workspace."""
         return len(self._by_workspace.get(workspace, ()))
 
-    def add(self, entry: LineEntry) -> None:
+    def add(self, entry: QueuedCall) -> None:
         """Add a call."""
         waiting = self._by_workspace.setdefault(entry.workspace, [])
         insort(waiting, _Waiting(self._due_s(entry), entry.key, entry))
         self._count += 1
 
-    def remove(self, entry: LineEntry) -> bool:
+    def remove(self, entry: QueuedCall) -> bool:
         """Remove a call; return False if it isn't here."""
         waiting = self._by_workspace.get(entry.workspace, [])
         index = bisect_left(waiting, (self._due_s(entry), entry.key), key=_order)
@@ -94,8 +94,8 @@
         return True
 
     def first(
-        self, due_from_s: float, starts: RecentStarts, fits: Callable[[LineEntry], bool]
-    ) -> LineEntry | None:
+        self, due_from_s: float, starts: RecentStarts, fits: Callable[[QueuedCall], bool]
+    ) -> QueuedCall | None:
         """Return the next call that is due at ``due_from_s`` or later and for which ``fits`` holds.
 
         It belongs to the workspace with the fewest recent starts and is due first of its calls.
@@ -115,7 +115,7 @@
                     break
         return best[1].entry if best is not None else None
 
-    def take_due_before(self, time_s: float) -> list[LineEntry]:
+    def take_due_before(self, time_s: float) -> list[QueuedCall]:
         """Remove and return the calls that are due before a time."""
         taken = []
         for workspace, waiting in list(self._by_workspace.items()):
@@ -129,6 +129,6 @@
         self._count -= len(taken)
         return taken
 
-    def last_of_largest(self) -> LineEntry:
+    def last_of_largest(self) -> QueuedCall:
         """Return the call due last of the workspace with the most waiting calls."""
         return max(self._by_workspace.values(), key=len)[-1].entry
