--- a/samphirecleat/platform/_boot_settings.py
+++ b/samphirecleat/platform/_boot_settings.py
@@ -69,6 +69,17 @@
         """Whether the platform accepts orders of targets."""
         return DUTY_SCALING in self.api_duties
 
+    def keeping_listeners_of(self, running: "BootSettings") -> "BootSettings":
+        """Return these settings with the listen addresses of the running node."""
+        return self._replace(
+            front_address=running.front_address,
+            ready_address=running.ready_address,
+            control_address=running.control_address,
+            directory_address=running.directory_address,
+            peer_ports=running.peer_ports,
+            metrics_port=running.metrics_port,
+        )
+
 
 class BootSettingsError(Exception):
     """Settings are invalid; the message names the file, the key and the problem."""
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 import time
-from collections.abc import Sequence
 from typing import Final
 
 import aiohttp
@@ -15,12 +14,7 @@
 from ..controllers.membership import Membership
 from ..dispatch import (
     MAX_NODES_WITHOUT_OWNERS,
-    CallGateway,
-    GatewayNode,
-    GrantedChannel,
     OwnershipView,
-    SlotQueue,
-    count_usage_in_scope,
 )
 from ..durable import (
     DutyDependencies,
@@ -37,29 +31,25 @@
 from ..peers import HeartbeatCodec
 from ..serving import (
     ApiKeyAuthenticator,
-    Call,
-    Forwarder,
-    Route,
     RouteTable,
     StreamRelay,
-    TargetAnswer,
     TargetRegistry,
     TargetTable,
     discard_usage,
 )
 from ..targets import make_connector
 from ..usage import (
-    ClockSample,
     TrueClock,
     UsageCounter,
+    clock_samples,
     write_interval_s,
 )
 from ._auxiliary_endpoints import AuxiliaryEndpoints
 from ._boot_settings import BootSettings
 from ._call_bytes import CallBytes
-from ._call_exchange import CallExchange
 from ._call_stream import CallStream
 from ._crash_parts import wire_crash_parts
+from ._dispatch_parts import DispatchParts
 from ._duty_api import DutyApi
 from ._engine_orders import EngineOrders
 from ._front import CallerHandler
@@ -67,9 +57,8 @@
 from ._generation_stream import GenerationStream
 from ._listeners import Listeners
 from ._metadata_store import MetadataStore
+from ._node_addresses import peer_control_addresses, ready_members, seed_peer_addresses
 from ._node_duties import NodeDuties, PlatformView
-from ._owner_channel import NodeCallClient
-from ._owner_endpoint import NodeCallHandler
 from ._peer_texts import PeerTextClient
 from ._target_sessions import TargetSessions
 from ._watches import OperatorWatch, TargetWatch
@@ -141,12 +130,11 @@
         self._clock = TrueClock(asyncio.get_running_loop().time, boot_time_s, time.time)
         self._session = aiohttp.ClientSession(connector=make_connector(STORE_KEEPALIVE_IDLE_S))
         self._sessions = TargetSessions(self.observer)
-        self._node_calls = NodeCallClient(self.observer)
         self.targets.warm.keep_alive_s = self._sessions.idle_timeout_s
         self._store = MetadataStore(
             self._session,
             settings.store_address,
-            self._peer_control_addresses,
+            lambda: peer_control_addresses(self.board, self.settings),
             self.observer,
             self._rng,
         )
@@ -160,7 +148,7 @@
             HeartbeatCodec(settings.store_address),
             self.observer,
             self._own_member,
-            seeds=self._seed_peer_addresses(),
+            seeds=seed_peer_addresses(self.settings),
             heartbeat_s=HEARTBEAT_INTERVAL_S,
             suspect_after_s=SUSPECT_AFTER_S,
             rng=self._rng,
@@ -198,14 +186,7 @@
             if old != new
         ]
         self._logger.info("settings read again changed=%s", ",".join(changed))
-        self.settings = settings._replace(
-            front_address=self.settings.front_address,
-            ready_address=self.settings.ready_address,
-            control_address=self.settings.control_address,
-            directory_address=self.settings.directory_address,
-            peer_ports=self.settings.peer_ports,
-            metrics_port=self.settings.metrics_port,
-        )
+        self.settings = settings.keeping_listeners_of(self.settings)
         self._store.set_address(settings.store_address)
         self._api.set_address(settings.api_address)
         self._call_bytes.budget.limit_bytes = settings.call_bytes_limit
@@ -243,13 +224,13 @@
         await self._listeners.close()
         self._store.close()
         await self._sessions.close()
-        await self._node_calls.close()
+        await self._dispatch.client.close()
         await self._session.close()
         self._logger.info("stopped")
 
     def _has_pending_work(self) -> bool:
         unwritten = self.step_log.unlisted_count + self._counter.unwritten_calls
-        in_flight = self.front.in_flight + self._owned_calls.in_flight
+        in_flight = self.front.in_flight + self._dispatch.endpoint.in_flight
         return in_flight > 0 or unwritten > 0
 
     def _wire_followers(self) -> None:
@@ -265,7 +246,6 @@
         )
 
     def _wire_serving(self) -> None:
-        exchange = GrantedChannel(CallExchange(self._sessions))
         self._counter = UsageCounter(
             self._store,
             self._clock,
@@ -275,20 +255,22 @@
             self._rng,
         )
         meter = self._counter.record_start if self.settings.reports_usage else discard_usage
-        slots = SlotQueue(self.targets, self.ownership.owned, self.observer)
-        forwarder = Forwarder(
+        self._call_bytes = CallBytes(
+            self.settings.call_bytes_limit, self.observer, lambda: self.board.leaving
+        )
+        self._dispatch = DispatchParts(
+            self.board,
             self.routes,
             self.targets,
-            exchange,
-            self._rng,
-            count_usage_in_scope(meter),
+            self.ownership,
+            self._sessions,
+            self._call_bytes,
+            meter,
             self._crashes.guard,
-            slots,
-        )
-        self._call_bytes = CallBytes(
-            self.settings.call_bytes_limit, self.observer, lambda: self.board.leaving
+            self.observer,
+            self._rng,
         )
-        gateway = self._wire_dispatch(forwarder, slots)
+        gateway, forwarder = self._dispatch.gateway, self._dispatch.forwarder
         self.step_log = StepLog(
             self._store,
             self.board.identity.incarnation,
@@ -340,30 +322,6 @@
             self.board, self.settings, dependencies, self._api, view, self._rng
         )
 
-    def _wire_dispatch(self, forwarder: Forwarder, slots: SlotQueue) -> CallGateway:
-        """Connect this node to the owners of targets, and as an owner to the other nodes."""
-
-        async def forward_for_node(call: Call, route: Route) -> TargetAnswer:
-            return await forwarder.forward(call, route, priority=route.priority)
-
-        self._gateway = CallGateway(
-            forwarder,
-            self.ownership,
-            self._node_calls,
-            GatewayNode(self.board.identity, slots.projected_wait_s, self.routes.call_priority),
-            self.observer,
-            self._rng,
-        )
-        self._owned_calls = NodeCallHandler(
-            forward_for_node,
-            slots.projected_wait_s,
-            self._gateway.grant_attempt,
-            self._node_calls.ask_attempt,
-            self._call_bytes,
-            self.observer,
-        )
-        return self._gateway
-
     def _reading_pause_s(self) -> float:
         return reading_pause_s(len(self.board.members), runs_work=self._duties.runs_any_service())
 
@@ -373,7 +331,7 @@
         endpoints = AuxiliaryEndpoints(
             self._store,
             self.observer,
-            self._ready_members,
+            lambda: ready_members(self.board),
             self._is_ready,
             settings.entry_ttl_s,
             self.step_log.texts.cached,
@@ -391,7 +349,9 @@
             await listeners.open_optional(address, metrics, "metrics")
         peer_address = self.board.identity.peer_address
         # Without this listener, other nodes dispatch the calls of the targets that it owns.
-        await listeners.open_optional(peer_address, self._owned_calls.server(), "calls of nodes")
+        await listeners.open_optional(
+            peer_address, self._dispatch.endpoint.server(), "calls of nodes"
+        )
         peer_host, _, peer_port = peer_address.rpartition(":")
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self._membership, local_addr=(peer_host, int(peer_port))
@@ -403,33 +363,16 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._call_bytes.publish()
             self.target_watch.refresh()
-            self._refresh_ownership()
+            services = self.routes.config.services
+            self._dispatch.refresh(self.board.live_members(), self.targets.targets, services)
             self._crashes.guard.review([m.incarnation for m in self.board.live_members()])
             if self.settings.reports_usage:
                 self._correct_clock()
             await self._sessions.close_stale(self.targets.targets)
 
-    def _refresh_ownership(self) -> None:
-        """Compute the owners of targets from the current membership and registrations."""
-        members = self.board.live_members()
-        self._gateway.forget_owners([member.incarnation for member in members])
-        services = self.routes.config.services
-        if not self.ownership.update(members, self.targets.targets, services):
-            return
-        owned = self.ownership.owned_by_service()
-        self.observer.counters["owned_targets"] = sum(len(names) for names in owned.values())
-        self._logger.info(
-            "owned targets changed: %s",
-            " ".join(f"{name}={','.join(sorted(owned[name]))}" for name in sorted(owned)) or "none",
-        )
-
     def _correct_clock(self) -> None:
         """Set the clock, which decides the usage window of a call, to the median of the fleet."""
-        samples = [
-            ClockSample(view.member.time_of_day_ms / 1000.0, view.heard_at_s)
-            for view in self.board.members.values()
-            if view.alive and view.member.time_of_day_ms
-        ]
+        samples = clock_samples(self.board.members.values())
         correction_s = self._clock.synchronize(samples)
         if abs(correction_s) > LOGGED_CLOCK_CORRECTION_S:
             self._logger.warning("clock corrected by=%.3f s hosts=%d", correction_s, len(samples))
@@ -464,25 +407,6 @@
             time_of_day_ms=int(time.time() * 1000) if self.settings.reports_usage else 0,
         )
 
-    def _ready_members(self) -> Sequence[Member]:
-        return [m for m in self.board.live_members() if m.ready and not m.leaving]
-
-    def _peer_control_addresses(self) -> Sequence[str]:
-        """Return the control addresses of the other live nodes; all nodes use the same ports."""
-        port = self.settings.control_address.rpartition(":")[2]
-        own = self.board.identity.incarnation
-        return [
-            f"{member.peer_address.rpartition(':')[0]}:{port}"
-            for member in self.board.live_members()
-            if member.incarnation != own and not member.leaving
-        ]
-
-    def _seed_peer_addresses(self) -> Sequence[str]:
-        """Return the peer addresses of the seed hosts, without this host."""
-        port = self.settings.peer_ports[0]
-        hosts = {seed.rpartition(":")[0] for seed in self.settings.seed_addresses}
-        return [f"{host}:{port}" for host in sorted(hosts - {self.settings.ip_address})]
-
     def _log_task_failure(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
             self._logger.error("a background task of the node failed", exc_info=task.exception())
--- a/samphirecleat/usage/__init__.py
+++ b/samphirecleat/usage/__init__.py
@@ -11,7 +11,7 @@
     UsageDependencies,
     UsageDuty,
 )
-from ._true_clock import ClockSample, TrueClock
+from ._true_clock import ClockSample, TrueClock, clock_samples
 
 __all__ = [
     "REPORT_SUBJECT",
@@ -27,5 +27,6 @@
     "UsageLedger",
     "UsageDependencies",
     "WindowCounts",
+    "clock_samples",
     "write_interval_s",
 ]
--- a/samphirecleat/usage/_true_clock.py
+++ b/samphirecleat/usage/_true_clock.py
@@ -5,9 +5,11 @@
 the median over the fleet is used: a wrong host shifts it by no more than the others differ.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Final, NamedTuple
 
+from ..blackboard import MemberView
+
 # With fewer samples there is no majority, and the offset stays unchanged.
 MIN_SAMPLES: Final = 3
 # The event loop's clock stops while the host is suspended, so samples from before a suspension
@@ -22,6 +24,15 @@
     at_loop_s: float
 
 
+def clock_samples(members: Iterable[MemberView]) -> Sequence[ClockSample]:
+    """Return the wall clocks that live members have told, without those that tell none."""
+    return [
+        ClockSample(view.member.time_of_day_ms / 1000.0, view.heard_at_s)
+        for view in members
+        if view.alive and view.member.time_of_day_ms
+    ]
+
+
 class TrueClock:
     """Converts this node's event loop time to true time."""
 
