--- a/samphirecleat/_commands.py
+++ b/samphirecleat/_commands.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from ._decoding import MALFORMED_INPUT_ERRORS
 from ._report_tables import report_tables
 from .config import DocumentError
 from .platform import HttpLog
@@ -52,7 +53,7 @@
         ):
             response.raise_for_status()
             body: Mapping[str, Any] = await response.json()
-    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+    except (aiohttp.ClientError, TimeoutError, *MALFORMED_INPUT_ERRORS) as error:
         print(f"{node} gave no report: {error or type(error).__name__}", file=sys.stderr)
         return EXIT_FAILED
     print(json.dumps(body, indent=2) if as_json else report_tables(body))
--- a/samphirecleat/client/_entries.py
+++ b/samphirecleat/client/_entries.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from .._decoding import MALFORMED_INPUT_ERRORS
 from ..errors import ErrorKind, RequestError
 
 REQUEST_TIMEOUT_S: Final = 2.0
@@ -109,7 +110,7 @@
                     for row in body["entries"]
                 ]
                 ttl_s = float(body["ttl_s"])
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
+        except (aiohttp.ClientError, TimeoutError, OSError, *MALFORMED_INPUT_ERRORS):
             return False
         if not entries:
             return False
--- a/samphirecleat/client/_node_call.py
+++ b/samphirecleat/client/_node_call.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from .._decoding import MALFORMED_INPUT_ERRORS
 from ..errors import RequestError
 from ..requests import (
     ProbeResult,
@@ -86,7 +87,7 @@
                     return
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise ConnectFailedError(str(error)) from error
-    except (SilentConnectionError, aiohttp.ClientError, OSError, ValueError) as error:
+    except (SilentConnectionError, aiohttp.ClientError, OSError, *MALFORMED_INPUT_ERRORS) as error:
         raise AnswerLostError(str(error)) from error
     raise AnswerLostError("the answer ended before its final line")
 
@@ -132,7 +133,7 @@
             return RequestStatus(RunState(body["state"]), int(body["progress"]))
     except (aiohttp.ClientError, TimeoutError, OSError):
         return Unreachable()
-    except (ValueError, KeyError, TypeError):
+    except MALFORMED_INPUT_ERRORS:
         return StatusUnavailable()
 
 
--- a/samphirecleat/client/_trainer.py
+++ b/samphirecleat/client/_trainer.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from .._decoding import MALFORMED_INPUT_ERRORS
 from ..errors import ErrorKind, RequestError
 from ..steps import DeliveryRecord, PullReply, Sample, encode_positions, reply_from_json
 from ._entries import Entry, EntryList
@@ -146,7 +147,7 @@
                 if error.kind in _NON_RETRYABLE_KINDS:
                     raise
                 failed.append(entry.node_id)
-            except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError):
+            except (aiohttp.ClientError, TimeoutError, OSError, *MALFORMED_INPUT_ERRORS):
                 failed.append(entry.node_id)
             else:
                 return entry
@@ -173,7 +174,7 @@
             return reply_from_json(reply)
         except (RequestError, aiohttp.ClientError, TimeoutError, OSError):
             return None
-        except (ValueError, KeyError, TypeError):
+        except MALFORMED_INPUT_ERRORS:
             return None
 
     async def _post(
--- a/samphirecleat/config/_records.py
+++ b/samphirecleat/config/_records.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import Any, Final, NamedTuple
 
+from .._decoding import MALFORMED_INPUT_ERRORS
+
 NO_REVISION: Final = -1
 ANY_REVISION: Final = -2
 """A base that matches any revision in force. Operators use it to recover when the
@@ -64,7 +66,7 @@
                     _as_string(payload["text"]),
                     _as_string(payload["operator"]),
                 )
-    except (AttributeError, KeyError, TypeError, ValueError, OverflowError):
+    except MALFORMED_INPUT_ERRORS:
         return None
     return None
 
--- a/samphirecleat/controllers/steps/_sample_producer.py
+++ b/samphirecleat/controllers/steps/_sample_producer.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Collection
 from typing import Final
 
+from ..._decoding import MALFORMED_INPUT_ERRORS
 from ...blackboard import Blackboard
 from ...errors import ErrorKind, RequestError
 from ...requests import AnswerLine, AnswerLog, Call, Span, WorkClass, merge_spans
@@ -102,7 +103,7 @@
         async for line in answer.read():
             try:
                 return float(line["result"]["score"])
-            except (KeyError, TypeError, ValueError) as error:
+            except MALFORMED_INPUT_ERRORS as error:
                 raise RequestError(
                     ErrorKind.TARGET_FAILED,
                     "the scoring service returned a score that is not a number",
--- a/samphirecleat/controllers/weights/_lease_fold.py
+++ b/samphirecleat/controllers/weights/_lease_fold.py
@@ -17,6 +17,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, Final, NamedTuple
 
+from ..._decoding import MALFORMED_INPUT_ERRORS
 from ...blackboard import LeaseView
 from ...config import LogRecord
 
@@ -76,7 +77,7 @@
             int(payload["base"]),
             int(payload["epoch"]),
         )
-    except (AttributeError, KeyError, TypeError, ValueError, OverflowError):
+    except MALFORMED_INPUT_ERRORS:
         return None
 
 
--- a/samphirecleat/durable/__init__.py
+++ b/samphirecleat/durable/__init__.py
@@ -9,6 +9,7 @@
 from ._duty_tasks import DutyTasks
 from ._engine_ranking import EngineView, PendingItem
 from ._engine_stats import EngineStats, EngineStatsTable
+from ._entry_applier import EntryApplier
 from ._fold import Claim, StepFold, StepState
 from ._follower import TopicFollower
 from ._item_decisions import expected_remaining_events
@@ -82,6 +83,7 @@
     "DutyTasks",
     "EngineReport",
     "EngineStats",
+    "EntryApplier",
     "EngineStatsTable",
     "EngineView",
     "FinishedItem",
--- a/samphirecleat/durable/_access.py
+++ b/samphirecleat/durable/_access.py
@@ -111,6 +111,8 @@
         """
         loop = asyncio.get_running_loop()
         step = await self._find_step(step_id, workspace)
+        if self._step_log.is_uncertain(step_id):
+            raise _not_ready("this node cannot read a record of the step")
         known = len(step.results)
         # The reader may have read more results at another node; catch up with the log first.
         if known < after or (known == after and not self._step_log.is_fresh()):
@@ -174,6 +176,8 @@
             if not await self._step_log.confirm(CONFIRM_TIMEOUT_S):
                 raise _not_ready("the step log is unavailable")
             step = self._step_log.fold.steps.get(step_id)
+        if step is None and self._step_log.is_uncertain(step_id):
+            raise _not_ready("this node cannot read a record of the step")
         if step is None or step.spec.workspace != workspace:
             raise RequestError(ErrorKind.UNKNOWN_STEP, f"no step {step_id}")
         return step
--- a/samphirecleat/durable/_crash_records.py
+++ b/samphirecleat/durable/_crash_records.py
@@ -14,8 +14,10 @@
 
 import msgspec
 
+from .._decoding import decode_json, decoding
 from ..crashes import CrashedRun, CrashLedger
 from ..observe import Observer
+from ._entry_applier import EntryApplier
 from ._follower import TopicFollower, no_pause
 from ._ports import AppendOutcome, KeyedLog, LogEntry
 
@@ -68,6 +70,9 @@
         self._due_s: dict[bytes, float] = {}
         self._scheduled = asyncio.Event()
         self._written: dict[bytes, _PersistedRecord] = {}
+        self._applied_at_s = 0.0
+        self._applies_history = True
+        self._applier = EntryApplier(CRASH_TOPIC, self._apply_one, observer)
         self._follower = TopicFollower(
             log,
             CRASH_TOPIC,
@@ -170,27 +175,49 @@
         return msgspec.json.encode({"refused": suspect.refused, "ends": ends})
 
     def _apply_entries(self, entries: Sequence[LogEntry], historical: bool) -> None:
-        now_s = asyncio.get_running_loop().time()
-        for entry in entries:
-            try:
-                self._apply_record(
-                    bytes.fromhex(entry.key), entry.value, now_s, historical=historical
-                )
-            except (msgspec.MsgspecError, ValueError, KeyError, TypeError) as error:
-                self._logger.error("offset=%d cannot be decoded: %r", entry.offset, error)
+        self._applied_at_s = asyncio.get_running_loop().time()
+        self._applies_history = historical
+        self._applier.apply(entries)
 
-    def _apply_record(self, digest: bytes, value: bytes, now_s: float, *, historical: bool) -> None:
+    def _apply_one(self, entry: LogEntry) -> None:
         """Apply one record.
 
-        :raises ValueError: when it is malformed; also KeyError, TypeError and MsgspecError.
+        :raises MalformedError: when its key or its value is malformed.
         """
-        if not value:
+        now_s = self._applied_at_s
+        with decoding("key"):
+            digest = bytes.fromhex(entry.key)
+        if not entry.value:
             self._written.pop(digest, None)
             self._ledger.drop(digest, now_s)
             return
-        body: Mapping[str, Any] = msgspec.json.decode(value)
-        wall_to_loop_s = now_s - time.time()
-        ends = [
+        record = decode_crash_record(entry.value, now_s - time.time())
+        for run in record.runs:
+            self._ledger.record_crash(digest, run, now_s, fresh=not self._applies_history)
+        if record.refused and self._ledger.record_refused(digest, now_s):
+            self._logger.warning(
+                "call=%s barred by the log ends=%d", digest.hex(), len(record.runs)
+            )
+        self._written[digest] = _PersistedRecord(
+            frozenset(run.target for run in record.runs), record.refused, now_s
+        )
+
+
+class CrashRecord(NamedTuple):
+    """What the log holds of a call: runs whose target crashed, and whether it is refused."""
+
+    runs: Sequence[CrashedRun]
+    refused: bool
+
+
+def decode_crash_record(value: bytes, wall_to_loop_s: float) -> CrashRecord:
+    """Return the record of a call; ``wall_to_loop_s`` converts the time of day to the loop's clock.
+
+    :raises MalformedError: when it is malformed.
+    """
+    with decoding("crash record"):
+        body: Mapping[str, Any] = decode_json(value)
+        runs = [
             CrashedRun(
                 str(row["target"]),
                 float(row["begun_ms"]) / 1000.0 + wall_to_loop_s,
@@ -199,11 +226,4 @@
             )
             for row in body["ends"]
         ]
-        refused = bool(body["refused"])
-        for end in ends:
-            self._ledger.record_crash(digest, end, now_s, fresh=not historical)
-        if refused and self._ledger.record_refused(digest, now_s):
-            self._logger.warning("call=%s barred by the log ends=%d", digest.hex(), len(ends))
-        self._written[digest] = _PersistedRecord(
-            frozenset(end.target for end in ends), refused, now_s
-        )
+        return CrashRecord(runs, bool(body["refused"]))
--- a/samphirecleat/durable/_follower.py
+++ b/samphirecleat/durable/_follower.py
@@ -86,6 +86,12 @@
                 unavailable = True
                 await asyncio.sleep(self._rng.uniform(*RETRY_DELAY_RANGE_S))
                 continue
+            except Exception:
+                if not self._ordered:
+                    # The sink may have applied a part of the entries; a snapshot has them all. An
+                    # ordered sink ignores entries that it gets again.
+                    self.end = -1
+                raise
             if unavailable:
                 self._logger.info("topic=%s log available again end=%d", self._topic, self.end)
             unavailable = False
--- a/samphirecleat/durable/_item_store.py
+++ b/samphirecleat/durable/_item_store.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from .._decoding import MalformedError, decode_msgpack
 from ._ports import LogUnavailableError
 from ._records import ItemSpec, TextRef
 from ._texts import TextStore
@@ -33,7 +34,16 @@
         """
         blobs = await self._texts.read_blobs([ref])
         try:
-            items = _DECODER.decode(blobs[ref.key])
-        except msgspec.MsgspecError as error:
+            items = decode_items(blobs[ref.key])
+        except MalformedError as error:
             raise LogUnavailableError(f"items cannot be decoded: {error}") from error
         return {item.item_id: item for item in items}
+
+
+def decode_items(blob: bytes) -> Sequence[ItemSpec]:
+    """Return the items of a step.
+
+    :raises MalformedError: when the blob cannot be decoded.
+    """
+    items: Sequence[ItemSpec] = decode_msgpack(_DECODER, blob)
+    return items
--- a/samphirecleat/durable/_journal.py
+++ b/samphirecleat/durable/_journal.py
@@ -11,10 +11,11 @@
 
 import msgspec
 
+from .._decoding import MalformedError, decode_msgpack
 from ..observe import Observer
 from ._drafts import Draft, DraftPart, DraftStore
 from ._ports import AppendOutcome, LogUnavailableError, PlainLog
-from ._records import RecordFormatError, compress, decompress
+from ._records import compress, decompress
 
 PROGRESS_TOPIC: Final = "progress"
 # The failure of a runner loses at most this much of each text, about a dozen events.
@@ -93,8 +94,8 @@
         parts: list[DraftPart] = []
         for record in records:
             try:
-                parts.extend(_DECODER.decode(decompress(record)))
-            except (msgspec.MsgspecError, RecordFormatError) as error:
+                parts.extend(decode_draft_parts(record))
+            except MalformedError as error:
                 self._logger.error("skipped a record that cannot be decoded: %s", error)
         # Restore everything at once: a run's parts are spread over many records, and only the
         # joined run shows whether its text is longer.
@@ -102,6 +103,15 @@
         self._logger.info("records=%d parts=%d runs=%d restored", len(records), len(parts), used)
 
 
+def decode_draft_parts(record: bytes) -> Sequence[DraftPart]:
+    """Return the parts of drafts in a record.
+
+    :raises MalformedError: when the record cannot be decoded.
+    """
+    parts: Sequence[DraftPart] = decode_msgpack(_DECODER, decompress(record))
+    return parts
+
+
 def _pack(parts: Sequence[DraftPart]) -> Sequence[bytes]:
     """Return records that contain the parts in order, each of about the target size."""
     records: list[bytes] = []
--- a/samphirecleat/durable/_listing.py
+++ b/samphirecleat/durable/_listing.py
@@ -65,6 +65,8 @@
 
     async def run(self) -> None:
         """List items until cancelled; results that become ready during an append share the next."""
+        # After a failed run, items may wait that nothing announces again.
+        self._changed.set()
         try:
             while True:
                 await self._changed.wait()
--- a/samphirecleat/durable/_member_registry.py
+++ b/samphirecleat/durable/_member_registry.py
@@ -9,8 +9,10 @@
 from collections.abc import Sequence
 from typing import Final
 
+from .._decoding import check_address
 from ..blackboard import Blackboard
 from ..observe import Observer
+from ._entry_applier import EntryApplier
 from ._follower import TopicFollower
 from ._ports import AppendOutcome, KeyedLog, LogEntry
 
@@ -32,6 +34,7 @@
         self._logger = observer.log("members")
         self._rng = rng
         self._addresses: dict[str, str] = {}
+        self._applier = EntryApplier(MEMBER_TOPIC, self._apply_one, observer)
         self._follower = TopicFollower(
             log, MEMBER_TOPIC, self._apply, observer, rng, read_wait_s=READ_WAIT_S
         )
@@ -53,7 +56,17 @@
             await asyncio.sleep(self._rng.uniform(*RETRY_INTERVAL_RANGE_S))
 
     def _apply(self, entries: Sequence[LogEntry], _historical: bool) -> None:
-        for entry in entries:
-            self._addresses[entry.key] = entry.value.decode("ascii", "replace")
+        self._applier.apply(entries)
         own = self._board.identity.node_id
         self._board.listed_nodes = [a for name, a in self._addresses.items() if name != own and a]
+
+    def _apply_one(self, entry: LogEntry) -> None:
+        self._addresses[entry.key] = decode_peer_address(entry.value) if entry.value else ""
+
+
+def decode_peer_address(value: bytes) -> str:
+    """Return the peer address in a node's record.
+
+    :raises MalformedError: if it is no IP address with a port.
+    """
+    return check_address(value.decode("ascii", "replace"))
--- a/samphirecleat/durable/_records.py
+++ b/samphirecleat/durable/_records.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from .._decoding import MalformedError, decode_msgpack, decoding
+
 # The log accepts records of up to 262,143 bytes. Half of that leaves room for the key and
 # prevents one large text from filling an append.
 PART_BYTES: Final = 131_072
@@ -199,10 +201,6 @@
 _DECODER_BY_TAG: Final = {tag: msgspec.msgpack.Decoder(kind) for tag, kind in _TYPE_BY_TAG.items()}
 
 
-class RecordFormatError(Exception):
-    """A log entry that this version cannot decode."""
-
-
 def encode_record(record: Record) -> bytes:
     """Return the encoded form of a record: its type tag and its compressed content."""
     return bytes([_TAG_BY_TYPE[type(record)]]) + compress(msgspec.msgpack.encode(record))
@@ -216,26 +214,21 @@
 def decompress(blob: bytes) -> bytes:
     """Return the content of a compressed blob.
 
-    :raises RecordFormatError: when the blob is not valid compressed data.
+    :raises MalformedError: when the blob is not valid compressed data.
     """
-    try:
+    with decoding("compressed blob"):
         return zlib.decompress(blob)
-    except zlib.error as error:
-        raise RecordFormatError(str(error)) from error
 
 
 def decode_record(blob: bytes) -> Record:
     """Decode a record.
 
-    :raises RecordFormatError: when the tag is unknown or the content cannot be decoded.
+    :raises MalformedError: when the tag is unknown or the content cannot be decoded.
     """
     decoder = _DECODER_BY_TAG.get(blob[0]) if blob else None
     if decoder is None:
-        raise RecordFormatError(f"unknown record tag {blob[:1]!r}")
-    try:
-        record: Record = decoder.decode(decompress(blob[1:]))
-    except msgspec.MsgspecError as error:
-        raise RecordFormatError(str(error)) from error
+        raise MalformedError(f"unknown record tag {blob[:1]!r}")
+    record: Record = decode_msgpack(decoder, decompress(blob[1:]))
     return record
 
 
@@ -273,7 +266,7 @@
     def add(self, key: str, value: bytes) -> Record | None:
         """Add an entry; return the record that it completes, if any.
 
-        :raises RecordFormatError: when the completed record cannot be decoded.
+        :raises MalformedError: when the completed record cannot be decoded.
         """
         if len(value) <= _PART_HEADER_BYTES:
             return None
@@ -294,6 +287,11 @@
     return hashlib.blake2b(subject.encode(), digest_size=10).hexdigest()
 
 
+def subject_prefix(key: str) -> str:
+    """Return the part of an entry's key that :func:`key_prefix` made of its subject."""
+    return key.partition("/")[0]
+
+
 def writer_incarnation(key: str) -> str:
     """Return the incarnation prefix of an entry's writer, "" if the key has another format."""
     parts = key.split("/")
--- a/samphirecleat/durable/_step_log.py
+++ b/samphirecleat/durable/_step_log.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from ..observe import Observer
+from ._entry_applier import EntryApplier
 from ._fold import NO_CLAIM, StepFold
 from ._follower import TopicFollower, no_pause
 from ._item_store import ItemStore
@@ -19,7 +20,6 @@
     ItemSpec,
     Record,
     RecordAssembler,
-    RecordFormatError,
     ResultsListed,
     RunnerClaimed,
     StepAccepted,
@@ -28,6 +28,7 @@
     accepted_record,
     key_prefix,
     split_record,
+    subject_prefix,
     writer_incarnation,
 )
 from ._texts import NO_PEERS, TextStore, drop_prefix
@@ -45,6 +46,8 @@
 ITEM_WRITE_ATTEMPTS: Final = 3
 # IDs of forgotten steps that have yet to be deleted from the log.
 MAX_FORGOTTEN_STEPS: Final = 512
+# Subjects of records that this node could not apply.
+MAX_UNREADABLE_SUBJECTS: Final = 1024
 
 
 def always_true() -> bool:
@@ -84,6 +87,12 @@
         self._follower = TopicFollower(
             log, STEP_TOPIC, self._apply_entries, observer, rng, ordered=True, pause_s=self._pause_s
         )
+        self._applier = EntryApplier(
+            STEP_TOPIC, self._apply_one, observer, self._remember_unreadable
+        )
+        self._unreadable_subjects: deque[str] = deque(maxlen=MAX_UNREADABLE_SUBJECTS)
+        self._applied_at_s = 0.0
+        self._applies_history = True
         self._changed = asyncio.Event()
         self.texts = TextStore(log, self._writer_id, observer, peer_texts)
         self._items = ItemStore(self.texts)
@@ -101,6 +110,18 @@
         """Whether the fold was confirmed to be complete within the last ``within_s`` seconds."""
         return self._follower.age_s() <= within_s
 
+    def is_uncertain(self, step_id: str) -> bool:
+        """Whether the log has a record on a step that this node could not apply.
+
+        Only nodes write to the step log, so the record is one of a newer build or was damaged. It
+        may be the acceptance of the step, or hold results whose positions this node would give
+        away a second time. The other steps, and claims, do not depend on it: a claim that its own
+        writer can't apply is never acted on.
+        """
+        if not self._unreadable_subjects:
+            return False
+        return key_prefix(step_id) in self._unreadable_subjects
+
     async def run(self) -> None:
         """Follow the log and list results until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -227,23 +248,9 @@
         return f"{key_prefix(subject)}/{self._writer_id}/{self._next_key}"
 
     def _apply_entries(self, entries: Sequence[LogEntry], historical: bool) -> None:
-        now_s = asyncio.get_running_loop().time()
-        for entry in entries:
-            if not entry.value:
-                continue
-            self.last_write_at_s[writer_incarnation(entry.key)] = now_s
-            try:
-                record = self._assembler.add(entry.key, entry.value)
-            except RecordFormatError as error:
-                self._logger.error("entry offset=%d cannot be decoded: %s", entry.offset, error)
-                continue
-            if record is not None:
-                changed = self.fold.apply(record, entry.offset, now_s)
-                if changed and isinstance(record, RunnerClaimed) and not historical:
-                    self.claimed_at_s[record.service] = now_s
-                self._count(record, changed=changed)
-                if self._is_own_entry(entry.key):
-                    self._log_record(record, entry.offset, changed=changed)
+        now_s = self._applied_at_s = asyncio.get_running_loop().time()
+        self._applies_history = historical
+        self._applier.apply(entries)
         for step_id in self.fold.forget_before(
             now_s, ENDED_STEP_RETENTION_S, OPEN_STEP_RETENTION_S
         ):
@@ -251,6 +258,31 @@
         changed_event, self._changed = self._changed, asyncio.Event()
         changed_event.set()
 
+    def _apply_one(self, entry: LogEntry) -> None:
+        """Fold one entry.
+
+        :raises MalformedError: when the record that it completes cannot be decoded.
+        """
+        if not entry.value:
+            return
+        now_s = self._applied_at_s
+        self.last_write_at_s[writer_incarnation(entry.key)] = now_s
+        record = self._assembler.add(entry.key, entry.value)
+        if record is None:
+            return
+        changed = self.fold.apply(record, entry.offset, now_s)
+        if changed and isinstance(record, RunnerClaimed) and not self._applies_history:
+            self.claimed_at_s[record.service] = now_s
+        self._count(record, changed=changed)
+        if self._is_own_entry(entry.key):
+            self._log_record(record, entry.offset, changed=changed)
+
+    def _remember_unreadable(self, entry: LogEntry) -> None:
+        """Remember the step of a record that was passed over."""
+        subject = subject_prefix(entry.key)
+        if subject not in self._unreadable_subjects:
+            self._unreadable_subjects.append(subject)
+
     def _is_own_entry(self, key: str) -> bool:
         return f"/{self._writer_id}/" in key
 
--- a/samphirecleat/durable/_texts.py
+++ b/samphirecleat/durable/_texts.py
@@ -12,6 +12,7 @@
 from itertools import pairwise
 from typing import Final
 
+from .._decoding import MalformedError, decoding
 from ..observe import Observer
 from ._ports import AppendOutcome, HistoryGoneError, KeyedLog, LogUnavailableError, PeerTexts
 from ._records import (
@@ -116,7 +117,12 @@
 
         :raises LogUnavailableError: when one of them cannot be read now.
         """
-        return {key: blob.decode() for key, blob in (await self.read_blobs(refs)).items()}
+        blobs = await self.read_blobs(refs)
+        try:
+            with decoding("text"):
+                return {key: blob.decode() for key, blob in blobs.items()}
+        except MalformedError as error:
+            raise LogUnavailableError(str(error)) from error
 
     async def read_blobs(self, refs: Sequence[TextRef]) -> Mapping[str, bytes]:
         """Return decompressed blobs by key.
@@ -134,9 +140,13 @@
         lost = [ref.key for ref in refs if ref.key not in found]
         if lost:
             raise LogUnavailableError(f"texts {lost[:3]} are not in the log")
+        try:
+            blobs = {key: decompress(packed) for key, packed in found.items()}
+        except MalformedError as error:
+            raise LogUnavailableError(str(error)) from error
         for key, packed in found.items():
             self._cache(key, packed)
-        return {key: decompress(packed) for key, packed in found.items()}
+        return blobs
 
     def cached(self, keys: Sequence[str]) -> Mapping[str, bytes]:
         """Return the compressed texts of those keys that are in the cache."""
@@ -166,7 +176,8 @@
         found: dict[str, bytes] = {}
         for incarnation, keys in by_writer.items():
             found.update(await self._peers.fetch(incarnation, keys))
-        return found
+        wanted = {ref.key: ref for ref in group}
+        return {key: packed for key, packed in found.items() if _fits(packed, wanted.get(key))}
 
     async def drop(self, step_id: str) -> bool:
         """Delete all texts of a step; return False if that could not be confirmed."""
@@ -225,6 +236,14 @@
         return f"{key_prefix(step_id)}/{self._writer_id}/{self._next_key}"
 
 
+def _fits(packed: bytes, ref: TextRef | None) -> bool:
+    """Return whether a peer's text is the one that was requested, as far as its size tells."""
+    try:
+        return ref is not None and len(decompress(packed)) == ref.text_bytes
+    except MalformedError:
+        return False
+
+
 def shard_of(step_id: str) -> int:
     """Return the shard of a step's texts, that is the number of their topic."""
     return hashlib.blake2b(step_id.encode(), digest_size=2).digest()[0] % SHARDS
--- a/samphirecleat/entry/_call_headers.py
+++ b/samphirecleat/entry/_call_headers.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from .._decoding import MALFORMED_INPUT_ERRORS
 from ..config import ServiceKind
 from ..errors import ErrorKind, Ran, RequestError
 
@@ -71,7 +72,7 @@
     """
     try:
         body = json.loads(raw)
-    except (ValueError, RecursionError) as error:
+    except MALFORMED_INPUT_ERRORS as error:
         raise RequestError(
             ErrorKind.MALFORMED, f"the request body is not valid JSON: {error}"
         ) from error
--- a/samphirecleat/entry/_trainers.py
+++ b/samphirecleat/entry/_trainers.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from .._decoding import MALFORMED_INPUT_ERRORS
 from ..blackboard import Blackboard
 from ..controllers.steps import StepRegistry
 from ..errors import ErrorKind, RequestError
@@ -50,7 +51,7 @@
             held = decode_positions(str(body.get("held", "0")), spec.size)
             client_id = str(body.get("client", ""))
             version = int(body.get("version", NO_VERSION))
-        except (KeyError, TypeError, ValueError, OverflowError) as error:
+        except MALFORMED_INPUT_ERRORS as error:
             raise RequestError(ErrorKind.MALFORMED, f"the step is malformed: {error!r}") from error
         self._registry.submit(spec, held, client_id, version)
         return web.json_response({"node": self._board.identity.node_id, "size": spec.size})
@@ -66,7 +67,7 @@
         spec = self._registry.find(trainer, step_id).spec
         try:
             pull = _read_pull(body, spec)
-        except (KeyError, TypeError, ValueError, OverflowError) as error:
+        except MALFORMED_INPUT_ERRORS as error:
             raise RequestError(ErrorKind.MALFORMED, f"the pull is malformed: {error!r}") from error
         reply = await self._registry.pull(trainer, step_id, pull)
         return web.json_response(reply_to_json(reply, spec))
--- a/samphirecleat/errors.py
+++ b/samphirecleat/errors.py
@@ -10,6 +10,8 @@
 from enum import Enum
 from typing import Final, NamedTuple, TypedDict
 
+from ._decoding import MALFORMED_INPUT_ERRORS
+
 
 class ErrorKind(Enum):
     """The kind of an error, from the perspective of the client."""
@@ -153,7 +155,7 @@
         try:
             kind = ErrorKind(body["kind"])
             ran = Ran(body["ran"])
-        except (KeyError, ValueError, TypeError):
+        except MALFORMED_INPUT_ERRORS:
             return cls(ErrorKind.OUTCOME_UNKNOWN, f"cannot parse the error response: {body!r}")
         return cls(
             kind,
--- a/samphirecleat/explain/_lines.py
+++ b/samphirecleat/explain/_lines.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple
 
+from .._decoding import MALFORMED_INPUT_ERRORS
+
 MAX_REPORTED_FAULTS: Final = 5
 
 
@@ -52,7 +54,7 @@
         return "no JSON object"
     try:
         fields = json.loads(raw[start:])
-    except ValueError as error:
+    except MALFORMED_INPUT_ERRORS as error:
         return f"not JSON: {error}"
     if not isinstance(fields, dict):
         return "no JSON object"
--- a/samphirecleat/observe/_metrics.py
+++ b/samphirecleat/observe/_metrics.py
@@ -6,6 +6,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from .._decoding import MALFORMED_INPUT_ERRORS
+
 MIN_VALUE_US: Final = 1
 MAX_VALUE_US: Final = 3_600_000_000
 SIGNIFICANT_DIGITS: Final = 2
@@ -74,7 +76,7 @@
     try:
         counters = {str(name): int(count) for name, count in body["counters"].items()}
         histograms = {str(name): str(text) for name, text in body["histograms"].items()}
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except MALFORMED_INPUT_ERRORS as error:
         raise MetricsFormatError(repr(error)) from error
     return Metrics(counters, histograms)
 
--- a/samphirecleat/peers/_client.py
+++ b/samphirecleat/peers/_client.py
@@ -10,6 +10,7 @@
 from grpclib.client import Channel, Stream
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from .._decoding import MALFORMED_INPUT_ERRORS
 from ..blackboard import Member
 from ..config import Restatement
 from ..errors import ErrorKind, RequestError
@@ -130,7 +131,7 @@
                 StatusRequest(key=key), timeout=self._progress_timeout_s, metadata=self._metadata
             )
             return RequestStatus(RunState(reply.state), reply.progress)
-        except (*PEER_ERRORS, ValueError):
+        except (*PEER_ERRORS, *MALFORMED_INPUT_ERRORS):
             return Unreachable()
         finally:
             channel.close()
@@ -159,7 +160,10 @@
             )
         except PEER_ERRORS as error:
             raise PeerUnavailableError(str(error)) from error
-        report: Mapping[str, Any] = json.loads(reply.report)
+        try:
+            report: Mapping[str, Any] = json.loads(reply.report)
+        except MALFORMED_INPUT_ERRORS as error:
+            raise PeerUnavailableError(f"malformed report: {error!r}") from error
         return report
 
     async def fetch_host_list(self, member: Member, timeout_s: float) -> Sequence[ListedHost]:
--- a/samphirecleat/peers/_heartbeat.py
+++ b/samphirecleat/peers/_heartbeat.py
@@ -6,12 +6,13 @@
 
 import msgspec
 
+from .._decoding import MalformedError, decode_msgpack
 from ._messages import Message
 
 DIGEST_BYTES: Final = 16
 
 
-class HeartbeatError(Exception):
+class HeartbeatError(MalformedError):
     """A datagram that is malformed or was not signed with the shared key."""
 
 
@@ -43,8 +44,8 @@
         if not hmac.compare_digest(digest, self._sign(payload)):
             raise HeartbeatError("the datagram's signature does not match")
         try:
-            message = self._decoder.decode(payload)
-        except msgspec.MsgspecError as error:
+            message: Message = decode_msgpack(self._decoder, payload)
+        except MalformedError as error:
             raise HeartbeatError(str(error)) from error
         if not message.rows:
             raise HeartbeatError("the message has no rows")
--- a/samphirecleat/platform/_answers.py
+++ b/samphirecleat/platform/_answers.py
@@ -4,15 +4,13 @@
 
 import aiohttp
 
+from .._decoding import MALFORMED_INPUT_ERRORS
+
 RESPONSE_ERRORS: Final = (
     aiohttp.ClientError,
     TimeoutError,
     ConnectionError,
-    EOFError,
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
+    *MALFORMED_INPUT_ERRORS,
 )
 """Raised by a request without a response, or by decoding a malformed one.
 
--- a/samphirecleat/platform/_auxiliary_endpoints.py
+++ b/samphirecleat/platform/_auxiliary_endpoints.py
@@ -6,6 +6,7 @@
 import msgspec
 from aiohttp import web
 
+from .._decoding import MalformedError, parse_whole_number
 from ..blackboard import Member
 from ..observe import Observer
 from ..serving import advertised_members
@@ -77,7 +78,7 @@
         """Return those of the requested texts that are cached in memory."""
         try:
             return web.Response(body=encode_texts_reply(await request.read(), self._cached_texts))
-        except msgspec.MsgspecError as error:
+        except MalformedError as error:
             return web.Response(status=400, text=str(error))
 
     async def metrics(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -94,8 +95,7 @@
             return web.Response(status=503)
         body = await request.read()
         path = request.raw_path.removeprefix(RELAY_PREFIX)
-        wait_ms = request.query.get("waitMs", "0")
-        wait_s = int(wait_ms) / 1000.0 if wait_ms.isdigit() else 0.0
+        wait_s = (parse_whole_number(request.query.get("waitMs", "0")) or 0) / 1000.0
         try:
             reply = await self._store.relay(request.method, path, body, wait_s)
         except ConnectionRefusedError:
--- a/samphirecleat/platform/_documents.py
+++ b/samphirecleat/platform/_documents.py
@@ -7,8 +7,14 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-import msgspec
-
+from .._decoding import (
+    MalformedError,
+    check_address,
+    check_integer,
+    check_text,
+    decode_json,
+    decoding,
+)
 from ..serving import (
     CallerLimits,
     CallKind,
@@ -23,27 +29,24 @@
 )
 
 _KINDS_BY_VALUE: Final[Mapping[str, CallKind]] = {kind.value: kind for kind in CallKind}
-_DECODER: Final = msgspec.json.Decoder()
 _TARGET_STATES: Final = ("ready", "draining")
-
-
-class DocumentFormatError(Exception):
-    """A document is malformed; the message says where."""
+# More slots than any server has; a larger number is no number of slots.
+_MAX_SLOTS: Final = 1_000_000
 
 
 def decode_config(value: bytes) -> RoutingConfig:
     """Return the configuration in a document.
 
-    :raises DocumentFormatError: if the document is malformed.
+    :raises MalformedError: if the document is malformed.
     """
-    try:
-        body = _DECODER.decode(value)
+    with decoding("configuration"):
+        body = decode_json(value)
         limits = body["limits"]
         tenants = body.get("tenants")
         return RoutingConfig(
             int(body["version"]),
             [_decode_route(row) for row in body["routes"]],
-            {row["name"]: _decode_service(row) for row in body["services"]},
+            {check_text(row["name"], "name"): _decode_service(row) for row in body["services"]},
             CallerLimits(
                 int(limits["maxHeaderBytes"]),
                 int(limits["maxBodyBytes"]),
@@ -53,75 +56,61 @@
             [_decode_workspace(row) for row in tenants or ()],
             requires_keys=tenants is not None,
         )
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DocumentFormatError(f"configuration: {error!r}") from error
 
 
 def decode_named_version(value: bytes) -> tuple[str, int]:
     """Return the model and the version that a trainer announced.
 
-    :raises DocumentFormatError: if the document is malformed.
+    :raises MalformedError: if the document is malformed.
     """
-    try:
-        body = _DECODER.decode(value)
-        model, version = body["model"], body["version"]
-    except (msgspec.MsgspecError, KeyError, TypeError) as error:
-        raise DocumentFormatError(f"model version: {error!r}") from error
-    if not isinstance(model, str) or type(version) is not int:
-        raise DocumentFormatError(
-            f"model version: invalid model or version: {model!r}, {version!r}"
-        )
-    return model, version
+    with decoding("model version"):
+        body = decode_json(value)
+        return check_text(body["model"], "model"), check_integer(body["version"], "version")
 
 
 def decode_target(instance: str, value: bytes) -> Target:
     """Return the target that registered as ``instance``.
 
-    :raises DocumentFormatError: if the registration is malformed.
+    :raises MalformedError: if the registration is malformed.
     """
-    try:
-        body = _DECODER.decode(value)
-        address, state = body["address"], body["state"]
-        host, _, port = address.rpartition(":")
-        target = Target(
-            instance=instance,
-            service=body["service"],
-            address=address,
-            zone=body["zone"],
-            slots=body["slots"],
+    with decoding(f"target {instance}"):
+        body = decode_json(value)
+        state = body["state"]
+        if state not in _TARGET_STATES:
+            raise MalformedError(f"invalid state {state!r}")
+        return Target(
+            instance=check_text(instance, "key"),
+            service=check_text(body["service"], "service"),
+            address=check_address(body["address"]),
+            zone=check_text(body["zone"], "zone"),
+            slots=check_integer(body["slots"], "slots", 1, _MAX_SLOTS),
             draining=state == "draining",
-            versions={row["name"]: row["version"] for row in body.get("models", ())},
-            started_at_ms=body.get("born", 0),
+            versions=_decode_versions(body.get("models", ())),
+            started_at_ms=check_integer(body.get("born", 0), "born"),
             spot=body.get("spot") is True,
         )
-    except (msgspec.MsgspecError, KeyError, TypeError, AttributeError) as error:
-        raise DocumentFormatError(f"target {instance}: {error!r}") from error
-    strings = (target.service, target.address, target.zone)
-    integers = (target.slots, target.started_at_ms, *target.versions.values())
-    if state not in _TARGET_STATES or not host or not port.isdigit():
-        raise DocumentFormatError(
-            f"target {instance}: invalid state or address: {state!r}, {address!r}"
-        )
-    if not all(isinstance(text, str) and text for text in strings):
-        raise DocumentFormatError(f"target {instance}: expected non-empty strings, got {strings!r}")
-    if not all(type(number) is int for number in integers) or target.slots < 1:
-        raise DocumentFormatError(
-            f"target {instance}: invalid slots, start time or versions: {integers!r}"
-        )
-    return target
+
+
+def _decode_versions(rows: Any) -> Mapping[str, int]:
+    return {
+        check_text(row["name"], "model"): check_integer(row["version"], "version") for row in rows
+    }
 
 
 def _decode_route(row: Mapping[str, Any]) -> Route:
     split = row.get("weightedSplit")
     services = (
-        [WeightedService(part["service"], float(part["weight"])) for part in split]
+        [
+            WeightedService(check_text(part["service"], "service"), float(part["weight"]))
+            for part in split
+        ]
         if split
-        else [WeightedService(row["service"], 1.0)]
+        else [WeightedService(check_text(row["service"], "service"), 1.0)]
     )
     return Route(
-        name=row["name"],
-        host=row["host"].lower(),
-        path_prefix=row["pathPrefix"],
+        name=check_text(row["name"], "name"),
+        host=check_text(row["host"], "host").lower(),
+        path_prefix=check_text(row["pathPrefix"], "pathPrefix"),
         kind=_KINDS_BY_VALUE[row["kind"]],
         services=services,
         timeout_s=row.get("timeoutMs", 0) / 1000.0,
--- a/samphirecleat/platform/_engine_orders.py
+++ b/samphirecleat/platform/_engine_orders.py
@@ -1,10 +1,12 @@
 """Sends weight orders to engines and reads their reports; implements :class:`OrderChannel`."""
 
-from typing import Final
+from collections.abc import Mapping
+from typing import Any, Final
 
 import aiohttp
 import msgspec
 
+from .._decoding import check_integer, check_text, decode_json, decoding
 from ..durable import EngineReport, Order, OrderOutcome
 from ..serving import Target
 from ._answers import RESPONSE_ERRORS
@@ -40,14 +42,7 @@
             ) as response:
                 if response.status != 200:
                     return None
-                body = msgspec.json.decode(await response.read())
-                return EngineReport(
-                    {row["name"]: int(row["version"]) for row in body["models"]},
-                    bool(body["busy"]),
-                    # The platform names the number of accepted orders ``sequence``.
-                    int(body["sequence"]),
-                    int(body.get("born", 0)),
-                )
+                return decode_report(await response.read())
         except RESPONSE_ERRORS:
             return None
 
@@ -77,3 +72,22 @@
             return OrderOutcome.REJECTED
         except RESPONSE_ERRORS:
             return OrderOutcome.UNKNOWN
+
+
+def decode_report(content: bytes) -> EngineReport:
+    """Return the report in the body of an engine's response.
+
+    :raises MalformedError: if the body is malformed.
+    """
+    with decoding("report"):
+        body: Mapping[str, Any] = decode_json(content)
+        return EngineReport(
+            {
+                check_text(row["name"], "model"): check_integer(row["version"], "version")
+                for row in body["models"]
+            },
+            bool(body["busy"]),
+            # The platform names the number of accepted orders ``sequence``.
+            check_integer(body["sequence"], "sequence"),
+            check_integer(body.get("born", 0), "born"),
+        )
--- a/samphirecleat/platform/_event_stream.py
+++ b/samphirecleat/platform/_event_stream.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from .._decoding import MalformedError, parse_whole_number
 from ._wire_names import WEIGHT_VERSIONS
 
 # Events have a few hundred bytes; more than this without an event end is a malformed stream.
@@ -13,7 +14,7 @@
 EVENT_STREAM: Final = "text/event-stream"
 
 
-class EventFormatError(Exception):
+class EventFormatError(MalformedError):
     """A malformed event, or a stream that ended within an event."""
 
 
@@ -53,12 +54,13 @@
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         match name.strip().lower():
-            case "id" if value.isdigit():
-                event_id = int(value)
+            case "id" if (number := parse_whole_number(value)) is not None:
+                event_id = number
             case "data":
                 data = value if data is None else f"{data}\n{value}"
-            case key if key == WEIGHT_VERSIONS.lower() and value.strip().isdigit():
-                version = int(value)
+            case key if key == WEIGHT_VERSIONS.lower():
+                number = parse_whole_number(value.strip())
+                version = version if number is None else number
     if event_id < 0 or data is None or version == NO_VERSION:
         raise EventFormatError(f"malformed event: {block[:80]!r}")
     return ParsedEvent(event_id, data, version)
--- a/samphirecleat/platform/_front.py
+++ b/samphirecleat/platform/_front.py
@@ -1,6 +1,7 @@
 """Handles the HTTP requests of callers and trainers: routed calls and batch jobs."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from functools import partial
 from typing import Final
@@ -8,6 +9,7 @@
 
 from aiohttp import web
 
+from .._decoding import parse_whole_number
 from ..durable import StepAccess, StepRequest
 from ..errors import ErrorKind, Ran, RequestError
 from ..observe import Observer
@@ -142,9 +144,7 @@
     ) -> web.StreamResponse:
         """Relay a stream; a broken one aborts the connection, so that it never looks complete."""
         last_event_id = request.headers.get(LAST_EVENT_ID, "")
-        opened = await self._relay.open(
-            call, route, int(last_event_id) if last_event_id.isdigit() else 0
-        )
+        opened = await self._relay.open(call, route, parse_whole_number(last_event_id) or 0)
         if isinstance(opened, TargetAnswer):
             return _response_from(opened)
         response = web.StreamResponse(status=opened.start.status)
@@ -340,14 +340,18 @@
 
     :raises RequestError: if the text is not one.
     """
-    if not text.isdigit():
+    count = parse_whole_number(text)
+    if count is None:
         raise RequestError(ErrorKind.MALFORMED, f"{name}: expected an integer >= 0, got {text!r}")
-    return int(text)
+    return count
 
 
 def _parse_deadline_s(text: str) -> float:
     try:
-        return max(0.0, float(text) / 1000.0) if text else DEFAULT_DEADLINE_S
+        deadline_s = float(text) / 1000.0 if text else DEFAULT_DEADLINE_S
+        if not math.isfinite(deadline_s):
+            raise ValueError("not finite")
+        return max(0.0, deadline_s)
     except ValueError as error:
         detail = f"{DEADLINE_MS}: expected milliseconds, got {text!r}"
         raise RequestError(ErrorKind.MALFORMED, detail) from error
--- a/samphirecleat/platform/_metadata_store.py
+++ b/samphirecleat/platform/_metadata_store.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-from base64 import b64decode
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import suppress
 from typing import Final, NamedTuple
@@ -17,6 +16,7 @@
 import msgspec
 from yarl import URL
 
+from .._decoding import MalformedError
 from ..durable import (
     MAX_READ_BYTES,
     UNCONDITIONAL,
@@ -30,7 +30,9 @@
 from ..observe import Observer
 from ._answers import RESPONSE_ERRORS
 from ._record_framing import (
+    UNREADABLE_KEY,
     decode_keyed_record,
+    decode_newest_page,
     decode_records,
     encode_keyed_record,
     encode_records,
@@ -99,33 +101,32 @@
             if reply.status != 200:
                 raise LogUnavailableError(f"HTTP {reply.status}")
             try:
-                page = msgspec.json.decode(reply.body)
-                rows = [
-                    LogEntry(int(row["offset"]), str(row["key"]), b64decode(row["value"] or ""))
-                    for row in page["items"]
-                ]
-                end = int(page["end"]) if end < 0 else end
-                truncated = bool(page["truncated"])
-            except RESPONSE_ERRORS as error:
-                raise LogUnavailableError(f"malformed response: {error!r}") from error
-            matching = [row for row in rows if row.key.startswith(prefix)]
+                page = decode_newest_page(reply.body)
+            except MalformedError as error:
+                raise LogUnavailableError(f"malformed response: {error}") from error
+            self._report_unreadable(topic, page.unreadable_count, "snapshot")
+            end = page.end if end < 0 else end
+            matching = [entry for entry in page.entries if entry.key.startswith(prefix)]
             entries.extend(matching)
-            if not truncated or len(matching) < len(rows) or not rows:
+            if not page.truncated or len(matching) < len(page.entries):
                 return LogSlice(entries, end)
-            after = rows[-1].key
+            if page.last_key in ("", after):
+                raise LogUnavailableError("no readable key leads to the next page")
+            after = page.last_key
 
     async def read(
         self, topic: str, from_offset: int, wait_s: float, *, max_bytes: int = MAX_READ_BYTES
     ) -> LogSlice:
         """Return the entries from an offset on; see :class:`KeyedLog`."""
         records, end = await self._read_records(topic, from_offset, wait_s, max_bytes)
-        try:
-            entries = [
-                LogEntry(from_offset + index, *decode_keyed_record(record))
-                for index, record in enumerate(records)
-            ]
-        except (IndexError, UnicodeDecodeError) as error:
-            raise LogUnavailableError(f"record without a key: {error!r}") from error
+        entries = []
+        for offset, record in enumerate(records, from_offset):
+            try:
+                entries.append(LogEntry(offset, *decode_keyed_record(record)))
+            except MalformedError as error:
+                # The reader continues after the last entry, so the offset must not be left out.
+                entries.append(LogEntry(offset, UNREADABLE_KEY, b""))
+                self._report_unreadable(topic, 1, f"offset={offset} {error}")
         return LogSlice(entries, end)
 
     async def append(
@@ -206,7 +207,7 @@
         end = int.from_bytes(reply.body[:8])
         try:
             return list(decode_records(reply.body[_READ_HEADER_BYTES:])), end
-        except ValueError as error:
+        except MalformedError as error:
             raise LogUnavailableError(str(error)) from error
 
     async def _append(self, topic: str, records: Sequence[bytes], at: int) -> AppendResult:
@@ -296,6 +297,15 @@
         self._record_result(route, ok=not refused, detail=f"HTTP {reply.status}")
         return reply
 
+    def _report_unreadable(self, topic: str, count: int, detail: str) -> None:
+        """Count entries without a readable key, and log the first of them in a topic."""
+        if not count:
+            return
+        name = f"entries_without_key_{topic}"
+        if not self._observer.counters[name]:
+            self._logger.warning("topic=%s entries without a readable key: %s", topic, detail)
+        self._observer.counters[name] += count
+
     def _record_result(self, route: StoreRoute, *, ok: bool, detail: str) -> None:
         if route.is_direct and ok != self._routes.direct_ok:
             self._logger.warning("direct=%s detail=%s", "regained" if ok else "lost", detail)
--- a/samphirecleat/platform/_owner_channel.py
+++ b/samphirecleat/platform/_owner_channel.py
@@ -7,6 +7,7 @@
 import msgspec
 from yarl import URL
 
+from .._decoding import MalformedError, decode_msgpack
 from ..dispatch import CallReply, CallRequest, HopError, Owner
 from ..observe import Observer
 from ..targets import make_connector, use_strict_handler
@@ -122,6 +123,15 @@
         case _:
             raise HopError("status", f"HTTP {status}", sent=True)
     try:
-        return _REPLY_DECODER.decode(body)
-    except msgspec.MsgspecError as error:
+        return decode_reply(body)
+    except MalformedError as error:
         raise HopError("malformed", str(error), sent=True) from error
+
+
+def decode_reply(body: bytes) -> CallReply:
+    """Return an owner's reply.
+
+    :raises MalformedError: when ``body`` is malformed.
+    """
+    reply: CallReply = decode_msgpack(_REPLY_DECODER, body)
+    return reply
--- a/samphirecleat/platform/_owner_endpoint.py
+++ b/samphirecleat/platform/_owner_endpoint.py
@@ -9,6 +9,7 @@
 import msgspec
 from aiohttp import web
 
+from .._decoding import MalformedError, decode_msgpack
 from ..dispatch import AttemptGrant, CallReply, CallRequest, HopHeader, SendDelays, hop_scope
 from ..errors import RequestError
 from ..observe import Observer
@@ -80,10 +81,10 @@
         with self._call_bytes.lease() as lease:
             try:
                 body = await self._call_bytes.read_body(request, lease, "")
-                content = _REQUEST_DECODER.decode(body)
+                content = decode_request(body)
             except BytesRefusedError as error:
                 return web.Response(body=_encode_reply(CallReply.from_error(error, math.inf)))
-            except msgspec.MsgspecError:
+            except MalformedError:
                 return web.Response(status=400)
             self._counters["owner_calls_received"] += 1
             self.in_flight += 1
@@ -111,6 +112,15 @@
         return AttemptGrant(granted, ask)
 
 
+def decode_request(body: bytes) -> CallRequest:
+    """Return the call that another node sends.
+
+    :raises MalformedError: when ``body`` is malformed.
+    """
+    request: CallRequest = decode_msgpack(_REQUEST_DECODER, body)
+    return request
+
+
 def _encode_reply(reply: CallReply) -> bytes:
     """Return the encoded reply; header bytes that are no text are replaced by ``?``."""
     try:
--- a/samphirecleat/platform/_peer_texts.py
+++ b/samphirecleat/platform/_peer_texts.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from .._decoding import decode_msgpack
 from ..blackboard import Member
 from ._answers import RESPONSE_ERRORS
 
@@ -45,8 +46,8 @@
                 ) as response,
             ):
                 body = await response.read()
-                return _TEXTS_DECODER.decode(body) if response.status == 200 else {}
-        except (*RESPONSE_ERRORS, msgspec.MsgspecError):
+                return decode_texts(body) if response.status == 200 else {}
+        except RESPONSE_ERRORS:
             return {}
 
 
@@ -55,6 +56,15 @@
 ) -> bytes:
     """Return the response to a peer's request for texts.
 
-    :raises msgspec.MsgspecError: when ``body`` is malformed.
+    :raises MalformedError: when ``body`` is malformed.
     """
-    return msgspec.msgpack.encode(dict(cached(_KEYS_DECODER.decode(body))))
+    return msgspec.msgpack.encode(dict(cached(decode_msgpack(_KEYS_DECODER, body))))
+
+
+def decode_texts(body: bytes) -> Mapping[str, bytes]:
+    """Return the compressed texts in a peer's response, by key.
+
+    :raises MalformedError: when ``body`` is malformed.
+    """
+    texts: Mapping[str, bytes] = decode_msgpack(_TEXTS_DECODER, body)
+    return texts
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from .._boot_clock import boot_time_s
+from .._supervisor import TaskSupervisor
 from ..blackboard import Blackboard, Identity, Member
 from ..controllers.membership import Membership
 from ..dispatch import (
@@ -119,7 +120,7 @@
         self.targets = TargetTable(settings.zone, settings.node_id)
         self.ownership = OwnershipView(settings.node_id, max_nodes_without_owners)
         self._listeners = Listeners(self.observer)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = TaskSupervisor(self.observer)
 
     async def start(self) -> None:
         """Open the listeners and start the background tasks.
@@ -156,20 +157,17 @@
         )
         self._crashes.urgent.sender = self._membership
         await self._listen()
-        for coroutine in (
-            self._membership.drive(),
-            self._operator_follower.run(),
-            self._member_registry.run(),
-            self._target_follower.run(),
-            self._crashes.records.run(),
-            self.step_log.run(),
-            self._duties.run(),
-            self._counter.run(),
-            self._run_housekeeping(),
-        ):
-            task = asyncio.ensure_future(coroutine)
-            task.add_done_callback(self._log_task_failure)
-            self._tasks.append(task)
+        # Requests are answered from the state that the needed tasks keep up to date.
+        start = self._supervisor.start
+        start("membership", self._membership.drive)
+        start("configuration", self._operator_follower.run, needed=True)
+        start("member_registry", self._member_registry.run)
+        start("targets", self._target_follower.run, needed=True)
+        start("crash_records", self._crashes.records.run, needed=True)
+        start("step_log", self.step_log.run, needed=True)
+        start("duties", self._duties.run)
+        start("usage_counter", self._counter.run)
+        start("housekeeping", self._run_housekeeping)
         self._logger.info(
             "started node=%s incarnation=%s zone=%s front=%s",
             settings.node_id,
@@ -219,8 +217,7 @@
     async def stop(self) -> None:
         """Cancel every task and close every connection."""
         self._membership.announce_exit()
-        for task in self._tasks:
-            task.cancel()
+        self._supervisor.cancel()
         await self._listeners.close()
         self._store.close()
         await self._sessions.close()
@@ -385,7 +382,8 @@
 
     def _is_ready(self) -> bool:
         caught_up = self._target_follower.caught_up and self._crashes.records.caught_up
-        return self.routes.has_config and caught_up and not self.board.leaving
+        follows_log = caught_up and self._supervisor.needed_tasks_run
+        return self.routes.has_config and follows_log and not self.board.leaving
 
     def _own_member(self) -> Member:
         identity = self.board.identity
@@ -406,7 +404,3 @@
             cores=self.settings.cores,
             time_of_day_ms=int(time.time() * 1000) if self.settings.reports_usage else 0,
         )
-
-    def _log_task_failure(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self._logger.error("a background task of the node failed", exc_info=task.exception())
--- a/samphirecleat/platform/_record_framing.py
+++ b/samphirecleat/platform/_record_framing.py
@@ -1,13 +1,32 @@
 """Encoding of records, record keys and short JSON responses of the platform's store."""
 
-from collections.abc import Iterable, Iterator
-from typing import Any, Final
+from base64 import b64decode
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from typing import Any, Final, NamedTuple
+
+from .._decoding import (
+    MalformedError,
+    check_integer,
+    decode_json,
+    decode_json_with_any_text,
+    decoding,
+)
+from ..durable import LogEntry
 
-import msgspec
+_LENGTH_BYTES: Final = 4
+# An entry whose key can't be read. No reader finds anything under this key, and the entry deletes
+# nothing.
+UNREADABLE_KEY: Final = ""
 
-from ._answers import RESPONSE_ERRORS
 
-_LENGTH_BYTES: Final = 4
+class NewestPage(NamedTuple):
+    """A page of the newest entries; ``last_key`` is where the next page begins, "" if unknown."""
+
+    entries: Sequence[LogEntry]
+    unreadable_count: int
+    end: int
+    truncated: bool
+    last_key: str
 
 
 def encode_records(records: Iterable[bytes]) -> bytes:
@@ -18,14 +37,14 @@
 def decode_records(body: bytes) -> Iterator[bytes]:
     """Yield the records of a response body.
 
-    :raises ValueError: when the last record is truncated.
+    :raises MalformedError: when the last record is truncated.
     """
     position = 0
     while position < len(body):
         size = int.from_bytes(body[position : position + _LENGTH_BYTES])
         position += _LENGTH_BYTES
         if position + size > len(body):
-            raise ValueError("truncated record")
+            raise MalformedError("truncated record")
         yield body[position : position + size]
         position += size
 
@@ -39,11 +58,50 @@
 def decode_keyed_record(record: bytes) -> tuple[str, bytes]:
     """Return the key and the value of a record.
 
-    :raises IndexError: when the record is empty.
-    :raises UnicodeDecodeError: when the key is not valid UTF-8.
+    :raises MalformedError: when the record is empty, or its key is incomplete or not valid UTF-8.
+    """
+    with decoding("record"):
+        size = record[0]
+        if len(record) <= size:
+            raise MalformedError(f"expected a key of {size} bytes, got {len(record) - 1}")
+        return record[1 : 1 + size].decode(), record[1 + size :]
+
+
+def decode_newest_page(body: bytes) -> NewestPage:
+    """Return a page of the newest entries; unreadable rows are left out and counted.
+
+    :raises MalformedError: when the page as a whole is malformed.
+    """
+    with decoding("page"):
+        page: Mapping[str, Any] = decode_json_with_any_text(body)
+        rows = page["items"]
+        entries = []
+        for row in rows:
+            try:
+                entries.append(_decode_row(row))
+            except MalformedError:
+                continue
+        return NewestPage(
+            entries,
+            len(rows) - len(entries),
+            check_integer(page["end"], "end"),
+            bool(page["truncated"]),
+            entries[-1].key if entries else "",
+        )
+
+
+def _decode_row(row: Any) -> LogEntry:
+    """Return the entry of a row.
+
+    :raises MalformedError: when the row is malformed or its key is no text.
     """
-    size = record[0]
-    return record[1 : 1 + size].decode(), record[1 + size :]
+    with decoding("row"):
+        key = row["key"]
+        key.encode()
+        if "\ufffd" in key:
+            raise MalformedError("the key has bytes that are no text")
+        value = b64decode(row["value"] or "", validate=True)
+        return LogEntry(check_integer(row["offset"], "offset"), key, value)
 
 
 def parse_append_offset(body: bytes) -> int:
@@ -58,7 +116,7 @@
 
 def _parse_integer(body: bytes, name: str) -> int:
     try:
-        number: Any = msgspec.json.decode(body)[name]
-        return int(number)
-    except RESPONSE_ERRORS:
+        with decoding("response"):
+            return check_integer(decode_json(body)[name], name)
+    except MalformedError:
         return -1
--- a/samphirecleat/platform/_target_sessions.py
+++ b/samphirecleat/platform/_target_sessions.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from .._decoding import parse_whole_number
 from ..observe import Observer
 from ..serving import Target
 from ..targets import make_connector, use_strict_handler
@@ -53,8 +54,9 @@
         """Update the idle timeout of a service from a ``Keep-Alive`` header, in whole seconds."""
         for part in keep_alive.split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                timeout_s = max(0.2, int(value) - IDLE_TIMEOUT_MARGIN_S)
+            whole_s = parse_whole_number(value)
+            if name.lower() == "timeout" and whole_s is not None:
+                timeout_s = max(0.2, whole_s - IDLE_TIMEOUT_MARGIN_S)
                 if not math.isclose(self._idle_timeouts_s.get(target.service, -1.0), timeout_s):
                     self._idle_timeouts_s[target.service] = timeout_s
                     self._apply_idle_timeout(target.service, timeout_s)
--- a/samphirecleat/platform/_watches.py
+++ b/samphirecleat/platform/_watches.py
@@ -2,16 +2,11 @@
 
 from collections.abc import Mapping, Sequence
 
-from ..durable import LogEntry
+from ..durable import EntryApplier, LogEntry
 from ..observe import Observer
 from ..serving import RouteTable, Target, TargetRegistry, TargetTable
-from ._documents import (
-    DocumentFormatError,
-    decode_config,
-    decode_named_version,
-    decode_target,
-)
-from ._wire_names import CONFIG_KEY, VERSION_KEY_PREFIX
+from ._documents import decode_config, decode_named_version, decode_target
+from ._wire_names import CONFIG_KEY, TOPIC_OPERATOR, TOPIC_TARGETS, VERSION_KEY_PREFIX
 
 
 class OperatorWatch:
@@ -22,25 +17,25 @@
         self._routes = routes
         self._logger = observer.log("config")
         self._newest_versions: dict[str, int] = {}
+        self._applier = EntryApplier(TOPIC_OPERATOR, self._apply_one, observer)
 
     def apply(self, entries: Sequence[LogEntry], is_snapshot: bool) -> None:
-        """Apply entries of the operator's topic; deleted keys are ignored."""
+        """Apply entries of the operator's topic; deleted and malformed ones are ignored."""
         del is_snapshot
-        for entry in entries:
-            if not entry.value:
-                continue
-            try:
-                if entry.key == CONFIG_KEY:
-                    self._apply_config(entry)
-                elif entry.key.startswith(VERSION_KEY_PREFIX):
-                    self._apply_version(entry)
-            except DocumentFormatError as error:
-                self._logger.error("offset=%d malformed entry: %s", entry.offset, error)
+        self._applier.apply(entries)
 
     def newest_version(self, model: str) -> int:
         """Return the newest published version of a model, 1 before the first one."""
         return self._newest_versions.get(model, 1)
 
+    def _apply_one(self, entry: LogEntry) -> None:
+        if not entry.value:
+            return
+        if entry.key == CONFIG_KEY:
+            self._apply_config(entry)
+        elif entry.key.startswith(VERSION_KEY_PREFIX):
+            self._apply_version(entry)
+
     def _apply_config(self, entry: LogEntry) -> None:
         config = decode_config(entry.value)
         if self._routes.put(config):
@@ -80,10 +75,16 @@
         self._registry = registry
         self._table = table
         self._logger = observer.log("targets")
+        self._decoded: dict[str, Target | None] = {}
+        self._applier = EntryApplier(TOPIC_TARGETS, self._decode, observer, self._name_no_target)
 
     def apply(self, entries: Sequence[LogEntry], is_snapshot: bool) -> None:
-        """Apply entries of the targets' topic; a snapshot replaces all registrations."""
-        decoded: dict[str, Target | None] = {entry.key: self._decode(entry) for entry in entries}
+        """Apply entries of the targets' topic; a snapshot replaces all registrations.
+
+        A malformed registration names no target; the others hold.
+        """
+        decoded = self._decoded = {}
+        self._applier.apply(entries)
         if is_snapshot:
             self._registry.replace({name: t for name, t in decoded.items() if t is not None})
         else:
@@ -104,14 +105,11 @@
         else:
             self._registry.put(target)
 
-    def _decode(self, entry: LogEntry) -> Target | None:
-        if not entry.value:
-            return None
-        try:
-            return decode_target(entry.key, entry.value)
-        except DocumentFormatError as error:
-            self._logger.warning("offset=%d malformed target registration: %s", entry.offset, error)
-            return None
+    def _decode(self, entry: LogEntry) -> None:
+        self._decoded[entry.key] = decode_target(entry.key, entry.value) if entry.value else None
+
+    def _name_no_target(self, entry: LogEntry) -> None:
+        self._decoded[entry.key] = None
 
     def _log_changes(self, usable: Mapping[str, Target]) -> None:
         """Log all changes in one line, because every node sees the changes of every target."""
--- a/samphirecleat/targets/_client.py
+++ b/samphirecleat/targets/_client.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from .._decoding import MALFORMED_INPUT_ERRORS
 from ..blackboard import TargetView
 from ..config import Service, ServiceKind
 from ..requests import (
@@ -178,7 +179,7 @@
                 return StatusUnavailable(queued=int(body["waiting"]) > 0)
         except (aiohttp.ClientError, TimeoutError, OSError):
             return Unreachable()
-        except (ValueError, KeyError, TypeError):
+        except MALFORMED_INPUT_ERRORS:
             return StatusUnavailable()
 
     async def cancel(self, target: TargetView, request_id: str) -> None:
@@ -208,7 +209,7 @@
                 continue
             try:
                 return _parse_report(target, body, now_s)
-            except (ValueError, KeyError, TypeError):
+            except MALFORMED_INPUT_ERRORS:
                 break
         return target._replace(reachable=False)
 
@@ -220,7 +221,7 @@
             async with session.get(f"http://{target.address}/v1/load", timeout=timeout) as response:
                 body: Mapping[str, Any] = await response.json()
                 return body
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+        except (aiohttp.ClientError, TimeoutError, OSError, *MALFORMED_INPUT_ERRORS):
             return None
 
     async def order_version(self, target: TargetView, version: int, fencing: int) -> OrderOutcome:
@@ -294,7 +295,7 @@
             raise TargetError(Failed("the answer is larger than the limit", permanent=True))
     try:
         return json.loads(raw)
-    except (ValueError, RecursionError) as error:
+    except MALFORMED_INPUT_ERRORS as error:
         raise TargetError(Lost(f"the answer is not valid JSON: {error}")) from error
 
 
--- a/samphirecleat/targets/_generation.py
+++ b/samphirecleat/targets/_generation.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any, Final
 
+from .._decoding import MALFORMED_INPUT_ERRORS
 from ..requests import AnswerLine, Call, Span
 from ._errors import Lost, TargetError
 
@@ -42,7 +43,7 @@
             raise TargetError(Lost("the stream ended before its last line", connection_closed=True))
         try:
             return self._parse(json.loads(raw))
-        except (ValueError, KeyError, TypeError, RecursionError) as error:
+        except MALFORMED_INPUT_ERRORS as error:
             raise TargetError(Lost(f"a line of the stream is malformed: {error!r}")) from error
 
     def _parse(self, line: dict[str, Any]) -> AnswerLine | None:
--- a/samphirecleat/usage/_counter.py
+++ b/samphirecleat/usage/_counter.py
@@ -81,6 +81,9 @@
 
     async def run(self) -> None:
         """Write counts until cancelled."""
+        if self._pending:
+            # A failed run took these up and did not write them.
+            self._has_pending.set()
         while True:
             await self._has_pending.wait()
             now_s = asyncio.get_running_loop().time()
--- a/samphirecleat/usage/_ledger.py
+++ b/samphirecleat/usage/_ledger.py
@@ -3,9 +3,10 @@
 from collections import Counter
 from collections.abc import Collection, Sequence
 
-from ..durable import LogEntry
+from ..durable import EntryApplier, LogEntry
 from ..observe import Observer
-from ._records import CountsAdded, CountsFinalized, UsageFormatError, WindowCounts, decode_entry
+from ._counter import USAGE_TOPIC
+from ._records import CountsAdded, CountsFinalized, WindowCounts, decode_entry
 
 
 class UsageLedger:
@@ -13,7 +14,7 @@
 
     def __init__(self, observer: Observer) -> None:
         """Start from an empty log."""
-        self._logger = observer.log("usage")
+        self._applier = EntryApplier(USAGE_TOPIC, self._apply_one, observer)
         self._counts: dict[int, Counter[str]] = {}
         self._reports: dict[int, tuple[int, WindowCounts]] = {}
         self._keys: dict[str, int] = {}
@@ -21,20 +22,7 @@
     def apply(self, entries: Sequence[LogEntry], newest: bool) -> None:
         """Apply entries of the topic; an entry whose key was seen before is ignored."""
         del newest
-        for entry in entries:
-            if not entry.value or entry.key in self._keys:
-                continue
-            try:
-                record = decode_entry(entry.key, entry.value)
-            except UsageFormatError as error:
-                self._logger.error("malformed entry offset=%d: %s", entry.offset, error)
-                continue
-            self._keys[entry.key] = record.window
-            match record:
-                case CountsAdded():
-                    self._counts.setdefault(record.window, Counter()).update(record.counts)
-                case CountsFinalized():
-                    self._finalize(record, entry.offset)
+        self._applier.apply(entries)
 
     def counts(self, window: int) -> WindowCounts:
         """Return the counts of a window that nodes have written so far."""
@@ -56,6 +44,17 @@
             del self._reports[old_window]
         return old_keys
 
+    def _apply_one(self, entry: LogEntry) -> None:
+        if not entry.value or entry.key in self._keys:
+            return
+        record = decode_entry(entry.key, entry.value)
+        self._keys[entry.key] = record.window
+        match record:
+            case CountsAdded():
+                self._counts.setdefault(record.window, Counter()).update(record.counts)
+            case CountsFinalized():
+                self._finalize(record, entry.offset)
+
     def _finalize(self, record: CountsFinalized, offset: int) -> None:
         """Apply final counts; the record with the lowest offset is binding, in any order."""
         finalized = self._reports.get(record.window)
--- a/samphirecleat/usage/_records.py
+++ b/samphirecleat/usage/_records.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from .._decoding import MalformedError, decode_msgpack, decoding
+
 WindowCounts = Mapping[str, int]
 """Number of calls started in a window, by workspace."""
 
@@ -35,10 +37,6 @@
 }
 
 
-class UsageFormatError(Exception):
-    """A malformed entry of the usage topic; the message names its key."""
-
-
 def encode_entry(record: UsageRecord, unique_id: str) -> tuple[str, bytes]:
     """Return the key and the value of a record; ``unique_id`` must never be reused."""
     key = f"{_NAMES_BY_TYPE[type(record)]}/{record.window}/{unique_id}"
@@ -48,15 +46,13 @@
 def decode_entry(key: str, value: bytes) -> UsageRecord:
     """Return the record of an entry.
 
-    :raises UsageFormatError: when the entry is malformed.
+    :raises MalformedError: when the entry is malformed.
     """
     decoder = _DECODERS.get(key.partition("/")[0])
     if decoder is None:
-        raise UsageFormatError(f"unknown record type in key {key!r}")
-    try:
-        record: UsageRecord = decoder.decode(value)
-    except msgspec.MsgspecError as error:
-        raise UsageFormatError(f"key {key!r}: {error}") from error
+        raise MalformedError(f"unknown record type in key {key!r}")
+    with decoding(f"key {key!r}"):
+        record: UsageRecord = decode_msgpack(decoder, value)
     return record
 
 
--- a/tests/durable/test_records.py
+++ b/tests/durable/test_records.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from samphirecleat._decoding import MalformedError
 from samphirecleat.durable import ItemListed, ResultsListed
 from samphirecleat.durable._records import (
     PART_BYTES,
     RecordAssembler,
-    RecordFormatError,
     decode_record,
     encode_record,
     key_prefix,
@@ -47,7 +47,7 @@
     "blob", [b"", b"\x09abc", b"\x02not compressed", encode_record(listed("s", "i"))[:-4]]
 )
 def test_malformed_record_is_rejected(blob: bytes) -> None:
-    with pytest.raises(RecordFormatError):
+    with pytest.raises(MalformedError):
         decode_record(blob)
 
 
--- a/tests/durable/test_step_log.py
+++ b/tests/durable/test_step_log.py
@@ -8,6 +8,8 @@
 import pytest
 
 from samphirecleat.durable import StepAccess, StepLog
+from samphirecleat.durable._records import key_prefix
+from samphirecleat.durable._step_log import STEP_TOPIC
 from samphirecleat.errors import ErrorKind, Ran, RequestError
 from samphirecleat.observe import Observer
 
@@ -347,3 +349,34 @@
             assert step_log.fold.claims["svc"].node_id == "n1"
 
     run_async(body)
+
+
+def test_a_step_with_a_record_that_cannot_be_read_is_neither_unknown_nor_listed() -> None:
+    """Guards against a 404 for an accepted step, and a position that holds a second result.
+
+    The record is one of a newer build, or was damaged. All other steps are served.
+    """
+
+    async def body() -> None:
+        log = MemoryLog()
+        async with following(log) as step_log:
+            await until(lambda: step_log.caught_up)
+            access = StepAccess(step_log)
+            for step_id in ("s1", "s2"):
+                await access.submit(step(step_id))
+            unreadable = bytes(2) + (1).to_bytes(2) + b"\xfe not a record"
+            for subject in ("s1", "s3"):
+                key = f"{key_prefix(subject)}/other/1.0"
+                await log.append(STEP_TOPIC, [(key, unreadable)])
+            await until(lambda: step_log.is_uncertain("s3"))
+            for step_id in ("s1", "s3"):
+                with pytest.raises(RequestError) as raised:
+                    await access.read(step_id, 0, 0.0)
+                assert raised.value.kind is ErrorKind.NOT_READY
+            with pytest.raises(RequestError) as raised:
+                await access.read("s4", 0, 0.0)
+            assert raised.value.kind is ErrorKind.UNKNOWN_STEP
+            assert (await access.read("s2", 0, 0.0)).total == 4
+            await access.end("s1")
+
+    run_async(body)
--- a/tests/durable/test_texts.py
+++ b/tests/durable/test_texts.py
@@ -7,6 +7,7 @@
 
 from samphirecleat.durable import LogUnavailableError, TextRef, TextStore
 from samphirecleat.durable import _texts as texts_module
+from samphirecleat.durable._records import compress
 from samphirecleat.observe import Observer
 
 from .memory_log import MemoryLog, MemoryTopic
@@ -172,3 +173,25 @@
             await reader_without_peers.read(list(refs.values()))
 
     run_async(body)
+
+
+@pytest.mark.parametrize("answer", [b"no compressed text", compress(b"another text"), b""])
+def test_a_malformed_text_of_a_peer_is_not_used(answer: bytes) -> None:
+    """Guards against a peer's bytes that end the reader, or are listed as an item's text."""
+
+    async def body() -> None:
+        log = MemoryLog()
+        refs = await write_texts(make_store(log, "inc00001ab"), "s1", a="text of a")
+        log.down = True
+        topic_of(log, "s1").down = True
+
+        class MalformedPeers:
+            async def fetch(self, _incarnation: str, keys: Sequence[str]) -> Mapping[str, bytes]:
+                return dict.fromkeys(keys, answer)
+
+        reader = TextStore(log, "inc00002cd", Observer("n2"), MalformedPeers())
+        for _ in range(2):
+            with pytest.raises(LogUnavailableError):
+                await reader.read(list(refs.values()))
+
+    run_async(body)
--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -177,7 +177,7 @@
         await target.start()
     store.put("keyed.op", "config", config_document())
     for target, service in zip(targets, ("engine", "plain"), strict=True):
-        store.put("keyed.servers", target.instance, _registration(target, service))
+        store.put("keyed.servers", target.instance, registration(target, service))
     nodes = Nodes(count, folder, store)
     nodes.seeds = nodes.seeds if seeds is None else seeds
     nodes.extra_bounds, nodes.extra_tables = bounds, tables
@@ -289,7 +289,8 @@
     ]
 
 
-def _registration(target: TargetStandIn, service: str) -> dict[str, object]:
+def registration(target: TargetStandIn, service: str) -> dict[str, object]:
+    """Return the entry of a target in the store."""
     return {
         "service": service,
         "address": target.address,
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -109,7 +109,7 @@
         topic, after = request.query["topic"], request.query.get("after", "")
         newest: dict[str, tuple[int, bytes]] = {}
         for offset, record in enumerate(self.topics[topic]):
-            key = record[1 : 1 + record[0]].decode()
+            key = record[1 : 1 + record[0]].decode("utf-8", "surrogateescape")
             newest[key] = (offset, record[1 + record[0] :])
         rows = [
             {"key": key, "value": b64encode(newest[key][1]).decode(), "offset": newest[key][0]}
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -99,6 +99,8 @@
     "keys missing": (200, "{}"),
     "an offset that is no number": (200, '{"offset": "x", "records": [{"offset": "x"}]}'),
     "rows of another kind": (200, '{"records": [7], "hosts": [7]}'),
+    "JSON nested too deeply": (200, "[" * 100_000),
+    "a number that no float holds": (200, '{"offset": 1e999, "records": [{"offset": 1e999}]}'),
     "an error": (500, "{}"),
     "a refusal": (429, "{}"),
 }
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,10 +5,10 @@
 
 import pytest
 
+from samphirecleat._decoding import MalformedError
 from samphirecleat.errors import ErrorKind, Ran, RequestError
 from samphirecleat.platform._boot_settings import BootSettingsError, decode_boot_settings
 from samphirecleat.platform._documents import (
-    DocumentFormatError,
     decode_config,
     decode_named_version,
     decode_target,
@@ -112,7 +112,7 @@
 )
 def test_configuration_with_malformed_workspaces_is_rejected(tenants: object) -> None:
     """Guards against a partly decoded configuration, under which every caller would be refused."""
-    with pytest.raises(DocumentFormatError):
+    with pytest.raises(MalformedError):
         decode_config(as_json({**CONFIG, "tenants": tenants}))
 
 
@@ -148,7 +148,7 @@
     ],
 )
 def test_malformed_configuration_is_rejected(document: bytes) -> None:
-    with pytest.raises(DocumentFormatError):
+    with pytest.raises(MalformedError):
         decode_config(document)
 
 
@@ -162,6 +162,11 @@
     [
         {"address": 5},
         {"address": "nowhere"},
+        {"address": "host.example:80"},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:²"},
+        {"slots": 10**400},
+        {"born": 10**30},
         {"slots": "4"},
         {"slots": 0},
         {"state": "odd"},
@@ -174,7 +179,7 @@
 )
 def test_malformed_registration_is_rejected(change: dict[str, object]) -> None:
     """Guards against calls to the invalid address of an entry that another writer wrote."""
-    with pytest.raises(DocumentFormatError):
+    with pytest.raises(MalformedError):
         decode_target("i-1", as_json({**ENTRY, **change}))
 
 
@@ -182,7 +187,7 @@
     "document", [b"x", as_json({"model": "m"}), as_json({"model": "m", "version": 2.0})]
 )
 def test_malformed_model_version_is_rejected(document: bytes) -> None:
-    with pytest.raises(DocumentFormatError):
+    with pytest.raises(MalformedError):
         decode_named_version(document)
 
 
@@ -262,6 +267,15 @@
         (as_json({"items": [ITEM, ITEM]}), "duplicate item id"),
         (as_json({"items": [{**ITEM, "headers": 3}]}), "item 0"),
         (as_json({"items": [ITEM], "step": {}}), "job id"),
+        (b"[" * 2000, "job id"),
+        (as_json({"items": [ITEM], "step": 10**400}), "job id"),
+        (as_json({"items": [ITEM], "minVersion": -1}), "job id"),
+        # Behind an address, this path would name another host.
+        (as_json({"items": [{**ITEM, "path": "@10.0.0.9:80/run/1"}]}), "item 0"),
+        (as_json({"items": [{**ITEM, "path": "run/1"}]}), "item 0"),
+        # Requests with such headers can't be sent, so the item would never run.
+        (as_json({"items": [{**ITEM, "headers": {"X-A": "a\r\nX-B: b"}}]}), "item 0"),
+        (as_json({"items": [{**ITEM, "headers": {"X-Token-Counts": "²,4"}}]}), "item 0"),
     ],
 )
 def test_malformed_job_is_rejected_with_the_place_of_the_error(job: bytes, where: str) -> None:
--- a/tests/platform/test_metadata_store.py
+++ b/tests/platform/test_metadata_store.py
@@ -201,3 +201,25 @@
             store.close()
 
     asyncio.run(body())
+
+
+@pytest.mark.parametrize("key", [b"\xff\xfe", b"\xed\xa0\x80"])
+def test_an_entry_whose_key_is_no_text_hides_no_other_entry(key: bytes) -> None:
+    """Guards against a topic that nobody can read while one key of another writer stands in it."""
+
+    async def body() -> None:
+        async with store_client() as (stand_in, store):
+            stand_in.page_rows = 2
+            stand_in.put("keyed.x", "a", 1)
+            stand_in._append_records("keyed.x", [bytes([len(key)]) + key + b"value"])
+            stand_in._append_records("keyed.x", [b"", b"\x09short"])
+            stand_in.put("keyed.x", "b", 2)
+            read = await store.read("keyed.x", 0, 0.0)
+            assert [entry.offset for entry in read.entries] == [0, 1, 2, 3, 4]
+            assert [entry.key for entry in read.entries if entry.value] == ["a", "b"]
+            del stand_in.topics["keyed.x"][2:4]
+            stand_in.put("keyed.x", "c", 3)
+            newest = await store.newest("keyed.x")
+            assert [entry.key for entry in newest.entries] == ["a", "b", "c"]
+
+    asyncio.run(body())
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -5,7 +5,8 @@
 import json
 from pathlib import Path
 
-from .nodes import Nodes, job, running_nodes
+from .nodes import Nodes, job, registration, running_nodes
+from .standin_targets import TargetStandIn
 
 
 def expected_text(events: int) -> str:
@@ -210,3 +211,53 @@
             await caller.call("POST", "/plain/2", headers=headers)
 
     asyncio.run(body())
+
+
+def test_unreadable_entries_of_another_writer_stop_no_node(tmp_path: Path) -> None:
+    """Guards against a fleet that notices no target any more, and after a kill serves nothing.
+
+    Another writer puts entries into the targets' topic whose key or value nobody can read.
+    """
+
+    async def body() -> None:
+        async with running_nodes(2, tmp_path) as (nodes, caller, store, targets):
+            headers = {"X-Request-Id": "q1"}
+            await caller.call("POST", "/plain/1", headers=headers)
+            for key, value in ((b"i-other", b"[" * 2000), (b"\xff\xfe", b"{}"), (b"i-x", b"7")):
+                store._append_records("keyed.servers", [bytes([len(key)]) + key + value])
+            later = TargetStandIn("p-2")
+            await later.start()
+            store.put("keyed.servers", "p-2", registration(later, "plain"))
+            store.put("keyed.servers", "p-1", None)
+            await targets[1].stop()
+            for host in nodes.hosts:
+                await caller.call("POST", "/plain/2", host=host, headers=headers)
+            await nodes.kill_all()
+            await nodes.start()
+            submit = {"status": 202, "body": job(2), "headers": {"X-Request-Id": "j1"}}
+            await caller.call("POST", "/jobs/1", **submit)  # type: ignore[arg-type]
+            for host in nodes.hosts:
+                await caller.call("GET", "/v1/readiness", host=host, port=nodes.ready)
+                await caller.call("POST", "/plain/3", host=host, headers=headers)
+            rows = await read_whole_job(nodes, caller, 2)
+            assert {row["state"] for row in rows} == {"completed"}
+            await later.stop()
+
+    asyncio.run(body())
+
+
+def test_headers_with_digits_that_are_no_numbers_are_refused_or_ignored(tmp_path: Path) -> None:
+    """Guards against a 500 for what ``isdigit`` takes for a number and ``int`` does not."""
+
+    async def body() -> None:
+        async with running_nodes(1, tmp_path) as (_nodes, caller, _store, _targets):
+            job_headers = {"X-Request-Id": "j1"}
+            await caller.call("POST", "/jobs/1", status=202, body=job(2), headers=job_headers)
+            await caller.call("GET", "/v1/lots/j1?after=%C2%B2", status=400)
+            await caller.call("GET", "/v1/lots/j1", status=400, headers={"X-Wait-Ms": "²"})
+            await caller.call("POST", "/jobs/1", status=400, body=b"[" * 2000, headers=job_headers)
+            for deadline_ms in ("nan", "1e400"):
+                headers = {"X-Request-Id": "q1", "X-Deadline-Ms": deadline_ms}
+                await caller.call("POST", "/plain/1", status=400, headers=headers)
+
+    asyncio.run(body())
