A late answer to another request says nothing about a request; its connection is not used again

Cause: X-Not-Executed and status 421 were looked at before X-Request-Id, so that the late second refusal of another request counted as "this one has not run"; and a connection counted as sound after a refusal, so that the next answer there was that of the wrong request as well.

Change: TargetSessions.is_answer decides for calls, streams, items, orders and reports, and closes the connection of any other response; bytes behind a complete response close their connection when they arrive; a request that a target answered with an error goes to it again on a new connection only.

--- a/samphirecleat/platform/_call_exchange.py
+++ b/samphirecleat/platform/_call_exchange.py
@@ -36,7 +36,7 @@
 
     async def exchange(self, call: Call, target: Target, budget_s: float) -> TargetAnswer:
         """Return the checked answer of a target; see :class:`CallChannel`."""
-        session = self._sessions.get(target)
+        session = self._sessions.get(target, call.request_id)
         headers = forwarded_headers(call, target, budget_s)
         url = target_url(target, call.raw_path)
         timeout = aiohttp.ClientTimeout(total=budget_s, sock_connect=min(0.5, budget_s))
@@ -49,9 +49,11 @@
                 allow_redirects=False,
                 timeout=timeout,
             ) as response:
+                if not self._sessions.is_answer(target, response, call.request_id):
+                    raise foreign_answer(target)
                 body = await response.read()
                 self._sessions.update_idle_timeout(target, response.headers.get("Keep-Alive", ""))
-                fault = find_fault(response, call, target)
+                fault = find_fault(response, target)
                 if fault is not None:
                     if fault.ran is not Ran.NO:
                         # Further data on this connection can't be assigned to a call.
@@ -102,16 +104,22 @@
     return headers
 
 
-def find_fault(response: aiohttp.ClientResponse, call: Call, target: Target) -> TargetFault | None:
-    """Return why an answer can't be forwarded, or None if its status and headers are valid."""
+def foreign_answer(target: Target) -> TargetFault:
+    """Return the fault of a call that got the answer to another call."""
+    return TargetFault(f"{target.instance}: answer belongs to another call", Ran.UNKNOWN)
+
+
+def find_fault(response: aiohttp.ClientResponse, target: Target) -> TargetFault | None:
+    """Return why an answer can't be forwarded, or None if its status and headers are valid.
+
+    The answer must be known to be that of the call; see :meth:`TargetSessions.is_answer`.
+    """
     if response.status == MISDIRECTED_STATUS:
         return TargetFault(
             f"{target.instance}: replaced by another instance", Ran.NO, wrong_instance=True
         )
     if NOT_EXECUTED in response.headers:
         return TargetFault(f"{target.instance}: refused the call", Ran.NO, refused=True)
-    if response.headers.get(REQUEST_ID, "") != call.request_id:
-        return TargetFault(f"{target.instance}: answer belongs to another call", Ran.UNKNOWN)
     if response.headers.get("Content-Encoding"):
         return TargetFault(f"{target.instance}: answer has an encoded body", Ran.UNKNOWN)
     if 200 <= response.status < 300 and not response.headers.get(SERVER_STAMP):
--- a/samphirecleat/platform/_call_stream.py
+++ b/samphirecleat/platform/_call_stream.py
@@ -9,6 +9,7 @@
     answer_headers,
     fault_from_error,
     find_fault,
+    foreign_answer,
     forwarded_headers,
     target_url,
 )
@@ -36,15 +37,17 @@
         if last_event_id:
             headers.append((LAST_EVENT_ID, str(last_event_id)))
         try:
-            async with self._sessions.get(target).request(
+            async with self._sessions.get(target, call.request_id).request(
                 call.method,
                 target_url(target, call.raw_path),
                 headers=headers,
                 data=call.body or None,
                 allow_redirects=False,
             ) as response:
+                if not self._sessions.is_answer(target, response, call.request_id):
+                    raise foreign_answer(target)
                 self._sessions.update_idle_timeout(target, response.headers.get("Keep-Alive", ""))
-                fault = find_fault(response, call, target)
+                fault = find_fault(response, target)
                 if fault is not None:
                     raise fault
                 if response.status != 200 or response.content_type != EVENT_STREAM:
--- a/samphirecleat/platform/_engine_orders.py
+++ b/samphirecleat/platform/_engine_orders.py
@@ -40,7 +40,7 @@
             async with self._sessions.get(target).get(
                 target_url(target, PATH_REPORT), headers=headers, timeout=timeout
             ) as response:
-                if response.status != 200:
+                if not self._sessions.is_answer(target, response) or response.status != 200:
                     return None
                 return decode_report(await response.read())
         except RESPONSE_ERRORS:
@@ -66,6 +66,8 @@
                 data=msgspec.json.encode(body),
                 timeout=timeout,
             ) as response:
+                if not self._sessions.is_answer(target, response):
+                    return OrderOutcome.UNKNOWN
                 await response.read()
                 return _OUTCOMES.get(response.status, OrderOutcome.UNKNOWN)
         except aiohttp.ClientConnectorError:
--- a/samphirecleat/platform/_generation_stream.py
+++ b/samphirecleat/platform/_generation_stream.py
@@ -51,14 +51,18 @@
             headers.append((WORKSPACE, call.workspace))
         if call.last_event_id:
             headers.append((LAST_EVENT_ID, str(call.last_event_id)))
-        session = self._sessions.get(target)
+        session = self._sessions.get(target, call.item_id)
         url = target_url(target, call.raw_path)
         try:
             async with session.post(
                 url, headers=headers, data=call.body, allow_redirects=False
             ) as response:
+                if not self._sessions.is_answer(target, response, call.item_id):
+                    raise GenerationError(
+                        "response belongs to another call", GenerationFailure.BROKEN
+                    )
                 self._sessions.update_idle_timeout(target, response.headers.get("Keep-Alive", ""))
-                await _check_response(response, call)
+                await _check_response(response)
                 # An engine asked to resume after the last event generates nothing and sends no
                 # version. Its stream ends at once, which is a regular end of the text.
                 version = int(response.headers.get(WEIGHT_VERSIONS, NO_VERSION))
@@ -86,8 +90,8 @@
     return [(name, value) for name, value in call.headers if name.lower() not in IDENTITY_HEADERS]
 
 
-async def _check_response(response: aiohttp.ClientResponse, call: GenerationCall) -> None:
-    """Check that the response is the event stream of this item.
+async def _check_response(response: aiohttp.ClientResponse) -> None:
+    """Check that the answer to an item is an event stream.
 
     :raises GenerationError: when it isn't.
     """
@@ -98,9 +102,6 @@
         raise GenerationError(
             f"engine refused the run with HTTP {response.status}", GenerationFailure.REFUSED
         )
-    if response.headers.get(REQUEST_ID) != call.item_id:
-        response.close()
-        raise GenerationError("response belongs to another call", GenerationFailure.BROKEN)
     if response.status == IMPOSSIBLE_STATUS:
         raise GenerationError("engine can never run this item", GenerationFailure.IMPOSSIBLE)
     if response.status == FAILED_STATUS:
--- a/samphirecleat/platform/_target_sessions.py
+++ b/samphirecleat/platform/_target_sessions.py
@@ -1,9 +1,10 @@
 """Persistent connections to targets, with one pool per process start of a target."""
 
 import math
+from collections import OrderedDict
 from collections.abc import Mapping
 from functools import partial
-from typing import Final
+from typing import Final, NamedTuple
 
 import aiohttp
 
@@ -11,6 +12,7 @@
 from ..observe import Observer
 from ..serving import Target
 from ..targets import make_connector, use_strict_handler
+from ._wire_names import NOT_EXECUTED, REQUEST_ID
 
 # Idle timeout of connections until a target of the service sends its own.
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0
@@ -21,31 +23,89 @@
 # probes get no response.
 KEEPALIVE_PROBE_AFTER_S: Final = 1.0
 CONNECT_TIMEOUT_S: Final = 0.5
+LOGGED_ID_CHARS: Final = 80
+_FIRST_ERROR_STATUS: Final = 400
 _SKIPPED_AUTO_HEADERS: Final = frozenset(
     {"User-Agent", "Accept", "Accept-Encoding", "Content-Type"}
 )
 
 
+class _SessionKey(NamedTuple):
+    """One start of a target, and whether each request gets a new connection."""
+
+    instance: str
+    address: str
+    started_at_ms: int
+    new_connections: bool
+
+
+# Requests that a target answered with an error, and that may be sent to it again.
+MAX_ANSWERED_REQUESTS: Final = 2000
+
+
 class TargetSessions:
-    """A client session per target, closed when the target is gone."""
+    """A client session per target, closed when the target is gone.
+
+    Decides which response is the answer to a request: a faulty target may answer an earlier
+    request a second time, at the place where the next response is expected.
+    """
 
     def __init__(self, observer: Observer) -> None:
         """Start without connections; ``observer`` counts new connections by service."""
         self._counters = observer.counters
-        self._sessions: dict[tuple[str, str, int], aiohttp.ClientSession] = {}
-        self._services: dict[tuple[str, str, int], str] = {}
+        self._logger = observer.log("targets")
+        self._answered: OrderedDict[tuple[str, str], None] = OrderedDict()
+        self._sessions: dict[_SessionKey, aiohttp.ClientSession] = {}
+        self._services: dict[_SessionKey, str] = {}
         self._idle_timeouts_s: dict[str, float] = {}
         self._closing: list[aiohttp.ClientSession] = []
 
-    def get(self, target: Target) -> aiohttp.ClientSession:
-        """Return the session of a target."""
-        key = (target.instance, target.address, target.started_at_ms)
+    def get(self, target: Target, request_id: str = "") -> aiohttp.ClientSession:
+        """Return the session of a target, with new connections for a request answered before.
+
+        A second response to the earlier sending would bear the id of this one, too. It can only
+        arrive on the connection of the earlier sending.
+        """
+        used_again = bool(request_id) and (target.instance, request_id) in self._answered
+        key = _SessionKey(target.instance, target.address, target.started_at_ms, used_again)
         session = self._sessions.get(key)
         if session is None:
-            session = self._sessions[key] = self._open(target.service)
+            session = self._sessions[key] = self._open(target.service, new_connections=used_again)
             self._services[key] = target.service
         return session
 
+    def is_answer(
+        self, target: Target, response: aiohttp.ClientResponse, request_id: str = ""
+    ) -> bool:
+        """Return whether a response answers the request with this id, "" for one without an id.
+
+        The connection of a response to another request is closed, and nothing may be concluded
+        from the response: neither that the request ran, nor that it did not. The true answer may
+        still arrive there.
+        """
+        answered_ids = response.headers.getall(REQUEST_ID, [""])
+        if answered_ids == [request_id]:
+            if request_id and response.status >= _FIRST_ERROR_STATUS:
+                self._remember_answered(target, request_id)
+            return True
+        response.close()
+        self._counters[f"foreign_responses_{target.service}"] += 1
+        self._logger.warning(
+            "target=%s request=%s got a response with id=%s status=%d not_executed=%s; "
+            "connection closed",
+            target.instance,
+            request_id,
+            ",".join(answered_ids)[:LOGGED_ID_CHARS],
+            response.status,
+            NOT_EXECUTED in response.headers,
+        )
+        return False
+
+    def _remember_answered(self, target: Target, request_id: str) -> None:
+        self._answered[target.instance, request_id] = None
+        if len(self._answered) > MAX_ANSWERED_REQUESTS:
+            self._answered.popitem(last=False)
+
     def idle_timeout_s(self, service: str) -> float:
         """Return the idle timeout of connections to the targets of a service, in seconds."""
         return self._idle_timeouts_s.get(service, DEFAULT_IDLE_TIMEOUT_S)
@@ -64,7 +124,7 @@
     async def close_stale(self, targets: Mapping[str, Target]) -> None:
         """Close the sessions of targets that are gone or were restarted since."""
         present = {(t.instance, t.address, t.started_at_ms) for t in targets.values()}
-        for key in [key for key in self._sessions if key not in present]:
+        for key in [key for key in self._sessions if key[:3] not in present]:
             self._closing.append(self._sessions.pop(key))
             del self._services[key]
         for session in self._closing:
@@ -79,10 +139,17 @@
         for session in [*self._sessions.values(), *self._closing]:
             await session.close()
 
-    def _open(self, service: str) -> aiohttp.ClientSession:
-        idle_timeout_s = self.idle_timeout_s(service)
-        pool = make_connector(KEEPALIVE_PROBE_AFTER_S, keepalive_timeout_s=idle_timeout_s)
-        connector = use_strict_handler(pool, partial(self._count_connection, service))
+    def _open(self, service: str, *, new_connections: bool) -> aiohttp.ClientSession:
+        pool = make_connector(
+            KEEPALIVE_PROBE_AFTER_S,
+            force_close=new_connections,
+            keepalive_timeout_s=self.idle_timeout_s(service),
+        )
+        connector = use_strict_handler(
+            pool,
+            partial(self._count_connection, service),
+            partial(self._count_unrequested, service),
+        )
         session = aiohttp.ClientSession(
             connector=connector,
             skip_auto_headers=_SKIPPED_AUTO_HEADERS,
@@ -101,6 +168,10 @@
         """Count a new connection; each one briefly delays its target."""
         self._counters[f"connections_made_{service}"] += 1
 
+    def _count_unrequested(self, service: str) -> None:
+        """Count a connection that was closed because bytes followed a response."""
+        self._counters[f"unrequested_bytes_{service}"] += 1
+
     def _apply_idle_timeout(self, service: str, idle_timeout_s: float) -> None:
         """Set the idle timeout of all open sessions of a service.
 
@@ -108,6 +179,8 @@
         would be closed and reopened between two bursts of calls.
         """
         for key, session in self._sessions.items():
-            if self._services[key] == service and session.connector is not None:
+            if key.new_connections or session.connector is None:
+                continue
+            if self._services[key] == service:
                 # aiohttp has no setter, and a new pool would drop all connections in use.
                 session.connector._keepalive_timeout = idle_timeout_s
--- a/tests/platform/standin_targets.py
+++ b/tests/platform/standin_targets.py
@@ -54,10 +54,11 @@
         self.seen.append((request.method, request.raw_path, dict(request.headers), body))
         request_id = request.headers.get("X-Request-Id", "")
         if request.headers.get("X-Expect-Instance") != self.instance:
-            return web.Response(status=421)
+            return web.Response(status=421, headers={"X-Request-Id": request_id})
         answer = self.answers.pop(0) if self.answers else ""
         if answer == "refused":
-            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+            headers = {"X-Not-Executed": "1", "X-Request-Id": request_id}
+            return web.Response(status=503, headers=headers)
         if answer == "reset":
             assert request.transport is not None
             request.transport.abort()
