Items of crashed engines are tried together at one engine; no item waits for more than seconds

Cause: a crash makes each item of the engine suspect, and in a service with fewer than four engines left one suspect ran at a time, until its end. A call waits like that until its deadline at most, an item had no bound. Where fewer engines accept work than are needed to lose one, no suspect ran at all for 10 s.

Change: suspects are on trial at one engine at a time, for as long as a crash would take to follow their start and not until their end; unlikely causes together, likely ones one by one if there is time; waits for engines are bounded by 1.5, 3 and 4 s. All of it follows from reports that every node has, so an heir decides the same. A log line says why an item waits.

--- a/samphirecleat/crashes/__init__.py
+++ b/samphirecleat/crashes/__init__.py
@@ -2,7 +2,7 @@
 
 from ._blocked import blocked_error, is_blocked
 from ._crash_gossip import CrashGossip
-from ._crashed_services import ServiceView
+from ._crashed_services import ServiceSize, ServiceView
 from ._guard import (
     CrashGuard,
     EvidenceRecorder,
@@ -18,6 +18,7 @@
     CrashedRun,
     CrashVerdict,
     Suspect,
+    Suspicion,
 )
 from ._target_start import TargetStart
 from ._urgent_reports import ReportSender, UrgentReports
@@ -32,10 +33,12 @@
     "EvidenceRecorder",
     "RegistrationState",
     "ReportSender",
+    "ServiceSize",
     "ServiceView",
     "CrashedRun",
     "CrashVerdict",
     "Suspect",
+    "Suspicion",
     "TargetStart",
     "UrgentReports",
     "NullEvidenceRecorder",
--- a/samphirecleat/crashes/_guard.py
+++ b/samphirecleat/crashes/_guard.py
@@ -9,9 +9,9 @@
 from ..observe import Observer
 from ._blocked import HELD_RETRY_S, is_blocked
 from ._crash_gossip import NO_CALL, CrashGossip
-from ._crashed_services import CrashedServices, EmptyServiceView, ServiceView
+from ._crashed_services import CrashedServices, EmptyServiceView, ServiceSize, ServiceView
 from ._ledger import CrashLedger
-from ._suspect import CrashedRun, CrashVerdict
+from ._suspect import CrashedRun, CrashVerdict, Suspicion, suspicion_of
 from ._suspect_gate import SuspectGate
 from ._target_start import TargetStart
 from ._urgent_reports import UrgentReports
@@ -157,11 +157,14 @@
         size = self._services.size(service, now_s)
         return not size.is_large and not size.can_lose_one and self._has_to_wait(digest)
 
-    def may_risk_target(self, digest: bytes, service: str) -> bool:
-        """Whether a call that has to be sent again, even if refused, may be sent now."""
+    def suspicion(self, digest: bytes) -> Suspicion:
+        """Return what speaks against a call; nothing is logged or counted."""
         now_s = asyncio.get_running_loop().time()
-        is_clear = self._ledger.verdict(digest, now_s) is CrashVerdict.CLEAR
-        return is_clear or self._gate.is_free(service, now_s)
+        return suspicion_of(self._ledger.suspects.get(digest), self._ledger.verdict(digest, now_s))
+
+    def service_size(self, service: str) -> ServiceSize:
+        """Return how many targets a service has left."""
+        return self._services.size(service, asyncio.get_running_loop().time())
 
     async def wait_for_turn(
         self, request_id: str, digest: bytes, service: str, last_start_s: float
@@ -201,6 +204,10 @@
         """Count a suspect that is sent to a service; return a function that ends this."""
         return self._gate.start(service)
 
+    def suspects_running(self, service: str) -> int:
+        """Return how many suspects this node runs in a service."""
+        return self._gate.running(service)
+
     def retry_after_s(self, service: str) -> float:
         """Return the time after which a suspect that wasn't sent may be sent again."""
         now_s = asyncio.get_running_loop().time()
--- a/samphirecleat/crashes/_suspect.py
+++ b/samphirecleat/crashes/_suspect.py
@@ -47,6 +47,22 @@
     REFUSED = "refused"
 
 
+class Suspicion(NamedTuple):
+    """What speaks against a call.
+
+    ``crash_delay_s`` is the shortest time from the start of one of its runs to the crash of its
+    target, 0 without a crash: a call that crashes its targets takes about the same time for it
+    each time. ``delay_spread_s`` is the difference between the longest and the shortest such time.
+    ``last_crash_s`` is -inf without a crash.
+    """
+
+    verdict: CrashVerdict
+    crash_count: int
+    crash_delay_s: float
+    delay_spread_s: float
+    last_crash_s: float
+
+
 @dataclass
 class Suspect:
     """A call under which targets crashed since its last answer.
@@ -68,6 +84,19 @@
         return max((run.ended_s for run in self.crashed_runs.values()), default=-math.inf)
 
 
+def suspicion_of(suspect: Suspect | None, verdict: CrashVerdict) -> Suspicion:
+    """Return what speaks against a call with this verdict."""
+    runs = suspect.crashed_runs.values() if suspect is not None else ()
+    delays_s = [run.ended_s - run.begun_s for run in runs] or [0.0]
+    return Suspicion(
+        verdict,
+        len(runs),
+        min(delays_s),
+        max(delays_s) - min(delays_s),
+        suspect.last_crash_s() if suspect is not None else -math.inf,
+    )
+
+
 def may_crash_targets(suspect: Suspect) -> bool:
     """Whether the crashes under a call follow the pattern of a call that crashes its targets.
 
--- a/samphirecleat/crashes/_suspect_gate.py
+++ b/samphirecleat/crashes/_suspect_gate.py
@@ -38,6 +38,10 @@
 
         return end
 
+    def running(self, service: str) -> int:
+        """Return how many suspects this node runs in a service."""
+        return self._running[service]
+
     def may_start(self, service: str, now_s: float) -> bool:
         """Whether a suspect may be sent to the service now."""
         size = self._services.size(service, now_s)
--- a/samphirecleat/durable/_crash_backoff.py
+++ b/samphirecleat/durable/_crash_backoff.py
@@ -5,7 +5,7 @@
 crash all engines of the service and end every other run on them.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from typing import Final
 
 from ..crashes import CrashGuard, request_digest
@@ -35,7 +35,7 @@
         """Record a run that was cut off, possibly because its engine crashed."""
         if self._guard is None or not error.connection_closed:
             return
-        digest = _item_digest(run.open_item)
+        digest = item_digest(run.open_item)
         self._cut_runs[run.name] = (digest, now_s)
         item_id, start = run.open_item.item.item_id, target_start(run.target)
         await self._guard.record_cut(item_id, digest, start, begun_s, error.detail)
@@ -43,38 +43,17 @@
     def record_completion(self, run: ItemRun) -> None:
         """Record that an engine completed the item's text, which clears the suspicion."""
         if self._guard is not None and self._cut_runs.pop(run.name, None) is not None:
-            self._guard.record_answer(run.open_item.item.item_id, _item_digest(run.open_item))
+            self._guard.record_answer(run.open_item.item.item_id, item_digest(run.open_item))
 
     def is_backing_off(self, open_item: OpenItem, now_s: float) -> bool:
-        """Return whether an item must not run yet.
-
-        It is blocked and its backoff has not passed, or its service can't afford to lose another
-        engine to it.
-        """
+        """Return whether an item is blocked and its backoff has not passed."""
         if self._guard is None or not self._guard.has_suspects:
             return False
         known = self._cut_runs.get(open_item.name)
-        if known is not None:
-            digest, cut_s = known
-            if now_s - cut_s < BLOCKED_ITEM_BACKOFF_S and self._guard.is_blocked(digest):
-                return True
-        return not self.may_start(open_item)
-
-    def may_start(self, open_item: OpenItem) -> bool:
-        """Return whether the service can afford to lose an engine to the item, if it is suspect.
-
-        At most one suspect runs in a small service at a time.
-        """
-        if self._guard is None or not self._guard.has_suspects:
-            return True
-        return self._guard.may_risk_target(_item_digest(open_item), self._service)
-
-    def record_start(self, open_item: OpenItem) -> Callable[[], None]:
-        """Count a run if its item is suspect; return a function to call at the end of the run."""
-        guard = self._guard
-        if guard is None or not guard.has_suspects or not guard.is_suspect(_item_digest(open_item)):
-            return _end_nothing
-        return guard.start_suspect(self._service)
+        if known is None:
+            return False
+        digest, cut_s = known
+        return now_s - cut_s < BLOCKED_ITEM_BACKOFF_S and self._guard.is_blocked(digest)
 
     def keep_only(self, wanted_steps: Collection[str]) -> None:
         """Drop the records of items of other steps."""
@@ -83,11 +62,7 @@
         }
 
 
-def _end_nothing() -> None:
-    """Do nothing; the run wasn't counted."""
-
-
-def _item_digest(open_item: OpenItem) -> bytes:
+def item_digest(open_item: OpenItem) -> bytes:
     """Return the digest that identifies an item to the crash guard; it covers the item ID too."""
     spec, item = open_item.step.spec, open_item.item
     owner = f"{spec.workspace}/{item.item_id}"
--- a/samphirecleat/durable/_engine_ranking.py
+++ b/samphirecleat/durable/_engine_ranking.py
@@ -113,17 +113,23 @@
         """Whether no engine has a free slot."""
         return not self._open
 
-    def take_slot(self, item: PendingItem, tokens: int, *, keeps_reserve: bool) -> str | None:
+    def take_slot(
+        self, item: PendingItem, tokens: int, *, keeps_reserve: bool, only: str = ""
+    ) -> str | None:
         """Take a slot and ``tokens`` of memory for an item; return its engine, None if none fits.
 
         With ``keeps_reserve`` the reserved slots of fast engines are taken only if no other engine
-        fits.
+        fits. If ``only`` is set, no other engine than that is taken.
         """
         if (item.model, item.min_version) in self._unfit:
             return None
-        best = self._first_fitting(item, tokens, keeps_reserve=keeps_reserve)
-        if best is None and keeps_reserve:
-            best = self._first_fitting(item, tokens, keeps_reserve=False)
+        if only:
+            found = (e for e in self._open if e.view.instance == only and e.fits(item, tokens))
+            best = next(found, None)
+        else:
+            best = self._first_fitting(item, tokens, keeps_reserve=keeps_reserve)
+            if best is None and keeps_reserve:
+                best = self._first_fitting(item, tokens, keeps_reserve=False)
         if best is None:
             self._record_unfit(item)
             return None
--- a/samphirecleat/durable/_planner.py
+++ b/samphirecleat/durable/_planner.py
@@ -15,6 +15,7 @@
 
 from ..serving import DEFAULT_PRIORITY
 from ._engine_ranking import EngineRanking, EngineView, PendingItem
+from ._item_decisions import ItemName
 from ._needed_groups import (
     GroupName,
     GroupNeed,
@@ -44,6 +45,9 @@
 SLACK_PER_RANK_S: Final = 0.5
 
 
+_ANY_ENGINE: Final[Mapping[ItemName, str]] = {}
+
+
 class Placement(NamedTuple):
     """An item, its engine, and the engine memory reserved for it in tokens."""
 
@@ -97,10 +101,15 @@
 
 
 def place_items(
-    ordered: Sequence[PendingItem], engines: Sequence[EngineView], token_s: float
+    ordered: Sequence[PendingItem],
+    engines: Sequence[EngineView],
+    token_s: float,
+    engine_by_item: Mapping[ItemName, str] = _ANY_ENGINE,
 ) -> Sequence[Placement]:
     """Return the placements to start now, in order; items without a slot keep waiting.
 
+    Items in ``engine_by_item`` are placed on that engine only.
+
     A text that is done well before it is due, even on the slowest engine, leaves the reserved slots
     of fast engines free if another engine has one.
     """
@@ -112,7 +121,8 @@
             break
         tokens = planned_tokens(item, is_long=item.expected_tokens > long_tokens)
         keeps_reserve = _is_done_early(item, ranking.slowest, token_s)
-        instance = ranking.take_slot(item, tokens, keeps_reserve=keeps_reserve)
+        only = engine_by_item.get((item.step_id, item.item_id), "")
+        instance = ranking.take_slot(item, tokens, keeps_reserve=keeps_reserve, only=only)
         if instance is not None:
             placements.append(Placement(item, instance, tokens))
     return placements
--- a/samphirecleat/durable/_run_pool.py
+++ b/samphirecleat/durable/_run_pool.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 
 from ..crashes import CrashGuard
 from ..observe import Observer
@@ -16,6 +16,7 @@
 from ._ports import GenerationChannel, GenerationError, GenerationFailure
 from ._run_moves import Move, MoveReason
 from ._service_work import ServiceWork
+from ._trial_control import TrialControl
 
 
 class RunPool:
@@ -44,6 +45,7 @@
         self._failures: dict[ItemName, int] = {}
         self._moved: set[ItemName] = set()
         self._crash_backoff = CrashBackoff(guard, work.service)
+        self.trials = TrialControl(guard, work.service, observer, work.changed.set)
 
     def is_backing_off(self, open_item: OpenItem, now_s: float) -> bool:
         """Return whether an item is still backing off after a failed run."""
@@ -51,12 +53,7 @@
         return backoff_until_s > now_s or self._crash_backoff.is_backing_off(open_item, now_s)
 
     def start(self, open_item: OpenItem, placement: Placement) -> None:
-        """Start an item on the engine of its placement.
-
-        An item that may crash engines isn't started beside another one in a small service.
-        """
-        if not self._crash_backoff.may_start(open_item):
-            return
+        """Start an item on the engine of its placement."""
         target = self._work.targets.targets[placement.instance]
         plan = placement.item
         item, step = open_item.item, open_item.step
@@ -74,14 +71,10 @@
             plan.expected_tokens,
             self._work.version_of(target, step.spec.model),
         )
-        end_suspect = self._crash_backoff.record_start(open_item)
+        end_trial = self.trials.begin(run.name, placement.instance)
         run.task = asyncio.ensure_future(self._run(run))
-        run.task.add_done_callback(lambda _task: self._end_suspect(end_suspect))
-
-    def _end_suspect(self, end_suspect: Callable[[], None]) -> None:
-        """Let the next suspect item start, also if the run was cancelled before its first step."""
-        end_suspect()
-        self._work.changed.set()
+        # Called also if the run is cancelled before its first step.
+        run.task.add_done_callback(lambda _task: end_trial())
 
     def move(self, move: Move) -> None:
         """Request that a run ends at its next event, to be resumed on another engine."""
@@ -109,6 +102,7 @@
     def keep_only(self, wanted_steps: Collection[str]) -> None:
         """Cancel runs of other steps and of listed items; drop failure records of other steps."""
         self._crash_backoff.keep_only(wanted_steps)
+        self.trials.keep_only(wanted_steps)
         for (step_id, item_id), run in list(self._work.runs.items()):
             listed = item_id not in run.open_item.step.unlisted
             if (step_id not in wanted_steps or listed) and run.task is not None:
--- a/samphirecleat/durable/_runner.py
+++ b/samphirecleat/durable/_runner.py
@@ -176,14 +176,15 @@
         steps: Sequence[tuple[StepState, Route]],
         now_s: float,
     ) -> None:
-        """Start the items that get a slot; record the others as shortages for weight loading."""
+        """Start the items that get a slot; record those without one as shortages."""
         token_s = self._work.token_s()
         engines = self._work.engine_views(now_s)
         needs = _group_needs(steps)
         unfinished = self._unfinished_items(steps, needs)
+        startable = self._runs.trials.startable(pending, by_name, engines)
         optional = groups_to_start_last(pending, unfinished, needs, engines, token_s)
-        ordered = order_items(pending, optional, token_s)
-        placements = place_items(ordered, engines, token_s)
+        ordered = order_items(startable.items, optional, token_s)
+        placements = place_items(ordered, engines, token_s, startable.engine_by_item)
         self._work.shortages = shortages(ordered, placements, token_s)
         for placement in placements:
             name = (placement.item.step_id, placement.item.item_id)
