A text is listed as it was when its scoring began

Cause: drafts belong to items, and the text was read from the draft after the reward call. It is taken when scoring starts now, before anything else can run.

Test: a_text_is_listed_as_it_was_scored_... gave [''] before.

--- a/samphirecleat/durable/_finisher.py
+++ b/samphirecleat/durable/_finisher.py
@@ -21,8 +21,14 @@
         self._logger = observer.log("runner")
 
     def score(self, open_item: OpenItem, draft: Draft) -> None:
-        """Start scoring a complete text; it is listed afterwards."""
-        self._work.scoring[open_item.name] = asyncio.ensure_future(self._score(open_item, draft))
+        """Start scoring a complete text; it is listed afterwards.
+
+        The draft belongs to the item, not to this step: another open step that allows other
+        versions may clear it while the text is being scored, so the text is taken now.
+        """
+        step_id, item_id = open_item.name
+        result = FinishedItem(step_id, item_id, draft.text(), draft.version_set(), "")
+        self._work.scoring[open_item.name] = asyncio.ensure_future(self._score(open_item, result))
 
     def give_up(self, open_item: OpenItem) -> None:
         """List an item as given up, without a text."""
@@ -41,15 +47,14 @@
         for task in list(self._work.scoring.values()):
             task.cancel()
 
-    async def _score(self, open_item: OpenItem, draft: Draft) -> None:
-        step_id, item_id = open_item.name
+    async def _score(self, open_item: OpenItem, result: FinishedItem) -> None:
         item = open_item.item
         try:
             score = await self._scorer.score(item, open_item.route)
             if item.reward is not None and not score:
                 self.give_up(open_item)
                 return
-            self._submit(FinishedItem(step_id, item_id, draft.text(), draft.version_set(), score))
+            self._submit(result._replace(score=score))
         finally:
             self._work.scoring.pop(open_item.name, None)
             self._work.changed.set()
--- a/tests/durable/test_runner.py
+++ b/tests/durable/test_runner.py
@@ -358,3 +358,26 @@
     stage = run_service(["e1", "e2", "e3", "e4"], body, guard=make_guard(ledger))
     assert all(stage.results().values())
     assert not any(suspect.crashed_runs for suspect in ledger.suspects.values())
+
+
+def test_a_text_is_listed_as_it_was_scored_although_a_later_step_clears_its_draft() -> None:
+    """Guards against an empty text that is listed as completed.
+
+    A trainer goes on to the next step without the acknowledgement of its end. The item stands in
+    both open steps, the later of which allows only newer versions.
+    """
+
+    async def body(stage: RunnerStage) -> None:
+        stage.scorer.open.clear()
+        first = step("s1", items=1)
+        await stage.accept(first)
+        await until(lambda: ("s1", "s1-0") in stage.work.scoring)
+        await stage.accept(first._replace(step_id="s2", min_version=2))
+        await until(lambda: not stage.drafts.get("s1-0").complete)
+        stage.scorer.open.set()
+        await stage.wait_until_listed(1)
+        refs = [result.text for result in stage.step_log.fold.steps["s1"].results]
+        texts = await stage.step_log.texts.read([ref for ref in refs if ref is not None])
+        assert list(texts.values()) == ["\n".join(str(n) for n in range(1, EVENTS + 1))]
+
+    run_service(["e1"], body)
