A path that ends in a bare ? reaches its target with it

Seen in the review, no case: a path like /x/1? reached the server as /x/1. Parsed as a part of a URL, its empty query was dropped. The path is now passed on as it is.

Test: a_call_reaches_its_target_unchanged[/x/1?] failed before.

--- a/samphirecleat/platform/_call_exchange.py
+++ b/samphirecleat/platform/_call_exchange.py
@@ -80,8 +80,14 @@
 
 
 def target_url(target: Target, raw_path: str) -> URL:
-    """Return the URL of a path at a target; the path keeps the encoding of the caller."""
-    return URL(f"http://{target.address}{raw_path}", encoded=True)
+    """Return the URL of a path with its query at a target, to the letter as the caller sent it.
+
+    Parsing the path as a part of a URL would drop the ``?`` of an empty query.
+    """
+    host, _, port = target.address.rpartition(":")
+    return URL.build(
+        scheme="http", host=host.strip("[]"), port=int(port), path=raw_path, encoded=True
+    )
 
 
 def forwarded_headers(call: Call, target: Target, budget_s: float) -> Sequence[tuple[str, str]]:
--- a/tests/platform/test_target_channels.py
+++ b/tests/platform/test_target_channels.py
@@ -57,7 +57,9 @@
     return Call("q1", "POST", raw_path, "h.example", headers, b"bytes \x00", 0.0, 9.0)
 
 
-@pytest.mark.parametrize("raw_path", ["/x/1", "/x/%2F/..//a%20b?q=%41&q=+&&", "/x/?a=b?c"])
+@pytest.mark.parametrize(
+    "raw_path", ["/x/1", "/x/%2F/..//a%20b?q=%41&q=+&&", "/x/?a=b?c", "/x/1?", "/x/?&"]
+)
 def test_a_call_reaches_its_target_unchanged(raw_path: str) -> None:
     async def body() -> None:
         async with running_target() as (stand_in, target, sessions):
