Items of anonymous jobs name no workspace at the engine where keys are required

Seen in the review, no case: on a route with allowAnonymous the items of a job without a key kept the X-Tenant and Authorization headers of their own, and the engine took them for those of a workspace. Plain calls were stripped of both; the items are now, too, when the job is accepted.

Test: items_of_an_anonymous_job_... failed before (both headers arrived).

--- a/samphirecleat/platform/_front.py
+++ b/samphirecleat/platform/_front.py
@@ -28,7 +28,7 @@
 )
 from ._byte_budget import ByteLease
 from ._call_bytes import BytesRefusedError, CallBytes
-from ._job_documents import decode_step, encode_page
+from ._job_documents import decode_step, encode_page, without_identity
 from ._wire_names import (
     CREDENTIALS,
     DEADLINE_MS,
@@ -118,6 +118,8 @@
         body = await self._bytes.read_body(request, lease, request_id)
         if route.kind in (CallKind.ROLLOUT, CallKind.BATCH):
             step = decode_step(request_id, host, raw_path, body, workspace)
+            if self._routes.config.requires_keys:
+                step = without_identity(step)
             # The document is not needed any more; the decoded items are about as large.
             del body
             return await self._submit_step(step)
--- a/samphirecleat/platform/_job_documents.py
+++ b/samphirecleat/platform/_job_documents.py
@@ -2,7 +2,7 @@
 
 import time
 from base64 import b64decode
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
 import msgspec
@@ -17,7 +17,7 @@
 )
 from ..durable import ItemSpec, ListedResult, RewardSpec, StepPage, StepRequest
 from ..errors import ErrorKind, RequestError
-from ._wire_names import LENGTH_HINT, TOKEN_COUNTS
+from ._wire_names import IDENTITY_HEADERS, LENGTH_HINT, TOKEN_COUNTS
 
 # These characters would end the header line of an item in a request.
 _LINE_CHARACTERS: Final = frozenset("\r\n\0")
@@ -37,6 +37,19 @@
         raise RequestError(ErrorKind.MALFORMED, str(error)) from error
 
 
+def without_identity(step: StepRequest) -> StepRequest:
+    """Return a step whose items have no identity headers of their own.
+
+    Where keys are required, only the key of the submission tells who the caller is.
+    """
+    items = [item._replace(headers=_without_identity(item.headers)) for item in step.items]
+    return step._replace(items=items)
+
+
+def _without_identity(headers: Sequence[tuple[str, str]]) -> Sequence[tuple[str, str]]:
+    return [(name, value) for name, value in headers if name.lower() not in IDENTITY_HEADERS]
+
+
 def _decode_step(
     step_id: str, host: str, raw_path: str, document: Mapping[str, Any], workspace: str
 ) -> StepRequest:
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from ..fleets import until
 from .nodes import Caller, Nodes, config_with_keys, job, running_nodes
 from .standin_store import StoreStandIn
 
@@ -152,3 +153,29 @@
             await caller.call("POST", "/plain/1", headers=bearer("shop-1"))
 
     asyncio.run(body())
+
+
+def test_items_of_an_anonymous_job_name_no_workspace_at_the_engine(tmp_path: Path) -> None:
+    """Guards against an anonymous caller whose items run in the name of another workspace."""
+
+    async def body() -> None:
+        async with running_nodes(1, tmp_path) as (nodes, caller, store, targets):
+            await put_keys(nodes, caller, store, 2, KEYS)
+            document = config_with_keys(3, KEYS)
+            routes = document["routes"]
+            for route in routes:  # type: ignore[attr-defined]
+                route["allowAnonymous"] = True
+            store.put("keyed.op", "config", document)
+            await until(lambda: "revision=3 in force" in nodes.logs())
+            rows = json.loads(job(2))
+            for item in rows["items"]:
+                item["headers"] |= {"X-Tenant": "club", "authorization": "Bearer club-1"}
+            headers = {"X-Request-Id": "j1"}
+            body_bytes = json.dumps(rows).encode()
+            await caller.call("POST", "/jobs/1", status=202, body=body_bytes, headers=headers)
+            await until(lambda: targets[0].runs["i1"] > 0)
+            seen = seen_headers(targets[0], "i1")
+            assert not {"x-tenant", "authorization"} & seen.keys()
+            assert seen["x-model"] == "m"
+
+    asyncio.run(body())
