The daemon of the service text supervises its controllers as the platform node does

The same restart after an error stood twice, here with a fixed pause and one counter for all. Both use TaskSupervisor now; the counter controller_restarts becomes task_failures_NAME.

--- a/samphirecleat/_supervisor.py
+++ b/samphirecleat/_supervisor.py
@@ -50,6 +50,11 @@
         for task in self._tasks:
             task.cancel()
 
+    async def close(self) -> None:
+        """Cancel every task, and return once all have ended."""
+        self.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
     async def _run(self, name: str, run: TaskFunction) -> None:
         loop = asyncio.get_running_loop()
         delay_s = MIN_RESTART_DELAY_S
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -4,13 +4,14 @@
 import random
 import secrets
 import time
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Mapping
 from typing import Any, Final
 
 import aiohttp
 from aiohttp import web
 from grpclib.server import Server
 
+from ._supervisor import TaskFunction, TaskSupervisor
 from .blackboard import Blackboard, Identity, Member
 from .controllers.admission import (
     BoardServiceView,
@@ -40,9 +41,7 @@
 from .settings import Settings
 from .targets import TargetClient, is_listening, make_connector
 
-CONTROLLER_RESTART_DELAY_S: Final = 1.0
 CRASH_REVIEW_PERIOD_S: Final = 0.25
-Controller = Callable[[], Awaitable[None]]
 
 
 class Node:
@@ -68,15 +67,14 @@
         )
         self._started_at_ms = time.time_ns() // 1_000_000
         self._rng = random.Random(settings.seed or None)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = TaskSupervisor(self.observer)
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
         """Build the components, open the listeners and start the controllers."""
         self._build_components()
         await self._listen()
-        for controller in self._controllers():
-            self._tasks.append(asyncio.get_running_loop().create_task(self._supervise(controller)))
+        self._start_controllers()
         self.observer.log("node").info("Node %s is listening.", self.settings.node_id)
 
     async def drain(self) -> None:
@@ -100,9 +98,7 @@
         """Stop immediately; call :meth:`drain` first to let requests in flight complete."""
         self.membership.announce_exit()
         self._peer_server.stop()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._supervisor.close()
         await self.callers.close()
         await self.step_runner.close()
         await self.dispatcher.close()
@@ -281,34 +277,24 @@
             lambda: self.membership, local_addr=(peer_host, peer_port)
         )
 
-    def _controllers(self) -> Sequence[Controller]:
-        return [
-            self.config_reader.drive,
-            self.config_reader.drive_restatement,
-            self.config_follower.drive,
-            self.leases.drive_reading,
-            self.membership.drive,
-            self.discovery.drive,
-            self.target_watch.drive,
-            self.weights.drive,
-            self.limiter.drive,
-            self.step_runner.drive,
-            self._review_crashes,
-        ]
+    def _start_controllers(self) -> None:
+        for name, controller in self._controllers().items():
+            self._supervisor.start(name, controller)
 
-    async def _supervise(self, controller: Controller) -> None:
-        """Run a controller and restart it after an unexpected error.
-
-        Without the restart, one malformed record would stop a controller permanently
-        while the node keeps responding, and the failure could go unnoticed.
-        """
-        while True:
-            try:
-                await controller()
-            except Exception:
-                self.observer.log("node").exception("A controller failed and will be restarted.")
-                self.observer.counters["controller_restarts"] += 1
-            await asyncio.sleep(CONTROLLER_RESTART_DELAY_S)
+    def _controllers(self) -> Mapping[str, TaskFunction]:
+        return {
+            "configuration": self.config_reader.drive,
+            "configuration_restatement": self.config_reader.drive_restatement,
+            "configuration_from_peers": self.config_follower.drive,
+            "leases": self.leases.drive_reading,
+            "membership": self.membership.drive,
+            "discovery": self.discovery.drive,
+            "targets": self.target_watch.drive,
+            "weights": self.weights.drive,
+            "limits": self.limiter.drive,
+            "steps": self.step_runner.drive,
+            "crashes": self._review_crashes,
+        }
 
     def _own_row(self) -> Member:
         identity = self.board.identity
--- a/samphirecleat/trial/_faulty_node.py
+++ b/samphirecleat/trial/_faulty_node.py
@@ -28,9 +28,7 @@
         ``tests/test_processes.py`` covers the real signal.
         """
         self._frozen = True
-        for task in self._tasks:
-            task.cancel()
-        self._tasks.clear()
+        self._supervisor.cancel()
         for transport in self._open_transports():
             # Raised if the transport is closing or already paused by flow control.
             with contextlib.suppress(RuntimeError):
@@ -42,9 +40,7 @@
         for transport in self._open_transports():
             with contextlib.suppress(RuntimeError):
                 transport.resume_reading()
-        loop = asyncio.get_running_loop()
-        for controller in self._controllers():
-            self._tasks.append(loop.create_task(self._supervise(controller)))
+        self._start_controllers()
 
     async def _listen(self) -> None:
         await super()._listen()
