Orders of weights have connections of their own; other errors than refusals need none

Each order opens a connection now.

A request that got any error went to the same target again on a new connection, also after a 500, which makes no promise. Only a refusal needs that: its late repetition would say "not run".

--- a/samphirecleat/platform/_call_exchange.py
+++ b/samphirecleat/platform/_call_exchange.py
@@ -10,7 +10,7 @@
 from ..serving import Call, Target, TargetAnswer, TargetFault
 from ..targets import is_connection_closed
 from ._answers import RESPONSE_ERRORS
-from ._target_sessions import TargetSessions
+from ._target_sessions import MISDIRECTED_STATUS, TargetSessions
 from ._wire_names import (
     CONNECTION_HEADERS,
     DEADLINE_MS,
@@ -24,7 +24,6 @@
 _REPLACED_HEADERS: Final = frozenset({EXPECT_INSTANCE.lower(), DEADLINE_MS.lower(), "host"})
 # Set by the target's connection or by the connection to the caller.
 _DROPPED_ANSWER_HEADERS: Final = CONNECTION_HEADERS | {"date", "server"}
-MISDIRECTED_STATUS: Final = 421
 
 
 class CallExchange:
--- a/samphirecleat/platform/_engine_orders.py
+++ b/samphirecleat/platform/_engine_orders.py
@@ -60,7 +60,8 @@
         headers = {EXPECT_INSTANCE: target.instance, "Content-Type": "application/json"}
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
-            async with self._sessions.get(target).post(
+            # Reports and orders have no id, so a late second report would count as the answer.
+            async with self._sessions.get(target, new_connection=True).post(
                 target_url(target, PATH_ORDER),
                 headers=headers,
                 data=msgspec.json.encode(body),
--- a/samphirecleat/platform/_generation_stream.py
+++ b/samphirecleat/platform/_generation_stream.py
@@ -9,9 +9,9 @@
 from ..serving import Target
 from ..targets import is_connection_closed
 from ._answers import RESPONSE_ERRORS
-from ._call_exchange import MISDIRECTED_STATUS, target_url
+from ._call_exchange import target_url
 from ._event_stream import NO_VERSION, EventFormatError, parse_event, split_events
-from ._target_sessions import TargetSessions
+from ._target_sessions import MISDIRECTED_STATUS, TargetSessions
 from ._wire_names import (
     DEADLINE_MS,
     EXPECT_INSTANCE,
--- a/samphirecleat/platform/_target_sessions.py
+++ b/samphirecleat/platform/_target_sessions.py
@@ -24,7 +24,7 @@
 KEEPALIVE_PROBE_AFTER_S: Final = 1.0
 CONNECT_TIMEOUT_S: Final = 0.5
 LOGGED_ID_CHARS: Final = 80
-_FIRST_ERROR_STATUS: Final = 400
+MISDIRECTED_STATUS: Final = 421
 _SKIPPED_AUTO_HEADERS: Final = frozenset(
     {"User-Agent", "Accept", "Accept-Encoding", "Content-Type"}
 )
@@ -39,8 +39,8 @@
     new_connections: bool
 
 
-# Requests that a target answered with an error, and that may be sent to it again.
-MAX_ANSWERED_REQUESTS: Final = 2000
+# Requests that a target refused, and that may be sent to it again.
+MAX_REFUSED_REQUESTS: Final = 2000
 
 
 class TargetSessions:
@@ -54,23 +54,27 @@
         """Start without connections; ``observer`` counts new connections by service."""
         self._counters = observer.counters
         self._logger = observer.log("targets")
-        self._answered: OrderedDict[tuple[str, str], None] = OrderedDict()
+        self._refused: OrderedDict[tuple[str, str], None] = OrderedDict()
         self._sessions: dict[_SessionKey, aiohttp.ClientSession] = {}
         self._services: dict[_SessionKey, str] = {}
         self._idle_timeouts_s: dict[str, float] = {}
         self._closing: list[aiohttp.ClientSession] = []
 
-    def get(self, target: Target, request_id: str = "") -> aiohttp.ClientSession:
-        """Return the session of a target, with new connections for a request answered before.
+    def get(
+        self, target: Target, request_id: str = "", *, new_connection: bool = False
+    ) -> aiohttp.ClientSession:
+        """Return the session of a target, with new connections for a request refused before.
 
-        A second response to the earlier sending would bear the id of this one, too. It can only
-        arrive on the connection of the earlier sending.
+        A second refusal of the earlier sending would bear the id of this one, too. It can only
+        arrive on the connection of the earlier sending. A request without an id whose answer must
+        not be mistaken asks for a ``new_connection``.
         """
-        used_again = bool(request_id) and (target.instance, request_id) in self._answered
-        key = _SessionKey(target.instance, target.address, target.started_at_ms, used_again)
+        was_refused = bool(request_id) and (target.instance, request_id) in self._refused
+        opens = new_connection or was_refused
+        key = _SessionKey(target.instance, target.address, target.started_at_ms, opens)
         session = self._sessions.get(key)
         if session is None:
-            session = self._sessions[key] = self._open(target.service, new_connections=used_again)
+            session = self._sessions[key] = self._open(target.service, new_connections=opens)
             self._services[key] = target.service
         return session
 
@@ -85,8 +89,8 @@
         """
         answered_ids = response.headers.getall(REQUEST_ID, [""])
         if answered_ids == [request_id]:
-            if request_id and response.status >= _FIRST_ERROR_STATUS:
-                self._remember_answered(target, request_id)
+            if request_id and is_refusal(response):
+                self._remember_refused(target, request_id)
             return True
         response.close()
         self._counters[f"foreign_responses_{target.service}"] += 1
@@ -101,10 +105,10 @@
         )
         return False
 
-    def _remember_answered(self, target: Target, request_id: str) -> None:
-        self._answered[target.instance, request_id] = None
-        if len(self._answered) > MAX_ANSWERED_REQUESTS:
-            self._answered.popitem(last=False)
+    def _remember_refused(self, target: Target, request_id: str) -> None:
+        self._refused[target.instance, request_id] = None
+        if len(self._refused) > MAX_REFUSED_REQUESTS:
+            self._refused.popitem(last=False)
 
     def idle_timeout_s(self, service: str) -> float:
         """Return the idle timeout of connections to the targets of a service, in seconds."""
@@ -184,3 +188,8 @@
             if self._services[key] == service:
                 # aiohttp has no setter, and a new pool would drop all connections in use.
                 session.connector._keepalive_timeout = idle_timeout_s
+
+
+def is_refusal(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response, if it answers a request, says that the request has not run."""
+    return response.status == MISDIRECTED_STATUS or NOT_EXECUTED in response.headers
