Trials: no item waits behind one that fits no engine; items alike need enough others

The oldest one that an engine can take decides now.

Tests: only_an_engine_that_could_take_the_item_is_chosen and an_item_that_crashed_its_engines_alike_is_tried_last_and_beside_enough_others failed before.

--- a/samphirecleat/durable/_suspect_trials.py
+++ b/samphirecleat/durable/_suspect_trials.py
@@ -103,18 +103,18 @@
     """Return whether an item may run only as :func:`choose_trial` decides."""
     if suspicion.verdict is CrashVerdict.CLEAR or size.is_large:
         return False
-    if suspicion.verdict is not CrashVerdict.SUSPECT or _would_risk_the_last(suspicion, size):
+    if suspicion.verdict is not CrashVerdict.SUSPECT or _needs_others(suspicion, size):
         return True
     return now_s - suspicion.last_crash_s < MAX_WAIT_S
 
 
-def _would_risk_the_last(suspicion: Suspicion, size: ServiceSize) -> bool:
-    """Return whether an item that crashed its engines alike would run at the last one left.
+def _needs_others(suspicion: Suspicion, size: ServiceSize) -> bool:
+    """Return whether the service can't afford an item that crashed its engines alike.
 
     An item that merely ran beside the cause was at a different point of its run each time.
     """
     is_alike = suspicion.crash_count > 1 and suspicion.delay_spread_s <= TRIAL_MARGIN_S
-    return is_alike and size.accepting < min(2, size.total)
+    return is_alike and not size.can_lose_one
 
 
 def choose_trial(
@@ -136,9 +136,11 @@
     if running:
         kind, instance = running[0].kind, running[0].instance
     elif ready:
-        first = min(ready, key=lambda suspect: suspect.suspicion.last_crash_s)
+        # The oldest decides, unless no engine can take it: the others must not wait for that.
+        by_age = sorted(ready, key=lambda suspect: suspect.suspicion.last_crash_s)
+        found = ((suspect, _trial_engine(suspect.item, engines)) for suspect in by_age)
+        first, instance = next(((s, e) for s, e in found if e), (by_age[0], ""))
         kind = kind_of(first.suspicion)
-        instance = _trial_engine(first.item, engines)
     else:
         return TrialDecision("", (), {name: r for name, r in reasons.items() if r is not None})
     candidates = sorted(
@@ -168,8 +170,7 @@
     if size.can_lose_one:
         return None
     kind = kind_of(suspicion)
-    needs_others = kind is SuspectKind.REFUSED or _would_risk_the_last(suspicion, size)
-    if size.accepting == 0 or needs_others:
+    if size.accepting == 0 or kind is SuspectKind.REFUSED or _needs_others(suspicion, size):
         return WaitReason.FEW_ENGINES
     is_patient = size.accepting == 1 or kind is SuspectKind.LIKELY
     wait_s = LONG_WAIT_FOR_ENGINES_S if is_patient else WAIT_FOR_ENGINES_S
--- a/tests/durable/test_suspect_trials.py
+++ b/tests/durable/test_suspect_trials.py
@@ -140,12 +140,16 @@
     assert len(choose(refused).items) == 1
 
 
-def test_an_item_that_crashed_its_engines_alike_is_tried_last_and_not_at_the_last_engine() -> None:
+def test_an_item_that_crashed_its_engines_alike_is_tried_last_and_beside_enough_others() -> None:
     """Guards against a service that is lost to one item while innocent ones wait behind it."""
     alike = suspect("x", 2, spread_s=0.01)
     assert [item.item_id for item in choose([alike, suspect("y", 2)]).items] == ["y"]
     late = suspect("x", 2, spread_s=0.01, ago_s=MAX_WAIT_S + 1.0)
-    for size, may_run in ((ServiceSize(1, 3), False), (ServiceSize(1, 1), True)):
+    for size, may_run in (
+        (ServiceSize(1, 3), False),
+        (ServiceSize(2, 3), False),
+        (ServiceSize(1, 1), True),
+    ):
         assert is_restricted(late.suspicion, size, NOW_S) is not may_run
         assert bool(choose([late], size=size).items) is may_run
 
@@ -156,8 +160,14 @@
 
 
 def test_only_an_engine_that_could_take_the_item_is_chosen() -> None:
+    """Guards against items that wait behind one whose version no engine has."""
     engines = [engine("a", 12), engine("b", 0, version=0), engine("c", 4)]
     assert choose([suspect("x")], engines=engines).instance == "c"
+    newer = suspect("newer", ago_s=0.3)
+    newer = newer._replace(item=newer.item._replace(min_version=9))
+    mixed = choose([newer, suspect("x")], engines=engines)
+    assert mixed.instance == "c"
+    assert "x" in [item.item_id for item in mixed.items]
     full = choose([suspect("x")], engines=engines[:2])
     assert full.waiting == {("s1", "x"): WaitReason.NO_SLOT}
 
