--- a/samphirecleat/platform/_boot_settings.py
+++ b/samphirecleat/platform/_boot_settings.py
@@ -6,6 +6,8 @@
 from pathlib import Path
 from typing import Any, Final, NamedTuple, TypedDict
 
+from .._decoding import MALFORMED_INPUT_ERRORS
+
 SETTINGS_VARIABLE: Final = "SAMPHIRECLEAT_BOOT"
 DUTY_USAGE: Final = "usage"
 DUTY_SCALING: Final = "scaling"
@@ -92,10 +94,9 @@
         wrong type.
     """
     try:
-        document = tomllib.loads(Path(path).read_text())
-    except (OSError, UnicodeError, tomllib.TOMLDecodeError) as error:
+        return decode_boot_settings(tomllib.loads(Path(path).read_text()), path)
+    except (OSError, *MALFORMED_INPUT_ERRORS) as error:
         raise BootSettingsError(f"{path}: {error}") from error
-    return decode_boot_settings(document, path)
 
 
 def decode_boot_settings(document: Mapping[str, Any], source: str) -> BootSettings:
@@ -211,7 +212,7 @@
     def numbers(self, key: str, count: int) -> Sequence[float]:
         value = self._find(key)
         has_length = isinstance(value, list) and len(value) == count
-        if not has_length or not all(isinstance(v, (int, float)) for v in value):
+        if not has_length or not all(_is_finite(v) for v in value):
             raise self._error(key, f"a list of {count} numbers", value)
         return [float(v) for v in value]
 
@@ -223,3 +224,7 @@
 
     def _error(self, key: str, expected: str, value: Any) -> BootSettingsError:
         return BootSettingsError(f"{self._source}: {key}: expected {expected}, got {value!r}")
+
+
+def _is_finite(value: object) -> bool:
+    return isinstance(value, (int, float)) and math.isfinite(value)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,12 +2,17 @@
 
 import json
 import re
+from pathlib import Path
 
 import pytest
 
 from samphirecleat._decoding import MalformedError
 from samphirecleat.errors import ErrorKind, Ran, RequestError
-from samphirecleat.platform._boot_settings import BootSettingsError, decode_boot_settings
+from samphirecleat.platform._boot_settings import (
+    BootSettingsError,
+    decode_boot_settings,
+    read_boot_settings,
+)
 from samphirecleat.platform._documents import (
     decode_config,
     decode_named_version,
@@ -225,6 +230,7 @@
         ({"internalPortRange": [1]}, "internalPortRange"),
         ({"bounds": {}}, "bounds.gracePeriodS"),
         ({"seedNodes": "x"}, "seedNodes"),
+        ({"internalPortRange": [float("inf"), 1]}, "internalPortRange"),
         ({"limits": {"memoryMb": 0}}, "limits.memoryMb"),
         ({"limits": {"memoryMb": float("nan")}}, "limits.memoryMb"),
         ({"limits": {"memoryMb": float("inf")}}, "limits.memoryMb"),
@@ -238,6 +244,17 @@
         decode_boot_settings({**SETTINGS, **change}, "boot.toml")
 
 
+@pytest.mark.parametrize("content", [b"a = " + b"[" * 5000, b"\xff", b"a = "])
+def test_settings_that_cannot_be_read_are_rejected_with_their_file(
+    content: bytes, tmp_path: Path
+) -> None:
+    """Guards against an error that the node does not report as one of its settings."""
+    path = tmp_path / "boot.toml"
+    path.write_bytes(content)
+    with pytest.raises(BootSettingsError, match=r"boot\.toml"):
+        read_boot_settings(str(path))
+
+
 ITEM = {
     "id": "i",
     "path": "/run/1",
