Heads beyond the limit are refused before anything parses them, at every HTTP listener of a node

Seen: clients that send a head without end, or one over maxHeaderBytes, end a node: it runs out of memory. Callers on its other connections lose their answers. maxHeaderBytes was decoded and never read.

Cause: aiohttp's parser raises again for each further piece after its first error. Each error was queued with a traceback whose frame refers to the piece, and formatted into the log. Whole heads of twenty times the limit were parsed and passed on to targets, since the parser limits lines only.

The bound is 200 MB.

Change: the package connections/ has a guard between the socket and the parser, for each listener (callers, directory, readiness, control, metrics, calls of nodes). It counts bytes from the end of one request to the end of the next head, passes on complete heads only, and after a refusal (431, 408, 400) reads nothing more. It half-closes and closes 0.5 s later: closing at once with unread bytes resets the connection and may destroy the refusal; reading on would cost processor time without end. Limits are asked for at each request, so they follow the configuration. The guard reads at most 16 KB at once, and holds what follows a request until that is answered. A refusal is one count and at most one log line a second, without a traceback. A head that begins just before the idle timeout is not cut off by it any more. The time for a head counted at the callers' address only.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed-$(shell cksum requirements.lock | cut -d' ' -f1)
 
-.PHONY: try test lint types unit format bench generate known-red regression
+.PHONY: try test lint types unit crowds format bench generate known-red regression
 
 $(STAMP): requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -14,7 +14,7 @@
 try: $(STAMP)
 	$(BIN)/python -m samphirecleat try
 
-test: lint types known-red unit
+test: lint types known-red unit crowds
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
@@ -24,7 +24,11 @@
 	$(BIN)/mypy
 
 unit: $(STAMP)
-	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -m "not known_red"
+	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -m "not known_red and not crowd"
+
+# Crowds of clients outside the limits against one process at a time, beside nothing else.
+crowds: $(STAMP)
+	$(BIN)/python -m pytest -m "crowd and not known_red"
 
 # Faults that are known and not mended yet: run, printed, and kept out of the verdict.
 known-red: $(STAMP)
--- /dev/null
+++ b/samphirecleat/connections/_refusals.py
@@ -0,0 +1,36 @@
+"""The reasons for which a connection is refused, and what its client is told."""
+
+from collections.abc import Mapping
+from enum import Enum
+from http import HTTPStatus
+from typing import Final
+
+
+class Refusal(Enum):
+    """Why a connection is closed before its client gets an ordinary answer."""
+
+    HEAD_TOO_LARGE = "head_too_large"
+    HEAD_TIMEOUT = "head_timeout"
+    MALFORMED = "malformed"
+
+
+STATUSES: Final[Mapping[Refusal, HTTPStatus]] = {
+    Refusal.HEAD_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    Refusal.HEAD_TIMEOUT: HTTPStatus.REQUEST_TIMEOUT,
+    Refusal.MALFORMED: HTTPStatus.BAD_REQUEST,
+}
+"""The status of each refusal that is answered; the others close the connection in silence.
+
+None of these requests has run, nor will: no handler runs a request before its body is complete.
+"""
+
+
+def _encode(status: HTTPStatus) -> bytes:
+    lines = [f"HTTP/1.1 {status.value} {status.phrase}", "Connection: close", "Content-Length: 0"]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+RESPONSES: Final[Mapping[Refusal, bytes]] = {
+    refusal: _encode(status) for refusal, status in STATUSES.items()
+}
+"""The complete response of each refusal that is answered."""
--- a/samphirecleat/platform/_owner_endpoint.py
+++ b/samphirecleat/platform/_owner_endpoint.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from .._decoding import MalformedError, decode_msgpack
+from ..connections import ConnectionFactory, ConnectionLimits, GuardedServer, SharedLimits
 from ..dispatch import AttemptGrant, CallReply, CallRequest, HopHeader, SendDelays, hop_scope
 from ..errors import RequestError
 from ..observe import Observer
@@ -56,14 +57,11 @@
         self._delays = SendDelays()
         self.in_flight = 0
 
-    def server(self) -> web.Server:
-        """Return the HTTP server of this handler."""
-        return web.Server(
-            self.handle,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=IDLE_TIMEOUT_S + IDLE_MARGIN_S,
-        )
+    def server(self, shared: SharedLimits) -> GuardedServer:
+        """Return the HTTP server of this handler, which shares limits with the node's others."""
+        limits = ConnectionLimits(idle_timeout_s=IDLE_TIMEOUT_S + IDLE_MARGIN_S)
+        connections = ConnectionFactory(shared, lambda: limits)
+        return GuardedServer(self.handle, connections, handler_cancellation=True)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the response to one request of a node."""
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -7,11 +7,16 @@
 from typing import Final
 
 import aiohttp
-from aiohttp import web
 
 from .._boot_clock import boot_time_s
 from .._supervisor import TaskSupervisor
 from ..blackboard import Blackboard, Identity, Member
+from ..connections import (
+    ConnectionFactory,
+    ConnectionLimits,
+    GuardedServer,
+    make_shared_limits,
+)
 from ..controllers.membership import Membership
 from ..dispatch import (
     MAX_NODES_WITHOUT_OWNERS,
@@ -54,7 +59,7 @@
 from ._duty_api import DutyApi
 from ._engine_orders import EngineOrders
 from ._front import CallerHandler
-from ._front_server import CallerServer
+from ._front_server import CallerServer, caller_connection_limits
 from ._generation_stream import GenerationStream
 from ._listeners import Listeners
 from ._metadata_store import MetadataStore
@@ -76,6 +81,8 @@
 # the settle time after a store outage, when registrations of live targets may still be missing.
 MAX_REGISTRATIONS_AGE_S: Final = 1.5
 STORE_SETTLE_S: Final = 3.0
+# Limits of the connections for readiness, control and metrics.
+AUXILIARY_LIMITS: Final = ConnectionLimits(idle_timeout_s=60.0)
 # Corrections of this node's clock above this are logged.
 LOGGED_CLOCK_CORRECTION_S: Final = 0.1
 # A draining node keeps serving for this long, or for 60 % of the grace period if that is shorter.
@@ -252,6 +259,7 @@
             self._rng,
         )
         meter = self._counter.record_start if self.settings.reports_usage else discard_usage
+        self._shared_limits = make_shared_limits(self.observer)
         self._call_bytes = CallBytes(
             self.settings.call_bytes_limit, self.observer, lambda: self.board.leaving
         )
@@ -333,21 +341,24 @@
             settings.entry_ttl_s,
             self.step_log.texts.cached,
         )
-        await listeners.open(settings.front_address, CallerServer(self.front.handle, self.routes))
-        await listeners.open(settings.ready_address, web.Server(endpoints.ready, access_log=None))
-        directory = web.Server(endpoints.directory, access_log=None)
-        await listeners.open(settings.directory_address, directory)
+        shared = self._shared_limits
+        for_callers = ConnectionFactory(shared, caller_connection_limits(self.routes))
+        others = ConnectionFactory(shared, lambda: AUXILIARY_LIMITS)
         await listeners.open(
-            settings.control_address, web.Server(endpoints.control, access_log=None)
+            settings.front_address, CallerServer(self.front.handle, self.routes, shared)
         )
+        directory = GuardedServer(endpoints.directory, for_callers)
+        await listeners.open(settings.directory_address, directory)
+        await listeners.open(settings.ready_address, GuardedServer(endpoints.ready, others))
+        await listeners.open(settings.control_address, GuardedServer(endpoints.control, others))
         if settings.metrics_port:
             address = f"{settings.ip_address}:{settings.metrics_port}"
-            metrics = web.Server(endpoints.metrics, access_log=None)
+            metrics = GuardedServer(endpoints.metrics, others)
             await listeners.open_optional(address, metrics, "metrics")
         peer_address = self.board.identity.peer_address
         # Without this listener, other nodes dispatch the calls of the targets that it owns.
         await listeners.open_optional(
-            peer_address, self._dispatch.endpoint.server(), "calls of nodes"
+            peer_address, self._dispatch.endpoint.server(shared), "calls of nodes"
         )
         peer_host, _, peer_port = peer_address.rpartition(":")
         await asyncio.get_running_loop().create_datagram_endpoint(
--- /dev/null
+++ b/tests/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of :mod:`samphirecleat.connections`."""
--- /dev/null
+++ b/tests/crowds/test_platform_node.py
@@ -0,0 +1,72 @@
+"""A node of the users' platform while clients outside the limits are at it."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from ..platform.nodes import Caller, Nodes, config_document, running_nodes
+from .kinds import HEADS
+from .watched import Peaks, play
+
+MEMORY_MB = 200
+FILE_DESCRIPTORS = 1000
+MAX_HEADER_BYTES = 16384
+ADDRESSES = ("ready", "control", "directory", "peer", "metrics")
+
+pytestmark = pytest.mark.crowd
+
+
+def crowd_config() -> dict[str, object]:
+    """Return a configuration with low limits."""
+    limits = {
+        "maxHeaderBytes": MAX_HEADER_BYTES,
+        "maxBodyBytes": 1 << 20,
+        "headerTimeoutMs": 5000,
+        "idleTimeoutMs": 15000,
+    }
+    return {**config_document(), "limits": limits}
+
+
+def meet(kind: str, folder: Path, address: str = "front") -> Peaks:
+    """Let a crowd meet a node; the node must live on and answer an ordinary call afterwards."""
+
+    async def body() -> Peaks:
+        limits = f"[limits]\nmemoryMb = {MEMORY_MB}\nfileDescriptors = {FILE_DESCRIPTORS}"
+        async with running_nodes(1, folder, tables=limits, config=crowd_config()) as running:
+            nodes, caller, _store, _targets = running
+            await call(caller)
+            host = nodes.hosts[0]
+            peaks = await play(kind, host, port_of(nodes, address), nodes.pid(host))
+            assert nodes.is_running(host)
+            await call(caller)
+            return peaks
+
+    peaks = asyncio.run(body())
+    assert peaks.memory_mb <= MEMORY_MB
+    assert peaks.descriptors <= FILE_DESCRIPTORS
+    return peaks
+
+
+async def call(caller: Caller) -> None:
+    headers = {"X-Request-Id": "q1", "X-Deadline-Ms": "5000"}
+    assert await caller.call("POST", "/plain/1", body=b"quote", headers=headers) == b"answer to q1"
+
+
+def port_of(nodes: Nodes, address: str) -> int:
+    port: int = getattr(nodes, address)
+    return port
+
+
+@pytest.mark.parametrize("kind", HEADS)
+def test_heads_beyond_the_limit_fill_no_memory(kind: str, tmp_path: Path) -> None:
+    """Guards against a process that ends because it keeps what clients send as one head."""
+    meet(kind, tmp_path)
+
+
+@pytest.mark.parametrize("address", ADDRESSES)
+def test_heads_beyond_the_limit_fill_no_memory_at_other_addresses(
+    address: str, tmp_path: Path
+) -> None:
+    """Guards against a limit that holds for callers only, while one process has six listeners."""
+    meet("header_value", tmp_path, address)
--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -32,7 +32,8 @@
     """Node processes that share one stand-in store; they can be killed and restarted."""
 
     def __init__(self, count: int, folder: Path, store: StoreStandIn) -> None:
-        self.front, self.ready, self.control, self.directory, self.peer = distinct_ports(5)
+        ports = distinct_ports(6)
+        self.front, self.ready, self.control, self.directory, self.peer, self.metrics = ports
         pid = os.getpid()
         self.hosts = [
             f"127.{96 + number}.{(pid >> 8) & 255}.{pid & 255}" for number in range(count)
@@ -84,12 +85,21 @@
                 sys.executable,
                 "-m",
                 "samphirecleat.platform",
+                f"--metrics-port={self.metrics}",
                 cwd=REPOSITORY,
                 env={**os.environ, "SAMPHIRECLEAT_BOOT": str(path)},
                 stdout=log,
                 stderr=log,
             )
 
+    def pid(self, host: str) -> int:
+        """Return the process id of a node."""
+        return self._processes[host].pid
+
+    def is_running(self, host: str) -> bool:
+        """Whether the process of a node has not ended."""
+        return self._processes[host].returncode is None
+
     async def kill(self, host: str) -> None:
         """Kill one node and wait until it has exited."""
         process = self._processes[host]
@@ -168,6 +178,7 @@
     *,
     bounds: str = "",
     tables: str = "",
+    config: dict[str, object] | None = None,
 ) -> AsyncIterator[tuple[Nodes, Caller, StoreStandIn, list[TargetStandIn]]]:
     """Start a store, an engine, a scoring service and nodes; stop them all afterwards."""
     store = StoreStandIn()
@@ -175,7 +186,7 @@
     targets = [TargetStandIn("e-1", events=8, pause_s=0.02), TargetStandIn("p-1")]
     for target in targets:
         await target.start()
-    store.put("keyed.op", "config", config_document())
+    store.put("keyed.op", "config", config or config_document())
     for target, service in zip(targets, ("engine", "plain"), strict=True):
         store.put("keyed.servers", target.instance, registration(target, service))
     nodes = Nodes(count, folder, store)
--- a/tests/platform/test_call_bytes.py
+++ b/tests/platform/test_call_bytes.py
@@ -10,6 +10,7 @@
 import uvloop
 from aiohttp import web
 
+from samphirecleat.connections import make_shared_limits
 from samphirecleat.errors import RequestError
 from samphirecleat.observe import Observer
 from samphirecleat.platform._byte_budget import ByteLease
@@ -120,11 +121,13 @@
 
     async def run_server() -> None:
         site = Site()
+        shared = make_shared_limits(site.observer)
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, kernel_bytes)
         listener.bind(("127.0.0.1", 0))
         site.port = listener.getsockname()[1]
-        runner = web.ServerRunner(CallerServer(site.handle, RouteTable()), shutdown_timeout=0.1)
+        server = CallerServer(site.handle, RouteTable(), shared)
+        runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await runner.setup()
         await web.SockSite(runner, listener).start()
         try:
