Empty lines before a request count toward its head

Seen: a client that sends empty lines without end keeps a node reading, at the callers' address until the header timeout and at all others for ever; other callers wait meanwhile.

Cause: the parser drops empty lines before a request line and nobody counts them.

Change: the guard strips and counts them; over the limit together with the head, 431.

--- a/samphirecleat/connections/_guard.py
+++ b/samphirecleat/connections/_guard.py
@@ -49,6 +49,7 @@
     __slots__ = (
         "_connection",
         "_context",
+        "_empty_bytes",
         "_head_begun",
         "_loop",
         "_meter",
@@ -75,6 +76,7 @@
         # Read, but not approved.
         self._pending = b""
         self._head_begun = False
+        self._empty_bytes = 0
         self._meter: BodyMeter | None = None
         self._reading = True
         self._refused = False
@@ -170,12 +172,13 @@
             self._head_begun = True
             self._since_s = self._loop.time()
         head = self._pending.lstrip(b"\r\n")
+        self._empty_bytes += len(self._pending) - len(head)
         self._pending = head
         if head and head[0] not in _METHOD_START:
             return self._refuse(Refusal.MALFORMED)
         end = _HEAD_END.search(head)
         head_bytes = end.end() if end else len(head) + 1
-        if head_bytes > self._context.limits().head_bytes:
+        if self._empty_bytes + head_bytes > self._context.limits().head_bytes:
             return self._refuse(Refusal.HEAD_TOO_LARGE)
         if end is None:
             self._schedule()
@@ -185,6 +188,7 @@
     def _pass_on_head(self, head_bytes: int) -> bool:
         head, self._pending = self._pending[:head_bytes], self._pending[head_bytes:]
         self._head_begun = False
+        self._empty_bytes = 0
         self._feed(head)
         return True
 
--- a/samphirecleat/connections/_limits.py
+++ b/samphirecleat/connections/_limits.py
@@ -10,8 +10,8 @@
 class ConnectionLimits(NamedTuple):
     """Limits on each connection of a listener.
 
-    ``head_bytes`` is the size of a head, ``head_timeout_s`` the time from the first byte after the
-    request before to the last byte of a head.
+    ``head_bytes`` counts from the end of a request to the end of the next request's head, empty
+    lines included. ``head_timeout_s`` is the time from the first of these bytes to the last.
     A connection is closed if it carries no request for ``idle_timeout_s``.
     """
 
--- a/tests/connections/test_guard.py
+++ b/tests/connections/test_guard.py
@@ -71,6 +71,7 @@
 
 BEFORE = {
     "nothing": b"",
+    "empty lines": b"\r\n" * 20,
     "an answered request": head("/1"),
     "a body in chunks": chunked(b"1\r\na\r\n0\r\n\r\n"),
 }
@@ -81,12 +82,13 @@
     """Guards against a limit that is off by what was sent before the head."""
 
     async def body(site: Site) -> None:
+        empty_bytes = len(BEFORE[before]) if before == "empty lines" else 0
         for extra_bytes, status in ((0, 200), (1, 431)):
             client = await Client.connect(site)
             await client.send(BEFORE[before])
-            if before != "nothing":
+            if before not in ("nothing", "empty lines"):
                 assert (await client.answer())[0] == 200
-            await client.send(head("/", LIMITS.head_bytes + extra_bytes))
+            await client.send(head("/", LIMITS.head_bytes - empty_bytes + extra_bytes))
             assert (await client.answer())[0] == status
             client.close()
 
--- a/tests/crowds/test_platform_node.py
+++ b/tests/crowds/test_platform_node.py
@@ -12,6 +12,8 @@
 MEMORY_MB = 200
 FILE_DESCRIPTORS = 1000
 MAX_HEADER_BYTES = 16384
+# The most that the two kernels of a connection keep of what was not read.
+KERNEL_BYTES = 16_000_000
 ADDRESSES = ("ready", "control", "directory", "peer", "metrics")
 
 pytestmark = pytest.mark.crowd
@@ -70,3 +72,10 @@
 ) -> None:
     """Guards against a limit that holds for callers only, while one process has six listeners."""
     meet("header_value", tmp_path, address)
+
+
+@pytest.mark.parametrize("address", ["front", *ADDRESSES])
+def test_empty_lines_without_end_are_refused(address: str, tmp_path: Path) -> None:
+    """Guards against a client that keeps the node reading without ever sending a request."""
+    peaks = meet("empty_lines", tmp_path, address)
+    assert peaks.connection_bytes <= KERNEL_BYTES
