Bodies with malformed, endless or stalled framing are refused

Seen: trailers without end and chunks without a size filled a node's memory; after malformed framing a request waited for its body until its client left, and so did a body that never arrived.

Cause: after an error within a body aiohttp tells the handler nothing, and queues an error for each further piece. Trailers are kept as fields of the head. Nothing bounded the time of a body in calm.

Change: the first error fails the handler with 400 and ends the connection. Framing without data beyond the limit of a head, or of over 32 times the data, is refused (400; a chunk of one byte has five). A body of which nothing arrives for the idle timeout is refused (408, not run: bodies are complete before a request runs). After an early answer, 1 MB of the rest is read and dropped.

--- a/samphirecleat/connections/_guard.py
+++ b/samphirecleat/connections/_guard.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import Final, cast
 
+from aiohttp import web
+
 from ._body_meter import BodyMeter
 from ._http_connection import HttpConnection
 from ._limits import IDLE_MARGIN_S, ConnectionLimits
@@ -194,24 +196,39 @@
 
     def _approve_body(self) -> bool:
         """Pass on a part of a body, and nothing beyond the end of the body."""
+        self._since_s = self._loop.time()
         meter = self._meter
         size_bytes = meter.part_bytes(self._pending) if meter is not None else 0
         if meter is None or size_bytes <= 0:
             return False
         part, self._pending = self._pending[:size_bytes], self._pending[size_bytes:]
+        is_answered = not self._connection.has_requests
+        if is_answered and meter.is_too_long_unread(part):
+            return self._refuse(Refusal.UNREAD_BODY)
         self._feed(part)
         return True
 
     def _feed(self, data: bytes) -> None:
-        """Let the connection parse data."""
+        """Let the connection parse data, and check what it made of a body."""
         connection = self._connection
         body = connection.payload if connection.is_receiving else None
         connection.data_received(data)
         if body is not None and self._meter is not None:
-            self._meter.record(data)
+            self._meter.record(data, body.total_bytes)
+            self._check_body(self._meter)
         elif connection.is_receiving and connection.request is not None:
             self._meter = BodyMeter(connection.request)
 
+    def _check_body(self, meter: BodyMeter) -> None:
+        """Refuse a body whose framing is out of proportion."""
+        if meter.has_excessive_framing(self._context.limits().head_bytes):
+            self._fail_body(Refusal.BODY_FRAMING, web.HTTPBadRequest())
+
+    def _fail_body(self, refusal: Refusal, error: web.HTTPException) -> None:
+        self._context.log.record(refusal, self._peer)
+        self._connection.fail_body(error)
+        self._stop_reading()
+
     def _refuse(self, refusal: Refusal) -> bool:
         """Answer with a refusal, if it has an answer, and close the connection; returns False."""
         self._context.log.record(refusal, self._peer)
@@ -277,8 +294,10 @@
         """Return when the present stage has lasted too long by the limits now in force."""
         limits = self._context.limits()
         match self._stage:
-            case Stage.RUNNING | Stage.RECEIVING:
+            case Stage.RUNNING:
                 return None
+            case Stage.RECEIVING:
+                return self._since_s + limits.idle_timeout_s
         if self._head_begun:
             return self._since_s + limits.head_timeout_s
         return self._since_s + limits.idle_timeout_s + IDLE_MARGIN_S
@@ -303,7 +322,17 @@
             return
         if self._loop.time() < expires_at_s:
             self._schedule()
+        elif self._stage is Stage.RECEIVING:
+            self._on_body_timeout()
         elif self._head_begun:
             self._refuse(Refusal.HEAD_TIMEOUT)
         else:
             self._connection.force_close()
+
+    def _on_body_timeout(self) -> None:
+        """Refuse a body that has stopped arriving, unless this process doesn't read it."""
+        if self._reading:
+            self._fail_body(Refusal.BODY_TIMEOUT, web.HTTPRequestTimeout())
+        else:
+            self._since_s = self._loop.time()
+            self._schedule()
--- a/samphirecleat/connections/_http_connection.py
+++ b/samphirecleat/connections/_http_connection.py
@@ -89,7 +89,22 @@
         else:
             self._on_parse_error()
 
+    def fail_body(self, error: Exception) -> None:
+        """Make the handler that reads the body fail, and close the connection after its answer.
+
+        aiohttp tells a handler nothing about malformed framing, so it would wait without end.
+        """
+        payload = self.payload
+        if payload is not None and not payload.is_eof():
+            if self.has_requests:
+                payload.set_exception(error)
+            payload.feed_eof()
+        self.close()
+
     def _on_parse_error(self) -> None:
+        # The error is queued behind the request whose body is malformed; only one is answered.
+        if self.is_receiving:
+            self.fail_body(web.HTTPBadRequest(text="malformed body"))
         if self.events is not None:
             self.events.on_parse_error()
 
--- a/samphirecleat/connections/_limits.py
+++ b/samphirecleat/connections/_limits.py
@@ -12,7 +12,8 @@
 
     ``head_bytes`` counts from the end of a request to the end of the next request's head, empty
     lines included. ``head_timeout_s`` is the time from the first of these bytes to the last.
-    A connection is closed if it carries no request for ``idle_timeout_s``.
+    A connection is closed if it carries nothing for ``idle_timeout_s``, between requests or within
+    the body of one.
     """
 
     head_bytes: int = 16384
--- a/samphirecleat/connections/_refusals.py
+++ b/samphirecleat/connections/_refusals.py
@@ -12,12 +12,17 @@
     HEAD_TOO_LARGE = "head_too_large"
     HEAD_TIMEOUT = "head_timeout"
     MALFORMED = "malformed"
+    BODY_FRAMING = "body_framing"
+    BODY_TIMEOUT = "body_timeout"
+    UNREAD_BODY = "unread_body"
 
 
 STATUSES: Final[Mapping[Refusal, HTTPStatus]] = {
     Refusal.HEAD_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     Refusal.HEAD_TIMEOUT: HTTPStatus.REQUEST_TIMEOUT,
     Refusal.MALFORMED: HTTPStatus.BAD_REQUEST,
+    Refusal.BODY_FRAMING: HTTPStatus.BAD_REQUEST,
+    Refusal.BODY_TIMEOUT: HTTPStatus.REQUEST_TIMEOUT,
 }
 """The status of each refusal that is answered; the others close the connection in silence.
 
--- a/tests/connections/test_guard.py
+++ b/tests/connections/test_guard.py
@@ -150,10 +150,18 @@
         (b"\x16\x03\x01\x02", 400, "malformed"),
         (b"GET / HTTP/9.9\r\n\r\n", 400, "malformed"),
         (head("/", lines=b"no field\r\n"), 400, "malformed"),
+        (chunked(b"no size\r\n"), 400, "malformed"),
+        (chunked(b"1\r\na\r\n" + b"0" * 2000), 400, "body_framing"),
+        (chunked(b"1\r\na\r\n0\r\n" + b"A: b\r\n" * 400), 400, "body_framing"),
+        (chunked((b"1" + b" ;" + b"x" * 90 + b"\r\na\r\n") * 50), 400, "body_framing"),
+        (chunked(b"5\r\nab"), 408, "body_timeout"),
+        (post("/", b"Content-Length: 5\r\n", b"ab"), 408, "body_timeout"),
     ],
 )
-def test_malformed_heads_are_refused(sent: bytes, status: int, reason: str) -> None:
-    """Guards against a piece of input that is kept with each of many errors."""
+def test_malformed_and_unfinished_requests_are_refused(
+    sent: bytes, status: int, reason: str
+) -> None:
+    """Guards against a handler that waits without end, and against a log line for each refusal."""
 
     async def body(site: Site) -> None:
         client = await Client.connect(site)
@@ -166,6 +174,20 @@
     run(body)
 
 
+def test_bodies_with_much_framing_within_the_limits_are_served() -> None:
+    """Guards against a limit on framing that a client inside the limits meets."""
+
+    async def body(site: Site) -> None:
+        client = await Client.connect(site)
+        lines = b"".join(b"a%d:\r\n" % (number % 10) for number in range(180))
+        await client.send(head("/", method="POST", lines=CHUNKED + lines))
+        await client.send(b"1\r\na\r\n" * 50_000 + b"0\r\n\r\n")
+        assert await client.answer() == (200, b"POST / " + b"a" * 50_000)
+        client.close()
+
+    run(body)
+
+
 def test_limits_of_a_new_configuration_apply_to_open_connections() -> None:
     async def body(site: Site) -> None:
         client = await Client.connect(site)
@@ -210,3 +232,16 @@
         client.close()
 
     run(body)
+
+
+def test_an_early_answer_is_followed_by_no_endless_reading() -> None:
+    """Guards against a client that sends a body without end although it has its answer."""
+
+    async def body(site: Site) -> None:
+        client = await Client.connect(site)
+        await client.send(head("/early", method="POST", lines=CHUNKED))
+        assert (await client.answer())[0] == 404
+        await client.send_until_closed(b"10000\r\n" + b"a" * 0x10000 + b"\r\n")
+        assert site.count("unread_body") == 1
+
+    run(body)
--- a/tests/crowds/test_platform_node.py
+++ b/tests/crowds/test_platform_node.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ..platform.nodes import Caller, Nodes, config_document, running_nodes
-from .kinds import HEADS
+from .kinds import BODIES, HEADS
 from .watched import Peaks, play
 
 MEMORY_MB = 200
@@ -79,3 +79,9 @@
     """Guards against a client that keeps the node reading without ever sending a request."""
     peaks = meet("empty_lines", tmp_path, address)
     assert peaks.connection_bytes <= KERNEL_BYTES
+
+
+@pytest.mark.parametrize("kind", [kind for kind in BODIES if kind != "one_byte_chunks"])
+def test_bodies_outside_the_limits_do_no_harm(kind: str, tmp_path: Path) -> None:
+    """Guards against framing without end."""
+    meet(kind, tmp_path)
