A request for another protocol or a tunnel is answered and its connection closed

Seen: bytes without end behind a request with "Upgrade: websocket", or behind CONNECT, filled a node.

Cause: aiohttp keeps bytes behind such a request for the handler that may speak the other protocol. After the answer they were parsed as a request, with the errors of heads beyond the limit.

Change: the guard drops what follows such a request, and the connection closes after the answer.

--- a/samphirecleat/connections/_guard.py
+++ b/samphirecleat/connections/_guard.py
@@ -252,12 +252,22 @@
             self._check_body(self._meter)
         elif connection.is_receiving and connection.request is not None:
             self._meter = BodyMeter(connection.request)
+        if connection.is_upgraded:
+            self._end_upgrade()
 
     def _check_body(self, meter: BodyMeter) -> None:
         """Refuse a body whose framing is out of proportion."""
         if meter.has_excessive_framing(self._context.limits().head_bytes):
             self._fail_body(Refusal.BODY_FRAMING, web.HTTPBadRequest())
 
+    def _end_upgrade(self) -> None:
+        """Close the connection after its response: no other protocol is spoken here."""
+        body = self._connection.payload
+        if body is not None and not body.is_eof():
+            body.feed_eof()
+        self._connection.close()
+        self._stop_reading()
+
     def _fail_body(self, refusal: Refusal, error: web.HTTPException) -> None:
         self._context.log.record(refusal, self._peer)
         self._connection.fail_body(error)
--- a/samphirecleat/connections/_http_connection.py
+++ b/samphirecleat/connections/_http_connection.py
@@ -73,6 +73,11 @@
         """Whether the body of the last request is incomplete."""
         return self.payload is not None and not self.payload.is_eof()
 
+    @property
+    def is_upgraded(self) -> bool:
+        """Whether the last request asked for another protocol, or for a tunnel."""
+        return bool(self._upgraded)
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes, and keep the last request that they complete."""
         count = self._request_count
--- a/tests/connections/test_guard.py
+++ b/tests/connections/test_guard.py
@@ -9,6 +9,7 @@
 from .sites import LIMITS, Client, Site, head, run
 
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
+UPGRADE = b"Connection: upgrade\r\nUpgrade: websocket\r\n"
 
 
 def post(path: str, lines: bytes, body: bytes) -> bytes:
@@ -219,6 +220,27 @@
     run(body)
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        head("/", lines=UPGRADE),
+        post("/", UPGRADE + b"Content-Length: 1\r\n", b"a"),
+        b"CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n",
+    ],
+)
+def test_a_request_for_another_protocol_is_answered_and_its_connection_closed(data: bytes) -> None:
+    """Guards against bytes behind such a request that the HTTP library would keep without end."""
+
+    async def body(site: Site) -> None:
+        client = await Client.connect(site)
+        await client.send(data + b"x" * 5000)
+        status, _body = await client.answer()
+        assert status == 200
+        assert await client.is_closed()
+
+    run(body)
+
+
 def test_an_early_answer_is_delivered_and_a_short_rest_of_the_body_dropped() -> None:
     async def body(site: Site) -> None:
         client = await Client.connect(site)
--- a/tests/crowds/test_platform_node.py
+++ b/tests/crowds/test_platform_node.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ..platform.nodes import Caller, Nodes, config_document, running_nodes
-from .kinds import BODIES, HEADS
+from .kinds import AFTER_REQUESTS, BODIES, HEADS
 from .watched import Peaks, play
 
 MEMORY_MB = 200
@@ -85,3 +85,9 @@
 def test_bodies_outside_the_limits_do_no_harm(kind: str, tmp_path: Path) -> None:
     """Guards against framing without end, and framing whose parsing takes all of the processor."""
     meet(kind, tmp_path)
+
+
+@pytest.mark.parametrize("kind", AFTER_REQUESTS)
+def test_bytes_behind_a_request_fill_no_memory(kind: str, tmp_path: Path) -> None:
+    """Guards against requests and other bytes that wait, unbounded, behind a request."""
+    meet(kind, tmp_path)
