Connections of clients have places, bounded by descriptors and memory

Seen: clients that hold connections take a node's last descriptor; the next socket to a target or to the store doesn't open.

Cause: nothing bounded the number of connections; limits.fileDescriptors wasn't read.

Change: half of fileDescriptors less 200, and a quarter of memoryMb at 20 KB each, for all listeners of a process together. When all places are taken, a new connection gets the place of one that never sent a request, else of an idle one, else of one whose body or answer has not moved for 2 s, the oldest first; never of one whose request runs. Every listener writes with a low-water mark of 0. Settings without fileDescriptors count as 8,192.

--- a/samphirecleat/connections/__init__.py
+++ b/samphirecleat/connections/__init__.py
@@ -1,11 +1,12 @@
-"""Connections of clients: what they may send, and how long they may take.
+"""Connections of clients: what they may send, how long they may take, how many there may be.
 
-Clients that exceed the limits are refused before what they send fills the memory of the process or
-keeps it from other work.
+Clients that exceed the limits are refused, or their connections closed, before what they send fills
+the memory of the process, takes its descriptors or keeps it from other work.
 """
 
 from ._limits import ConnectionLimits
 from ._listening import bind_listener
+from ._places import max_client_connections
 from ._server import (
     ConnectionFactory,
     GuardedServer,
@@ -13,6 +14,7 @@
     SharedLimits,
     make_shared_limits,
 )
+from ._unread_bytes import unread_bytes
 
 __all__ = [
     "ConnectionFactory",
@@ -22,4 +24,6 @@
     "SharedLimits",
     "bind_listener",
     "make_shared_limits",
+    "max_client_connections",
+    "unread_bytes",
 ]
--- a/samphirecleat/connections/_guard.py
+++ b/samphirecleat/connections/_guard.py
@@ -12,10 +12,12 @@
 from ._body_meter import BodyMeter
 from ._http_connection import HttpConnection
 from ._limits import IDLE_MARGIN_S, ConnectionLimits
+from ._places import Places
 from ._refusal_log import RefusalLog
 from ._refusals import RESPONSES, Refusal
 from ._stage import Stage
 from ._turns import Turns
+from ._unread_bytes import unread_bytes
 
 # The most that is read from a socket at once, and the most that may wait behind a request that is
 # not answered yet. If more waits, nothing is read, and a disconnect goes unnoticed until then.
@@ -40,11 +42,13 @@
         self,
         limits: Callable[[], ConnectionLimits],
         log: RefusalLog,
+        places: Places,
         turns: Turns,
     ) -> None:
         """Ask ``limits`` anew for each request."""
         self.limits = limits
         self.log = log
+        self.places = places
         self.turns = turns
 
 
@@ -72,6 +76,7 @@
         "_stage",
         "_timer",
         "_transport",
+        "_unread_bytes",
     )
 
     def __init__(self, connection: HttpConnection, context: GuardContext) -> None:
@@ -92,11 +97,12 @@
         self._head_begun = False
         self._empty_bytes = 0
         self._meter: BodyMeter | None = None
+        self._unread_bytes = 0
         self._reading = True
         self._refused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Let the connection start.
+        """Take a place, or close the connection at once if there is none.
 
         Writes wait until the kernel has accepted their last byte. By default, 64 KB stay in memory
         after a write has returned, for as long as the client does not read.
@@ -105,26 +111,33 @@
         self._transport = cast(asyncio.Transport, transport)
         self._peer = transport.get_extra_info("peername")
         self._since_s = self._loop.time()
+        if not self._context.places.enter(self, self._peer, self._since_s):
+            self._refused = True
+            self._transport.abort()
+            return
         self._transport.set_write_buffer_limits(high=0)
         self._connection.events = self
         self._connection.connection_made(transport)
         self._schedule()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Drop what was received."""
+        """Free the place and drop what was received."""
         self._drop()
         if self._timer is not None:
             self._timer.cancel()
+        self._context.places.leave(self, self._stage)
         self._transport = None
         self._connection.connection_lost(exc)
 
     def pause_writing(self) -> None:
         """Make the connection wait with its writes."""
         self._connection.pause_writing()
+        self._update_stage()
 
     def resume_writing(self) -> None:
         """Let the connection go on with its writes."""
         self._connection.resume_writing()
+        self._update_stage()
 
     def eof_received(self) -> None:
         """Close the connection: a client that has closed its side is gone."""
@@ -142,6 +155,20 @@
         self._pending = self._pending + data if self._pending else data
         self._process()
 
+    def evict(self) -> None:
+        """Close the connection at once, without an answer."""
+        self._context.log.record(Refusal.EVICTED, self._peer)
+        self._abort()
+
+    def progressed_at_s(self, now_s: float) -> float:
+        """Return when the client was last seen to make progress, in the time of the event loop."""
+        if self._stage is Stage.UNREAD and self._transport is not None:
+            unread = unread_bytes(self._transport)
+            if unread != self._unread_bytes:
+                self._unread_bytes = unread
+                self._since_s = now_s
+        return self._since_s
+
     def on_reading_changed(self) -> None:
         """Go on with what is pending if the connection wants bytes again."""
         self._process()
@@ -329,6 +356,7 @@
         stage = self._current_stage()
         if stage is self._stage:
             return
+        self._context.places.move(self, self._stage, stage)
         self._stage = stage
         self._since_s = self._loop.time()
         self._schedule()
@@ -338,14 +366,14 @@
         if connection.is_receiving:
             return Stage.RECEIVING
         if connection.has_requests:
-            return Stage.RUNNING
+            return Stage.UNREAD if connection.writing_paused else Stage.RUNNING
         return Stage.NEW if connection.request is None else Stage.IDLE
 
     def _expires_at_s(self) -> float | None:
         """Return when the present stage has lasted too long by the limits now in force."""
         limits = self._context.limits()
         match self._stage:
-            case Stage.RUNNING:
+            case Stage.RUNNING | Stage.UNREAD:
                 return None
             case Stage.RECEIVING:
                 return self._since_s + limits.idle_timeout_s
--- a/samphirecleat/connections/_refusals.py
+++ b/samphirecleat/connections/_refusals.py
@@ -15,6 +15,8 @@
     BODY_FRAMING = "body_framing"
     BODY_TIMEOUT = "body_timeout"
     UNREAD_BODY = "unread_body"
+    EVICTED = "evicted"
+    NO_PLACE = "no_place"
 
 
 STATUSES: Final[Mapping[Refusal, HTTPStatus]] = {
--- a/samphirecleat/connections/_server.py
+++ b/samphirecleat/connections/_server.py
@@ -10,6 +10,7 @@
 from ._guard import ConnectionGuard, GuardContext
 from ._http_connection import HttpConnection
 from ._limits import ConnectionLimits
+from ._places import Places
 from ._refusal_log import RefusalLog
 from ._turns import Turns
 
@@ -20,12 +21,18 @@
     """What the listeners of a process share: a limit at one of them would not bound the process."""
 
     log: RefusalLog
+    places: Places
     turns: Turns
 
 
-def make_shared_limits(observer: Observer) -> SharedLimits:
-    """Return what the listeners of a process share."""
-    return SharedLimits(RefusalLog(observer), Turns())
+def make_shared_limits(max_connections: int, observer: Observer) -> SharedLimits:
+    """Return limits of a process to ``max_connections``."""
+    log = RefusalLog(observer)
+    return SharedLimits(
+        log,
+        Places(max_connections, log, observer),
+        Turns(),
+    )
 
 
 class ConnectionFactory:
--- a/samphirecleat/connections/_stage.py
+++ b/samphirecleat/connections/_stage.py
@@ -4,7 +4,7 @@
 
 
 class Stage(Enum):
-    """What a connection is doing."""
+    """What a connection is doing; those that do least come first."""
 
     NEW = "new"
     """It has not carried a complete head yet."""
@@ -12,5 +12,7 @@
     """It waits for its next request, which may have begun."""
     RECEIVING = "receiving"
     """The body of its request is incomplete."""
+    UNREAD = "unread"
+    """Its client has not taken all that was written of an answer."""
     RUNNING = "running"
     """Its request is complete and not answered yet."""
--- a/samphirecleat/platform/_boot_settings.py
+++ b/samphirecleat/platform/_boot_settings.py
@@ -7,12 +7,15 @@
 from typing import Any, Final, NamedTuple, TypedDict
 
 from .._decoding import MALFORMED_INPUT_ERRORS
+from ..connections import max_client_connections
 
 SETTINGS_VARIABLE: Final = "SAMPHIRECLEAT_BOOT"
 DUTY_USAGE: Final = "usage"
 DUTY_SCALING: Final = "scaling"
 # Memory of a node process whose settings don't tell it, in MB.
 DEFAULT_MEMORY_MB: Final = 512.0
+# Descriptors of a node process whose settings don't tell them.
+DEFAULT_FILE_DESCRIPTORS: Final = 8192
 # Share of a node's memory for the bytes that it holds for callers.
 CALL_BYTES_SHARE: Final = 1 / 8
 
@@ -22,12 +25,13 @@
 
     Addresses are ``IP:PORT``, or ``""`` if the platform provides none. ``peer_ports`` are the first
     and the last port for traffic between nodes. ``metrics_port`` comes from the command line; 0
-    means none. ``memory_mb`` is the memory that the process may use. If ``fences_checked`` is set,
-    the receivers of orders reject those of an earlier holder. A revoked API key must stop working
-    within ``key_revocation_s``; if ``keys_fail_closed`` is set, a node that can't read revocations
-    accepts no key after that time. ``api_duties`` are the calls of the platform's API at
-    ``api_address`` that one node at a time must make; ``api_calls_per_s`` limits their rate. The
-    usage report of each ``report_window_s`` is due ``report_due_s`` after the end of the window.
+    means none. The process may use ``memory_mb`` of memory and have ``file_descriptors`` files and
+    sockets open. If ``fences_checked`` is set, the receivers of orders reject those of an earlier
+    holder. A revoked API key must stop working within ``key_revocation_s``; if ``keys_fail_closed``
+    is set, a node that can't read revocations accepts no key after that time. ``api_duties`` are
+    the calls of the platform's API at ``api_address`` that one node at a time must make;
+    ``api_calls_per_s`` limits their rate. The usage report of each ``report_window_s`` is due
+    ``report_due_s`` after the end of the window.
     """
 
     node_id: str
@@ -55,6 +59,7 @@
     report_due_s: float = 0.0
     metrics_port: int = 0
     memory_mb: float = DEFAULT_MEMORY_MB
+    file_descriptors: float = DEFAULT_FILE_DESCRIPTORS
 
     @property
     def reports_usage(self) -> bool:
@@ -66,6 +71,11 @@
         """The bytes that the node may hold for callers."""
         return int(self.memory_mb * CALL_BYTES_SHARE * 1_000_000)
 
+    @property
+    def max_client_connections(self) -> int:
+        """The connections that clients may hold at all listeners of the node together."""
+        return max_client_connections(self.file_descriptors, self.memory_mb)
+
     @property
     def orders_targets(self) -> bool:
         """Whether the platform accepts orders of targets."""
@@ -128,6 +138,9 @@
         keys_fail_closed=reader.flag("bounds.revokeFailClosed", default=False),
         key_revocation_s=reader.number("bounds.revocationMs", math.inf) / 1000.0,
         memory_mb=reader.positive("limits.memoryMb", DEFAULT_MEMORY_MB, finite=True),
+        file_descriptors=reader.positive(
+            "limits.fileDescriptors", DEFAULT_FILE_DESCRIPTORS, finite=True
+        ),
         **_api_settings(reader),
     )
 
--- a/samphirecleat/platform/_transfer_watch.py
+++ b/samphirecleat/platform/_transfer_watch.py
@@ -1,12 +1,11 @@
 """Ends transfers to callers that stop reading while memory is short."""
 
 import asyncio
-import fcntl
-import struct
-import termios
 from collections.abc import Callable
 from typing import Final
 
+from ..connections import unread_bytes
+
 # A transfer without progress for this long is ended while memory is short. Within it, even a slow
 # reader's kernel announces free space in its receive buffer.
 STALL_S: Final = 2.0
@@ -25,9 +24,9 @@
         self.progressed_at_s = 0.0
 
     def update(self, now_s: float) -> None:
-        unread_bytes = _unread_bytes(self.transport)
-        if unread_bytes != self.unread_bytes:
-            self.unread_bytes = unread_bytes
+        unread = unread_bytes(self.transport)
+        if unread != self.unread_bytes:
+            self.unread_bytes = unread
             self.progressed_at_s = now_s
 
 
@@ -74,21 +73,3 @@
                 self._on_ended()
                 transfer.transport.abort()
         self._timer = loop.call_later(self._stall_s * _CHECK_FRACTION, self._check, loop)
-
-
-def _unread_bytes(transport: asyncio.Transport) -> int:
-    """Return the bytes written that the caller's kernel has not confirmed.
-
-    The kernel of this node accepts more only once a good part of its own buffer is free, so its
-    buffer has to be counted as well to see that a slow reader makes progress.
-    """
-    unsent_bytes = transport.get_write_buffer_size()
-    connection = transport.get_extra_info("socket")
-    if connection is None:
-        return unsent_bytes
-    try:
-        reply = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
-    except (OSError, ValueError):
-        # The socket is closed.
-        return unsent_bytes
-    return unsent_bytes + int(struct.unpack("i", reply)[0])
--- a/tests/connections/test_guard.py
+++ b/tests/connections/test_guard.py
@@ -220,6 +220,20 @@
     run(body)
 
 
+@pytest.mark.parametrize("sent", [b"", b"GET /", head("/slow")])
+def test_a_client_that_disconnects_frees_its_place(sent: bytes) -> None:
+    async def body(site: Site) -> None:
+        client = await Client.connect(site)
+        await client.send(sent)
+        while site.observer.counters["connections_open"] != 1:
+            await asyncio.sleep(0.01)
+        client.close()
+        while site.observer.counters["connections_open"]:
+            await asyncio.sleep(0.01)
+
+    run(body)
+
+
 @pytest.mark.parametrize(
     "data",
     [
--- a/tests/crowds/test_platform_node.py
+++ b/tests/crowds/test_platform_node.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ..platform.nodes import Caller, Nodes, config_document, running_nodes
-from .kinds import AFTER_REQUESTS, BODIES, HEADS
+from .kinds import AFTER_REQUESTS, BODIES, HEADS, HELD
 from .watched import Peaks, play
 
 MEMORY_MB = 200
@@ -91,3 +91,15 @@
 def test_bytes_behind_a_request_fill_no_memory(kind: str, tmp_path: Path) -> None:
     """Guards against requests and other bytes that wait, unbounded, behind a request."""
     meet(kind, tmp_path)
+
+
+@pytest.mark.parametrize("kind", HELD)
+def test_held_connections_leave_the_node_its_descriptors(kind: str, tmp_path: Path) -> None:
+    """Guards against a node that can't connect to targets or the store for lack of descriptors."""
+    meet(kind, tmp_path)
+
+
+@pytest.mark.parametrize("address", ADDRESSES)
+def test_held_connections_are_bounded_at_other_addresses(address: str, tmp_path: Path) -> None:
+    """Guards against a limit on connections that holds for callers only."""
+    meet("nothing", tmp_path, address)
--- a/tests/platform/test_call_bytes.py
+++ b/tests/platform/test_call_bytes.py
@@ -121,7 +121,7 @@
 
     async def run_server() -> None:
         site = Site()
-        shared = make_shared_limits(site.observer)
+        shared = make_shared_limits(100, site.observer)
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, kernel_bytes)
         listener.bind(("127.0.0.1", 0))
