Heads and bodies of requests have a budget at every listener

Seen: 350 clients with bodies of 1 MB that never become complete, each within its limit, fill a node at the control address; so do whole heads with thousands of fields, which are within maxHeaderBytes too.

Cause: control read bodies without a budget; the budget of callers' bytes doesn't count heads, of which a request keeps some hundred bytes for each line.

Change: an eighth of memoryMb for large heads and, where handlers have no budget, for bodies (503, not run). The traceback of a refusal is dropped once it is being answered; it kept what had been read until the next garbage collection.

--- a/samphirecleat/connections/__init__.py
+++ b/samphirecleat/connections/__init__.py
@@ -4,10 +4,12 @@
 the memory of the process, takes its descriptors or keeps it from other work.
 """
 
+from ._byte_budget import READ_SHARE, ByteBudget, ByteLease
 from ._limits import ConnectionLimits
 from ._listening import bind_listener
 from ._places import max_client_connections
 from ._server import (
+    REQUEST_SHARE,
     ConnectionFactory,
     GuardedServer,
     Handler,
@@ -17,6 +19,10 @@
 from ._unread_bytes import unread_bytes
 
 __all__ = [
+    "READ_SHARE",
+    "REQUEST_SHARE",
+    "ByteBudget",
+    "ByteLease",
     "ConnectionFactory",
     "ConnectionLimits",
     "GuardedServer",
--- a/samphirecleat/connections/_body_meter.py
+++ b/samphirecleat/connections/_body_meter.py
@@ -39,10 +39,10 @@
         end = (self._last_bytes + data).find(_CHUNKS_END)
         return len(data) if end < 0 else end + len(_CHUNKS_END) - len(self._last_bytes)
 
-    def record(self, part: bytes, body_bytes: int) -> None:
-        """Record a parsed part; ``body_bytes`` is the size of the body without framing until now.
+    def record(self, part: bytes, body_bytes: int) -> int:
+        """Record a parsed part; ``body_bytes`` is the size of the body without framing up to now.
 
-        It tells later how much of what was parsed was framing.
+        Returns by how much the body has grown.
         """
         grown_bytes = body_bytes - self._body_bytes
         self._body_bytes = body_bytes
@@ -52,6 +52,7 @@
             self._last_bytes = (self._last_bytes + part)[1 - len(_CHUNKS_END) :]
         else:
             self._left_bytes -= len(part)
+        return grown_bytes
 
     def has_excessive_framing(self, limit_bytes: int) -> bool:
         """Whether more than ``limit_bytes`` came without any data, or framing dwarfs the data."""
--- a/samphirecleat/connections/_guard.py
+++ b/samphirecleat/connections/_guard.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from ._body_meter import BodyMeter
+from ._byte_budget import ByteBudget, ByteLease
 from ._http_connection import HttpConnection
 from ._limits import IDLE_MARGIN_S, ConnectionLimits
 from ._places import Places
@@ -25,6 +26,11 @@
 # Bytes with more lines than this are expensive to parse; they are parsed in pieces, in turn.
 MAX_CHEAP_LINES: Final = 128
 TURN_BYTES: Final = 4_096
+# What the parser and the request keep for a head: for each of its bytes, and for each line.
+COST_PER_HEAD_BYTE: Final = 3
+LINE_COST_BYTES: Final = 512
+# Only heads that cost more than this are counted.
+SMALL_HEAD_COST_BYTES: Final = 16_384
 # How long a client has time to read a refusal before the connection is closed. Closing it at once,
 # while bytes of the client are unread, resets it, which may destroy the refusal.
 LINGER_S: Final = 0.5
@@ -44,12 +50,20 @@
         log: RefusalLog,
         places: Places,
         turns: Turns,
+        budget: ByteBudget,
+        *,
+        counts_bodies: bool,
     ) -> None:
-        """Ask ``limits`` anew for each request."""
+        """Ask ``limits`` anew for each request.
+
+        ``budget`` bounds the memory for heads, and with ``counts_bodies`` also for bodies.
+        """
         self.limits = limits
         self.log = log
         self.places = places
         self.turns = turns
+        self.budget = budget
+        self.counts_bodies = counts_bodies
 
 
 class ConnectionGuard(asyncio.BufferedProtocol):
@@ -65,6 +79,7 @@
         "_empty_bytes",
         "_has_turn",
         "_head_begun",
+        "_lease",
         "_loop",
         "_meter",
         "_outbox",
@@ -89,6 +104,7 @@
         self._stage = Stage.NEW
         self._since_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
+        self._lease = ByteLease(context.budget)
         # Read, but not approved.
         self._pending = b""
         # Approved, but not parsed, because it is expensive.
@@ -125,6 +141,7 @@
         self._drop()
         if self._timer is not None:
             self._timer.cancel()
+        self._lease.replace(0)
         self._context.places.leave(self, self._stage)
         self._transport = None
         self._connection.connection_lost(exc)
@@ -180,6 +197,7 @@
 
     async def on_response(self) -> None:
         """Go on with the next request, or let the client of a refused one read its answer."""
+        self._lease.replace(0)
         self._process()
         transport = self._transport
         if self._refused and transport is not None and not transport.is_closing():
@@ -243,9 +261,13 @@
 
     def _pass_on_head(self, head_bytes: int) -> bool:
         head, self._pending = self._pending[:head_bytes], self._pending[head_bytes:]
+        line_count = head.count(b"\n")
+        cost_bytes = head_bytes * COST_PER_HEAD_BYTE + line_count * LINE_COST_BYTES
+        if cost_bytes > SMALL_HEAD_COST_BYTES and not self._lease.try_hold(cost_bytes):
+            return self._refuse(Refusal.NO_MEMORY)
         self._head_begun = False
         self._empty_bytes = 0
-        self._pass_on(head, head.count(b"\n"))
+        self._pass_on(head, line_count)
         return True
 
     def _approve_body(self) -> bool:
@@ -275,16 +297,18 @@
         body = connection.payload if connection.is_receiving else None
         connection.data_received(data)
         if body is not None and self._meter is not None:
-            self._meter.record(data, body.total_bytes)
-            self._check_body(self._meter)
+            self._check_body(self._meter, self._meter.record(data, body.total_bytes))
         elif connection.is_receiving and connection.request is not None:
             self._meter = BodyMeter(connection.request)
         if connection.is_upgraded:
             self._end_upgrade()
 
-    def _check_body(self, meter: BodyMeter) -> None:
-        """Refuse a body whose framing is out of proportion."""
-        if meter.has_excessive_framing(self._context.limits().head_bytes):
+    def _check_body(self, meter: BodyMeter, grown_bytes: int) -> None:
+        """Refuse a body for which there is no memory, or whose framing is out of proportion."""
+        counts = self._context.counts_bodies and self._connection.has_requests
+        if counts and not self._lease.try_hold(grown_bytes):
+            self._fail_body(Refusal.NO_MEMORY, web.HTTPServiceUnavailable())
+        elif meter.has_excessive_framing(self._context.limits().head_bytes):
             self._fail_body(Refusal.BODY_FRAMING, web.HTTPBadRequest())
 
     def _end_upgrade(self) -> None:
--- a/samphirecleat/connections/_http_connection.py
+++ b/samphirecleat/connections/_http_connection.py
@@ -134,6 +134,9 @@
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
         """Write a response, and tell the guard."""
+        if isinstance(resp, BaseException):
+            # The traceback refers to what was read of the body, and is part of a reference cycle.
+            resp.__traceback__ = None
         result = await super().finish_response(request, resp, start_time)
         self._finished_count += 1
         if self.events is not None and self.transport is not None:
--- a/samphirecleat/connections/_refusals.py
+++ b/samphirecleat/connections/_refusals.py
@@ -14,6 +14,7 @@
     MALFORMED = "malformed"
     BODY_FRAMING = "body_framing"
     BODY_TIMEOUT = "body_timeout"
+    NO_MEMORY = "no_memory"
     UNREAD_BODY = "unread_body"
     EVICTED = "evicted"
     NO_PLACE = "no_place"
@@ -25,6 +26,7 @@
     Refusal.MALFORMED: HTTPStatus.BAD_REQUEST,
     Refusal.BODY_FRAMING: HTTPStatus.BAD_REQUEST,
     Refusal.BODY_TIMEOUT: HTTPStatus.REQUEST_TIMEOUT,
+    Refusal.NO_MEMORY: HTTPStatus.SERVICE_UNAVAILABLE,
 }
 """The status of each refusal that is answered; the others close the connection in silence.
 
@@ -34,6 +36,8 @@
 
 def _encode(status: HTTPStatus) -> bytes:
     lines = [f"HTTP/1.1 {status.value} {status.phrase}", "Connection: close", "Content-Length: 0"]
+    if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        lines.append("Retry-After: 1")
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
--- a/samphirecleat/connections/_server.py
+++ b/samphirecleat/connections/_server.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from aiohttp import web
 
 from ..observe import Observer
+from ._byte_budget import ByteBudget
 from ._guard import ConnectionGuard, GuardContext
 from ._http_connection import HttpConnection
 from ._limits import ConnectionLimits
@@ -16,6 +17,10 @@
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
+# Share of the memory of a process for the heads of its requests, and for bodies that nothing else
+# counts.
+REQUEST_SHARE: Final = 1 / 8
+
 
 class SharedLimits(NamedTuple):
     """What the listeners of a process share: a limit at one of them would not bound the process."""
@@ -23,15 +28,22 @@
     log: RefusalLog
     places: Places
     turns: Turns
+    budget: ByteBudget
+
 
+def make_shared_limits(
+    max_connections: int, request_bytes: int, observer: Observer
+) -> SharedLimits:
+    """Return limits of a process to ``max_connections`` and ``request_bytes``.
 
-def make_shared_limits(max_connections: int, observer: Observer) -> SharedLimits:
-    """Return limits of a process to ``max_connections``."""
+    Requires a running event loop.
+    """
     log = RefusalLog(observer)
     return SharedLimits(
         log,
         Places(max_connections, log, observer),
         Turns(),
+        ByteBudget(request_bytes, asyncio.get_running_loop().time),
     )
 
 
@@ -42,10 +54,15 @@
         self,
         shared: SharedLimits,
         limits: Callable[[], ConnectionLimits],
+        *,
+        counts_bodies: bool = True,
         **options: Any,
     ) -> None:
-        """Ask ``limits`` anew for each request; ``options`` go to aiohttp's connections."""
-        self._context = GuardContext(limits, *shared)
+        """Ask ``limits`` anew for each request; ``options`` go to aiohttp's connections.
+
+        ``counts_bodies`` is False if the handlers themselves bound the memory for bodies.
+        """
+        self._context = GuardContext(limits, *shared, counts_bodies=counts_bodies)
         self._options = options
 
     def make(self, server: web.Server) -> ConnectionGuard:
--- a/samphirecleat/platform/_boot_settings.py
+++ b/samphirecleat/platform/_boot_settings.py
@@ -7,7 +7,7 @@
 from typing import Any, Final, NamedTuple, TypedDict
 
 from .._decoding import MALFORMED_INPUT_ERRORS
-from ..connections import max_client_connections
+from ..connections import REQUEST_SHARE, max_client_connections
 
 SETTINGS_VARIABLE: Final = "SAMPHIRECLEAT_BOOT"
 DUTY_USAGE: Final = "usage"
@@ -71,6 +71,11 @@
         """The bytes that the node may hold for callers."""
         return int(self.memory_mb * CALL_BYTES_SHARE * 1_000_000)
 
+    @property
+    def request_bytes_limit(self) -> int:
+        """The bytes that the node may hold for the heads of requests."""
+        return int(self.memory_mb * REQUEST_SHARE * 1_000_000)
+
     @property
     def max_client_connections(self) -> int:
         """The connections that clients may hold at all listeners of the node together."""
--- a/samphirecleat/platform/_byte_log.py
+++ b/samphirecleat/platform/_byte_log.py
@@ -3,8 +3,8 @@
 import asyncio
 from typing import Final
 
+from ..connections import ByteBudget
 from ..observe import Observer
-from ._byte_budget import ByteBudget
 
 LOG_INTERVAL_S: Final = 1.0
 
--- a/samphirecleat/platform/_call_bytes.py
+++ b/samphirecleat/platform/_call_bytes.py
@@ -7,9 +7,9 @@
 
 from aiohttp import StreamReader, web
 
+from ..connections import READ_SHARE, ByteBudget, ByteLease
 from ..errors import ErrorKind, Ran, RequestError
 from ..observe import Observer
-from ._byte_budget import READ_SHARE, ByteBudget, ByteLease
 from ._byte_log import ByteLog
 from ._transfer_watch import STALL_S, TransferWatch
 
--- a/samphirecleat/platform/_front.py
+++ b/samphirecleat/platform/_front.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from .._decoding import parse_whole_number
+from ..connections import ByteLease
 from ..durable import StepAccess, StepRequest
 from ..errors import ErrorKind, Ran, RequestError
 from ..observe import Observer
@@ -26,7 +27,6 @@
     StreamRelay,
     TargetAnswer,
 )
-from ._byte_budget import ByteLease
 from ._call_bytes import BytesRefusedError, CallBytes
 from ._job_documents import decode_step, encode_page, without_identity
 from ._wire_names import (
--- a/samphirecleat/platform/_front_server.py
+++ b/samphirecleat/platform/_front_server.py
@@ -38,6 +38,7 @@
         connections = ConnectionFactory(
             shared,
             caller_connection_limits(routes),
+            counts_bodies=False,
             auto_decompress=False,
         )
         super().__init__(
--- a/samphirecleat/platform/_owner_endpoint.py
+++ b/samphirecleat/platform/_owner_endpoint.py
@@ -60,7 +60,7 @@
     def server(self, shared: SharedLimits) -> GuardedServer:
         """Return the HTTP server of this handler, which shares limits with the node's others."""
         limits = ConnectionLimits(idle_timeout_s=IDLE_TIMEOUT_S + IDLE_MARGIN_S)
-        connections = ConnectionFactory(shared, lambda: limits)
+        connections = ConnectionFactory(shared, lambda: limits, counts_bodies=False)
         return GuardedServer(self.handle, connections, handler_cancellation=True)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -195,6 +195,7 @@
         self._store.set_address(settings.store_address)
         self._api.set_address(settings.api_address)
         self._call_bytes.budget.limit_bytes = settings.call_bytes_limit
+        self._shared_limits.budget.limit_bytes = settings.request_bytes_limit
         self._shared_limits.places.max_connections = settings.max_client_connections
         self._authenticator.set_revocation(
             fails_closed=settings.keys_fail_closed, revocation_s=settings.key_revocation_s
@@ -261,7 +262,7 @@
         )
         meter = self._counter.record_start if self.settings.reports_usage else discard_usage
         self._shared_limits = make_shared_limits(
-            self.settings.max_client_connections, self.observer
+            self.settings.max_client_connections, self.settings.request_bytes_limit, self.observer
         )
         self._call_bytes = CallBytes(
             self.settings.call_bytes_limit, self.observer, lambda: self.board.leaving
--- a/tests/connections/sites.py
+++ b/tests/connections/sites.py
@@ -27,10 +27,10 @@
     those that were read.
     """
 
-    def __init__(self, max_connections: int = 100) -> None:
+    def __init__(self, max_connections: int = 100, request_bytes: int = 1_000_000) -> None:
         self.limits = LIMITS
         self.observer = Observer("n")
-        self.shared = make_shared_limits(max_connections, self.observer)
+        self.shared = make_shared_limits(max_connections, request_bytes, self.observer)
         self.go = asyncio.Event()
         self.bodies: list[bytes] = []
         self.port = 0
--- a/tests/platform/test_byte_budget.py
+++ b/tests/connections/test_byte_budget.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from samphirecleat.platform._byte_budget import MAX_RETRY_S, MIN_RETRY_S, ByteBudget, ByteLease
+from samphirecleat.connections._byte_budget import MAX_RETRY_S, MIN_RETRY_S, ByteBudget, ByteLease
 
 
 class Clock:
--- a/tests/connections/test_guard.py
+++ b/tests/connections/test_guard.py
@@ -281,3 +281,20 @@
         assert site.count("unread_body") == 1
 
     run(body)
+
+
+def test_bodies_beyond_the_memory_for_them_are_refused() -> None:
+    """Guards against handlers without a budget of their own that read bodies without a bound."""
+
+    async def body(site: Site) -> None:
+        data = head("/", method="POST", lines=b"Content-Length: 90000\r\n") + b"a" * 80_000
+        clients = [await Client.connect(site) for _ in range(4)]
+        for client in clients:
+            await client.send(data)
+        statuses = sorted([(await client.answer())[0] for client in clients])
+        assert statuses[-1] == 503
+        assert site.count("no_memory") >= 1
+        while site.shared.budget.held_bytes:
+            await asyncio.sleep(0.01)
+
+    run(body, request_bytes=150_000)
--- a/tests/crowds/test_platform_node.py
+++ b/tests/crowds/test_platform_node.py
@@ -87,6 +87,12 @@
     meet(kind, tmp_path)
 
 
+@pytest.mark.parametrize("address", ["front", "control", "peer"])
+def test_bodies_within_the_limit_fill_no_memory_together(address: str, tmp_path: Path) -> None:
+    """Guards against many bodies that never become complete, each of them within the limit."""
+    meet(f"bodies_at_{address}", tmp_path, address)
+
+
 @pytest.mark.parametrize("kind", AFTER_REQUESTS)
 def test_bytes_behind_a_request_fill_no_memory(kind: str, tmp_path: Path) -> None:
     """Guards against requests and other bytes that wait, unbounded, behind a request."""
--- a/tests/platform/owner_nodes.py
+++ b/tests/platform/owner_nodes.py
@@ -111,7 +111,7 @@
             CallBytes(1 << 24, self.observer),
             self.observer,
         )
-        self.server = self.endpoint.server(make_shared_limits(1000, self.observer))
+        self.server = self.endpoint.server(make_shared_limits(1000, 1 << 24, self.observer))
         self.runner = web.ServerRunner(self.server, shutdown_timeout=0.1)
         await self.runner.setup()
         await web.TCPSite(self.runner, "127.0.0.1", 0).start()
--- a/tests/platform/test_call_bytes.py
+++ b/tests/platform/test_call_bytes.py
@@ -10,10 +10,9 @@
 import uvloop
 from aiohttp import web
 
-from samphirecleat.connections import make_shared_limits
+from samphirecleat.connections import ByteLease, make_shared_limits
 from samphirecleat.errors import RequestError
 from samphirecleat.observe import Observer
-from samphirecleat.platform._byte_budget import ByteLease
 from samphirecleat.platform._call_bytes import CallBytes
 from samphirecleat.platform._front import status_of
 from samphirecleat.platform._front_server import CallerServer
@@ -121,7 +120,7 @@
 
     async def run_server() -> None:
         site = Site()
-        shared = make_shared_limits(100, site.observer)
+        shared = make_shared_limits(100, LIMIT_BYTES, site.observer)
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, kernel_bytes)
         listener.bind(("127.0.0.1", 0))
