The node of the project's own interface guards its connections too

Seen and cause: as at the users' platform; the listener of entry/ had aiohttp's defaults.

Change: the same guard, with new settings bounds.head_bytes, bounds.connections, bounds.request_bytes, timings.head_timeout_s and timings.idle_timeout_s. The listener for other nodes (HTTP/2) has places of its own; a connection there that has sent something keeps its place.

--- a/samphirecleat/connections/__init__.py
+++ b/samphirecleat/connections/__init__.py
@@ -7,7 +7,9 @@
 from ._byte_budget import READ_SHARE, ByteBudget, ByteLease
 from ._limits import ConnectionLimits
 from ._listening import bind_listener
-from ._places import max_client_connections
+from ._placed_protocol import PlacedProtocol
+from ._places import Places, max_client_connections
+from ._refusal_log import RefusalLog
 from ._server import (
     REQUEST_SHARE,
     ConnectionFactory,
@@ -27,6 +29,9 @@
     "ConnectionLimits",
     "GuardedServer",
     "Handler",
+    "PlacedProtocol",
+    "Places",
+    "RefusalLog",
     "SharedLimits",
     "bind_listener",
     "make_shared_limits",
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -4,7 +4,8 @@
 import random
 import secrets
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 from typing import Any, Final
 
 import aiohttp
@@ -13,6 +14,15 @@
 
 from ._supervisor import TaskFunction, TaskSupervisor
 from .blackboard import Blackboard, Identity, Member
+from .connections import (
+    ConnectionFactory,
+    ConnectionLimits,
+    PlacedProtocol,
+    Places,
+    RefusalLog,
+    bind_listener,
+    make_shared_limits,
+)
 from .controllers.admission import (
     BoardServiceView,
     Dispatcher,
@@ -42,6 +52,8 @@
 from .targets import TargetClient, is_listening, make_connector
 
 CRASH_REVIEW_PERIOD_S: Final = 0.25
+# Connections of other nodes; each node opens one.
+MAX_PEER_CONNECTIONS: Final = 1000
 
 
 class Node:
@@ -106,6 +118,7 @@
         self._grpc_server.close()
         await self._grpc_server.wait_closed()
         if self._runner is not None:
+            self._http_server.close()
             await self._runner.cleanup()
         self.peers.close()
         await self._session.close()
@@ -260,7 +273,9 @@
         )
         await self._runner.setup()
         host, port = _split_address(settings.http_address)
-        await web.TCPSite(self._runner, host, port, reuse_address=True).start()
+        self._http_server = await asyncio.get_running_loop().create_server(
+            self._connection_factory(self._runner), sock=bind_listener(host, port)
+        )
         self._peer_server = PeerServer(
             settings.shared_key,
             self.callers.serve_forwarded,
@@ -269,7 +284,8 @@
             self.own_report,
             self.discovery.table.present_rows,
         )
-        self._grpc_server = Server([self._peer_server])
+        peer_places = Places(MAX_PEER_CONNECTIONS, RefusalLog(self.observer), self.observer)
+        self._grpc_server = _PeerListener([self._peer_server], peer_places)
         peer_host, peer_port = _split_address(settings.peer_address)
         await self._grpc_server.start(peer_host, peer_port, reuse_address=True)
         loop = asyncio.get_running_loop()
@@ -277,6 +293,16 @@
             lambda: self.membership, local_addr=(peer_host, peer_port)
         )
 
+    def _connection_factory(self, runner: web.AppRunner) -> Callable[[], asyncio.BaseProtocol]:
+        """Return what makes the protocol of each new HTTP connection."""
+        bounds, timings = self.settings.bounds, self.settings.timings
+        limits = ConnectionLimits(bounds.head_bytes, timings.head_timeout_s, timings.idle_timeout_s)
+        shared = make_shared_limits(bounds.connections, bounds.request_bytes, self.observer)
+        connections = ConnectionFactory(shared, lambda: limits)
+        server = runner.server
+        assert server is not None
+        return partial(connections.make, server)
+
     def _start_controllers(self) -> None:
         for name, controller in self._controllers().items():
             self._supervisor.start(name, controller)
@@ -317,6 +343,17 @@
         )
 
 
+class _PeerListener(Server):
+    """The server for other nodes, whose connections need a place."""
+
+    def __init__(self, handlers: Sequence[PeerServer], places: Places) -> None:
+        super().__init__(handlers)
+        self._places = places
+
+    def _protocol_factory(self) -> PlacedProtocol:  # type: ignore[override]
+        return PlacedProtocol(super()._protocol_factory(), self._places)
+
+
 def _split_address(address: str) -> tuple[str, int]:
     host, port = address.rsplit(":", 1)
     return host, int(port)
--- a/samphirecleat/settings.py
+++ b/samphirecleat/settings.py
@@ -27,6 +27,8 @@
     progress_timeout_s: float = 3.0
     probe_timeout_s: float = 1.0
     connect_timeout_s: float = 1.0
+    head_timeout_s: float = 5.0
+    idle_timeout_s: float = 75.0
 
 
 class Bounds(NamedTuple):
@@ -36,6 +38,9 @@
     answer_store_bytes: int = 8_000_000
     keys: int = 20_000
     queue: int = 2_000
+    head_bytes: int = 16_384
+    connections: int = 2_000
+    request_bytes: int = 32_000_000
 
 
 class Settings(NamedTuple):
