--- a/samphirecleat/bench/_planning.py
+++ b/samphirecleat/bench/_planning.py
@@ -23,7 +23,8 @@
     planned_tokens,
 )
 from ._harness import BenchResult, BenchRow, run_repeats
-from ._uneven_engines import UNEVEN_WORKLOADS, Planner, UnevenReplay, UnevenWorkload
+from ._uneven_engines import Planner, UnevenReplay
+from ._uneven_load import UNEVEN_WORKLOADS, UnevenWorkload
 
 DEFAULT_SEED: Final = 7
 REPEATS: Final = 6
--- a/tests/bench/test_planning.py
+++ b/tests/bench/test_planning.py
@@ -13,8 +13,9 @@
     Workload,
     draw_events,
 )
-from samphirecleat.bench._uneven_engines import SLOTS_PER_ENGINE as UNEVEN_SLOTS
-from samphirecleat.bench._uneven_engines import UNEVEN_WORKLOADS, UnevenReplay
+from samphirecleat.bench._uneven_engines import UnevenReplay
+from samphirecleat.bench._uneven_load import SLOTS_PER_ENGINE as UNEVEN_SLOTS
+from samphirecleat.bench._uneven_load import UNEVEN_WORKLOADS
 
 SEED = 7
 
