--- a/samphirecleat/connections/_guard.py
+++ b/samphirecleat/connections/_guard.py
@@ -383,7 +383,8 @@
         self._context.places.move(self, self._stage, stage)
         self._stage = stage
         self._since_s = self._loop.time()
-        self._schedule()
+        if self._timer is None:
+            self._schedule()
 
     def _current_stage(self) -> Stage:
         connection = self._connection
--- a/samphirecleat/connections/_places.py
+++ b/samphirecleat/connections/_places.py
@@ -53,7 +53,8 @@
         self.max_connections = max_connections
         self._log = log
         self._observer = observer
-        self._by_stage: dict[Stage, dict[Occupant, None]] = {stage: {} for stage in Stage}
+        # One for each stage, in the order in which connections reached it.
+        self._by_stage: list[dict[Occupant, None]] = [{} for _ in Stage]
         self._open = 0
 
     def enter(self, occupant: Occupant, peer: object, now_s: float) -> bool:
--- a/samphirecleat/connections/_stage.py
+++ b/samphirecleat/connections/_stage.py
@@ -1,18 +1,18 @@
 """What a connection is doing."""
 
-from enum import Enum
+from enum import IntEnum
 
 
-class Stage(Enum):
+class Stage(IntEnum):
     """What a connection is doing; those that do least come first."""
 
-    NEW = "new"
+    NEW = 0
     """It has not carried a complete head yet."""
-    IDLE = "idle"
+    IDLE = 1
     """It waits for its next request, which may have begun."""
-    RECEIVING = "receiving"
+    RECEIVING = 2
     """The body of its request is incomplete."""
-    UNREAD = "unread"
+    UNREAD = 3
     """Its client has not taken all that was written of an answer."""
-    RUNNING = "running"
+    RUNNING = 4
     """Its request is complete and not answered yet."""
--- a/samphirecleat/platform/_front_server.py
+++ b/samphirecleat/platform/_front_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import lru_cache
 
 from aiohttp import StreamReader, web
 from aiohttp.abc import AbstractStreamWriter
@@ -21,13 +22,11 @@
 def caller_connection_limits(routes: RouteTable) -> Callable[[], ConnectionLimits]:
     """Return a function that returns the limits of the active configuration of ``routes``."""
 
-    def limits() -> ConnectionLimits:
-        in_force = routes.config.limits
-        return ConnectionLimits(
-            in_force.header_bytes, in_force.header_timeout_s, in_force.idle_timeout_s
-        )
+    @lru_cache(maxsize=1)
+    def to_connection_limits(limits: CallerLimits) -> ConnectionLimits:
+        return ConnectionLimits(limits.header_bytes, limits.header_timeout_s, limits.idle_timeout_s)
 
-    return limits
+    return lambda: to_connection_limits(routes.config.limits)
 
 
 class CallerServer(GuardedServer):
