Bodies refused for lack of room may go to another node; bodies with a length take no turns

Found when the change was read once more. Bodies with a length and many lines waited for turns, though only heads and chunks cost by the line. Both tests failed before.

--- a/samphirecleat/connections/_body_meter.py
+++ b/samphirecleat/connections/_body_meter.py
@@ -12,28 +12,31 @@
 
 
 class BodyMeter:
-    """The body of one request. Pure: performs no I/O and parses nothing."""
+    """The body of one request; ``is_chunked`` is set if it has no length.
+
+    Pure: performs no I/O and parses nothing.
+    """
 
     __slots__ = (
         "_body_bytes",
-        "_chunked",
         "_framing_bytes",
         "_last_bytes",
         "_left_bytes",
         "_unread_bytes",
         "_wire_bytes",
+        "is_chunked",
     )
 
     def __init__(self, request: RawRequestMessage) -> None:
         """Measure the body of ``request``, of which nothing has arrived yet."""
-        self._chunked = bool(request.chunked)
+        self.is_chunked = bool(request.chunked)
         self._left_bytes = int(request.headers.get("Content-Length", "0"))
         self._last_bytes = b""
         self._wire_bytes = self._body_bytes = self._framing_bytes = self._unread_bytes = 0
 
     def part_bytes(self, data: bytes) -> int:
         """Return how much of ``data`` belongs to the body for certain; 0 if it is complete."""
-        if not self._chunked:
+        if not self.is_chunked:
             return min(len(data), self._left_bytes)
         # The empty line that ends the body may have begun in an earlier part.
         end = (self._last_bytes + data).find(_CHUNKS_END)
@@ -47,7 +50,7 @@
         grown_bytes = body_bytes - self._body_bytes
         self._body_bytes = body_bytes
         self._wire_bytes += len(part)
-        if self._chunked:
+        if self.is_chunked:
             self._framing_bytes = 0 if grown_bytes else self._framing_bytes + len(part)
             self._last_bytes = (self._last_bytes + part)[1 - len(_CHUNKS_END) :]
         else:
@@ -57,7 +60,7 @@
     def has_excessive_framing(self, limit_bytes: int) -> bool:
         """Whether more than ``limit_bytes`` came without any data, or framing dwarfs the data."""
         max_wire_bytes = limit_bytes + MAX_FRAMING_RATIO * self._body_bytes
-        is_dwarfed = self._chunked and self._wire_bytes > max_wire_bytes
+        is_dwarfed = self.is_chunked and self._wire_bytes > max_wire_bytes
         return is_dwarfed or self._framing_bytes > limit_bytes
 
     def is_too_long_unread(self, part: bytes) -> bool:
--- a/samphirecleat/connections/_guard.py
+++ b/samphirecleat/connections/_guard.py
@@ -15,7 +15,7 @@
 from ._limits import IDLE_MARGIN_S, ConnectionLimits
 from ._places import Places
 from ._refusal_log import RefusalLog
-from ._refusals import RESPONSES, Refusal
+from ._refusals import RESPONSES, RETRY_AFTER_S, Refusal
 from ._stage import Stage
 from ._turns import Turns
 from ._unread_bytes import unread_bytes
@@ -35,6 +35,7 @@
 # while bytes of the client are unread, resets it, which may destroy the refusal.
 LINGER_S: Final = 0.5
 
+RETRY_HEADERS: Final = {"Retry-After": str(RETRY_AFTER_S)}
 _HEAD_END: Final = re.compile(rb"\n\r?\n")
 _METHOD_START: Final = frozenset(string.ascii_letters.encode() + b"!#$%&'*+-.^_`|~")
 # Every connection reads into this buffer; its contents are copied before the loop goes on.
@@ -281,7 +282,8 @@
         is_answered = not self._connection.has_requests
         if is_answered and meter.is_too_long_unread(part):
             return self._refuse(Refusal.UNREAD_BODY)
-        self._pass_on(part, part.count(b"\n"))
+        # Without chunks, the parser passes on a body as a whole, whatever it consists of.
+        self._pass_on(part, part.count(b"\n") if meter.is_chunked else 0)
         return True
 
     def _pass_on(self, data: bytes, line_count: int) -> None:
@@ -307,7 +309,7 @@
         """Refuse a body for which there is no memory, or whose framing is out of proportion."""
         counts = self._context.counts_bodies and self._connection.has_requests
         if counts and not self._lease.try_hold(grown_bytes):
-            self._fail_body(Refusal.NO_MEMORY, web.HTTPServiceUnavailable())
+            self._fail_body(Refusal.NO_MEMORY, web.HTTPServiceUnavailable(headers=RETRY_HEADERS))
         elif meter.has_excessive_framing(self._context.limits().head_bytes):
             self._fail_body(Refusal.BODY_FRAMING, web.HTTPBadRequest())
 
--- a/samphirecleat/connections/_refusals.py
+++ b/samphirecleat/connections/_refusals.py
@@ -34,10 +34,14 @@
 """
 
 
+# When the memory for requests may be free again.
+RETRY_AFTER_S: Final = 1
+
+
 def _encode(status: HTTPStatus) -> bytes:
     lines = [f"HTTP/1.1 {status.value} {status.phrase}", "Connection: close", "Content-Length: 0"]
     if status is HTTPStatus.SERVICE_UNAVAILABLE:
-        lines.append("Retry-After: 1")
+        lines.append(f"Retry-After: {RETRY_AFTER_S}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
--- a/samphirecleat/entry/_app.py
+++ b/samphirecleat/entry/_app.py
@@ -1,7 +1,8 @@
 """The HTTP application of a node, and the middleware that turns errors into responses."""
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Final
 
 from aiohttp import web
 
@@ -12,6 +13,10 @@
 from ._operators import OperatorHandlers
 from ._trainers import TrainerHandlers
 
+_KINDS_BY_STATUS: Final[Mapping[int, ErrorKind]] = {
+    404: ErrorKind.UNKNOWN_METHOD,
+    503: ErrorKind.NOT_READY,
+}
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -37,8 +42,8 @@
             board.refusals[error.kind.value] += 1
             return _error_response(error)
         except web.HTTPException as error:
-            # No route matched, or the request is not valid HTTP.
-            kind = ErrorKind.UNKNOWN_METHOD if error.status == 404 else ErrorKind.MALFORMED
+            # No route matched, the request is not valid HTTP, or its body doesn't fit.
+            kind = _KINDS_BY_STATUS.get(error.status, ErrorKind.MALFORMED)
             board.refusals[kind.value] += 1
             return _error_response(RequestError(kind, f"{request.path}: {error.reason}"))
         except ConnectionError:
--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -297,8 +297,10 @@
         """Return what makes the protocol of each new HTTP connection."""
         bounds, timings = self.settings.bounds, self.settings.timings
         limits = ConnectionLimits(bounds.head_bytes, timings.head_timeout_s, timings.idle_timeout_s)
-        shared = make_shared_limits(bounds.connections, bounds.request_bytes, self.observer)
-        connections = ConnectionFactory(shared, lambda: limits)
+        self.shared_limits = make_shared_limits(
+            bounds.connections, bounds.request_bytes, self.observer
+        )
+        connections = ConnectionFactory(self.shared_limits, lambda: limits)
         server = runner.server
         assert server is not None
         return partial(connections.make, server)
--- a/tests/connections/test_guard.py
+++ b/tests/connections/test_guard.py
@@ -283,6 +283,19 @@
     run(body)
 
 
+def test_a_body_of_many_lines_with_a_length_is_read_at_once() -> None:
+    """Guards against turns for what is not expensive to parse."""
+
+    async def body(site: Site) -> None:
+        client = await Client.connect(site)
+        site.shared.turns.add = None  # type: ignore[assignment, method-assign]
+        await client.send(post("/", b"Content-Length: 10000\r\n", b"\n" * 10_000))
+        assert await client.answer() == (200, b"POST / " + b"\n" * 10_000)
+        client.close()
+
+    run(body)
+
+
 def test_bodies_beyond_the_memory_for_them_are_refused() -> None:
     """Guards against handlers without a budget of their own that read bodies without a bound."""
 
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -142,6 +142,22 @@
     asyncio.run(scenario())
 
 
+def test_body_without_room_is_refused_as_not_run_and_may_go_to_another_node() -> None:
+    """Guards against a caller that gives up its request because one node is short of memory."""
+
+    async def run() -> None:
+        async with running_fleet(1) as fleet, aiohttp.ClientSession() as session:
+            node = fleet.nodes[0]
+            node.shared_limits.budget.hold(node.settings.bounds.request_bytes)
+            url = f"http://{fleet.bootstrap[0]}{CALL_PATH}"
+            async with session.post(url, data=b" " * 500_000) as response:
+                error = (await response.json())["error"]
+                assert (response.status, error["kind"], error["ran"]) == (503, "not_ready", "no")
+                assert error["retry_at"] == "any_node"
+
+    asyncio.run(run())
+
+
 def test_key_rejected_for_its_body_never_runs_with_a_valid_body() -> None:
     """A request was refused as not run, and is sent again with the same key and a valid body."""
 
