--- a/tests/connections/test_places.py
+++ b/tests/connections/test_places.py
@@ -49,6 +49,7 @@
     """Guards against a crowd that holds all connections, so that no other caller is served."""
 
     async def body(site: Site) -> None:
+        site.limits = site.limits._replace(head_timeout_s=60.0, idle_timeout_s=60.0)
         clients = await connect_all(site, sent)
         new = await Client.connect(site)
         if evicted is None:
