Heads of answers that are no HTTP are refused before anything parses them

The same held for statuses 001 to 099, 101 and 600 to 999, for `Connection : x` and other fields that the parser knows, with a blank before the colon, for control bytes in values, for `RTSP/1.0` and HTTP versions other than 1.0 and 1.1, for a line folded onto the status line, and for transfer encodings other than `chunked` (the body was then what stood there until the close, or the chunks of a compressed body).

Cause: aiohttp parses responses leniently. It takes any three digits for a status, and it accepts a blank behind the names that llhttp knows, which it reads as framing while the field goes on to the caller under a name with a blank. Nothing of ours looked at the status of an answer.

Change: ResponseHead holds back what a server sends until its head is complete, checks it as a whole, and bounds it, interim responses and empty lines included (64 KB; before, each of 128 fields could have 64 KB). StrictResponseHandler uses it for every response; the sessions for the store and those of the project's own interface use that handler now, too. A malformed head counts as no answer: the run is unknown, the connection is closed, what may be repeated goes to another target, the rest is answered 502.

Why it works: what the parser sees is a subset of HTTP on which parsers agree, whatever its leniency.

Obsolete line folding in a head was joined by the parser and is refused now.

--- a/samphirecleat/node.py
+++ b/samphirecleat/node.py
@@ -49,7 +49,7 @@
 from .platform import HttpHostList, HttpLog, HttpWeightStore
 from .requests import AnswerStore, RequestKeyTable
 from .settings import Settings
-from .targets import TargetClient, is_listening, make_connector
+from .targets import TargetClient, is_listening, make_connector, use_strict_handler
 
 CRASH_REVIEW_PERIOD_S: Final = 0.25
 # Connections of other nodes; each node opens one.
@@ -138,9 +138,12 @@
     def _build_components(self) -> None:
         settings, timings, board = self.settings, self.settings.timings, self.board
         now_s = asyncio.get_running_loop().time()
-        self._session = aiohttp.ClientSession(connector=make_connector(timings.progress_timeout_s))
+        probe_after_s = timings.progress_timeout_s
+        self._session = aiohttp.ClientSession(
+            connector=use_strict_handler(make_connector(probe_after_s))
+        )
         self._fresh_session = aiohttp.ClientSession(
-            connector=make_connector(timings.progress_timeout_s, force_close=True)
+            connector=use_strict_handler(make_connector(probe_after_s, force_close=True))
         )
         log = HttpLog(self._session, settings.log_url)
         store = AnswerStore(settings.bounds.answer_store_bytes)
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -43,7 +43,7 @@
     TargetTable,
     discard_usage,
 )
-from ..targets import make_connector
+from ..targets import make_connector, use_strict_handler
 from ..usage import (
     TrueClock,
     UsageCounter,
@@ -136,7 +136,8 @@
         """
         settings = self.settings
         self._clock = TrueClock(asyncio.get_running_loop().time, boot_time_s, time.time)
-        self._session = aiohttp.ClientSession(connector=make_connector(STORE_KEEPALIVE_IDLE_S))
+        connector = use_strict_handler(make_connector(STORE_KEEPALIVE_IDLE_S))
+        self._session = aiohttp.ClientSession(connector=connector)
         self._sessions = TargetSessions(self.observer)
         self.targets.warm.keep_alive_s = self._sessions.idle_timeout_s
         self._store = MetadataStore(
--- a/samphirecleat/targets/_strict_connection.py
+++ b/samphirecleat/targets/_strict_connection.py
@@ -1,4 +1,4 @@
-"""Connections that keep to their exchanges: a reset ends no response, and no byte follows one."""
+"""Connections to servers that may send anything: only well-formed, complete responses pass."""
 
 import asyncio
 from collections.abc import Callable
@@ -6,9 +6,9 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import BadHttpMessage
 
-# Statuses from here on are final; those below announce a response that is still to come.
-_FIRST_FINAL_STATUS = 200
+from ._response_head import ResponseHead
 
 
 def _do_nothing() -> None:
@@ -16,7 +16,7 @@
 
 
 class StrictResponseHandler(ResponseHandler):
-    """Raises an error if a response is cut by a reset, and closes if bytes follow a response.
+    """Raises an error if a response is malformed or cut by a reset; closes if bytes follow one.
 
     A response without a length ends when its connection is closed. aiohttp treats every
     close as that end, including the reset by a target that crashed, and a caller would
@@ -30,25 +30,39 @@
         """Create the handler of a connection; ``on_unrequested`` is called for such bytes."""
         super().__init__(loop=loop)
         self._on_unrequested = on_unrequested
-        self._answered = False
+        self._head = ResponseHead()
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the response to the next request."""
-        self._answered = False
+        self._head = ResponseHead()
         super().set_response_params(**params)
 
-    def feed_data(self, data: Any, size: int = 0) -> None:
-        """Take the head of a response."""
-        self._answered = data[0].code >= _FIRST_FINAL_STATUS
-        super().feed_data(data, size)
-
     def data_received(self, data: bytes) -> None:
-        """Take bytes of the connection; close it if they follow a complete response."""
-        if data and self._answered and (self._payload is None or self._payload.is_eof()):
+        """Take bytes of the connection; close it if they follow a complete response.
+
+        Before the first request, aiohttp keeps them as the beginning of the response to it.
+        """
+        if not data or self._parser is None:
+            super().data_received(data)
+        elif not self._head.is_complete:
+            self._receive_head(data)
+        elif self._payload is None or self._payload.is_eof():
             self._on_unrequested()
             self.close()
+        else:
+            super().data_received(data)
+
+    def _receive_head(self, data: bytes) -> None:
+        """Parse the head of a response once it is complete; end the connection if it is bad."""
+        try:
+            approved = self._head.feed(data)
+        except BadHttpMessage as error:
+            if self.transport is not None:
+                self.transport.abort()
+            self.set_exception(error)
             return
-        super().data_received(data)
+        if approved:
+            super().data_received(approved)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handle the end of the connection; only a clean close ends a response."""
