Answers without end are cut: bodies, framing and events have bounds

What callers would see: a target in trouble sends bytes without end, in a head or a body. The node keeps them until the call's time is up, runs out of memory, and all its callers lose their answers.

Cause: answers of calls, refusals, failures, orders and reports were read with `response.read()`, which keeps whatever arrives; an event might have 4 MB, copied for each piece; a trailer 64 KB a field. Besides, a parser's error kept what was received: its traceback refers to the bytes, asyncio's futures keep the traceback of an error that is set on them, and both are in reference cycles that wait for the collector.

Change: AnswerBytes reads all bodies of targets within a sixteenth of the node's memory, of which the first 64 KB of an answer don't count, so that ordinary answers pass while others fill it. It is a budget of its own: slow callers must not cost an accepted call its answer. An event may have 256 KB, and its end is looked for in new bytes only. Errors are set without their tracebacks, and a call's fault is raised outside of the frame that holds the response. The project's own interface reads reports within 64 KB. Two counters, answers_cut and malformed_responses_SERVICE.

--- a/samphirecleat/platform/_boot_settings.py
+++ b/samphirecleat/platform/_boot_settings.py
@@ -18,6 +18,8 @@
 DEFAULT_FILE_DESCRIPTORS: Final = 8192
 # Share of a node's memory for the bytes that it holds for callers.
 CALL_BYTES_SHARE: Final = 1 / 8
+# Share of a node's memory for answers of targets that have not arrived completely.
+ANSWER_BYTES_SHARE: Final = 1 / 16
 
 
 class BootSettings(NamedTuple):
@@ -71,6 +73,11 @@
         """The bytes that the node may hold for callers."""
         return int(self.memory_mb * CALL_BYTES_SHARE * 1_000_000)
 
+    @property
+    def answer_bytes_limit(self) -> int:
+        """The bytes that the node may hold of answers that have not arrived completely."""
+        return int(self.memory_mb * ANSWER_BYTES_SHARE * 1_000_000)
+
     @property
     def request_bytes_limit(self) -> int:
         """The bytes that the node may hold for the heads of requests."""
--- a/samphirecleat/platform/_call_exchange.py
+++ b/samphirecleat/platform/_call_exchange.py
@@ -35,6 +35,19 @@
 
     async def exchange(self, call: Call, target: Target, budget_s: float) -> TargetAnswer:
         """Return the checked answer of a target; see :class:`CallChannel`."""
+        result = await self._try_exchange(call, target, budget_s)
+        if isinstance(result, TargetFault):
+            raise result
+        return result
+
+    async def _try_exchange(
+        self, call: Call, target: Target, budget_s: float
+    ) -> TargetAnswer | TargetFault:
+        """Return the checked answer of a target, or why there is none.
+
+        A fault that were raised here would keep the response in memory, with what has arrived of
+        it, for as long as its traceback is referred to.
+        """
         session = self._sessions.get(target, call.request_id)
         headers = forwarded_headers(call, target, budget_s)
         url = target_url(target, call.raw_path)
@@ -49,15 +62,15 @@
                 timeout=timeout,
             ) as response:
                 if not self._sessions.is_answer(target, response, call.request_id):
-                    raise foreign_answer(target)
-                body = await response.read()
+                    return foreign_answer(target)
+                body = await self._sessions.answers.read(response)
                 self._sessions.update_idle_timeout(target, response.headers.get("Keep-Alive", ""))
                 fault = find_fault(response, target)
                 if fault is not None:
                     if fault.ran is not Ran.NO:
                         # Further data on this connection can't be assigned to a call.
                         response.close()
-                    raise fault
+                    return fault
                 return TargetAnswer(
                     response.status,
                     answer_headers(response),
@@ -65,7 +78,7 @@
                     response.headers.get(SERVER_STAMP, ""),
                 )
         except RESPONSE_ERRORS as error:
-            raise fault_from_error(target, error) from error
+            return fault_from_error(target, error)
 
 
 def fault_from_error(target: Target, error: Exception) -> TargetFault:
--- a/samphirecleat/platform/_call_stream.py
+++ b/samphirecleat/platform/_call_stream.py
@@ -51,7 +51,7 @@
                 if fault is not None:
                     raise fault
                 if response.status != 200 or response.content_type != EVENT_STREAM:
-                    body = await response.read()
+                    body = await self._sessions.answers.read(response)
                     signature = response.headers.get(SERVER_STAMP, "")
                     yield TargetAnswer(response.status, answer_headers(response), body, signature)
                     return
--- a/samphirecleat/platform/_engine_orders.py
+++ b/samphirecleat/platform/_engine_orders.py
@@ -42,7 +42,7 @@
             ) as response:
                 if not self._sessions.is_answer(target, response) or response.status != 200:
                     return None
-                return decode_report(await response.read())
+                return decode_report(await self._sessions.answers.read(response))
         except RESPONSE_ERRORS:
             return None
 
@@ -69,7 +69,7 @@
             ) as response:
                 if not self._sessions.is_answer(target, response):
                     return OrderOutcome.UNKNOWN
-                await response.read()
+                await self._sessions.answers.read(response)
                 return _OUTCOMES.get(response.status, OrderOutcome.UNKNOWN)
         except aiohttp.ClientConnectorError:
             return OrderOutcome.REJECTED
--- a/samphirecleat/platform/_event_stream.py
+++ b/samphirecleat/platform/_event_stream.py
@@ -9,7 +9,8 @@
 from ._wire_names import WEIGHT_VERSIONS
 
 # Events have a few hundred bytes; more than this without an event end is a malformed stream.
-MAX_EVENT_BYTES: Final = 4 * 1024 * 1024
+MAX_EVENT_BYTES: Final = 256 * 1024
+_EVENT_END: Final = b"\n\n"
 NO_VERSION: Final = -1
 EVENT_STREAM: Final = "text/event-stream"
 
@@ -32,12 +33,14 @@
     :raises EventFormatError: when an event exceeds ``MAX_EVENT_BYTES`` or the stream ends within
         one.
     """
-    buffer = b""
+    buffer = bytearray()
     async for chunk in content.iter_any():
+        search_from = max(0, len(buffer) - 1)
         buffer += chunk
-        *blocks, buffer = buffer.split(b"\n\n")
-        for block in blocks:
-            yield block
+        while (end := buffer.find(_EVENT_END, search_from)) >= 0:
+            yield bytes(buffer[:end])
+            del buffer[: end + len(_EVENT_END)]
+            search_from = 0
         if len(buffer) > MAX_EVENT_BYTES:
             raise EventFormatError("event is too large")
     if buffer.strip():
--- a/samphirecleat/platform/_generation_stream.py
+++ b/samphirecleat/platform/_generation_stream.py
@@ -62,7 +62,7 @@
                         "response belongs to another call", GenerationFailure.BROKEN
                     )
                 self._sessions.update_idle_timeout(target, response.headers.get("Keep-Alive", ""))
-                await _check_response(response)
+                await self._check_response(response)
                 # An engine asked to resume after the last event generates nothing and sends no
                 # version. Its stream ends at once, which is a regular end of the text.
                 version = int(response.headers.get(WEIGHT_VERSIONS, NO_VERSION))
@@ -82,30 +82,29 @@
                 repr(error), GenerationFailure.BROKEN, connection_closed=closed
             ) from error
 
+    async def _check_response(self, response: aiohttp.ClientResponse) -> None:
+        """Check that the answer to an item is an event stream.
+
+        :raises GenerationError: when it isn't.
+        """
+        if response.status == MISDIRECTED_STATUS:
+            raise GenerationError("replaced", GenerationFailure.WRONG_INSTANCE)
+        if NOT_EXECUTED in response.headers:
+            await self._sessions.answers.read(response)
+            raise GenerationError(
+                f"engine refused the run with HTTP {response.status}", GenerationFailure.REFUSED
+            )
+        if response.status == IMPOSSIBLE_STATUS:
+            raise GenerationError("engine can never run this item", GenerationFailure.IMPOSSIBLE)
+        if response.status == FAILED_STATUS:
+            await self._sessions.answers.read(response)
+            raise GenerationError("failed", GenerationFailure.FAILED)
+        if response.status != 200 or response.headers.get("Content-Encoding"):
+            raise GenerationError(f"HTTP {response.status}", GenerationFailure.BROKEN)
+
 
 def item_headers(call: GenerationCall) -> Sequence[tuple[str, str]]:
     """Return an item's own headers, without identity headers if it belongs to a workspace."""
     if not call.workspace:
         return call.headers
     return [(name, value) for name, value in call.headers if name.lower() not in IDENTITY_HEADERS]
-
-
-async def _check_response(response: aiohttp.ClientResponse) -> None:
-    """Check that the answer to an item is an event stream.
-
-    :raises GenerationError: when it isn't.
-    """
-    if response.status == MISDIRECTED_STATUS:
-        raise GenerationError("replaced", GenerationFailure.WRONG_INSTANCE)
-    if NOT_EXECUTED in response.headers:
-        await response.read()
-        raise GenerationError(
-            f"engine refused the run with HTTP {response.status}", GenerationFailure.REFUSED
-        )
-    if response.status == IMPOSSIBLE_STATUS:
-        raise GenerationError("engine can never run this item", GenerationFailure.IMPOSSIBLE)
-    if response.status == FAILED_STATUS:
-        await response.read()
-        raise GenerationError("failed", GenerationFailure.FAILED)
-    if response.status != 200 or response.headers.get("Content-Encoding"):
-        raise GenerationError(f"HTTP {response.status}", GenerationFailure.BROKEN)
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -138,7 +138,7 @@
         self._clock = TrueClock(asyncio.get_running_loop().time, boot_time_s, time.time)
         connector = use_strict_handler(make_connector(STORE_KEEPALIVE_IDLE_S))
         self._session = aiohttp.ClientSession(connector=connector)
-        self._sessions = TargetSessions(self.observer)
+        self._sessions = TargetSessions(self.observer, settings.answer_bytes_limit)
         self.targets.warm.keep_alive_s = self._sessions.idle_timeout_s
         self._store = MetadataStore(
             self._session,
@@ -196,6 +196,7 @@
         self._store.set_address(settings.store_address)
         self._api.set_address(settings.api_address)
         self._call_bytes.budget.limit_bytes = settings.call_bytes_limit
+        self._sessions.answers.budget.limit_bytes = settings.answer_bytes_limit
         self._shared_limits.budget.limit_bytes = settings.request_bytes_limit
         self._shared_limits.places.max_connections = settings.max_client_connections
         self._authenticator.set_revocation(
--- a/samphirecleat/platform/_target_sessions.py
+++ b/samphirecleat/platform/_target_sessions.py
@@ -12,6 +12,7 @@
 from ..observe import Observer
 from ..serving import Target
 from ..targets import make_connector, use_strict_handler
+from ._answer_bytes import DEFAULT_LIMIT_BYTES, AnswerBytes
 from ._wire_names import NOT_EXECUTED, REQUEST_ID
 
 # Idle timeout of connections until a target of the service sends its own.
@@ -47,11 +48,16 @@
     """A client session per target, closed when the target is gone.
 
     Decides which response is the answer to a request: a faulty target may answer an earlier
-    request a second time, at the place where the next response is expected.
+    request a second time, at the place where the next response is expected. ``answers`` reads the
+    bodies of responses.
     """
 
-    def __init__(self, observer: Observer) -> None:
-        """Start without connections; ``observer`` counts new connections by service."""
+    def __init__(self, observer: Observer, answer_bytes_limit: int = DEFAULT_LIMIT_BYTES) -> None:
+        """Start without connections; ``observer`` counts new connections by service.
+
+        Up to ``answer_bytes_limit`` bytes of answers are held while they arrive.
+        """
+        self.answers = AnswerBytes(observer, answer_bytes_limit)
         self._counters = observer.counters
         self._logger = observer.log("targets")
         self._refused: OrderedDict[tuple[str, str], None] = OrderedDict()
@@ -153,6 +159,7 @@
             pool,
             partial(self._count_connection, service),
             partial(self._count_unrequested, service),
+            partial(self._count_malformed, service),
         )
         session = aiohttp.ClientSession(
             connector=connector,
@@ -176,6 +183,10 @@
         """Count a connection that was closed because bytes followed a response."""
         self._counters[f"unrequested_bytes_{service}"] += 1
 
+    def _count_malformed(self, service: str) -> None:
+        """Count a connection that was closed because of bytes that are no response."""
+        self._counters[f"malformed_responses_{service}"] += 1
+
     def _apply_idle_timeout(self, service: str, idle_timeout_s: float) -> None:
         """Set the idle timeout of all open sessions of a service.
 
--- a/samphirecleat/targets/_client.py
+++ b/samphirecleat/targets/_client.py
@@ -27,6 +27,7 @@
 from ._orders import OrderFenced, OrderOutcome, OrderRefused, OrderTaken, OrderUnknown
 
 MAX_ANSWER_BYTES: Final = 4_000_000
+MAX_REPORT_BYTES: Final = 65_536
 MAX_QUIET_PERIODS: Final = 2
 DEADLINE_SLACK_S: Final = 1.0
 """The dispatcher ends a call at its deadline; this timeout is only a backstop."""
@@ -170,12 +171,12 @@
                 f"http://{target.address}/v1/status", params=params, timeout=timeout
             ) as response:
                 if response.status == 200:
-                    body = await response.json()
+                    body = await _read_json(response)
                     return RequestStatus(RunState(body["state"]), int(body["progress"]))
             async with self._fresh_session.get(
                 f"http://{target.address}/v1/load", timeout=timeout
             ) as response:
-                body = await response.json()
+                body = await _read_json(response)
                 return StatusUnavailable(queued=int(body["waiting"]) > 0)
         except (aiohttp.ClientError, TimeoutError, OSError):
             return Unreachable()
@@ -193,7 +194,7 @@
             async with self._fresh_session.post(
                 url, json={"request_id": request_id}, timeout=timeout
             ) as response:
-                await response.read()
+                await _read_bounded(response, MAX_REPORT_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError):
             return
 
@@ -219,7 +220,7 @@
         timeout = aiohttp.ClientTimeout(total=self._probe_timeout_s)
         try:
             async with session.get(f"http://{target.address}/v1/load", timeout=timeout) as response:
-                body: Mapping[str, Any] = await response.json()
+                body: Mapping[str, Any] = await _read_json(response)
                 return body
         except (aiohttp.ClientError, TimeoutError, OSError, *MALFORMED_INPUT_ERRORS):
             return None
@@ -242,7 +243,7 @@
                     return OrderFenced()
                 if response.status != HTTP_OK:
                     return OrderRefused(f"HTTP {response.status}")
-                await response.read()
+                await _read_bounded(response, MAX_REPORT_BYTES)
                 return OrderTaken()
         except aiohttp.ClientConnectorError as error:
             return OrderRefused(str(error))
@@ -283,16 +284,37 @@
         raise TargetError(Lost(f"a line of the stream is too long: {error}")) from error
 
 
-async def _read_result(response: aiohttp.ClientResponse) -> Any:
-    if (response.content_length or 0) > MAX_ANSWER_BYTES:
-        raise TargetError(
-            Failed(f"the answer is larger than {MAX_ANSWER_BYTES} bytes", permanent=True)
-        )
+class _TooLargeError(aiohttp.ClientError):
+    """A body has more bytes than are read of it."""
+
+
+async def _read_bounded(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Return the body of a response.
+
+    :raises _TooLargeError: if it has more than ``max_bytes``.
+    """
     raw = bytearray()
-    async for chunk in response.content.iter_any():
-        raw.extend(chunk)
-        if len(raw) > MAX_ANSWER_BYTES:
-            raise TargetError(Failed("the answer is larger than the limit", permanent=True))
+    if (response.content_length or 0) <= max_bytes:
+        async for chunk in response.content.iter_any():
+            raw.extend(chunk)
+            if len(raw) > max_bytes:
+                break
+        else:
+            return bytes(raw)
+    response.close()
+    raw.clear()
+    raise _TooLargeError(f"the body is larger than {max_bytes} bytes")
+
+
+async def _read_json(response: aiohttp.ClientResponse) -> Any:
+    return json.loads(await _read_bounded(response, MAX_REPORT_BYTES))
+
+
+async def _read_result(response: aiohttp.ClientResponse) -> Any:
+    try:
+        raw = await _read_bounded(response, MAX_ANSWER_BYTES)
+    except _TooLargeError as error:
+        raise TargetError(Failed(f"answer refused: {error}", permanent=True)) from error
     try:
         return json.loads(raw)
     except MALFORMED_INPUT_ERRORS as error:
--- a/tests/targets/test_report.py
+++ b/tests/targets/test_report.py
@@ -39,3 +39,42 @@
             assert not (await client.fetch_report(target, 0.0)).usable
 
     asyncio.run(scenario())
+
+
+def test_a_report_without_end_is_cut_and_its_target_gets_no_work() -> None:
+    """Guards against a node that keeps all that a target sends as its report."""
+
+    async def scenario() -> None:
+        sent_bytes = 0
+
+        async def send_without_end(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal sent_bytes
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            try:
+                while True:
+                    writer.write(b"[" * 65_536)
+                    await writer.drain()
+                    sent_bytes += 65_536
+            except OSError:
+                writer.close()
+
+        server = await asyncio.start_server(send_without_end, "127.0.0.1", 0)
+        async with server, aiohttp.ClientSession() as session:
+            # The timeouts are far beyond what the test takes if the report is cut.
+            client = TargetClient(
+                session,
+                session,
+                progress_timeout_s=60.0,
+                connect_timeout_s=60.0,
+                probe_timeout_s=60.0,
+            )
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            async with asyncio.timeout(30.0):
+                report = await client.fetch_report(TargetView(address, "cotizador", "z"), 0.0)
+        assert not report.usable
+        assert sent_bytes < 40_000_000
+
+    asyncio.run(scenario())
