A reward call under which servers crashed is held back for a while, and never refused

What a trainer saw: an item whose reward call ran at several servers that crashed, in bursts, was never listed, although all was calm afterwards and the servers had room.

Cause: reward calls go through the forwarder of callers' calls, with its guard against requests that crash their targets. Once such a call counts as proven it is refused, and each new try, every 0.1 s, keeps the entry alive (an hour from the last try on). The item has no other way to its result. Items themselves back off for 3.5 s and run again; only their reward calls did not.

Change: calls for trainers are owed. Where a caller's call is refused, theirs is held for 3.5 s after the last crash and is a suspect then, with the waits of a small service; an answer clears it. The scorer waits as long as the error says, not 0.1 s. The backoff constant is now shared (OWED_BACKOFF_S).

--- a/samphirecleat/crashes/__init__.py
+++ b/samphirecleat/crashes/__init__.py
@@ -14,6 +14,7 @@
 from ._suspect import (
     MAX_CRASHES,
     MIN_CRASHES_TO_REFUSE,
+    OWED_BACKOFF_S,
     SETTLE_S,
     CrashedRun,
     CrashVerdict,
@@ -26,6 +27,7 @@
 __all__ = [
     "MIN_CRASHES_TO_REFUSE",
     "MAX_CRASHES",
+    "OWED_BACKOFF_S",
     "SETTLE_S",
     "CrashGuard",
     "CrashLedger",
--- a/samphirecleat/crashes/_guard.py
+++ b/samphirecleat/crashes/_guard.py
@@ -114,10 +114,13 @@
         """Whether any call is suspect; if not, callers needn't compute digests."""
         return bool(self._ledger.suspects)
 
-    def verdict(self, request_id: str, digest: bytes) -> CrashVerdict:
-        """Return whether a call may be sent now; log and count it if it is blocked."""
+    def verdict(self, request_id: str, digest: bytes, *, owed: bool = False) -> CrashVerdict:
+        """Return whether a call may be sent now; log and count it if it is blocked.
+
+        A call that is ``owed`` is never refused.
+        """
         now_s = asyncio.get_running_loop().time()
-        verdict = self._ledger.verdict(digest, now_s)
+        verdict = self._verdict(digest, now_s, owed=owed)
         if is_blocked(verdict):
             self._observer.counters[f"crash_calls_{verdict.value}"] += 1
             self._logger.warning(
@@ -136,26 +139,26 @@
         now_s = asyncio.get_running_loop().time()
         return is_blocked(self._ledger.verdict(digest, now_s))
 
-    def may_send_suspect(self, digest: bytes, service: str) -> bool:
+    def may_send_suspect(self, digest: bytes, service: str, *, owed: bool = False) -> bool:
         """Whether the service can afford that this call, if it is suspect, is sent to it now."""
         now_s = asyncio.get_running_loop().time()
-        return not self._has_to_wait(digest) or self._gate.is_free(service, now_s)
+        return not self._has_to_wait(digest, owed=owed) or self._gate.is_free(service, now_s)
 
     def is_suspect(self, digest: bytes) -> bool:
         """Whether a target crashed under a call since its last answer."""
         now_s = asyncio.get_running_loop().time()
         return self._ledger.verdict(digest, now_s) is not CrashVerdict.CLEAR
 
-    def may_start_suspect(self, digest: bytes, service: str) -> bool:
+    def may_start_suspect(self, digest: bytes, service: str, *, owed: bool = False) -> bool:
         """Whether a call that has waited for its turn may be sent now."""
         now_s = asyncio.get_running_loop().time()
-        return not self._has_to_wait(digest) or self._gate.may_start(service, now_s)
+        return not self._has_to_wait(digest, owed=owed) or self._gate.may_start(service, now_s)
 
-    def must_stop_suspect(self, digest: bytes, service: str) -> bool:
+    def must_stop_suspect(self, digest: bytes, service: str, *, owed: bool = False) -> bool:
         """Whether a call became suspect whose service can't afford another lost target."""
         now_s = asyncio.get_running_loop().time()
         size = self._services.size(service, now_s)
-        return not size.is_large and not size.can_lose_one and self._has_to_wait(digest)
+        return not size.is_large and not size.can_lose_one and self._has_to_wait(digest, owed=owed)
 
     def suspicion(self, digest: bytes) -> Suspicion:
         """Return what speaks against a call; nothing is logged or counted."""
@@ -167,19 +170,25 @@
         return self._services.size(service, asyncio.get_running_loop().time())
 
     async def wait_for_turn(
-        self, request_id: str, digest: bytes, service: str, last_start_s: float
+        self,
+        request_id: str,
+        digest: bytes,
+        service: str,
+        last_start_s: float,
+        *,
+        owed: bool = False,
     ) -> bool:
         """Wait until a call may be sent to a service, which is at once unless it is suspect.
 
         Return False if a suspect can't be sent before ``last_start_s``, on the loop's clock. The
         caller asks for the verdict and sends the call without yielding in between.
         """
-        if self.may_send_suspect(digest, service):
+        if self.may_send_suspect(digest, service, owed=owed):
             return True
         began_s = asyncio.get_running_loop().time()
         self._observer.counters["crash_suspects_waited"] += 1
         may_send = await self._gate.wait(
-            service, last_start_s, lambda: not self._has_to_wait(digest)
+            service, last_start_s, lambda: not self._has_to_wait(digest, owed=owed)
         )
         now_s = asyncio.get_running_loop().time()
         size = self._services.size(service, now_s)
@@ -228,12 +237,17 @@
         ]
         return max(0.0, max(own_s) + ANNOUNCED_WITHIN_S - now_s) if own_s else 0.0
 
-    def _has_to_wait(self, digest: bytes) -> bool:
+    def _has_to_wait(self, digest: bytes, *, owed: bool) -> bool:
         """Whether a call is suspect, and no recent answer speaks for it."""
         now_s = asyncio.get_running_loop().time()
-        return self._ledger.verdict(
-            digest, now_s
-        ) is CrashVerdict.SUSPECT and not self._ledger.was_answered_recently(digest, now_s)
+        if self._verdict(digest, now_s, owed=owed) is not CrashVerdict.SUSPECT:
+            return False
+        return not self._ledger.was_answered_recently(digest, now_s)
+
+    def _verdict(self, digest: bytes, now_s: float, *, owed: bool) -> CrashVerdict:
+        if owed:
+            return self._ledger.verdict_if_owed(digest, now_s)
+        return self._ledger.verdict(digest, now_s)
 
     def _has_no_spare(self, target: str) -> bool:
         service = self._services.service_of_crashed(target)
--- a/samphirecleat/crashes/_ledger.py
+++ b/samphirecleat/crashes/_ledger.py
@@ -14,6 +14,7 @@
 from typing import Final
 
 from ._suspect import (
+    OWED_BACKOFF_S,
     SETTLE_S,
     CrashedRun,
     CrashVerdict,
@@ -168,6 +169,17 @@
             return CrashVerdict.HELD
         return CrashVerdict.REFUSED if self._refuse_if_proven(suspect) else CrashVerdict.SUSPECT
 
+    def verdict_if_owed(self, digest: bytes, now_s: float) -> CrashVerdict:
+        """Return whether a call may be sent now that has to be made in the end, so never REFUSED.
+
+        After the backoff since its last crash it is suspect. Its answer clears it.
+        """
+        verdict = self.verdict(digest, now_s)
+        if verdict is not CrashVerdict.REFUSED:
+            return verdict
+        since_s = now_s - self.suspects[digest].last_crash_s()
+        return CrashVerdict.HELD if since_s < OWED_BACKOFF_S else CrashVerdict.SUSPECT
+
     def awaits_verdict(self, digest: bytes) -> bool:
         """Whether a call fits the crash pattern and isn't refused yet."""
         suspect = self.suspects.get(digest)
--- a/samphirecleat/crashes/_suspect.py
+++ b/samphirecleat/crashes/_suspect.py
@@ -20,6 +20,9 @@
 # Time within which other nodes' reports of an event arrive. A run that began at least this long
 # after the last crash belongs to a new burst, assuming that any outside cause has passed by then.
 SETTLE_S: Final = 1.0
+# Minimum time between runs of refused work that is owed all the same. Kept short, because a step
+# still needs the result.
+OWED_BACKOFF_S: Final = 3.5
 
 
 class CrashedRun(NamedTuple):
@@ -38,7 +41,8 @@
     """Whether a call may be sent.
 
     A SUSPECT is sent to one target at a time. A HELD call isn't sent while reports of other nodes
-    may still arrive. A REFUSED call isn't sent any more.
+    may still arrive. A REFUSED call isn't sent any more, unless it is owed: the calls of an item
+    that was accepted are made until they are answered.
     """
 
     CLEAR = "clear"
--- a/samphirecleat/durable/_crash_backoff.py
+++ b/samphirecleat/durable/_crash_backoff.py
@@ -6,19 +6,14 @@
 """
 
 from collections.abc import Collection
-from typing import Final
 
-from ..crashes import CrashGuard, request_digest
+from ..crashes import OWED_BACKOFF_S, CrashGuard, request_digest
 from ..serving import target_start
 from ._item_decisions import ItemName
 from ._item_run import ItemRun
 from ._open_item import OpenItem
 from ._ports import GenerationError
 
-# Minimum time between runs of an item that is blocked for crashing engines. Kept short, because the
-# step still needs the item's result.
-BLOCKED_ITEM_BACKOFF_S: Final = 3.5
-
 
 class CrashBackoff:
     """Tracks the items of one runner whose runs were cut off by their engine."""
@@ -52,7 +47,7 @@
         if known is None:
             return False
         digest, cut_s = known
-        return now_s - cut_s < BLOCKED_ITEM_BACKOFF_S and self._guard.is_blocked(digest)
+        return now_s - cut_s < OWED_BACKOFF_S and self._guard.is_blocked(digest)
 
     def keep_only(self, wanted_steps: Collection[str]) -> None:
         """Drop the records of items of other steps."""
--- a/samphirecleat/durable/_scorer.py
+++ b/samphirecleat/durable/_scorer.py
@@ -6,9 +6,9 @@
 """
 
 import asyncio
-from typing import Final
+from typing import Final, NamedTuple
 
-from ..errors import RequestError
+from ..errors import ErrorKind, RequestError
 from ..observe import Observer
 from ..serving import Call, CallForwarder, Route, RouteTable, TargetTable
 from ._records import ItemSpec, RewardSpec
@@ -28,6 +28,17 @@
 FAILED_STATUS: Final = 500
 
 
+class _Outcome(NamedTuple):
+    """The status of one reward call, 0 without an answer, and the signature of a success.
+
+    The next call waits for ``retry_after_s``.
+    """
+
+    status: int
+    signature: str = ""
+    retry_after_s: float = REWARD_RETRY_INTERVAL_S
+
+
 class Scorer:
     """Scores texts through the same routing as callers' calls."""
 
@@ -65,16 +76,16 @@
                 self._logger.warning("item=%s reward failed %d times", item.item_id, failures)
                 return ""
             async with self._semaphore(route):
-                status, signature = await self._attempt(item, reward, route)
-            if signature:
-                return signature
-            if status == FAILED_STATUS:
+                outcome = await self._attempt(item, reward, route)
+            if outcome.signature:
+                return outcome.signature
+            if outcome.status == FAILED_STATUS:
                 failures += 1
             else:
-                await asyncio.sleep(REWARD_RETRY_INTERVAL_S)
+                await asyncio.sleep(outcome.retry_after_s)
 
-    async def _attempt(self, item: ItemSpec, reward: RewardSpec, route: Route) -> tuple[int, str]:
-        """Return the status of one call, 0 without an answer, and the signature of a success."""
+    async def _attempt(self, item: ItemSpec, reward: RewardSpec, route: Route) -> _Outcome:
+        """Make one call, and return its outcome."""
         began_s = asyncio.get_running_loop().time()
         call = Call(
             reward.request_id,
@@ -102,11 +113,13 @@
                 reward.request_id,
                 error.detail,
             )
-            return 0, ""
+            if error.kind is ErrorKind.CRASH_SUSPECTED:
+                return _Outcome(0, retry_after_s=error.retry_after_s)
+            return _Outcome(0)
         if not 200 <= answer.status < 300:
-            return answer.status, ""
+            return _Outcome(answer.status)
         self._observer.record_s("reward_call", asyncio.get_running_loop().time() - began_s)
-        return answer.status, answer.signature
+        return _Outcome(answer.status, answer.signature)
 
     def _semaphore(self, route: Route) -> asyncio.Semaphore:
         """Return the call limit of a route's service, sized by its current target slots."""
--- a/samphirecleat/durable/_suspect_trials.py
+++ b/samphirecleat/durable/_suspect_trials.py
@@ -14,8 +14,7 @@
 from enum import IntEnum
 from typing import Final, NamedTuple
 
-from ..crashes import MIN_CRASHES_TO_REFUSE, CrashVerdict, ServiceSize, Suspicion
-from ._crash_backoff import BLOCKED_ITEM_BACKOFF_S
+from ..crashes import MIN_CRASHES_TO_REFUSE, OWED_BACKOFF_S, CrashVerdict, ServiceSize, Suspicion
 from ._engine_ranking import EngineView, PendingItem
 from ._item_decisions import ItemName
 
@@ -165,7 +164,7 @@
     if suspicion.verdict is CrashVerdict.HELD:
         return WaitReason.SETTLING
     since_s = now_s - suspicion.last_crash_s
-    if suspicion.crash_count >= MIN_CRASHES_TO_REFUSE and since_s < BLOCKED_ITEM_BACKOFF_S:
+    if suspicion.crash_count >= MIN_CRASHES_TO_REFUSE and since_s < OWED_BACKOFF_S:
         return WaitReason.BACKOFF
     if size.can_lose_one:
         return None
--- a/samphirecleat/serving/_forwarder.py
+++ b/samphirecleat/serving/_forwarder.py
@@ -111,7 +111,7 @@
         """Return whether a call may be sent, given the target crashes attributed to it."""
         if self._guard is None or not self._guard.has_suspects:
             return CrashVerdict.CLEAR
-        return self._guard.verdict(call.request_id, call_digest(call))
+        return self._guard.verdict(call.request_id, call_digest(call), owed=call.for_trainer)
 
     def record_answer(self, call: Call) -> None:
         """Record that a target answered a call, which clears earlier crashes under it."""
--- a/samphirecleat/serving/_suspect_wait.py
+++ b/samphirecleat/serving/_suspect_wait.py
@@ -45,6 +45,7 @@
             self._digest,
             self._service,
             self._deadline_s - LAST_START_MARGIN_S,
+            owed=self._call.for_trainer,
         )
 
     def may_send_now(self) -> bool:
@@ -52,14 +53,14 @@
         guard = self._guard
         if guard is None or not guard.has_suspects:
             return True
-        return guard.may_start_suspect(self._digest, self._service)
+        return guard.may_start_suspect(self._digest, self._service, owed=self._call.for_trainer)
 
     def must_stop_others(self) -> bool:
         """Whether the call's other attempts must end, now that a target crashed under one."""
         guard = self._guard
         if guard is None or not guard.has_suspects:
             return False
-        return guard.must_stop_suspect(self._digest, self._service)
+        return guard.must_stop_suspect(self._digest, self._service, owed=self._call.for_trainer)
 
     async def await_announcement(self) -> None:
         """Wait until other nodes know of a crash under the call, if its service is small.
--- a/tests/durable/test_runner.py
+++ b/tests/durable/test_runner.py
@@ -5,9 +5,8 @@
 
 import pytest
 
-from samphirecleat.crashes import MIN_CRASHES_TO_REFUSE, CrashLedger
+from samphirecleat.crashes import MIN_CRASHES_TO_REFUSE, OWED_BACKOFF_S, CrashLedger
 from samphirecleat.durable import GenerationFailure
-from samphirecleat.durable._crash_backoff import BLOCKED_ITEM_BACKOFF_S
 
 from ..crashes.guards import make_guard
 from ..fleets import until
@@ -345,7 +344,7 @@
         await stage.accept(step(items=4))
         await stage.wait_until_listed(3)
         await asyncio.sleep(2.5)
-        backoffs = (loop.time() - began_s) / BLOCKED_ITEM_BACKOFF_S
+        backoffs = (loop.time() - began_s) / OWED_BACKOFF_S
         assert (
             MIN_CRASHES_TO_REFUSE
             <= len(stage.engines.engines_of("s1-0"))
--- a/tests/durable/test_scorer.py
+++ b/tests/durable/test_scorer.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from samphirecleat.crashes import SETTLE_S, CrashedRun, CrashGuard, CrashLedger, CrashVerdict
 from samphirecleat.durable import Scorer
 from samphirecleat.errors import Ran
 from samphirecleat.observe import Observer
@@ -21,8 +22,10 @@
     TargetFault,
     TargetTable,
     WeightedService,
+    call_digest,
 )
 
+from ..crashes.guards import make_guard
 from .steps import item
 
 OK = TargetAnswer(200, (), b"", "sig")
@@ -51,7 +54,21 @@
         return reply
 
 
-def score(channel: Channel, count: int = 1, *, reward: bool = True) -> list[str]:
+def guard_after_bursts(call: Call, last_crash_s: float) -> CrashGuard:
+    """Return a guard that knows of two bursts of crashes under a call, and refuses it for them."""
+    now_s = asyncio.get_running_loop().time()
+    guard = make_guard(ledger := CrashLedger())
+    for number in range(6):
+        ended_s = now_s - last_crash_s - (5 - number) * 0.4 - (3.0 if number < 3 else 0.0)
+        run = CrashedRun(f"e-{number}@1", ended_s - 0.1, ended_s, "n1")
+        ledger.record_crash(call_digest(call), run, now_s)
+    assert guard.verdict("r", call_digest(call)) is CrashVerdict.REFUSED
+    return guard
+
+
+def score(
+    channel: Channel, count: int = 1, *, reward: bool = True, crashed: bool = False
+) -> list[str]:
     async def body() -> list[str]:
         routes, targets = RouteTable(), TargetTable("z")
         part = [WeightedService("score", 1.0)]
@@ -60,7 +77,11 @@
         )
         routes.put(RoutingConfig(1, (to,), {}, CallerLimits()))
         targets.replace({n: Target(n, "score", "a:1", "z", 5, False) for n in ("t1", "t2")})
-        forwarder = Forwarder(routes, targets, channel, random.Random(1))
+        spec = item("i0", reward=True).reward
+        assert spec is not None
+        call = Call(spec.request_id, "POST", spec.raw_path, spec.host, (), spec.body, 0.0, 0.0)
+        guard = guard_after_bursts(call, SETTLE_S) if crashed else None
+        forwarder = Forwarder(routes, targets, channel, random.Random(1), guard=guard)
         scorer = Scorer(routes, targets, forwarder, Observer("n1"))
         of = Route("r", "host.example", "/run/", CallKind.ROLLOUT, [], max_attempts=3)
         items = [item(f"i{n}", reward=reward) for n in range(count)]
@@ -110,3 +131,10 @@
     channel = Channel()
     score(channel, 30)
     assert channel.most_at_once <= 7
+
+
+def test_a_reward_call_under_which_targets_crashed_is_made_once_all_is_calm() -> None:
+    """Guards against an item that is never listed because its reward call counts as refused."""
+    channel = Channel()
+    assert score(channel, crashed=True) == ["sig"]
+    assert channel.calls == 1
--- a/tests/durable/test_suspect_trials.py
+++ b/tests/durable/test_suspect_trials.py
@@ -9,6 +9,7 @@
 
 from samphirecleat.crashes import (
     MIN_CRASHES_TO_REFUSE,
+    OWED_BACKOFF_S,
     CrashedRun,
     CrashLedger,
     CrashVerdict,
@@ -17,7 +18,6 @@
     is_blocked,
 )
 from samphirecleat.crashes._suspect import suspicion_of
-from samphirecleat.durable._crash_backoff import BLOCKED_ITEM_BACKOFF_S
 from samphirecleat.durable._engine_ranking import EngineView, PendingItem
 from samphirecleat.durable._suspect_trials import (
     LONG_WAIT_FOR_ENGINES_S,
@@ -105,9 +105,9 @@
 
 def test_an_item_at_three_crashes_backs_off() -> None:
     """Guards against an item that is not proven to be the cause and crashes engine after engine."""
-    early = choose([suspect("x", 3, ago_s=BLOCKED_ITEM_BACKOFF_S - 0.1)])
+    early = choose([suspect("x", 3, ago_s=OWED_BACKOFF_S - 0.1)])
     assert early.waiting == {("s1", "x"): WaitReason.BACKOFF}
-    assert len(choose([suspect("x", 3, ago_s=BLOCKED_ITEM_BACKOFF_S + 0.1)]).items) == 1
+    assert len(choose([suspect("x", 3, ago_s=OWED_BACKOFF_S + 0.1)]).items) == 1
 
 
 def test_items_at_several_crashes_are_tried_in_groups_if_time_is_short() -> None:
@@ -140,6 +140,15 @@
     assert len(choose(refused).items) == 1
 
 
+@pytest.mark.parametrize("count", range(1, 7))
+def test_an_item_of_many_crashes_is_placed_once_its_service_is_whole(count: int) -> None:
+    """Guards against a sound item that is never placed again after a burst of crashes."""
+    size = ServiceSize(count, count)
+    refused = suspect("x", 15, ago_s=OWED_BACKOFF_S, verdict=CrashVerdict.REFUSED)
+    is_free = not is_restricted(refused.suspicion, size, NOW_S)
+    assert is_free or choose([refused], size=size).items == [refused.item]
+
+
 def test_an_item_that_crashed_its_engines_alike_is_tried_last_and_beside_enough_others() -> None:
     """Guards against a service that is lost to one item while innocent ones wait behind it."""
     alike = suspect("x", 2, spread_s=0.01)
@@ -277,7 +286,7 @@
             digest = name.encode()
             verdict = self.ledger.verdict(digest, self.now_s)
             suspicion = suspicion_of(self.ledger.suspects.get(digest), verdict)
-            if is_blocked(verdict) and self.now_s - self.left[name] < BLOCKED_ITEM_BACKOFF_S:
+            if is_blocked(verdict) and self.now_s - self.left[name] < OWED_BACKOFF_S:
                 continue
             item = PendingItem("s1", name, "g", 5.0, False, 640, 255, 1, "m")
             if is_restricted(suspicion, size, self.now_s):
@@ -305,7 +314,7 @@
     replay = Replay(engines, 8 * engines, 1.0, restart_s)
     replay.play("i0", 16.0)
     assert set(replay.left) == {"i0"}
-    backoffs = replay.now_s / BLOCKED_ITEM_BACKOFF_S
+    backoffs = replay.now_s / OWED_BACKOFF_S
     assert replay.crashes <= MIN_CRASHES_TO_REFUSE + 1 + backoffs
     assert replay.fewest_left >= 1
     assert replay.longest_wait_s < 5.0
