A draining node takes no request that may outlast it, and answers those that do

Cause: from SIGTERM to the end a draining node took every request, whatever time it had, and at the end it closed the connections of all that still ran.

Change: DrainLimit. Reads of results wait at most half of what is left; steps are taken while 2 s are left. Streams that have begun go on to the stop.

The project's own interface refuses with `leaving` near its end (unchanged).

--- a/samphirecleat/platform/_front.py
+++ b/samphirecleat/platform/_front.py
@@ -28,6 +28,7 @@
     TargetAnswer,
 )
 from ._call_bytes import BytesRefusedError, CallBytes
+from ._drain_limit import DrainLimit, stopped_error
 from ._job_documents import decode_step, encode_page, without_identity
 from ._wire_names import (
     CREDENTIALS,
@@ -45,6 +46,8 @@
 DEFAULT_DEADLINE_S: Final = 30.0
 # Upper bound of the time that a read of results waits for new ones.
 MAX_WAIT_S: Final = 1.0
+# Time in which a step is accepted, unless the log is away.
+STEP_ACCEPT_S: Final = 2.0
 # Statuses which guarantee that a call has not run and never will.
 _NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
@@ -64,9 +67,10 @@
     ) -> None:
         """Serve callers that ``authenticator`` accepts, by ``routes``.
 
-        ``call_bytes`` bounds the memory for bodies and responses. While ``draining`` is set,
-        connections are closed after their response, so that callers reconnect to another node.
-        ``in_flight`` counts the open requests, until the kernel has accepted their response.
+        ``call_bytes`` bounds the memory for bodies and responses. Once the drain that ``limit``
+        bounds has begun, connections are closed after their response, so that callers reconnect to
+        another node. ``in_flight`` counts the open requests, until the kernel has accepted their
+        response.
         """
         self._routes = routes
         self._forwarder = forwarder
@@ -76,7 +80,7 @@
         self._observer = observer
         self._bytes = call_bytes
         self._logger = observer.log("front")
-        self.draining = False
+        self.limit = DrainLimit()
         self.in_flight = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -86,10 +90,10 @@
         try:
             with self._bytes.lease() as lease:
                 try:
-                    response = await self._dispatch(request, started_at_s, lease)
+                    response = await self._dispatch_in_time(request, started_at_s, lease)
                 except RequestError as error:
                     response = self._error_response(request, error, started_at_s)
-                if self.draining:
+                if self.limit.is_draining:
                     response.force_close()
                 await self._bytes.deliver(request, response, lease)
             return response
@@ -103,8 +107,27 @@
         finally:
             self.in_flight -= 1
 
-    async def _dispatch(
+    async def _dispatch_in_time(
         self, request: web.BaseRequest, started_at_s: float, lease: ByteLease
+    ) -> web.StreamResponse:
+        """Return the response, or raise the error of a request that outlasts the node's drain."""
+        timeout = self.limit.open()
+        try:
+            async with timeout:
+                return await self._dispatch(request, started_at_s, lease, timeout)
+        except TimeoutError as error:
+            if not timeout.expired():
+                raise
+            raise stopped_error() from error
+        finally:
+            self.limit.close(timeout)
+
+    async def _dispatch(
+        self,
+        request: web.BaseRequest,
+        started_at_s: float,
+        lease: ByteLease,
+        timeout: asyncio.Timeout,
     ) -> web.StreamResponse:
         raw_path = request.raw_path
         if raw_path.startswith(PATH_STEP):
@@ -122,6 +145,7 @@
                 step = without_identity(step)
             # The document is not needed any more; the decoded items are about as large.
             del body
+            self.limit.check_time_for(STEP_ACCEPT_S)
             return await self._submit_step(step)
         call = Call(
             request_id,
@@ -135,16 +159,25 @@
             workspace,
             self._caller_of(request, workspace),
         )
+        self.limit.check_time_for(_longest_s(call, route))
         if route.kind is CallKind.STREAMING:
-            return await self._relay_stream(request, call, route, lease)
+            return await self._relay_stream(request, call, route, lease, timeout)
         answer = await self._forwarder.forward(call, route)
         self._observer.record_s("call", asyncio.get_running_loop().time() - started_at_s)
         return _response_from(answer)
 
     async def _relay_stream(
-        self, request: web.BaseRequest, call: Call, route: Route, lease: ByteLease
+        self,
+        request: web.BaseRequest,
+        call: Call,
+        route: Route,
+        lease: ByteLease,
+        timeout: asyncio.Timeout,
     ) -> web.StreamResponse:
-        """Relay a stream; a broken one aborts the connection, so that it never looks complete."""
+        """Relay a stream; a broken one aborts the connection, so that it never looks complete.
+
+        ``timeout`` ends with its first byte, as no error can be returned from then on.
+        """
         last_event_id = request.headers.get(LAST_EVENT_ID, "")
         opened = await self._relay.open(call, route, parse_whole_number(last_event_id) or 0)
         if isinstance(opened, TargetAnswer):
@@ -152,8 +185,9 @@
         response = web.StreamResponse(status=opened.start.status)
         for name, value in opened.start.headers:
             response.headers.add(name, value)
-        if self.draining:
+        if self.limit.is_draining:
             response.force_close()
+        self.limit.exempt(timeout)
         try:
             await response.prepare(request)
             write = partial(self._bytes.write, request, response, lease=lease)
@@ -240,7 +274,7 @@
             case "GET":
                 wait_s = _parse_count(request.headers.get(WAIT_MS, "0"), WAIT_MS) / 1000.0
                 after = _parse_count(query.get("after", "0"), "after")
-                wait_s = min(MAX_WAIT_S, wait_s)
+                wait_s = min(MAX_WAIT_S, wait_s, 0.5 * self.limit.left_s())
                 reserve = partial(self._bytes.admit_read, lease, request_id=step_id)
                 reserve(0)
                 page = await self._steps.read(step_id, after, wait_s, workspace, reserve)
@@ -297,6 +331,12 @@
     return request.headers.get("Host", "").partition(":")[0]
 
 
+def _longest_s(call: Call, route: Route) -> float:
+    """Return how long a call may take at most."""
+    deadline_s = call.deadline_s - call.received_at_s
+    return min(deadline_s, route.timeout_s) if route.timeout_s > 0.0 else deadline_s
+
+
 def status_of(error: RequestError) -> int:
     """Return the HTTP status of an error; it guarantees "not run" only if that is certain."""
     status = error.status
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -213,12 +213,12 @@
         duties = self._duties.held_duties()
         self._logger.info("draining in_flight=%d duties=%s", self.front.in_flight, duties)
         self.board.leaving = True
-        self.front.draining = True
+        max_end_s = started_at_s + self.settings.grace_s - STOP_MARGIN_S
+        self.front.limit.begin(max_end_s)
         self._membership.announce()
         self._counter.flush_now()
         await self._duties.hand_over()
         min_end_s = started_at_s + min(MIN_DRAIN_S, self.settings.grace_s * 0.6)
-        max_end_s = started_at_s + self.settings.grace_s - STOP_MARGIN_S
         loop = asyncio.get_running_loop()
         while loop.time() < max_end_s:
             if loop.time() >= min_end_s and not self._has_pending_work():
--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -120,6 +120,10 @@
         self._processes[host].terminate()
         return await self._processes[host].wait()
 
+    def signal(self, host: str, number: int) -> None:
+        """Send one node a signal."""
+        self._processes[host].send_signal(number)
+
     def write_settings(self, host: str, text: str) -> None:
         """Replace a node's settings file and send SIGHUP."""
         (self._folder / f"{host}.toml").write_text(text)
