--- a/samphirecleat/platform/_front.py
+++ b/samphirecleat/platform/_front.py
@@ -67,10 +67,9 @@
     ) -> None:
         """Serve callers that ``authenticator`` accepts, by ``routes``.
 
-        ``call_bytes`` bounds the memory for bodies and responses. Once the drain that ``limit``
-        bounds has begun, connections are closed after their response, so that callers reconnect to
-        another node. ``in_flight`` counts the open requests, until the kernel has accepted their
-        response.
+        ``call_bytes`` bounds the memory for bodies and responses. Once ``drain_limit`` has begun,
+        connections are closed after their response, so that callers reconnect to another node.
+        ``in_flight`` counts the open requests, until the kernel has accepted their response.
         """
         self._routes = routes
         self._forwarder = forwarder
@@ -80,7 +79,7 @@
         self._observer = observer
         self._bytes = call_bytes
         self._logger = observer.log("front")
-        self.limit = DrainLimit()
+        self.drain_limit = DrainLimit()
         self.in_flight = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -93,7 +92,7 @@
                     response = await self._dispatch_in_time(request, started_at_s, lease)
                 except RequestError as error:
                     response = self._error_response(request, error, started_at_s)
-                if self.limit.is_draining:
+                if self.drain_limit.is_draining:
                     response.force_close()
                 await self._bytes.deliver(request, response, lease)
             return response
@@ -111,7 +110,7 @@
         self, request: web.BaseRequest, started_at_s: float, lease: ByteLease
     ) -> web.StreamResponse:
         """Return the response, or raise the error of a request that outlasts the node's drain."""
-        timeout = self.limit.open()
+        timeout = self.drain_limit.open()
         try:
             async with timeout:
                 return await self._dispatch(request, started_at_s, lease, timeout)
@@ -120,7 +119,7 @@
                 raise
             raise stopped_error() from error
         finally:
-            self.limit.close(timeout)
+            self.drain_limit.close(timeout)
 
     async def _dispatch(
         self,
@@ -145,7 +144,7 @@
                 step = without_identity(step)
             # The document is not needed any more; the decoded items are about as large.
             del body
-            self.limit.check_time_for(STEP_ACCEPT_S)
+            self.drain_limit.check_time_for(STEP_ACCEPT_S)
             return await self._submit_step(step)
         call = Call(
             request_id,
@@ -159,7 +158,7 @@
             workspace,
             self._caller_of(request, workspace),
         )
-        self.limit.check_time_for(_longest_s(call, route))
+        self.drain_limit.check_time_for(_longest_s(call, route))
         if route.kind is CallKind.STREAMING:
             return await self._relay_stream(request, call, route, lease, timeout)
         answer = await self._forwarder.forward(call, route)
@@ -185,9 +184,9 @@
         response = web.StreamResponse(status=opened.start.status)
         for name, value in opened.start.headers:
             response.headers.add(name, value)
-        if self.limit.is_draining:
+        if self.drain_limit.is_draining:
             response.force_close()
-        self.limit.exempt(timeout)
+        self.drain_limit.exempt(timeout)
         try:
             await response.prepare(request)
             write = partial(self._bytes.write, request, response, lease=lease)
@@ -274,7 +273,7 @@
             case "GET":
                 wait_s = _parse_count(request.headers.get(WAIT_MS, "0"), WAIT_MS) / 1000.0
                 after = _parse_count(query.get("after", "0"), "after")
-                wait_s = min(MAX_WAIT_S, wait_s, 0.5 * self.limit.left_s())
+                wait_s = min(MAX_WAIT_S, wait_s, 0.5 * self.drain_limit.left_s())
                 reserve = partial(self._bytes.admit_read, lease, request_id=step_id)
                 reserve(0)
                 page = await self._steps.read(step_id, after, wait_s, workspace, reserve)
--- a/samphirecleat/platform/_platform_node.py
+++ b/samphirecleat/platform/_platform_node.py
@@ -214,7 +214,7 @@
         self._logger.info("draining in_flight=%d duties=%s", self.front.in_flight, duties)
         self.board.leaving = True
         max_end_s = started_at_s + self.settings.grace_s - STOP_MARGIN_S
-        self.front.limit.begin(max_end_s)
+        self.front.drain_limit.begin(max_end_s)
         self._membership.announce()
         self._counter.flush_now()
         await self._duties.hand_over()
