A draining node answers 202 for a job that it knows to be accepted

What a trainer would see: a job whose 202 was seconds old, or lost, is sent again to a node late in its drain and gets 503, which says that no part of it runs, while all of it does.

Cause: checks the time that is left before it looks whether the step is stored.

Change: only steps that are not stored are refused for lack of time.

--- a/samphirecleat/durable/_access.py
+++ b/samphirecleat/durable/_access.py
@@ -60,18 +60,18 @@
         :raises RequestError: when it is not known to be stored; ``ran`` is NO only if this
             submission will never be stored.
         """
-        if self._is_accepted(request):
+        if self.is_accepted(request):
             return
         written = await self._step_log.accept(request)
         match written.outcome:
             case AppendOutcome.APPENDED:
                 return
             case AppendOutcome.UNKNOWN:
-                if await self._wait_until_accepted(request.step_id) and self._is_accepted(request):
+                if await self._wait_until_accepted(request.step_id) and self.is_accepted(request):
                     return
                 raise RequestError(ErrorKind.OUTCOME_UNKNOWN, written.detail, ran=Ran.UNKNOWN)
             case AppendOutcome.NOT_APPENDED | AppendOutcome.CONDITION_FAILED:
-                if self._is_accepted(request):
+                if self.is_accepted(request):
                     return
                 raise RequestError(
                     ErrorKind.NOT_READY,
@@ -80,7 +80,7 @@
                     retry_after_s=RETRY_AFTER_S,
                 )
 
-    def _is_accepted(self, request: StepRequest) -> bool:
+    def is_accepted(self, request: StepRequest) -> bool:
         """Whether a step of that ID is already stored.
 
         :raises RequestError: when it belongs to another workspace.
--- a/samphirecleat/platform/_call_exchange.py
+++ b/samphirecleat/platform/_call_exchange.py
@@ -45,7 +45,7 @@
     ) -> TargetAnswer | TargetFault:
         """Return the checked answer of a target, or why there is none.
 
-        A fault that were raised here would keep the response in memory, with what has arrived of
+        A fault raised here would keep the response in memory, with what has arrived of
         it, for as long as its traceback is referred to.
         """
         session = self._sessions.get(target, call.request_id)
--- a/samphirecleat/platform/_front.py
+++ b/samphirecleat/platform/_front.py
@@ -144,7 +144,9 @@
                 step = without_identity(step)
             # The document is not needed any more; the decoded items are about as large.
             del body
-            self.drain_limit.check_time_for(STEP_ACCEPT_S)
+            # A refusal says that nothing of the step runs.
+            if not self._steps.is_accepted(step):
+                self.drain_limit.check_time_for(STEP_ACCEPT_S)
             return await self._submit_step(step)
         call = Call(
             request_id,
--- a/tests/platform/test_draining.py
+++ b/tests/platform/test_draining.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from .nodes import Nodes, config_document, running_nodes
+from .nodes import Nodes, config_document, job, running_nodes
 from .scripted_target import ANSWERED, ScriptedTarget
 
 # Of the test's nodes, see the bounds in their settings.
@@ -104,3 +104,45 @@
                 assert not any(target.begun[name] for name in refused)
 
     asyncio.run(body())
+
+
+def test_a_job_that_was_accepted_is_not_called_not_run_by_a_draining_node(tmp_path: Path) -> None:
+    """Guards against a trainer that is told that nothing of a job runs, while all of it does."""
+
+    async def body() -> None:
+        async with running_nodes(1, tmp_path, config=draining_config()) as running:
+            nodes, caller, store, _targets = running
+            target = SlowTarget()
+            server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            entry = {"service": "plain", "zone": "z", "slots": 50, "state": "ready", "born": 5}
+            store.put("keyed.servers", "p-1", {**entry, "address": f"127.0.0.1:{port}"})
+            await caller.call("POST", "/plain/0", body=b"x", headers={"X-Request-Id": "first"})
+            submission = {"Host": "h.example", "X-Request-Id": "b1"}
+            content = job(2)
+            await caller.call("POST", "/jobs/b1", status=202, body=content, headers=submission)
+            url = f"http://{nodes.hosts[0]}:{nodes.front}/jobs/"
+            async with server, aiohttp.ClientSession() as session:
+                running_call = asyncio.ensure_future(
+                    send(session, nodes, 30.0, "early", DEADLINE_MS)
+                )
+                while not target.begun["early"]:
+                    await asyncio.sleep(0.01)
+                nodes.signal(nodes.hosts[0], signal.SIGTERM)
+                new_status = 0
+                number = 2
+                # Jobs that are new are refused once less time is left than they may take.
+                while new_status != 503:
+                    await asyncio.sleep(0.1)
+                    headers = {**submission, "X-Request-Id": f"b{number}"}
+                    new_job = job(2, f"b{number}")
+                    async with session.post(
+                        f"{url}b{number}", data=new_job, headers=headers
+                    ) as response:
+                        new_status = response.status
+                    number += 1
+                async with session.post(f"{url}b1", data=content, headers=submission) as response:
+                    assert response.status == 202
+                assert await running_call == 502
+
+    asyncio.run(body())
