--- a/review/common_2.py
+++ b/review/common_2.py
@@ -188,6 +188,8 @@
         self.repeated: list[tuple[str, int]] = []
         self.on_request: Callable[[Request], int] = lambda _request: 200
         self.body_of: Callable[[Request], bytes] = lambda request: request.request_id.encode() * 40
+        self.events_of: Callable[[Request], int] = lambda _request: self.events
+        self.lost = False
         self.text_of: Callable[[Request], str] = lambda request: request.request_id
         self.repeats: Callable[[Request, int], bool] = lambda _request, _status: False
         self.on_order: Callable[[Mapping[str, Any]], None] = lambda _order: None
@@ -310,7 +312,7 @@
         )
         text = self.text_of(request)
         first = int(request.headers.get("last-event-id", "0")) + 1
-        for number in range(first, self.events + 1):
+        for number in range(first, self.events_of(request) + 1):
             await asyncio.sleep(self.event_s)
             line = f"x-weight-versions: {self.version}\n" if self.version != version else ""
             version = self.version
